--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"hoproute/internal/wire"
+	"ospreypond/internal/wire"
 )
 
 func main() {
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,217 @@
+// Package config is the one place where the program's configuration is read, checked and given defaults.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ospreypond/internal/routetable"
+	"ospreypond/policy"
+)
+
+// Config is everything that a dispatcher is told when it starts.
+type Config struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	SeedText  string          `json:"seed"`
+	Limits    Limits          `json:"limits"`
+	Known     routetable.List `json:"known"` // the list of runners as this dispatcher last had it
+	Settings  Settings        `json:"settings"`
+
+	Seed     uint64          `json:"-"`
+	Policy   policy.Settings `json:"-"` // Settings, as the decision module takes them
+	LogLevel logrus.Level    `json:"-"`
+}
+
+// Limits is what the platform allows the program.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Defaults for what may be left out.
+const (
+	defaultCores    = 1
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	defaultPeriod   = 2 * time.Millisecond
+	defaultConnect  = 200 * time.Millisecond
+	defaultIdle     = 5 * time.Second
+	defaultHold     = 5 * time.Second
+	maxHold         = time.Minute     // the longest that discovery holds a call
+	maxStop         = 3 * time.Second // the longest deadline that the platform waits for at a planned restart
+	minSockets      = 64              // fewer leave no room for clients and runners beside the program's own
+)
+
+// Load reads the file that LB_CONFIG names. LB_NAME, LB_LISTEN and LB_DISCOVERY, where set, replace what it
+// says, and LB_LOG_LEVEL (default info) sets how much is logged. An error names the key or variable at fault.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("LB_CONFIG")
+	if path == "" {
+		return nil, errors.New("LB_CONFIG: is not set; it names the configuration file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	c := &Config{}
+	if err := json.Unmarshal(text, c); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			return nil, fmt.Errorf("LB_CONFIG: key %q: a %s where a %s is due", wrong.Field, wrong.Value, wrong.Type)
+		}
+		return nil, fmt.Errorf("LB_CONFIG: %s: %w", path, err)
+	}
+	for _, v := range []struct {
+		name string
+		to   *string
+	}{{"LB_NAME", &c.Name}, {"LB_LISTEN", &c.Listen}, {"LB_DISCOVERY", &c.Discovery}} {
+		if s := getenv(v.name); s != "" {
+			*v.to = s
+		}
+	}
+	c.LogLevel = logrus.InfoLevel
+	if s := getenv("LB_LOG_LEVEL"); s != "" {
+		if c.LogLevel, err = logrus.ParseLevel(s); err != nil {
+			return nil, fmt.Errorf("LB_LOG_LEVEL: %w", err)
+		}
+	}
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Config) check() error {
+	key := func(key string, format string, args ...any) error {
+		return fmt.Errorf("key %q: %s", key, fmt.Sprintf(format, args...))
+	}
+	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, port, err := net.SplitHostPort(a.addr); err != nil || port == "" {
+			return key(a.name, "%q is not host:port", a.addr)
+		}
+	}
+	l := &c.Limits
+	setDefault(&l.Cores, defaultCores)
+	setDefault(&l.MemoryMB, defaultMemoryMB)
+	setDefault(&l.Sockets, defaultSockets)
+	switch {
+	case l.Cores < 0:
+		return key("limits.cores", "%v is negative", l.Cores)
+	case l.MemoryMB < 0:
+		return key("limits.memory_mb", "%v is negative", l.MemoryMB)
+	case l.Sockets < minSockets:
+		return key("limits.sockets", "%d is under %d, which is too few to serve", l.Sockets, minSockets)
+	}
+	if err := c.Known.Check(); err != nil {
+		return fmt.Errorf("key \"known\": %w", err)
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(c.SeedText, 16, 64); err != nil {
+		h := fnv.New64a()
+		h.Write([]byte(c.SeedText))
+		c.Seed = h.Sum64()
+	}
+	if err := c.Settings.check(); err != nil {
+		return fmt.Errorf("key \"settings.%w", err)
+	}
+	if c.Policy, err = c.Settings.Policy(); err != nil {
+		return fmt.Errorf("key \"settings\": %w", err)
+	}
+	p := &c.Policy
+	setDefault(&p.Period, defaultPeriod)
+	setDefault(&p.ConnectTimeout, defaultConnect)
+	setDefault(&p.ConnIdle, defaultIdle)
+	return nil
+}
+
+// check finds figures that no dispatcher can work with. Its error goes on after the opening quote of a key.
+func (s *Settings) check() error {
+	if len(s.Classes) == 0 {
+		return errors.New(`classes": is empty`)
+	}
+	for i, c := range s.Classes {
+		if c.Name == "" {
+			return fmt.Errorf(`classes[%d].name": is empty`, i)
+		}
+		if c.DeadlineUs <= 0 {
+			return fmt.Errorf(`classes[%d].deadlineUs": %v is not over 0`, i, c.DeadlineUs)
+		}
+	}
+	for _, f := range []struct {
+		key string
+		v   float64
+	}{
+		{"periodUs", s.PeriodUs}, {"limits.connIdleUs", s.Limits.ConnIdleUs},
+		{"limits.connectTimeoutUs", s.Limits.ConnectTimeoutUs}, {"rules.answerSlackUs", s.Rules.AnswerSlackUs},
+		{"rules.askWithinUs", s.Rules.AskWithinUs}, {"rules.coldUs", s.Rules.ColdUs},
+		{"rules.tipAfterUs", s.Rules.TipAfterUs}, {"limits.maxRetryAfterUs", s.Limits.MaxRetryAfterUs},
+	} {
+		if f.v < 0 {
+			return fmt.Errorf(`%s": %v is negative`, f.key, f.v)
+		}
+	}
+	return nil
+}
+
+func setDefault[T comparable](v *T, to T) {
+	var zero T
+	if *v == zero {
+		*v = to
+	}
+}
+
+// ClassNames returns the names of the classes of requests.
+func (c *Config) ClassNames() []string {
+	names := make([]string, 0, len(c.Policy.Classes))
+	for _, k := range c.Policy.Classes {
+		names = append(names, k.Name)
+	}
+	return names
+}
+
+// Procs is how many threads run Go code at once.
+func (c *Config) Procs() int { return max(1, int(math.Ceil(c.Limits.Cores))) }
+
+// MemoryTarget is where the garbage collector starts to work harder: the limit less what it does not count
+// and what it takes to react.
+func (c *Config) MemoryTarget() int64 { return int64(c.Limits.MemoryMB) << 20 / 4 * 3 }
+
+// SocketBudget splits the allowed descriptors between clients and egress targets; some are left for
+// discovery, the listener and the runtime.
+func (c *Config) SocketBudget() (clients, targets int) {
+	rest := c.Limits.Sockets - minSockets/2
+	return rest / 2, rest - rest/2
+}
+
+// Hold is how long discovery may hold a watch. Where the network is cut in silence, what changed counts as
+// told some time after the hold's end at the latest, so a short hold keeps the list's age within what the
+// rules allow; a very short one would be a load on discovery, which all dispatchers share.
+func (c *Config) Hold() time.Duration {
+	hold := c.Policy.AskWithin / 2
+	if hold <= 0 {
+		hold = defaultHold
+	}
+	return min(hold, maxHold)
+}
+
+// StopWithin is how long after the signal to stop open requests may still run: the longest deadline, as far
+// as the platform waits for it. The platform kills no sooner than 0.7 s later.
+func (c *Config) StopWithin() time.Duration {
+	var longest time.Duration
+	for _, k := range c.Policy.Classes {
+		longest = max(longest, k.Deadline)
+	}
+	return min(longest, maxStop)
+}
--- a/internal/wire/settings.go
+++ b/internal/config/settings.go
@@ -1,15 +1,15 @@
-package wire
+package config
 
 import (
-	"bytes"
 	"fmt"
 	"time"
 
-	"hoproute/policy"
+	"ospreypond/policy"
 )
 
-// settings is the start message's JSON object, as far as it is used.
-type settings struct {
+// Settings is the deployment's settings object, as far as it is used: the simulator sends it in its first
+// message, a real dispatcher finds it under "settings" in its configuration.
+type Settings struct {
 	Zone      string   `json:"zone"`
 	SlotNo    int      `json:"slotNo"`
 	Balancers int      `json:"balancers"`
@@ -68,8 +68,8 @@
 	} `json:"tenants"`
 }
 
-// policy translates the wire's settings into the module's.
-func (s *settings) policy() (policy.Settings, error) {
+// Policy translates the deployment's settings into the module's.
+func (s *Settings) Policy() (policy.Settings, error) {
 	us := func(v float64) time.Duration { return time.Duration(v * float64(time.Microsecond)) }
 	p := policy.Settings{
 		Zone: s.Zone, Number: s.SlotNo, Schedulers: s.Balancers, Period: us(s.PeriodUs),
@@ -121,44 +121,27 @@
 	return p, nil
 }
 
-// report decodes a load report; what it does not know it skips.
-func (s *settings) report(b []byte) (policy.Report, error) {
-	r := policy.NoReport
-	for len(b) > 0 {
-		var part []byte
-		part, b, _ = bytes.Cut(b, []byte{','})
-		k, v, ok := bytes.Cut(part, []byte{':'})
-		if !ok {
-			continue
+// ReportField returns where the figure of that name goes in a load report, or nil for one that is not used.
+// Both the simulator's wire names and the names in real runners' reports are known.
+func (s *Settings) ReportField(r *policy.Report, name string) *float64 {
+	switch name {
+	case "depth", "queue":
+		return &r.Queued
+	case "concurrent", "inflight":
+		return &r.InFlight
+	case "load_share", "util":
+		return &r.Load
+	case "x0", "x1":
+		meaning := s.FamilyInfo.ReportX0
+		if name == "x1" {
+			meaning = s.FamilyInfo.ReportX1
 		}
-		var to *float64
-		switch string(k) {
-		case "depth":
-			to = &r.Queued
-		case "concurrent":
-			to = &r.InFlight
-		case "load_share":
-			to = &r.Load
-		case "x0", "x1":
-			meaning := s.FamilyInfo.ReportX0
-			if string(k) == "x1" {
-				meaning = s.FamilyInfo.ReportX1
-			}
-			switch meaning {
-			case "free slots":
-				to = &r.FreeSlots
-			case "free memory":
-				to = &r.FreeMemory
-			}
-		}
-		if to == nil {
-			continue
-		}
-		x, err := number(v)
-		if err != nil {
-			return r, fmt.Errorf("%s: %w", k, err)
+		switch meaning {
+		case "free slots":
+			return &r.FreeSlots
+		case "free memory":
+			return &r.FreeMemory
 		}
-		*to = max(0, x)
 	}
-	return r, nil
+	return nil
 }
--- /dev/null
+++ b/internal/egress/egress.go
@@ -0,0 +1,341 @@
+// Package egress speaks to the runners, the egress targets: it makes hops and probes over HTTP and says how
+// each ended. It decides nothing.
+package egress
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ospreypond/internal/config"
+	"ospreypond/internal/exchange"
+	"ospreypond/internal/routetable"
+	"ospreypond/policy"
+)
+
+const (
+	// idleShare is the part of the runner's own limit for which an idle connection is kept. A runner closes at
+	// that limit, and what is written as it does ends as a reset.
+	idleShare = 0.85
+	// idlePerTarget is more than one target's share of the hops at once: a connection closed only because too
+	// many are idle costs the runner a handshake when it is opened again.
+	idlePerTarget = 256
+	// drainLimit is how long the rest of an answer is read for after its last line, so that its connection
+	// can be used again.
+	drainLimit = time.Second
+	// maxLine bounds one line of an answer; no body exceeds 64 KiB.
+	maxLine = 128 << 10
+)
+
+var errNotOpen = errors.New("the target takes nothing new")
+
+// Egress makes hops and probes. It is safe for use by several goroutines.
+type Egress struct {
+	table    *routetable.Table
+	settings *config.Settings
+	dialer   net.Dialer
+	idle     time.Duration
+	budget   int64 // connections at once
+	open     atomic.Int64
+	log      logrus.FieldLogger
+
+	mu      sync.Mutex
+	targets map[string]*http.Transport
+}
+
+// New returns an Egress that opens at most budget connections.
+func New(t *routetable.Table, c *config.Config, budget int, log logrus.FieldLogger) *Egress {
+	return &Egress{table: t, settings: &c.Settings, dialer: net.Dialer{Timeout: c.Policy.ConnectTimeout},
+		idle: time.Duration(idleShare * float64(c.Policy.ConnIdle)), budget: int64(budget), log: log,
+		targets: map[string]*http.Transport{}}
+}
+
+// transport returns the target's own transport.
+func (e *Egress) transport(target string) *http.Transport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	tr := e.targets[target]
+	if tr == nil {
+		tr = &http.Transport{
+			DialContext:            e.dial,
+			Proxy:                  nil,
+			DisableCompression:     true,
+			MaxIdleConnsPerHost:    idlePerTarget,
+			IdleConnTimeout:        e.idle,
+			MaxResponseHeaderBytes: 64 << 10,
+			Protocols:              new(http.Protocols),
+		}
+		tr.Protocols.SetHTTP1(true)
+		e.targets[target] = tr
+	}
+	return tr
+}
+
+// dial opens a connection within the socket budget. Guards against running out of descriptors, which would
+// also keep clients out: idle connections go first, then dials fail.
+func (e *Egress) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	if e.open.Add(1) > e.budget {
+		e.closeAllIdle()
+		if e.open.Load() > e.budget {
+			e.open.Add(-1)
+			e.log.WithField("budget", e.budget).Warn("out of sockets for egress targets")
+			return nil, errors.New("out of sockets for egress targets")
+		}
+	}
+	c, err := e.dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		e.open.Add(-1)
+		return nil, err
+	}
+	return &conn{Conn: c, closed: func() { e.open.Add(-1) }}, nil
+}
+
+func (e *Egress) closeAllIdle() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, tr := range e.targets {
+		tr.CloseIdleConnections()
+	}
+}
+
+// CloseIdle closes the idle connections to a target.
+func (e *Egress) CloseIdle(target string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if tr := e.targets[target]; tr != nil {
+		tr.CloseIdleConnections()
+	}
+}
+
+// Prune drops the state of targets that are gone from the route table.
+func (e *Egress) Prune() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for target, tr := range e.targets {
+		if _, ok := e.table.Lookup(target); !ok {
+			tr.CloseIdleConnections()
+			delete(e.targets, target)
+		}
+	}
+}
+
+// onceBody is a request's body that http.Transport cannot send again by itself: it is no type that the
+// library knows, and the request has no GetBody. Guards against silent resends: a transport repeats a request
+// on which a kept connection broke if it has no body and is a GET or carries an Idempotency-Key. It is used
+// for empty bodies too.
+type onceBody struct{ r *bytes.Reader }
+
+func (b onceBody) Read(p []byte) (int, error) { return b.r.Read(p) }
+func (b onceBody) Close() error               { return nil }
+
+// call is one request to a target on its way.
+type call struct {
+	e    *Egress
+	mu   sync.Mutex
+	conn *conn
+}
+
+// do sends a request with the trace that tells what became of it. The caller owns ctx.
+func (c *call) do(ctx context.Context, target string, gate func() error, build func(base string) (*http.Request, error)) (
+	*http.Response, error) {
+	route, ok := c.e.table.Lookup(target)
+	if !ok {
+		return nil, fmt.Errorf("%s: not in the route table", target)
+	}
+	req, err := build("http://" + route.Dial)
+	if err != nil {
+		return nil, err
+	}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if own, ok := info.Conn.(*conn); ok {
+			own.begin(gate)
+			c.mu.Lock()
+			c.conn = own
+			c.mu.Unlock()
+		}
+	}})
+	return c.e.transport(target).RoundTrip(req.WithContext(ctx))
+}
+
+// broken tells the outcome of a call that brought no usable answer.
+func (c *call) broken(ctx context.Context) policy.Outcome {
+	c.mu.Lock()
+	own := c.conn
+	c.mu.Unlock()
+	unsent := own == nil || own.abandon()
+	switch {
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return policy.TimedOut
+	case ctx.Err() != nil:
+		return policy.Cancelled
+	case unsent:
+		return policy.ConnectFailed
+	}
+	return policy.Reset
+}
+
+// Hop makes one attempt. It returns as soon as the end is known and reads the rest of the answer behind the
+// caller's back.
+func (e *Egress) Hop(outer context.Context, h *exchange.Hop) exchange.HopEnd {
+	// The caller ends its context when the hop has ended, but the connection is good for another hop only once
+	// the answer was read to its end. So the call has a context of its own.
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(outer))
+	detach := context.AfterFunc(outer, func() { cancel(context.Cause(outer)) })
+	end := exchange.HopEnd{Report: policy.NoReport}
+
+	c := call{e: e}
+	gate := func() error {
+		if !e.table.Open(h.Target) {
+			return errNotOpen
+		}
+		return nil
+	}
+	resp, err := c.do(ctx, h.Target, gate, func(base string) (*http.Request, error) {
+		return hopRequest(base, h)
+	})
+	if err != nil {
+		end.Outcome = c.broken(ctx)
+		detach()
+		cancel(nil)
+		e.log.WithError(err).WithFields(logrus.Fields{"target": h.Target, "request": h.Request.ID,
+			"outcome": end.Outcome}).Debug("hop brought no answer")
+		return end
+	}
+	if report, ok := headerReport(e.settings, resp.Header); ok {
+		end.Report = report
+	}
+	lines := newLines(resp.Body)
+	if resp.StatusCode == http.StatusOK {
+		e.follow(ctx, h, lines, &c, &end)
+	} else {
+		end.Outcome = refused(resp)
+		if resp.StatusCode != http.StatusInternalServerError && end.Outcome == policy.Failed {
+			e.log.WithFields(logrus.Fields{"target": h.Target, "request": h.Request.ID, "status": resp.StatusCode}).
+				Warn("target answered with an unexpected status")
+		}
+	}
+	detach()
+	go drain(lines, resp.Body, cancel)
+	return end
+}
+
+// hopRequest builds what the target gets: the client's request, unchanged, and how long we wait.
+func hopRequest(base string, h *exchange.Hop) (*http.Request, error) {
+	r := h.Request
+	req, err := http.NewRequest(r.Method, base+r.Target, onceBody{bytes.NewReader(r.Body)})
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(r.Body))
+	req.Header["User-Agent"] = nil
+	req.Header.Set("X-Request-ID", r.ID)
+	if r.Key != "" {
+		req.Header.Set("Idempotency-Key", r.Key)
+	}
+	if r.ContentType != "" {
+		req.Header.Set("Content-Type", r.ContentType)
+	}
+	left := max(0, time.Until(h.Deadline))
+	req.Header.Set("X-Timeout", strconv.FormatInt(left.Microseconds(), 10)+"u")
+	return req, nil
+}
+
+// refused tells the outcome that a status other than 200 stands for.
+func refused(resp *http.Response) policy.Outcome {
+	busy := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
+	if busy && resp.Header.Get("X-Not-Processed") == "1" {
+		return policy.Full
+	}
+	return policy.Failed
+}
+
+// follow reads an answer's lines up to the one that ends the hop.
+func (e *Egress) follow(ctx context.Context, h *exchange.Hop, lines *lines, c *call, end *exchange.HopEnd) {
+	for {
+		l, err := lines.next()
+		if err != nil {
+			if end.Outcome = c.broken(ctx); end.Outcome == policy.ConnectFailed {
+				end.Outcome = policy.Reset // it answered, so it has the request
+			}
+			return
+		}
+		if l.ID != "" && l.ID != h.Request.ID {
+			e.log.WithFields(logrus.Fields{"target": h.Target, "request": h.Request.ID, "got": l.ID}).
+				Error("target answered for another request")
+			end.Outcome = policy.Failed
+			return
+		}
+		if l.Load != nil {
+			end.Report = lineReport(e.settings, l.Load)
+		}
+		switch l.State {
+		case "started":
+			h.News(policy.JobStarted)
+		case "running":
+			h.News(policy.JobProgress)
+		case "done":
+			end.Outcome, end.Result = policy.OK, l.result()
+			return
+		case "failed":
+			end.Outcome = policy.Failed
+			return
+		case "returned":
+			end.Outcome = policy.Full
+			return
+		case "lost":
+			end.Outcome = policy.Reset
+			return
+		}
+	}
+}
+
+// drain reads an answer to its end, so that its connection goes back to the pool, and closes it.
+func drain(lines *lines, body io.ReadCloser, cancel context.CancelCauseFunc) {
+	stop := time.AfterFunc(drainLimit, func() { cancel(nil) })
+	lines.discard()
+	stop.Stop()
+	_ = body.Close()
+	cancel(nil)
+}
+
+// Probe asks a target for its load. It uses the same connections as hops.
+func (e *Egress) Probe(ctx context.Context, target string) exchange.HopEnd {
+	end := exchange.HopEnd{Report: policy.NoReport}
+	c := call{e: e}
+	resp, err := c.do(ctx, target, nil, func(base string) (*http.Request, error) {
+		req, err := http.NewRequest(http.MethodGet, base+"/stats", onceBody{bytes.NewReader(nil)})
+		if err == nil {
+			req.ContentLength = 0
+			req.Header["User-Agent"] = nil
+		}
+		return req, err
+	})
+	if err != nil {
+		end.Outcome = c.broken(ctx)
+		return end
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLine))
+	switch {
+	case err != nil:
+		end.Outcome = c.broken(ctx)
+	case resp.StatusCode == http.StatusOK:
+		end.Outcome, end.Report = policy.OK, textReport(e.settings, string(body))
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		end.Outcome = policy.Full
+	default:
+		end.Outcome = policy.Failed
+	}
+	return end
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,435 @@
+// Package exchange is where the side of the clients and the side of the runners meet, and nowhere else. One
+// goroutine owns the decision module: it turns arrivals, ends of hops, news of the list and timers into the
+// module's events and carries out the actions that come back. Any protocol that fills in a Request and waits
+// for its Answer gets the same decisions under the same rules.
+package exchange
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"runtime/debug"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ospreypond/policy"
+)
+
+const (
+	// netAfter is how long after the client's deadline plus the settings' slack a request that the module left
+	// without an answer is ended. Guards against a module that loses a request; the rules leave 50 ms.
+	netAfter = 15 * time.Millisecond
+	// probeLimit is how long a probe is waited for.
+	probeLimit = 250 * time.Millisecond
+	// inboxSize is how much may wait for the exchange before those who bring it wait too.
+	inboxSize = 1024
+)
+
+// Exchange connects ingress, egress and the route table to the decision module.
+type Exchange struct {
+	set    policy.Settings
+	seed   uint64
+	egress Egress
+	list   Directory
+	log    logrus.FieldLogger
+	clock  clock
+	inbox  chan func()
+	done   chan struct{}
+
+	// The rest belongs to the goroutine of Run.
+	d       *policy.Dispatcher
+	ctx     context.Context
+	started bool
+	closing bool
+	members map[string]policy.Member // as last told, for a module that starts over
+	jobs    map[uint32]*job
+	nextID  uint32
+	events  []policy.Event // since the last step
+	spare   []policy.Event
+	actions []policy.Action
+	timers  timerHeap
+	stepAt  time.Duration // of the last step
+}
+
+// job is a request that was taken, until it has its answer and all its hops have ended.
+type job struct {
+	id       uint32
+	r        *Request
+	due      time.Duration
+	answer   chan Answer // holds one, so that the exchange never waits for a client's side
+	answered bool
+	net      *time.Timer
+	hops     []*hop
+	out      int // hops that have not ended
+}
+
+type hop struct {
+	cancel context.CancelFunc
+	sent   time.Time
+}
+
+// New returns an exchange round a fresh decision module. Attach must be called before Run.
+func New(set policy.Settings, seed uint64, log logrus.FieldLogger) (*Exchange, error) {
+	d, err := policy.New(set, seed)
+	if err != nil {
+		return nil, fmt.Errorf("starting the decision module: %w", err)
+	}
+	return &Exchange{set: set, seed: seed, log: log, d: d, clock: newClock(), inbox: make(chan func(), inboxSize),
+		done: make(chan struct{}), members: map[string]policy.Member{}, jobs: map[uint32]*job{}}, nil
+}
+
+// Attach connects the egress targets' side and discovery's side.
+func (x *Exchange) Attach(e Egress, d Directory) { x.egress, x.list = e, d }
+
+// do has f run by the exchange's goroutine. Once the exchange has ended it does nothing.
+func (x *Exchange) do(f func()) {
+	select {
+	case x.inbox <- f:
+	case <-x.done:
+	}
+}
+
+// Submit takes a request and waits for its final answer, or for its client to leave, which ends ctx.
+func (x *Exchange) Submit(ctx context.Context, r *Request) Answer {
+	j := &job{r: r, answer: make(chan Answer, 1)}
+	x.do(func() { x.arrive(j) })
+	select {
+	case a := <-j.answer:
+		return a
+	case <-ctx.Done():
+		x.do(func() { x.leave(j) })
+		return Answer{Kind: Left}
+	case <-x.done:
+		select {
+		case a := <-j.answer:
+			return a
+		default:
+			return Answer{Kind: Broken}
+		}
+	}
+}
+
+// News takes in what discovery told.
+func (x *Exchange) News(e policy.Event) {
+	x.do(func() {
+		x.remember(&e)
+		x.events = append(x.events, e)
+		x.egress.Prune()
+	})
+}
+
+// Close has every open request answered now, and every later one at once. The exchange goes on so that the
+// answers get out.
+func (x *Exchange) Close() {
+	x.do(func() {
+		x.closing = true
+		x.events = append(x.events, policy.Event{Kind: policy.Closing})
+	})
+}
+
+// Run drives the module until ctx ends. A panic in the module costs the requests it held, which are answered
+// as broken, and the module starts over with the list that it had.
+func (x *Exchange) Run(ctx context.Context) {
+	defer close(x.done)
+	x.ctx = ctx
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			x.breakAll()
+			return
+		case f := <-x.inbox:
+			f()
+		case <-wake.C:
+		}
+		for more := true; more; {
+			select {
+			case f := <-x.inbox:
+				f()
+			default:
+				more = false
+			}
+		}
+		now := x.clock.now()
+		if x.due() <= now {
+			x.step(now)
+		}
+		wake.Reset(min(x.due()-x.clock.now(), time.Hour))
+	}
+}
+
+// due tells when the module is to step next: no sooner than the settings' period after the last time.
+func (x *Exchange) due() time.Duration {
+	first := x.stepAt + x.set.Period
+	switch {
+	case len(x.events) > 0:
+		return first
+	case len(x.timers) > 0:
+		return max(first, x.timers[0].at)
+	}
+	return first + time.Hour
+}
+
+// step has the module decide on what has come in and does as it says.
+func (x *Exchange) step(now time.Duration) {
+	x.stepAt = now
+	for len(x.timers) > 0 && x.timers[0].at <= now {
+		x.events = append(x.events, policy.Event{Kind: policy.TimerFired, Token: x.timers[0].token})
+		heap.Pop(&x.timers)
+	}
+	events := x.events
+	x.events = x.spare[:0]
+	for i := range events {
+		if e := &events[i]; e.Kind == policy.Request { // the client's time ran on while it waited here
+			if j := x.jobs[e.ID]; j != nil {
+				e.Left = j.due - now
+			}
+		}
+	}
+	if x.decide(now, events) {
+		for i := range x.actions {
+			x.act(&x.actions[i])
+		}
+	}
+	clear(events)
+	x.spare = events[:0]
+}
+
+// decide runs the module; ok is false if it panicked and was replaced.
+func (x *Exchange) decide(now time.Duration, events []policy.Event) (ok bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			x.log.WithField("panic", p).WithField("stack", string(debug.Stack())).
+				Error("decision module panicked; what it held is answered as failed and it starts over")
+			x.restart()
+		}
+	}()
+	x.actions = x.d.Step(now, events, x.actions[:0])
+	return true
+}
+
+// restart replaces the module. Guards against one bad decision taking every request on this dispatcher along.
+func (x *Exchange) restart() {
+	x.breakAll()
+	d, err := policy.New(x.set, x.seed)
+	if err != nil {
+		x.log.WithError(err).Error("decision module does not start")
+		return
+	}
+	x.d, x.timers, x.jobs, x.events = d, nil, map[uint32]*job{}, x.events[:0]
+	e := policy.Event{Kind: policy.ListRestored}
+	for _, m := range x.members {
+		e.Members = append(e.Members, m)
+	}
+	slices.SortFunc(e.Members, func(a, b policy.Member) int {
+		if a.Worker < b.Worker {
+			return -1
+		}
+		return 1
+	})
+	x.events = append(x.events, e)
+	if x.closing {
+		x.events = append(x.events, policy.Event{Kind: policy.Closing})
+	}
+}
+
+// breakAll answers everything open as failed through this program and calls off its hops.
+func (x *Exchange) breakAll() {
+	for _, j := range x.jobs {
+		x.reply(j, Answer{Kind: Broken})
+		for _, h := range j.hops {
+			h.cancel()
+		}
+	}
+}
+
+func (x *Exchange) remember(e *policy.Event) {
+	if e.Kind == policy.ListReplaced || e.Kind == policy.ListRestored {
+		clear(x.members)
+	}
+	for _, m := range e.Members {
+		if m.State == policy.Gone {
+			delete(x.members, m.Worker)
+		} else {
+			x.members[m.Worker] = m
+		}
+	}
+}
+
+// arrive takes a request in and gives it the number by which the module knows it.
+func (x *Exchange) arrive(j *job) {
+	r := j.r
+	for x.nextID++; x.jobs[x.nextID] != nil; x.nextID++ {
+	}
+	j.id, j.due = x.nextID, x.clock.at(r.Deadline)
+	x.jobs[j.id] = j
+	j.net = time.AfterFunc(time.Until(r.Deadline)+x.set.AnswerSlack+netAfter, func() {
+		x.do(func() { x.overdue(j) })
+	})
+	x.events = append(x.events, policy.Event{Kind: policy.Request, ID: j.id, Class: r.Class, Tenant: r.Tenant,
+		Work: r.Work, Slots: r.Slots, Memory: r.Memory, Retry: r.Retry, Report: policy.NoReport})
+}
+
+// overdue ends a request that the module has forgotten.
+func (x *Exchange) overdue(j *job) {
+	if j.answered {
+		return
+	}
+	x.log.WithField("request", j.r.ID).Error("request overdue; answered as failed")
+	x.reply(j, Answer{Kind: Broken})
+	x.events = append(x.events, policy.Event{Kind: policy.ClientGone, ID: j.id})
+}
+
+// leave ends a request whose client has gone.
+func (x *Exchange) leave(j *job) {
+	if !j.answered {
+		x.reply(j, Answer{Kind: Left})
+		x.events = append(x.events, policy.Event{Kind: policy.ClientGone, ID: j.id})
+	}
+}
+
+// reply gives j its final answer; only the first one counts.
+func (x *Exchange) reply(j *job, a Answer) {
+	if j.answered {
+		return
+	}
+	j.answered = true
+	j.net.Stop()
+	j.answer <- a
+	x.forget(j)
+}
+
+func (x *Exchange) forget(j *job) {
+	if j.answered && j.out == 0 && x.jobs[j.id] == j {
+		delete(x.jobs, j.id)
+	}
+}
+
+// act carries out one action.
+func (x *Exchange) act(a *policy.Action) {
+	switch a.Kind {
+	case policy.Send, policy.Cancel, policy.Refuse, policy.Fail:
+		j := x.jobs[a.ID]
+		if j == nil {
+			if a.Kind == policy.Send {
+				x.log.WithField("target", a.Worker).Error("decision module sent a request that it does not have")
+			}
+			return
+		}
+		switch {
+		case a.Kind == policy.Send:
+			x.send(j, a)
+		case a.Kind == policy.Cancel && a.Attempt < len(j.hops):
+			j.hops[a.Attempt].cancel()
+		case a.Kind == policy.Refuse:
+			x.reply(j, Answer{Kind: Shed, RetryAfter: a.RetryAfter})
+		case a.Kind == policy.Fail:
+			x.reply(j, Answer{Kind: Failed})
+		}
+	case policy.Arm:
+		heap.Push(&x.timers, timer{a.At, a.Token})
+	case policy.Probe:
+		x.probe(a.Worker)
+	case policy.Subscribe:
+		x.list.Subscribe()
+	case policy.CloseIdle:
+		x.egress.CloseIdle(a.Worker)
+	case policy.Log:
+		x.log.WithField("from", "policy").Info(a.Text)
+	case policy.TellPeers: // dispatchers share nothing here
+	}
+}
+
+// send starts a hop. Its goroutine brings exactly one end.
+func (x *Exchange) send(j *job, a *policy.Action) {
+	n, target := len(j.hops), a.Worker // a is overwritten by the next step
+	limit := j.r.Deadline
+	if a.Timeout != 0 {
+		if t := time.Now().Add(a.Timeout); t.Before(limit) {
+			limit = t
+		}
+	}
+	ctx, cancel := context.WithDeadline(x.ctx, limit)
+	h := &hop{cancel: cancel, sent: time.Now()}
+	j.hops = append(j.hops, h)
+	j.out++
+	if j.answered || x.set.MaxAttempts > 0 && n >= x.set.MaxAttempts {
+		x.hopEnded(j, n, target, HopEnd{Outcome: policy.Moot, Report: policy.NoReport})
+		return
+	}
+	news := func(k policy.EventKind) {
+		x.do(func() {
+			if j.out > 0 && x.jobs[j.id] == j {
+				x.events = append(x.events, policy.Event{Kind: k, ID: j.id, Attempt: n, Worker: target})
+			}
+		})
+	}
+	hop := &Hop{Target: target, Request: j.r, Deadline: limit, News: news}
+	go func() {
+		end := x.guard(func() HopEnd { return x.egress.Hop(ctx, hop) })
+		x.do(func() { x.hopEnded(j, n, target, end) })
+	}()
+}
+
+// guard turns a panic on the way out into an end that proves nothing, so that the request is still answered.
+func (x *Exchange) guard(f func() HopEnd) (end HopEnd) {
+	defer func() {
+		if p := recover(); p != nil {
+			x.log.WithField("panic", p).WithField("stack", string(debug.Stack())).Error("hop panicked")
+			end = HopEnd{Outcome: policy.Failed, Report: policy.NoReport}
+		}
+	}()
+	return f()
+}
+
+// hopEnded takes in the one end of a hop. The first result goes to the client at once.
+func (x *Exchange) hopEnded(j *job, n int, target string, end HopEnd) {
+	h := j.hops[n]
+	h.cancel()
+	j.out--
+	if x.jobs[j.id] != j { // the module was replaced meanwhile
+		return
+	}
+	if end.Outcome == policy.OK {
+		x.reply(j, Answer{Kind: Served, Result: end.Result})
+	}
+	x.events = append(x.events, policy.Event{Kind: policy.AttemptEnded, ID: j.id, Attempt: n, Worker: target,
+		Outcome: end.Outcome, Elapsed: time.Since(h.sent), Complete: j.answered, Report: end.Report})
+	x.forget(j)
+}
+
+// probe asks a target for its load.
+func (x *Exchange) probe(target string) {
+	ctx, cancel := context.WithTimeout(x.ctx, probeLimit)
+	sent := time.Now()
+	go func() {
+		defer cancel()
+		end := x.guard(func() HopEnd { return x.egress.Probe(ctx, target) })
+		elapsed := time.Since(sent)
+		x.do(func() {
+			x.events = append(x.events, policy.Event{Kind: policy.ProbeEnded, Worker: target, Outcome: end.Outcome,
+				Elapsed: elapsed, Report: end.Report})
+		})
+	}()
+}
+
+type timer struct {
+	at    time.Duration
+	token uint64
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(a, b int) bool { return h[a].at < h[b].at }
+func (h timerHeap) Swap(a, b int)      { h[a], h[b] = h[b], h[a] }
+func (h *timerHeap) Push(t any)        { *h = append(*h, t.(timer)) }
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	*h = (*h)[:last]
+	return t
+}
--- /dev/null
+++ b/internal/exchange/types.go
@@ -0,0 +1,77 @@
+package exchange
+
+import (
+	"context"
+	"time"
+
+	"ospreypond/policy"
+)
+
+// Request is one client's request, whatever protocol it came by.
+type Request struct {
+	ID       string
+	Class    string
+	Tenant   string
+	Arrived  time.Time     // when its last byte was read
+	Deadline time.Time     // when the client gives up
+	Work     time.Duration // the client's estimate; 0: none
+	Slots    float64
+	Memory   float64
+	Retry    bool
+
+	// What a runner is handed unchanged.
+	Method, Target, Key, ContentType string
+	Body                             []byte
+}
+
+// AnswerKind is how a request ended.
+type AnswerKind int
+
+// The final answers.
+const (
+	Served AnswerKind = iota // Result is a runner's
+	Shed                     // refused: a retry is harmless
+	Failed                   // nothing is promised about its effect
+	Broken                   // failed through a fault of this program
+	Left                     // its client has gone; there is nobody to answer
+)
+
+func (k AnswerKind) String() string {
+	return [...]string{"served", "shed", "failed", "broken", "left"}[k]
+}
+
+// Answer is the one final answer to a request.
+type Answer struct {
+	Kind       AnswerKind
+	Result     []byte
+	RetryAfter time.Duration // with Shed: when to come back; 0: no advice
+}
+
+// Hop is one attempt at a request on one egress target.
+type Hop struct {
+	Target   string
+	Request  *Request
+	Deadline time.Time                // when the dispatcher stops waiting
+	News     func(k policy.EventKind) // told of policy.JobStarted and policy.JobProgress
+}
+
+// HopEnd is how a hop or a probe ended.
+type HopEnd struct {
+	Outcome policy.Outcome
+	Result  []byte // with policy.OK of a hop
+	Report  policy.Report
+}
+
+// Egress is the side of the egress targets. Hop and Probe block until the end is known; they end early when
+// their context does.
+type Egress interface {
+	Hop(ctx context.Context, h *Hop) HopEnd
+	Probe(ctx context.Context, target string) HopEnd
+	CloseIdle(target string)
+	Prune() // drops the state of targets that are gone
+}
+
+// Directory is the side of discovery: it is asked to follow the list, and answers by Exchange.News.
+type Directory interface {
+	Subscribe()
+}
--- /dev/null
+++ b/internal/routetable/watch.go
@@ -0,0 +1,133 @@
+package routetable
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ospreypond/policy"
+)
+
+// callGrace is how much longer than its hold a call to discovery may take. Discovery serves its callers one
+// after another and a call may wait its turn; a cut network is silent, so without this a call never ends.
+const callGrace = 1500 * time.Millisecond
+
+// maxList bounds what is read of one answer.
+const maxList = 4 << 20
+
+// Watcher keeps a Table up to date by watching discovery.
+type Watcher struct {
+	table  *Table
+	base   string
+	hold   time.Duration
+	client *http.Client
+	news   func(policy.Event)
+	kick   chan struct{}
+	log    logrus.FieldLogger
+}
+
+// NewWatcher returns a Watcher on the discovery service at addr. Each call may be held for hold until there is
+// something to tell. What is learned goes into the table first and then to news.
+func NewWatcher(t *Table, addr string, hold time.Duration, news func(policy.Event), log logrus.FieldLogger) *Watcher {
+	tr := &http.Transport{Proxy: nil, DisableCompression: true, MaxIdleConnsPerHost: 1}
+	return &Watcher{table: t, base: "http://" + addr + "/registry/instances", hold: hold, news: news,
+		client: &http.Client{Transport: tr}, kick: make(chan struct{}, 1), log: log}
+}
+
+// Subscribe asks for the changes from now on. It does not block. While a watch runs it changes nothing.
+func (w *Watcher) Subscribe() {
+	select {
+	case w.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run watches until ctx ends. It starts when subscribed to; after a failed call it tells the module, which
+// decides when to subscribe again.
+func (w *Watcher) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.kick:
+		}
+		err := w.watch(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		w.log.WithError(err).Warn("discovery call failed; the route table stays as it is")
+		w.news(policy.Event{Kind: policy.ListUnavailable})
+	}
+}
+
+// watch calls discovery until a call fails.
+func (w *Watcher) watch(ctx context.Context) error {
+	// The first call is not held: the module waits for an answer to its subscription and would wait for the
+	// whole hold where nothing changes.
+	var hold time.Duration
+	for first := true; ; first = false {
+		l, err := w.call(ctx, hold)
+		if err != nil {
+			return err
+		}
+		select { // the answer is also that to a subscription made meanwhile
+		case <-w.kick:
+			first = true
+		default:
+		}
+		w.apply(l, first)
+		hold = w.hold
+	}
+}
+
+func (w *Watcher) apply(l *List, answer bool) {
+	if err := l.Check(); err != nil {
+		w.log.WithError(err).Error("discovery's list has a faulty entry, which is left out")
+	}
+	e := policy.Event{Kind: policy.ListChanged, Members: w.table.Apply(l)}
+	if l.Whole {
+		e.Kind = policy.ListReplaced
+	}
+	for _, h := range l.Hosts {
+		w.log.WithFields(logrus.Fields{"target": h.Host, "health": h.Health, "seq": l.Seq}).Debug("route changed")
+	}
+	if answer || l.Whole || len(l.Hosts) > 0 {
+		w.news(e)
+	}
+}
+
+// call asks for what is newer than the table.
+func (w *Watcher) call(ctx context.Context, hold time.Duration) (*List, error) {
+	ctx, cancel := context.WithTimeout(ctx, hold+callGrace)
+	defer cancel()
+	q := url.Values{"from": {strconv.FormatInt(w.table.Seq(), 10)},
+		"hold_ms": {strconv.FormatInt(hold.Milliseconds(), 10)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, w.base+"?"+q.Encode(), nil)
+	if err != nil {
+		return nil, fmt.Errorf("asking discovery: %w", err)
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("asking discovery: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	if err != nil {
+		return nil, fmt.Errorf("reading discovery's answer: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("discovery answered %s", resp.Status)
+	}
+	var l List
+	if err := json.Unmarshal(body, &l); err != nil {
+		return nil, fmt.Errorf("discovery's answer: %w", err)
+	}
+	return &l, nil
+}
--- a/internal/wire/fields.go
+++ b/internal/wire/fields.go
@@ -8,7 +8,8 @@
 	"strconv"
 	"time"
 
-	"hoproute/policy"
+	"ospreypond/internal/config"
+	"ospreypond/policy"
 )
 
 // cut splits a line at its first tab.
@@ -94,6 +95,29 @@
 	return policy.Failed, fmt.Errorf("unknown value %q", b)
 }
 
+// report decodes a load report: name:value pairs set apart by commas.
+func report(s *config.Settings, b []byte) (policy.Report, error) {
+	r := policy.NoReport
+	for len(b) > 0 {
+		var part []byte
+		part, b, _ = bytes.Cut(b, []byte{','})
+		k, v, ok := bytes.Cut(part, []byte{':'})
+		if !ok {
+			continue
+		}
+		to := s.ReportField(&r, string(k))
+		if to == nil {
+			continue
+		}
+		x, err := number(v)
+		if err != nil {
+			return r, fmt.Errorf("%s: %w", k, err)
+		}
+		*to = max(0, x)
+	}
+	return r, nil
+}
+
 // appendAction writes one action line.
 func appendAction(b []byte, a *policy.Action) []byte {
 	num := func(key string, v int64) { b = strconv.AppendInt(append(append(b, '\t'), key...), v, 10) }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,14 +13,15 @@
 	"strconv"
 	"time"
 
-	"hoproute/policy"
+	"ospreypond/internal/config"
+	"ospreypond/policy"
 )
 
 // instance is one hosted dispatcher with the events of the current batch.
 type instance struct {
 	name    string
 	d       *policy.Dispatcher
-	set     settings
+	set     config.Settings
 	events  []policy.Event
 	actions []policy.Action
 	touched bool
@@ -298,7 +299,7 @@
 	case "complete":
 		e.Complete, err = truth(f.val)
 	case "gauge":
-		e.Report, err = i.set.report(f.val)
+		e.Report, err = report(&i.set, f.val)
 	case "tag":
 		e.Token, err = strconv.ParseUint(string(f.val), 10, 64)
 	case "src":
@@ -400,11 +401,11 @@
 			}
 		case "bootInfo":
 			f.toEnd()
-			i.set = settings{}
+			i.set = config.Settings{}
 			if err := json.Unmarshal(f.val, &i.set); err != nil {
 				return fmt.Errorf("field bootInfo: %w", err)
 			}
-			set, err := i.set.policy()
+			set, err := i.set.Policy()
 			if err != nil {
 				return fmt.Errorf("field bootInfo: %w", err)
 			}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"hoproute/policy"
+	"ospreypond/policy"
 )
 
 const boot = `{"zone":"z","balancers":1,"periodUs":5000,"discovery":"push","kinds":["k"],` +
--- a/policy/api.go
+++ b/policy/api.go
@@ -138,6 +138,7 @@
 	ListReplaced                     // Members: the complete list
 	ListRestored                     // Members: the list as last known before a restart
 	ListUnavailable                  // a list call failed or the subscription dropped
+	Closing                          // this scheduler stops: what is open, and what still comes, ends now
 )
 
 // Event is one observation.
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"hoproute/policy"
+	"ospreypond/policy"
 )
 
 // A scheduler feeds in what it observes and carries out the actions that come back.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -129,6 +129,11 @@
 		d.hear(e)
 	case ListChanged, ListReplaced, ListRestored, ListUnavailable:
 		d.list(e)
+	case Closing:
+		d.closing = true
+		for _, j := range d.open {
+			d.finish(j)
+		}
 	}
 }
 
@@ -173,7 +178,7 @@
 	j.check = j.due - d.set.Period
 	d.scanAt = min(d.scanAt, j.check)
 	d.toAsk += d.perJob
-	if d.wantRound(); e.Left <= 0 || d.set.MaxOpen > 0 && len(d.jobs) >= d.set.MaxOpen {
+	if d.wantRound(); e.Left <= 0 || d.closing || d.set.MaxOpen > 0 && len(d.jobs) >= d.set.MaxOpen {
 		d.finish(j)
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -28,7 +28,7 @@
 
 	roundAt, scanAt, askAt, tellAt, fullAt, armedAt time.Duration
 
-	asking, failOpen, home, overload, listLost bool
+	asking, failOpen, home, overload, listLost, closing bool
 
 	view, cold    []*worker // what near returned last; not warm, with a part for this scheduler
 	homes, reach  int       // workers in the own zone; workers looked at
