Prefer one worker for each key, and probe where a probe costs more than a job may

Cause: jobs fetch what their key needs from one shared store that saturates when jobs spread at random over the workers; the module did not know keys. And at the price of 0.01 a probe, 0.6 probes a job were cut to none, so no report ever came.

--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -240,8 +240,8 @@
 	req.ContentLength = int64(len(r.Body))
 	req.Header["User-Agent"] = nil
 	req.Header.Set("X-Request-ID", r.ID)
-	if r.Key != "" {
-		req.Header.Set("Idempotency-Key", r.Key)
+	if r.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", r.IdempotencyKey)
 	}
 	if r.ContentType != "" {
 		req.Header.Set("Content-Type", r.ContentType)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -269,7 +269,7 @@
 	j.net = time.AfterFunc(time.Until(r.Deadline)+x.set.AnswerSlack+netAfter, func() {
 		x.do(func() { x.overdue(j) })
 	})
-	x.events = append(x.events, policy.Event{Kind: policy.Request, ID: j.id, Class: r.Class, Tenant: r.Tenant,
+	x.events = append(x.events, policy.Event{Kind: policy.Request, ID: j.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key,
 		Work: r.Work, Slots: r.Slots, Memory: r.Memory, Retry: r.Retry, Report: policy.NoReport})
 }
 
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -12,6 +12,7 @@
 	ID       string
 	Class    string
 	Tenant   string
+	Key      string        // what the request concerns; runners keep what it takes to serve it
 	Arrived  time.Time     // when its last byte was read
 	Deadline time.Time     // when the client gives up
 	Work     time.Duration // the client's estimate; 0: none
@@ -20,8 +21,8 @@
 	Retry    bool
 
 	// What a runner is handed unchanged.
-	Method, Target, Key, ContentType string
-	Body                             []byte
+	Method, Target, IdempotencyKey, ContentType string
+	Body                                        []byte
 }
 
 // AnswerKind is how a request ended.
--- a/internal/ingress/parse.go
+++ b/internal/ingress/parse.go
@@ -25,7 +25,8 @@
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	h := r.Header
 	req = &exchange.Request{ID: h.Get("X-Request-ID"), Class: class, Tenant: h.Get("X-Tenant-Id"), Slots: 1,
-		Method: r.Method, Target: r.RequestURI, Key: h.Get("Idempotency-Key"), ContentType: h.Get("Content-Type")}
+		Method: r.Method, Target: r.RequestURI, Key: h.Get("X-Route-Key"),
+		IdempotencyKey: h.Get("Idempotency-Key"), ContentType: h.Get("Content-Type")}
 	if req.ID == "" {
 		return nil, 0, &badHeader{"X-Request-ID", "is missing"}
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -272,6 +272,8 @@
 		if e.Tenant = s.name(f.val); e.Tenant == "0" {
 			e.Tenant = ""
 		}
+	case "subject":
+		e.Key = string(f.val)
 	case "worker":
 		e.Worker = s.name(f.val)
 	case "leftUs":
--- a/policy/api.go
+++ b/policy/api.go
@@ -125,7 +125,7 @@
 
 // The events.
 const (
-	Request         EventKind = iota // ID, Class, Tenant, Left, Work, Slots, Memory, Retry
+	Request         EventKind = iota // ID, Class, Tenant, Key, Left, Work, Slots, Memory, Retry
 	AnswerStarted                    // ID, Attempt: the answer streams and belongs to the client now
 	JobStarted                       // ID, Attempt
 	JobProgress                      // ID, Attempt
@@ -147,6 +147,7 @@
 	ID       uint32
 	Class    string
 	Tenant   string
+	Key      string        // what the request needs at its worker; empty: nothing that is known
 	Left     time.Duration // until the client gives up
 	Work     time.Duration // expected runtime at speed 1; 0: no hint
 	Slots    float64
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -37,6 +36,7 @@
 	nearWorkers   = 12          // workers looked at first, at least
 	nearWidest    = 4           // times as many at most
 	nearOverlap   = 8           // or this many times a scheduler's even share of the workers, if more
+	fetchRuns     = 0.6         // mean runtimes that it costs all to fetch what a job needs
 	probeShare    = 0.006       // service that the probes for one request may cost
 	probesMost    = 6           // probes for one request, whatever they cost
 	peersMost     = 24          // peers that are told anything: words grow with the square
@@ -73,7 +73,7 @@
 	if n := s.Schedulers - 1; s.Peers && n > 0 && n <= peersMost && float64(n)*s.PeerPrice/50 <= tellShare {
 		d.heard = make([]time.Duration, s.Schedulers)
 	}
-	d.perJob = int(min(probesMost, probeShare/max(s.ProbePrice, 1e-9)))
+	d.perJob = min(probesMost, probeShare/max(s.ProbePrice, 1e-9))
 	d.minAim = min(d.minAim, time.Minute)
 	d.run = d.minAim.Seconds()
 	d.roundGap = max(d.minAim/roundsPerAim, s.Period, time.Millisecond)
@@ -158,6 +158,9 @@
 	c := &d.set.Classes[row]
 	j := &job{id: e.ID, arrived: d.now, due: d.now + e.Left, class: c, row: row, held: true,
 		size: d.means[row], slots: max(1, e.Slots), memory: max(0, e.Memory)}
+	if e.Key != "" {
+		j.key = hashOf(e.Key)
+	}
 	if e.Work > 0 {
 		j.size = e.Work.Seconds()
 		d.largest = max(d.largest, j.size)
@@ -441,13 +444,10 @@
 func (d *Dispatcher) member(m Member) {
 	w := d.workers[m.Worker]
 	if w == nil {
-		h := fnv.New32a()
-		h.Write([]byte(m.Worker))
-		w = &worker{name: m.Worker, hash: h.Sum32() & 0xffffff, slow: 1, started: m.Started,
+		w = &worker{name: m.Worker, hash: hashOf(m.Worker) & 0xffffff, slow: 1, started: m.Started,
 			othersAt: -time.Hour}
 		d.workers[m.Worker] = w
-		h.Write(append(binary.LittleEndian.AppendUint32(nil, uint32(d.set.Number)), m.Worker...))
-		w.rank = int64(h.Sum32())
+		w.rank = int64(hashOf(fmt.Sprint(m.Worker, d.set.Number)))
 		d.order = append(d.order, w)
 		d.byHash[w.hash] = w
 	}
@@ -638,9 +638,39 @@
 	r.n, r.size, r.run = r.n+1, r.size+x, r.run+y
 }
 
-// predict returns L_ij: the seconds that j would run on w now.
+// predict returns L_ij: the seconds that j would run on w now, with the fetch of what it needs.
 func (d *Dispatcher) predict(w *worker, j *job) float64 {
-	return w.kind.runtime(j.size) * w.slow / d.warmth(w)
+	return w.kind.runtime(j.size)*w.slow/d.warmth(w) + d.fetch(w, j)
+}
+
+// fetch returns the seconds that w is expected to fetch what j needs. Workers keep what they used last, and all
+// fetch from one store, which fails all when too many do. So each key has an order of workers, the same at every
+// scheduler without a word between them, and the first in it that has room keeps what the key needs.
+func (d *Dispatcher) fetch(w *worker, j *job) float64 {
+	if j.key == 0 {
+		return 0
+	}
+	before, mine := 0.0, mix(j.key, w.hash)
+	for _, o := range d.order {
+		if o != w && o.state == Ready && d.now >= o.blocked && mix(j.key, o.hash) > mine {
+			before++
+		}
+	}
+	return fetchRuns * d.run * before / (before + 1)
+}
+
+// mix returns a number that orders workers for a key.
+func mix(key, worker uint32) uint32 {
+	x := uint64(key)<<32 | uint64(worker)
+	x = (x ^ x>>31) * 0x9e3779b97f4a7c15
+	x = (x ^ x>>29) * 0xbf58476d1ce4e5b9
+	return uint32(x >> 32)
+}
+
+func hashOf(s string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(s))
+	return h.Sum32()
 }
 
 // runtime returns the seconds that a job of this size runs on a warm worker of this kind.
@@ -900,12 +930,11 @@
 // probe asks workers near by for reports, those that were asked longest ago first. It is tied to requests, as
 // its price is: each brings a few, which come back before the round that places it.
 func (d *Dispatcher) probe() {
-	n := d.toAsk
-	if d.toAsk = 0; !d.set.Probes || !d.set.Reports {
+	if d.toAsk < 1 || !d.set.Probes || !d.set.Reports {
 		return
 	}
 	near := d.near()
-	for ; n > 0; n-- {
+	for ; d.toAsk >= 1; d.toAsk-- {
 		var next *worker
 		for _, w := range near {
 			if w.state == Ready && !w.probing && (next == nil || w.askedAt < next.askedAt) {
@@ -913,6 +942,7 @@
 			}
 		}
 		if next == nil || next.askedAt > 0 && d.now < next.askedAt+reportAge/4 {
+			d.toAsk = min(d.toAsk, 1)
 			return
 		}
 		next.probing, next.askedAt = true, d.now
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,7 +32,7 @@
 
 	view, cold    []*worker // what near returned last; not warm, with a part for this scheduler
 	homes, reach  int       // workers in the own zone; workers looked at
-	perJob, toAsk int       // probes for each job; probes due
+	perJob, toAsk float64   // probes for each job; probes due
 	largest       float64   // seconds at speed 1 of the largest job seen
 	crowd, full   float64   // the mean shares of slots that others hold and that are in use
 	run           float64   // the mean runtime, seconds
@@ -43,6 +43,7 @@
 	id               uint32
 	class            *Class
 	row              int // the class's number
+	key              uint32
 	arrived, due     time.Duration
 	aimBy            time.Duration
 	check            time.Duration // when the scan looks at it again
