Send nothing that will be late where a late answer earns nothing

Cause: held jobs that could not make their aim were still sent, and made the next ones late; giving them up waited for reports that show workers full.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -24,6 +24,7 @@
 		ObjectiveUs  float64 `json:"objectiveUs"`
 		AimStretch   float64 `json:"aimStretch"`
 		DeadlineUs   float64 `json:"deadlineUs"`
+		LateWorth    float64 `json:"lateWorth"`
 		Streamed     bool    `json:"streamed"`
 	} `json:"classes"`
 	FamilyInfo struct {
@@ -89,7 +90,7 @@
 	}
 	for i, c := range s.Classes {
 		k := policy.Class{Name: c.Name, Window: us(c.MemorySpanUs), Aim: us(c.ObjectiveUs), Stretch: c.AimStretch,
-			Deadline: us(c.DeadlineUs), Streamed: c.Streamed}
+			LateWorth: c.LateWorth, Deadline: us(c.DeadlineUs), Streamed: c.Streamed}
 		switch c.Semantics {
 		case "safe":
 		case "keyed":
--- a/policy/api.go
+++ b/policy/api.go
@@ -35,6 +35,7 @@
 	Aim       time.Duration // full worth is earned within Aim plus Stretch times the request's own work
 	Stretch   float64
 	Deadline  time.Duration // the client's total wait
+	LateWorth float64       // part of the worth that an answer between Aim and Deadline earns
 	Kind      string        // the only machine kind that runs it; empty: any
 	Streamed  bool
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -765,7 +765,7 @@
 // workers full on the whole, so it would make others late. Guards against overload and lost capacity; it
 // gives up the part of the worth that late answers earn.
 func (d *Dispatcher) hopeless(j *job, l float64) bool {
-	return d.overload && d.now+seconds(l) > j.aimBy
+	return (d.overload || j.class.LateWorth == 0) && d.now+seconds(l) > j.aimBy
 }
 
 // pick returns the jobs of this round: those inside their share first, in order of arrival.
@@ -800,7 +800,7 @@
 		return 100 * failPenalty * maxLeft
 	}
 	l := d.predict(w, j)
-	if l > timeLeftTest*(j.due-d.now).Seconds() {
+	if l > timeLeftTest*(j.due-d.now).Seconds() || j.class.LateWorth == 0 && d.now+seconds(l) > j.aimBy {
 		return failPenalty * maxLeft
 	}
 	f := 1 + spread*(w.busy+d.held(w))/d.slots(w)
