--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,7 +36,7 @@
 	nearWorkers   = 12          // workers looked at first, at least
 	nearWidest    = 4           // times as many at most
 	nearOverlap   = 8           // or this many times a scheduler's even share of the workers, if more
-	fetchRuns     = 0.6         // mean runtimes that it costs all to fetch what a job needs
+	fetchRuns     = 1.2         // mean runtimes that it costs all to fetch what a job needs
 	probeShare    = 0.006       // service that the probes for one request may cost
 	probesMost    = 6           // probes for one request, whatever they cost
 	peersMost     = 24          // peers that are told anything: words grow with the square
