--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -691,21 +691,29 @@
 	}
 }
 
-// While workers are full on the whole, a job that misses its aim before it starts is given up; at other times, and
-// once it runs, it is served late.
+// While workers are full on the whole, or where a late answer earns nothing, a job that misses its aim before it
+// starts is given up; at other times, and once it runs, it is served late.
 func TestOverloadGivesUpWhatMissesItsAim(t *testing.T) {
 	for _, tt := range []struct {
 		name         string
-		full         float64
+		full, late   float64
 		sent, starts bool
 		want         int
 	}{
-		{"held, full", 1.2, false, false, 1}, {"held, room elsewhere", 0.6, false, false, 0},
-		{"waits at a worker, full", 1.2, true, false, 1}, {"waits at a worker, room elsewhere", 0.6, true, false, 0},
-		{"runs, full", 1.2, true, true, 0},
+		{"held, full", 1.2, 0.5, false, false, 1}, {"held, room elsewhere", 0.6, 0.5, false, false, 0},
+		{"waits at a worker, full", 1.2, 0.5, true, false, 1},
+		{"waits at a worker, room elsewhere", 0.6, 0.5, true, false, 0},
+		{"runs, full", 1.2, 0.5, true, true, 0},
+		{"held, late is worth nothing", 0.6, 0, false, false, 1},
+		{"waits at a worker, late is worth nothing", 0.6, 0, true, false, 1},
+		{"runs, late is worth nothing", 0.6, 0, true, true, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			d := testDispatcher(t, nil)
+			d := testDispatcher(t, func(s *Settings) {
+				for i := range s.Classes {
+					s.Classes[i].LateWorth = tt.late
+				}
+			})
 			d.full, d.overload = tt.full, tt.full > packed
 			if !tt.sent {
 				for _, w := range d.order {
@@ -731,6 +739,78 @@
 	}
 }
 
+// A job is not sent where it would only be late when a late answer earns nothing: it waits for a better place.
+func TestNothingLateIsSentWhereItEarnsNothing(t *testing.T) {
+	for _, tt := range []struct {
+		late float64
+		want int
+	}{{0, 0}, {0.5, 1}} {
+		d := testDispatcher(t, func(s *Settings) {
+			for i := range s.Classes {
+				s.Classes[i].LateWorth = tt.late
+			}
+		})
+		d.run = 0.01
+		for _, w := range d.order {
+			w.slow = 8
+		}
+		d.Step(time.Second, []Event{{Kind: Request, ID: 1, Class: "safe", Left: time.Second, Work: 50 * ms, Slots: 1}}, nil)
+		if got := len(sent(d, time.Second+d.roundGap)); got != tt.want {
+			t.Errorf("late worth %v: %d sent, want %d", tt.late, got, tt.want)
+		}
+	}
+}
+
+// All schedulers send a key to the same worker while it has room, and to the same next one when it is sick.
+func TestKeysKeepToTheirWorker(t *testing.T) {
+	members := []Member{}
+	for n := 0; n < 12; n++ {
+		members = append(members, Member{Worker: string(rune('a' + n)), Zone: "z0", Kind: "k"})
+	}
+	seen := map[string]string{}
+	for number := 0; number < 3; number++ {
+		for _, key := range []string{"k1", "k2", "k3", "k4"} {
+			d := testDispatcher(t, func(s *Settings) { s.Number, s.Schedulers, s.Reports = number, 3, true })
+			d.Step(time.Second, []Event{{Kind: ListReplaced, Members: members}}, nil)
+			for n, tried := range []string{"first", "second"} {
+				e := request(uint32(n+1), "safe")
+				e.Key = key
+				at := time.Duration(n+2) * time.Second
+				d.Step(at, []Event{e}, nil)
+				got := sent(d, at+2*d.roundGap)
+				if len(got) != 1 {
+					t.Fatalf("%d sent", len(got))
+				}
+				w := got[0].Worker
+				if before := seen[key+tried]; before != "" && before != w {
+					t.Errorf("scheduler %d sends %s to %s, another to %s", number, key, w, before)
+				}
+				seen[key+tried] = w
+				d.fail(d.workers[w])
+			}
+			if seen[key+"first"] == seen[key+"second"] {
+				t.Errorf("%s stays at a sick worker", key)
+			}
+		}
+	}
+}
+
+// A price that allows less than one probe a job brings one every few jobs, not none.
+func TestFractionalProbes(t *testing.T) {
+	d := testDispatcher(t, func(s *Settings) { s.ProbePrice, s.Probes, s.Reports = 2*probeShare, true, true })
+	probes := 0
+	for n := range 8 {
+		out := d.Step(time.Duration(n+3)*time.Second, []Event{request(uint32(n+1), "safe")}, nil)
+		for _, a := range of(Probe, out) {
+			probes++
+			d.Step(time.Duration(n+3)*time.Second+ms, []Event{{Kind: ProbeEnded, Worker: a.Worker, Report: NoReport}}, nil)
+		}
+	}
+	if probes != 4 {
+		t.Errorf("%d probes for 8 jobs at half a probe each, want 4", probes)
+	}
+}
+
 func TestGroups(t *testing.T) {
 	a := &worker{zone: "x", cell: 1}
 	for _, tt := range []struct {
