Start the program in tests and speak to it as clients, runners and discovery

Serve, shed, each outcome of a hop, no silent resend, kept connections, drain, loss of the watch, client gone, bad input, stop by signal, bad configuration. The tests wait on conditions.

--- a/cmd/ospreypond/main.go
+++ b/cmd/ospreypond/main.go
@@ -69,6 +69,7 @@
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	life.Advance(lifecycle.Serving)
+	log.WithField("addr", listener.Addr()).Info("listening")
 
 	select {
 	case err := <-served:
--- /dev/null
+++ b/test/integration/program_test.go
@@ -0,0 +1,325 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var background = context.Background()
+
+const long = 20 * time.Second // a client's patience where it must not matter
+
+func TestServesWhatARunnerMade(t *testing.T) {
+	rn := newRunner(t, "r1", "z", done)
+	p := start(t, rn)
+	a := p.ask(background, "/keyed/a%20b?q=1", "id1", long, func(r *http.Request) {
+		r.Header.Set("X-Attrs", "slots=1,other=7")
+		r.Header.Set("X-Route-Key", "fn:1")
+	})
+	require.NoError(t, a.err)
+	assert.Equal(t, http.StatusOK, a.status)
+	assert.Equal(t, `made "here"`, a.body)
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	assert.Equal(t, "/keyed/a%20b?q=1", rn.last.RequestURI)
+	assert.Equal(t, "the job", rn.body)
+	assert.Equal(t, "id1", rn.last.Header.Get("X-Request-ID"))
+	assert.Equal(t, "key-id1", rn.last.Header.Get("Idempotency-Key"))
+	assert.Regexp(t, `^[0-9]+u$`, rn.last.Header.Get("X-Timeout"))
+	assert.Empty(t, rn.last.Header.Get("Accept-Encoding"))
+	assert.Positive(t, rn.probes, "requests pay for probes")
+}
+
+// The connection of an answered hop is used again: a new one costs the runner work.
+func TestConnectionsAreKept(t *testing.T) {
+	from := map[string]bool{}
+	var rn *runner
+	rn = newRunner(t, "r1", "z", func(w http.ResponseWriter, r *http.Request) {
+		rn.mu.Lock()
+		from[r.RemoteAddr] = true
+		rn.mu.Unlock()
+		done(w, r)
+	})
+	p := start(t, rn)
+	for n := range 20 {
+		require.Equal(t, http.StatusOK, p.ask(background, "/keyed", fmt.Sprint("id", n), long).status)
+	}
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	assert.Less(t, len(from), 10, "hops on %d connections", len(from))
+}
+
+func TestShedsWhatNeverRan(t *testing.T) {
+	p := start(t, dead(t, "r1", "z"))
+	before := time.Now()
+	a := p.ask(background, "/keyed", "id1", 500*time.Millisecond)
+	require.NoError(t, a.err)
+	assert.Equal(t, http.StatusServiceUnavailable, a.status)
+	assert.NotEmpty(t, a.header.Get("Retry-After"))
+	assert.Less(t, time.Since(before), patience)
+}
+
+// Each way in which a hop can end, at the only runner, and what the client gets. Only what proves that the job
+// never ran may be refused or sent again; the class is one that allows nothing else.
+func TestOutcomes(t *testing.T) {
+	const short = 300 * time.Millisecond
+	for name, tt := range map[string]struct {
+		do   job
+		want int
+		once bool
+	}{
+		"done":                  {done, http.StatusOK, true},
+		"failed":                {ends("failed"), http.StatusBadGateway, true},
+		"500":                   {status(http.StatusInternalServerError, false), http.StatusBadGateway, true},
+		"lost":                  {ends("lost"), http.StatusBadGateway, true},
+		"cut":                   {cut, http.StatusBadGateway, true},
+		"ends early":            {ends("started"), http.StatusBadGateway, true},
+		"503 that may have run": {status(http.StatusServiceUnavailable, false), http.StatusBadGateway, true},
+		"times out":             {hang, http.StatusBadGateway, true},
+		"returned":              {ends("returned"), http.StatusServiceUnavailable, false},
+		"503 unstarted":         {status(http.StatusServiceUnavailable, true), http.StatusServiceUnavailable, false},
+		"504 unstarted":         {status(http.StatusGatewayTimeout, true), http.StatusServiceUnavailable, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			rn := newRunner(t, "r1", "z", tt.do)
+			a := start(t, rn).ask(background, "/unsafe", "id1", short)
+			require.NoError(t, a.err)
+			assert.Equal(t, tt.want, a.status, a.body)
+			if tt.once {
+				assert.Equal(t, 1, rn.count("id1"))
+			}
+		})
+	}
+}
+
+// A job that certainly never ran goes to the next runner.
+func TestMovesOnFromARunnerThatRefuses(t *testing.T) {
+	for name, first := range map[string]func(t *testing.T) *runner{
+		"no connection": func(t *testing.T) *runner { return dead(t, "r1", "z") },
+		"turned away": func(t *testing.T) *runner {
+			return newRunner(t, "r1", "z", status(http.StatusServiceUnavailable, true))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			good := newRunner(t, "r2", "z", done)
+			p := start(t, first(t), good)
+			for n := range 10 {
+				a := p.ask(background, "/unsafe", fmt.Sprint("id", n), long)
+				require.Equal(t, http.StatusOK, a.status, a.body)
+			}
+			assert.Equal(t, 10, good.total())
+		})
+	}
+}
+
+// Guards against http.Transport's silent resends: a kept connection that breaks under a request with an
+// Idempotency-Key must not bring it to the runner twice, with a body or without one.
+func TestNoSilentResend(t *testing.T) {
+	for name, body := range map[string]func(*http.Request){
+		"body":  func(*http.Request) {},
+		"empty": func(r *http.Request) { r.Body, r.ContentLength, r.GetBody = http.NoBody, 0, nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			rn := newRunner(t, "r1", "z", func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasPrefix(r.Header.Get("X-Request-ID"), "bad") {
+					cut(w, r)
+					return
+				}
+				done(w, r)
+			})
+			p := start(t, rn)
+			for n := range 3 { // so that connections are there to be used again
+				require.Equal(t, http.StatusOK, p.ask(background, "/unsafe", fmt.Sprint("good", n), long, body).status)
+			}
+			a := p.ask(background, "/unsafe", "bad", long, body)
+			require.NoError(t, a.err)
+			assert.Equal(t, http.StatusBadGateway, a.status)
+			assert.Equal(t, 1, rn.count("bad"))
+		})
+	}
+}
+
+// A keyed job that may have run goes only to runners of its zone.
+func TestKeyedStaysInItsZone(t *testing.T) {
+	away := newRunner(t, "r2", "y", done)
+	once := newRunner(t, "r1", "z", cut)
+	p := start(t, once, away)
+	for n := range 6 {
+		id := fmt.Sprint("id", n)
+		a := p.ask(background, "/keyed", id, 400*time.Millisecond)
+		require.NoError(t, a.err)
+		if once.count(id) > 0 {
+			assert.Zero(t, away.count(id))
+			assert.Equal(t, http.StatusBadGateway, a.status)
+		}
+	}
+	assert.Positive(t, once.total())
+}
+
+func TestDrainingRunnerGetsNothingNew(t *testing.T) {
+	old, next := newRunner(t, "r1", "z", done), newRunner(t, "r2", "z", done)
+	p := start(t, old, next)
+	for _, health := range []string{"DRAINING", "DELETED"} {
+		p.disc.change(t, old, health)
+		before := old.total()
+		for n := range 20 {
+			require.Equal(t, http.StatusOK, p.ask(background, "/keyed", fmt.Sprint(health, n), long).status)
+		}
+		assert.Equal(t, before, old.total(), "new work for a runner that is %s", health)
+	}
+}
+
+func TestWatchIsTakenUpAgain(t *testing.T) {
+	old, next := newRunner(t, "r1", "z", done), newRunner(t, "r2", "z", done)
+	p := start(t, old)
+	p.disc.change(t, old, "SERVING")
+	p.disc.setDown(true)
+	eventually(t, "the loss is not logged", func() bool { return strings.Contains(p.log(), "discovery call failed") })
+	require.Equal(t, http.StatusOK, p.ask(background, "/keyed", "id1", long).status, "the old list still serves")
+	p.disc.setDown(false)
+	p.disc.change(t, next, "SERVING")
+	p.disc.change(t, old, "DELETED")
+	require.Equal(t, http.StatusOK, p.ask(background, "/keyed", "id2", long).status)
+	assert.Equal(t, 1, next.count("id2"))
+}
+
+func TestClientThatLeavesEndsItsHop(t *testing.T) {
+	left := make(chan struct{})
+	rn := newRunner(t, "r1", "z", func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(left)
+	})
+	p := start(t, rn)
+	ctx, leave := context.WithCancel(background)
+	a := p.later(ctx, "/keyed", "id1", long)
+	eventually(t, "the job does not reach its runner", func() bool { return rn.count("id1") == 1 })
+	leave()
+	assert.Error(t, (<-a).err)
+	select {
+	case <-left:
+	case <-time.After(patience):
+		t.Fatal("the hop goes on for nobody")
+	}
+}
+
+func TestBadInputNamesItsHeader(t *testing.T) {
+	rn := newRunner(t, "r1", "z", done)
+	p := start(t, rn)
+	for header, value := range map[string]string{"X-Request-ID": "", "X-Timeout": "12x", "X-Cost": "much",
+		"X-Retried": "yes", "X-Attrs": "slots=many"} {
+		a := p.ask(background, "/keyed", "id1", long, func(r *http.Request) { r.Header.Set(header, value) })
+		assert.Equal(t, http.StatusBadRequest, a.status, header)
+		assert.Contains(t, a.body, header)
+	}
+	assert.Equal(t, http.StatusNotFound, p.ask(background, "/nothing", "id1", long).status)
+	large := strings.Repeat("x", 64<<10+1)
+	a := p.ask(background, "/keyed", "id1", long, func(r *http.Request) {
+		*r = *r.Clone(background)
+		r.Body, r.ContentLength = http.NoBody, 0
+		req, err := http.NewRequest(http.MethodPost, r.URL.String(), strings.NewReader(large))
+		require.NoError(t, err)
+		req.Header = r.Header
+		*r = *req
+	})
+	assert.Equal(t, http.StatusRequestEntityTooLarge, a.status)
+	assert.Zero(t, rn.total())
+}
+
+func TestStopFinishesWhatWasTaken(t *testing.T) {
+	release := make(chan struct{})
+	rn := newRunner(t, "r1", "z", func(w http.ResponseWriter, r *http.Request) {
+		switch r.Header.Get("X-Request-ID") {
+		case "slow":
+			say(w, r, "started", "")
+			<-release
+			done(w, r)
+		case "stuck":
+			hang(w, r)
+		default:
+			done(w, r)
+		}
+	})
+	p := start(t, rn)
+	slow := p.later(background, "/keyed", "slow", long)
+	stuck := p.later(background, "/keyed", "stuck", long)
+	eventually(t, "the jobs do not reach their runner", func() bool { return rn.total() == 2 })
+	p.stop()
+	eventually(t, "the signal is not seen", func() bool { return strings.Contains(p.log(), "to=draining") })
+
+	// The front still sends connections for a while.
+	fresh := &http.Transport{DisableKeepAlives: false}
+	req, err := http.NewRequest(http.MethodPost, p.url+"/keyed", strings.NewReader(""))
+	require.NoError(t, err)
+	req.Header.Set("X-Request-ID", "late")
+	req.Header.Set("X-Timeout", "20000m")
+	resp, err := fresh.RoundTrip(req)
+	require.NoError(t, err, "a connection after the signal is refused")
+	assert.Equal(t, http.StatusOK, resp.StatusCode)
+	assert.True(t, resp.Close, "the connection is not closed")
+	_ = resp.Body.Close()
+
+	close(release)
+	a := <-slow
+	require.NoError(t, a.err)
+	assert.Equal(t, http.StatusOK, a.status)
+	a = <-stuck
+	require.NoError(t, a.err)
+	assert.Equal(t, http.StatusBadGateway, a.status, "what may have run must not be refused")
+	select {
+	case err := <-p.exit:
+		assert.NoError(t, err, "exit status")
+	case <-time.After(patience):
+		t.Fatal("the program does not end")
+	}
+	assert.Contains(t, p.log(), "to=stopped")
+}
+
+func TestBadConfigurationNamesItsKey(t *testing.T) {
+	set := func(path string, v any) func(map[string]any) {
+		return func(c map[string]any) {
+			keys := strings.Split(path, ".")
+			for _, k := range keys[:len(keys)-1] {
+				c = c[k].(map[string]any)
+			}
+			c[keys[len(keys)-1]] = v
+		}
+	}
+	for key, change := range map[string]func(map[string]any){
+		"listen":                    set("listen", "nowhere"),
+		"discovery":                 set("discovery", ""),
+		"limits.sockets":            set("limits.sockets", 3),
+		"limits.cores":              set("limits.cores", "many"),
+		"hosts[0].health":           set("known.hosts", []any{map[string]any{"host": "a", "dial": "b", "health": "ODD"}}),
+		"settings.classes":          set("settings.classes", []any{}),
+		"settings.periodUs":         set("settings.periodUs", -1),
+		"classes[0].semantics":      set("settings.classes", []any{map[string]any{"name": "a", "deadlineUs": 5}}),
+		"settings.limits.probes":    set("settings.limits.probes", 7),
+		"settings.rules.tipAfterUs": set("settings.rules.tipAfterUs", -3),
+	} {
+		t.Run(key, func(t *testing.T) {
+			var c, s map[string]any
+			require.NoError(t, json.Unmarshal([]byte(settings), &s))
+			c = map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+				"limits": map[string]any{}, "known": map[string]any{}, "settings": s}
+			change(c)
+			p := &dispatcher{t: t, exit: make(chan error, 1)}
+			p.run(c)
+			select {
+			case err := <-p.exit:
+				assert.Error(t, err)
+			case <-time.After(patience):
+				t.Fatal("the program goes on")
+			}
+			assert.Contains(t, p.log(), key)
+		})
+	}
+}
--- /dev/null
+++ b/test/integration/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package integration
+
+const raceEnabled = false
--- /dev/null
+++ b/test/integration/world_test.go
@@ -0,0 +1,342 @@
+// Package integration starts the built program as a process and speaks to it over sockets as clients, runners
+// and discovery do.
+package integration
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// patience is how long a condition is waited for. It is long so that a noisy machine changes no verdict.
+const patience = 20 * time.Second
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "ospreypond")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "ospreypond")
+	args := []string{"build", "-o", program}
+	if raceEnabled {
+		args = append(args, "-race")
+	}
+	if out, err := exec.Command("go", append(args, "ospreypond/cmd/ospreypond")...).CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// runner is an egress target. It counts what reaches it.
+type runner struct {
+	name, addr, site string
+	mu               sync.Mutex
+	got              map[string]int // arrivals by request id
+	last             *http.Request
+	body             string
+	probes           int
+}
+
+// job is how a runner deals with a request whose last byte has arrived.
+type job func(w http.ResponseWriter, r *http.Request)
+
+func say(w http.ResponseWriter, r *http.Request, state, more string) {
+	fmt.Fprintf(w, "{\"id\":%q,\"from\":\"x\",\"state\":%q%s}\n", r.Header.Get("X-Request-ID"), state, more)
+	_ = http.NewResponseController(w).Flush()
+}
+
+func done(w http.ResponseWriter, r *http.Request) {
+	say(w, r, "started", "")
+	say(w, r, "done", `,"result":"made \"here\""`)
+}
+
+func ends(state string) job {
+	return func(w http.ResponseWriter, r *http.Request) { say(w, r, state, "") }
+}
+
+func status(code int, notRun bool) job {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if notRun {
+			w.Header().Set("X-Not-Processed", "1")
+		}
+		w.WriteHeader(code)
+	}
+}
+
+// hang starts and never ends; the dispatcher gives it up.
+func hang(w http.ResponseWriter, r *http.Request) {
+	say(w, r, "started", "")
+	<-r.Context().Done()
+}
+
+// cut breaks the connection without an answer.
+func cut(w http.ResponseWriter, _ *http.Request) {
+	if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_ = c.Close()
+	}
+}
+
+func newRunner(t *testing.T, name, site string, do job) *runner {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	rn := &runner{name: name, addr: l.Addr().String(), site: site, got: map[string]int{}}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		rn.mu.Lock()
+		if r.URL.Path == "/stats" {
+			rn.probes++
+			rn.mu.Unlock()
+			fmt.Fprint(w, "TEXT qps=1, util=0.2, x0=4")
+			return
+		}
+		rn.got[r.Header.Get("X-Request-ID")]++
+		rn.last, rn.body = r, string(body)
+		rn.mu.Unlock()
+		do(w, r)
+	})}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return rn
+}
+
+// dead is a runner whose address refuses connections.
+func dead(t *testing.T, name, site string) *runner {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	return &runner{name: name, addr: l.Addr().String(), site: site, got: map[string]int{}}
+}
+
+func (rn *runner) count(id string) int {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	return rn.got[id]
+}
+
+func (rn *runner) total() (n int) {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	for _, k := range rn.got {
+		n += k
+	}
+	return n
+}
+
+// discovery is the list of runners.
+type discovery struct {
+	addr string
+	mu   sync.Mutex
+	cond *sync.Cond
+	seq  int
+	log  []map[string]any // change n made version n+1
+	down bool
+	seen int // the highest version that the program asked to go on from
+}
+
+func newDiscovery(t *testing.T) *discovery {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := &discovery{addr: l.Addr().String()}
+	d.cond = sync.NewCond(&d.mu)
+	s := &http.Server{Handler: d}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return d
+}
+
+func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+	hold, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
+	over := time.Now().Add(time.Duration(hold) * time.Millisecond)
+	wake := time.AfterFunc(time.Until(over), d.cond.Broadcast)
+	defer wake.Stop()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.seen = max(d.seen, from); d.seen > 0 {
+		d.cond.Broadcast()
+	}
+	for !d.down && d.seq <= from && time.Now().Before(over) {
+		d.cond.Wait()
+	}
+	if d.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"seq": d.seq, "whole": false, "hosts": d.log[min(from, d.seq):d.seq]})
+}
+
+// change lists a runner anew and waits until the program has taken that in: it asks to go on from there.
+func (d *discovery) change(t *testing.T, rn *runner, health string) {
+	d.mu.Lock()
+	d.seq++
+	d.log = append(d.log, rn.entry(health))
+	version := d.seq
+	d.cond.Broadcast()
+	d.mu.Unlock()
+	require.Eventually(t, func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.seen >= version
+	}, patience, time.Millisecond, "the program never asked for what follows version %d", version)
+}
+
+func (d *discovery) setDown(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+	d.cond.Broadcast()
+}
+
+func (rn *runner) entry(health string) map[string]any {
+	return map[string]any{"host": rn.name, "dial": rn.addr, "site": rn.site, "class": "m", "block": 0,
+		"health": health, "share": 1.0, "born_ms": 0}
+}
+
+// dispatcher is the running program.
+type dispatcher struct {
+	t    *testing.T
+	cmd  *exec.Cmd
+	url  string
+	disc *discovery
+	exit chan error
+	mu   sync.Mutex
+	logs bytes.Buffer
+}
+
+// The aim is short, as the module's rounds follow it, and answers after it are worth something, so that a slow
+// machine changes no answer.
+const settings = `{"zone":"z","balancers":1,"slotNo":0,"periodUs":2000,"discovery":"ask","kinds":["m"],
+ "classes":[{"name":"keyed","semantics":"keyed","keyScope":"zone","memorySpanUs":10000000,"objectiveUs":400000,"lateWorth":0.5,"deadlineUs":25000000},
+  {"name":"safe","semantics":"safe","objectiveUs":400000,"lateWorth":0.5,"deadlineUs":25000000},
+  {"name":"unsafe","semantics":"unsafe","objectiveUs":400000,"lateWorth":0.5,"deadlineUs":25000000}],
+ "familyInfo":{"tellsStart":true,"reportX0":"free slots"},"report":{"via":"probe","fields":["qps","util","x0"]},
+ "limits":{"cancelling":true,"probes":true,"retryAfter":true,"maxRetryAfterUs":2000000,"connIdleUs":5000000,
+  "connectTimeoutUs":2000000,"maxAttempts":4},
+ "rules":{"answerSlackUs":8000,"askWithinUs":10000000}}`
+
+// start runs the program with a list of runners, and waits until it is ready.
+func start(t *testing.T, known ...*runner) *dispatcher {
+	p := &dispatcher{t: t, disc: newDiscovery(t), exit: make(chan error, 1)}
+	hosts := []any{}
+	for _, rn := range known {
+		hosts = append(hosts, rn.entry("SERVING"))
+	}
+	p.run(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": p.disc.addr, "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"known":    map[string]any{"seq": 0, "whole": true, "hosts": hosts},
+		"settings": json.RawMessage(settings)})
+	listening := regexp.MustCompile(`msg=listening addr="?([0-9.:]+)`)
+	require.Eventually(t, func() bool {
+		if m := listening.FindStringSubmatch(p.log()); m != nil {
+			p.url = "http://" + m[1]
+		}
+		return p.url != ""
+	}, patience, time.Millisecond, "the program does not listen")
+	resp, err := http.Get(p.url + "/health/ready")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	_ = resp.Body.Close()
+	return p
+}
+
+func (p *dispatcher) run(config map[string]any) {
+	text, err := json.Marshal(config)
+	require.NoError(p.t, err)
+	file := filepath.Join(p.t.TempDir(), "config.json")
+	require.NoError(p.t, os.WriteFile(file, text, 0o600))
+	p.cmd = exec.Command(program)
+	p.cmd.Env = append(os.Environ(), "LB_CONFIG="+file, "LB_LOG_LEVEL=debug", "LB_NAME=", "LB_LISTEN=", "LB_DISCOVERY=")
+	out, err := p.cmd.StderrPipe()
+	require.NoError(p.t, err)
+	require.NoError(p.t, p.cmd.Start())
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		for s := bufio.NewScanner(out); s.Scan(); {
+			p.mu.Lock()
+			p.logs.WriteString(s.Text() + "\n")
+			p.mu.Unlock()
+		}
+	}()
+	go func() { <-read; p.exit <- p.cmd.Wait() }()
+	p.t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		if p.t.Failed() {
+			p.t.Log(p.log())
+		}
+	})
+}
+
+func (p *dispatcher) log() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.logs.String()
+}
+
+// answer is what a client got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	closed bool
+	err    error
+}
+
+// ask sends one job as a client does.
+func (p *dispatcher) ask(ctx context.Context, path, id string, wait time.Duration, change ...func(*http.Request)) answer {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.url+path, strings.NewReader("the job"))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set("X-Request-ID", id)
+	req.Header.Set("X-Timeout", fmt.Sprintf("%dm", wait.Milliseconds()))
+	req.Header.Set("X-Cost", "1000")
+	req.Header.Set("Idempotency-Key", "key-"+id)
+	for _, f := range change {
+		f(req)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, string(body), resp.Header, resp.Close, err}
+}
+
+// later asks without waiting for the answer.
+func (p *dispatcher) later(ctx context.Context, path, id string, wait time.Duration) <-chan answer {
+	c := make(chan answer, 1)
+	go func() { c <- p.ask(ctx, path, id, wait) }()
+	return c
+}
+
+func (p *dispatcher) stop() {
+	require.NoError(p.t, p.cmd.Process.Signal(syscall.SIGTERM))
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	require.Eventually(t, f, patience, time.Millisecond, what)
+}
