Count the aim of an unmarked retry from the first try

Seen: in overload 24% of answers came late with 1.35 tries a request. Cause: the aim of a retry ran anew unless clients mark retries, which these do not; so hopeless retries were sent and took places. A retry has less time left than a first try, which shows its age.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -64,6 +64,7 @@
 			return nil, fmt.Errorf("policy: Classes[%d] %q: name not unique or a figure negative", i, c.Name)
 		}
 		d.classes[c.Name], d.means = i, append(d.means, c.Aim.Seconds())
+		d.longest = append(d.longest, 0)
 		if first := cmp.Or(c.Aim, c.Deadline); first > 0 {
 			d.minAim = min(d.minAim, first)
 		}
@@ -166,8 +167,12 @@
 		d.largest = max(d.largest, j.size)
 	}
 	j.aimBy = d.now + c.Aim + seconds(c.Stretch*j.size)
-	if e.Retry && e.Left < c.Deadline { // the aim runs from the first try
-		j.aimBy -= c.Deadline - e.Left
+	// The aim runs from the first try. A retry has less time left, and shows by that where none is marked.
+	d.longest[row] = max(d.longest[row], e.Left)
+	if e.Retry {
+		j.aimBy -= max(0, c.Deadline-e.Left)
+	} else {
+		j.aimBy -= d.longest[row] - e.Left
 	}
 	if t, ok := d.tenants[e.Tenant]; ok {
 		b, rate := &d.buckets[t], d.set.Tenants[t].Allowance/float64(d.set.Schedulers)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -761,6 +761,18 @@
 	}
 }
 
+// The aim of a retry runs from the first try, also where clients do not mark retries: it has less time left.
+func TestUnmarkedRetryIsOlder(t *testing.T) {
+	d := testDispatcher(t, nil)
+	d.Step(time.Second, []Event{request(1, "safe")}, nil)
+	retry := request(2, "safe")
+	retry.Left -= time.Second
+	d.Step(time.Second, []Event{retry}, nil)
+	if got := d.jobs[1].aimBy - d.jobs[2].aimBy; got != time.Second {
+		t.Errorf("the aim is %v earlier, want 1s", got)
+	}
+}
+
 // All schedulers send a key to the same worker while it has room, and to the same next one when it is sick.
 func TestKeysKeepToTheirWorker(t *testing.T) {
 	members := []Member{}
--- a/policy/state.go
+++ b/policy/state.go
@@ -23,6 +23,7 @@
 	kinds   map[string]*kind
 	fleet   []*kind // in order of appearance
 	means   []float64
+	longest []time.Duration // the most time that a request of each class had left
 
 	now, born, minAim, roundGap, backOff time.Duration
 
