Give a key in great demand several first workers, spread over schedulers

Seen: jobs fail at 5 to 8% even on quiet stretches; several schedulers send the same hot key to its first worker at once and queue there unstarted. Cause: one order of workers for all, so all collide at a hot key's first worker.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,33 +16,37 @@
 )
 
 const (
-	timeLeftTest  = 0.98        // a pairing must end within this share of the job's time left (design)
-	failPenalty   = 10          // a failing pairing costs so many times the round's largest time left
-	crossPatience = 5           // part of its slack that a job waits for its own zone, per unit of price
-	cheapCrossing = 0.04        // up to this price a crossing only makes a pairing dearer by it
-	roundsPerAim  = 8           // rounds within the shortest aim: waiting for a round costs little of it
-	roundJobs     = 24          // held jobs looked at in one round, so that a round stays cheap
-	tableMin      = 6           // samples of a size before its table row replaces the linear fit
-	packed        = 0.95        // share of slots in use, with queues, at which late jobs are given up
-	queueGuess    = 0.15        // queued jobs a slot at a full worker, where reports tell none
-	crowdMemory   = 0.05        // weight of the newest report in how full workers are of others' jobs
-	slowMemory    = 0.2         // weight of the newest runtime in a worker's own slowness
-	overdueRuns   = 3           // a running job is overdue after this many predicted runtimes plus its aim
-	blockAims     = 4           // a failing worker is first left alone for this many of the shortest aims
-	sickShare     = 4           // sick workers for each healthy one from which on none is avoided
-	failsMax      = 4           // doublings of that time at most
-	coldMargin    = 0.6         // share of the cold budget that is used; predictions err
-	spread        = 0.2         // how much a full worker is dearer than an empty one, at equal runtimes
-	nearWorkers   = 12          // workers looked at first, at least
-	nearWidest    = 4           // times as many at most
-	nearOverlap   = 8           // or this many times a scheduler's even share of the workers, if more
-	fetchRuns     = 1.2         // mean runtimes that it costs all to fetch what a job needs
-	probeShare    = 0.006       // service that the probes for one request may cost
-	probesMost    = 6           // probes for one request, whatever they cost
-	peersMost     = 24          // peers that are told anything: words grow with the square
-	fullTell      = 8           // shortest aims from one complete word to peers to the next
-	tellShare     = 0.002       // service that one word to all peers may cost
-	reportAge     = time.Second // assumed age of what a load report shows
+	timeLeftTest  = 0.98            // a pairing must end within this share of the job's time left (design)
+	failPenalty   = 10              // a failing pairing costs so many times the round's largest time left
+	crossPatience = 5               // part of its slack that a job waits for its own zone, per unit of price
+	cheapCrossing = 0.04            // up to this price a crossing only makes a pairing dearer by it
+	roundsPerAim  = 8               // rounds within the shortest aim: waiting for a round costs little of it
+	roundJobs     = 24              // held jobs looked at in one round, so that a round stays cheap
+	tableMin      = 6               // samples of a size before its table row replaces the linear fit
+	packed        = 0.95            // share of slots in use, with queues, at which late jobs are given up
+	queueGuess    = 0.15            // queued jobs a slot at a full worker, where reports tell none
+	crowdMemory   = 0.05            // weight of the newest report in how full workers are of others' jobs
+	slowMemory    = 0.2             // weight of the newest runtime in a worker's own slowness
+	overdueRuns   = 3               // a running job is overdue after this many predicted runtimes plus its aim
+	blockAims     = 4               // a failing worker is first left alone for this many of the shortest aims
+	sickShare     = 4               // sick workers for each healthy one from which on none is avoided
+	failsMax      = 4               // doublings of that time at most
+	coldMargin    = 0.6             // share of the cold budget that is used; predictions err
+	spread        = 0.2             // how much a full worker is dearer than an empty one, at equal runtimes
+	nearWorkers   = 12              // workers looked at first, at least
+	nearWidest    = 4               // times as many at most
+	nearOverlap   = 8               // or this many times a scheduler's even share of the workers, if more
+	keyMemory     = 5 * time.Second // over which the demand for a key is counted
+	keysMost      = 1 << 14         // keys whose demand is known; then all are learnt anew
+	homeShare     = 0.7             // share of a worker's slots that one key may fill before it gets another worker
+	homeStep      = 0.2             // of a fetch: how much dearer the other workers that have the key are
+	fetchRuns     = 1.2             // mean runtimes that it costs all to fetch what a job needs
+	probeShare    = 0.006           // service that the probes for one request may cost
+	probesMost    = 6               // probes for one request, whatever they cost
+	peersMost     = 24              // peers that are told anything: words grow with the square
+	fullTell      = 8               // shortest aims from one complete word to peers to the next
+	tellShare     = 0.002           // service that one word to all peers may cost
+	reportAge     = time.Second     // assumed age of what a load report shows
 )
 
 const never, away = time.Duration(math.MaxInt64), 1 << 32 // later than any moment; added to ranks elsewhere
@@ -56,7 +60,7 @@
 	}
 	d := &Dispatcher{set: s, rng: rand.New(rand.NewPCG(seed, uint64(s.Number))), minAim: never, born: never,
 		classes: map[string]int{}, tenants: map[string]int{}, jobs: map[uint32]*job{},
-		workers: map[string]*worker{}, byHash: map[uint32]*worker{}, kinds: map[string]*kind{}, crowd: 0.5,
+		workers: map[string]*worker{}, byHash: map[uint32]*worker{}, kinds: map[string]*kind{}, keys: map[uint32]*key{}, crowd: 0.5,
 		roundAt: never, scanAt: never, askAt: never, tellAt: never, armedAt: never}
 	for i, c := range s.Classes {
 		_, twice := d.classes[c.Name]
@@ -159,13 +163,15 @@
 	c := &d.set.Classes[row]
 	j := &job{id: e.ID, arrived: d.now, due: d.now + e.Left, class: c, row: row, held: true,
 		size: d.means[row], slots: max(1, e.Slots), memory: max(0, e.Memory)}
-	if e.Key != "" {
-		j.key = hashOf(e.Key)
-	}
 	if e.Work > 0 {
 		j.size = e.Work.Seconds()
 		d.largest = max(d.largest, j.size)
 	}
+	if e.Key != "" {
+		j.key = d.keyFor(hashOf(e.Key))
+		j.key.work = j.key.demand(d.now) + j.size*j.slots
+		j.key.at = d.now
+	}
 	j.aimBy = d.now + c.Aim + seconds(c.Stretch*j.size)
 	// The aim runs from the first try. A retry has less time left, and shows by that where none is marked.
 	d.longest[row] = max(d.longest[row], e.Left)
@@ -652,16 +658,41 @@
 // fetch from one store, which fails all when too many do. So each key has an order of workers, the same at every
 // scheduler without a word between them, and the first in it that has room keeps what the key needs.
 func (d *Dispatcher) fetch(w *worker, j *job) float64 {
-	if j.key == 0 {
+	if j.key == nil {
 		return 0
 	}
-	before, mine := 0.0, mix(j.key, w.hash)
+	before, mine := 0, mix(j.key.hash, w.hash)
 	for _, o := range d.order {
-		if o != w && o.state == Ready && d.now >= o.blocked && mix(j.key, o.hash) > mine {
+		if o != w && o.state == Ready && d.now >= o.blocked && mix(j.key.hash, o.hash) > mine {
 			before++
 		}
 	}
-	return fetchRuns * d.run * before / (before + 1)
+	// A key in great demand has several first workers, and schedulers start at different ones of them.
+	demand := j.key.demand(d.now) / keyMemory.Seconds() * float64(d.set.Schedulers)
+	homes := 1 + int(demand/(homeShare*d.slots(w)))
+	if before < homes {
+		return fetchRuns * d.run * homeStep * float64((before+homes-d.set.Number%homes)%homes) / float64(homes)
+	}
+	over := float64(before - homes + 1)
+	return fetchRuns * d.run * over / (over + 1)
+}
+
+// keyFor returns what is known of a key.
+func (d *Dispatcher) keyFor(hash uint32) *key {
+	k := d.keys[hash]
+	if k == nil {
+		if len(d.keys) >= keysMost {
+			clear(d.keys)
+		}
+		k = &key{hash: hash}
+		d.keys[hash] = k
+	}
+	return k
+}
+
+// demand returns the work that came with a key of late, seconds at speed 1; it fades with time.
+func (k *key) demand(now time.Duration) float64 {
+	return k.work * math.Exp(-float64(now-k.at)/float64(keyMemory))
 }
 
 // mix returns a number that orders workers for a key.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -807,6 +807,27 @@
 	}
 }
 
+// A key that one worker could not serve alone has several first workers; schedulers begin at different ones.
+func TestKeyInDemandIsSpread(t *testing.T) {
+	first := map[string]bool{}
+	for number := range 3 {
+		d := testDispatcher(t, func(s *Settings) { s.Number, s.Schedulers = number, 3 })
+		j := &job{key: d.keyFor(7), size: 0.05}
+		j.key.work, j.key.at = 3*d.slots(d.order[0]), d.now
+		for _, w := range d.order {
+			if d.fetch(w, j) == 0 {
+				first[w.name] = true
+			}
+		}
+		if j.key.at -= time.Hour; d.fetch(d.order[0], j)+d.fetch(d.order[1], j)+d.fetch(d.order[2], j) < d.run {
+			t.Error("a key that is not asked for any more stays at several workers")
+		}
+	}
+	if len(first) != 3 {
+		t.Errorf("three schedulers begin at %v, want three workers", first)
+	}
+}
+
 // A price that allows less than one probe a job brings one every few jobs, not none.
 func TestFractionalProbes(t *testing.T) {
 	d := testDispatcher(t, func(s *Settings) { s.ProbePrice, s.Probes, s.Reports = 2*probeShare, true, true })
--- a/policy/state.go
+++ b/policy/state.go
@@ -22,6 +22,7 @@
 	heard   []time.Duration // when each peer was last heard
 	kinds   map[string]*kind
 	fleet   []*kind // in order of appearance
+	keys    map[uint32]*key
 	means   []float64
 	longest []time.Duration // the most time that a request of each class had left
 
@@ -44,7 +45,7 @@
 	id               uint32
 	class            *Class
 	row              int // the class's number
-	key              uint32
+	key              *key
 	arrived, due     time.Duration
 	aimBy            time.Duration
 	check            time.Duration // when the scan looks at it again
@@ -115,6 +116,13 @@
 	table               [40]tableRow
 }
 type tableRow struct{ n, size, run float64 }
+
+// key is what some requests need at their worker.
+type key struct {
+	hash uint32
+	work float64 // that came with it, seconds at speed 1, fading
+	at   time.Duration
+}
 type pair struct {
 	j    *job
 	w    *worker
