--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,74 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const least = `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ff",
+ "settings":{"classes":[{"name":"c","semantics":"safe","deadlineUs":900000}]}}`
+
+func load(t *testing.T, text string, env map[string]string) (*Config, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	return Load(func(name string) string {
+		if name == "LB_CONFIG" {
+			return file
+		}
+		return env[name]
+	})
+}
+
+func TestDefaults(t *testing.T) {
+	c, err := load(t, least, nil)
+	require.NoError(t, err)
+	assert.Equal(t, Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}, c.Limits)
+	assert.Equal(t, uint64(255), c.Seed)
+	assert.Equal(t, defaultPeriod, c.Policy.Period)
+	assert.Equal(t, defaultConnect, c.Policy.ConnectTimeout)
+	assert.Equal(t, defaultIdle, c.Policy.ConnIdle)
+	assert.Equal(t, logrus.InfoLevel, c.LogLevel)
+	assert.Equal(t, defaultHold, c.Hold())
+	assert.Equal(t, 900*time.Millisecond, c.StopWithin(), "the longest deadline")
+	assert.Equal(t, 1, c.Procs())
+	assert.Equal(t, int64(144<<20), c.MemoryTarget())
+	clients, targets := c.SocketBudget()
+	assert.Less(t, clients+targets, 1024)
+	assert.Equal(t, []string{"c"}, c.ClassNames())
+}
+
+func TestEnvironmentReplacesTheFile(t *testing.T) {
+	c, err := load(t, least, map[string]string{"LB_NAME": "n7", "LB_LISTEN": "127.0.0.1:7", "LB_LOG_LEVEL": "debug"})
+	require.NoError(t, err)
+	assert.Equal(t, "n7", c.Name)
+	assert.Equal(t, "127.0.0.1:7", c.Listen)
+	assert.Equal(t, "127.0.0.1:2", c.Discovery)
+	assert.Equal(t, logrus.DebugLevel, c.LogLevel)
+}
+
+func TestFaultyVariablesAreNamed(t *testing.T) {
+	_, err := Load(func(string) string { return "" })
+	assert.ErrorContains(t, err, "LB_CONFIG")
+	_, err = Load(func(string) string { return filepath.Join(t.TempDir(), "none") })
+	assert.ErrorContains(t, err, "LB_CONFIG")
+	_, err = load(t, least, map[string]string{"LB_LOG_LEVEL": "loud"})
+	assert.ErrorContains(t, err, "LB_LOG_LEVEL")
+	_, err = load(t, "{", nil)
+	assert.ErrorContains(t, err, "LB_CONFIG")
+}
+
+// The platform waits at most 3 s for the longest deadline, and discovery holds a call for a minute at most.
+func TestCaps(t *testing.T) {
+	c, err := load(t, `{"listen":"a:1","discovery":"a:2","settings":{"rules":{"askWithinUs":900000000},
+		"classes":[{"name":"c","semantics":"safe","deadlineUs":9000000}]}}`, nil)
+	require.NoError(t, err)
+	assert.Equal(t, maxStop, c.StopWithin())
+	assert.Equal(t, maxHold, c.Hold())
+}
--- /dev/null
+++ b/internal/routetable/routetable_test.go
@@ -0,0 +1,98 @@
+package routetable
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ospreypond/policy"
+)
+
+func TestTableFollowsTheList(t *testing.T) {
+	table := New()
+	a := Host{Host: "a", Dial: "1.2.3.4:5", Site: "z", Class: "m", Block: 2, Health: "SERVING", BornMs: 7}
+	b := Host{Host: "b", Dial: "1.2.3.4:6", Health: "SERVING"}
+	got := table.Apply(&List{Seq: 3, Whole: true, Hosts: []Host{a, b}})
+	assert.Equal(t, policy.Member{Worker: "a", Zone: "z", Cell: 2, Kind: "m", Started: 7 * time.Millisecond}, got[0])
+	assert.True(t, table.Open("a"))
+
+	a.Health = "DRAINING"
+	table.Apply(&List{Seq: 4, Hosts: []Host{a, {Host: "b", Health: "DELETED"}}})
+	assert.False(t, table.Open("a"))
+	_, ok := table.Lookup("a")
+	assert.True(t, ok, "what drains still ends its hops")
+	_, ok = table.Lookup("b")
+	assert.False(t, ok)
+	assert.Equal(t, int64(4), table.Seq())
+
+	table.Apply(&List{Seq: 5, Whole: true, Hosts: []Host{b}})
+	_, ok = table.Lookup("a")
+	assert.False(t, ok, "what a whole list does not name is gone")
+}
+
+func TestCheckNamesTheEntry(t *testing.T) {
+	for want, h := range map[string]Host{
+		"hosts[0].host":   {Dial: "x:1", Health: "SERVING"},
+		"hosts[0].dial":   {Host: "a", Health: "SERVING"},
+		"hosts[0].health": {Host: "a", Dial: "x:1", Health: "odd"},
+	} {
+		assert.ErrorContains(t, (&List{Hosts: []Host{h}}).Check(), want)
+	}
+	assert.NoError(t, (&List{Hosts: []Host{{Host: "a", Health: "DELETED"}}}).Check())
+}
+
+// A subscription is answered at once, also where nothing changed: its first call is not held. A failed call is
+// told as such, and nothing is asked until the next subscription.
+func TestWatch(t *testing.T) {
+	calls := make(chan string, 16)
+	fail := make(chan bool, 16)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- r.URL.RawQuery
+		select {
+		case <-fail:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			if r.URL.Query().Get("hold_ms") != "0" {
+				<-r.Context().Done()
+				return
+			}
+			fmt.Fprint(w, `{"seq":9,"whole":false,"hosts":[]}`)
+		}
+	}))
+	defer srv.Close()
+	news := make(chan policy.Event, 16)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w := NewWatcher(New(), srv.Listener.Addr().String(), 7*time.Second, func(e policy.Event) { news <- e }, log)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go w.Run(ctx)
+
+	fail <- true
+	w.Subscribe()
+	assert.Equal(t, "from=0&hold_ms=0", <-calls)
+	assert.Equal(t, policy.ListUnavailable, (<-news).Kind)
+	w.Subscribe()
+	assert.Equal(t, "from=0&hold_ms=0", <-calls)
+	assert.Equal(t, policy.ListChanged, (<-news).Kind)
+	assert.Equal(t, "from=9&hold_ms=7000", <-calls, "the next call goes out at once and is held")
+}
+
+// Guards against a network cut in silence: a call that brings nothing ends by itself.
+func TestSilentCallEnds(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer srv.Close()
+	w := NewWatcher(New(), srv.Listener.Addr().String(), time.Second, nil, logrus.New())
+	before := time.Now()
+	_, err := w.call(context.Background(), 0)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.GreaterOrEqual(t, time.Since(before), callGrace)
+}
