Let a great slowness fade, so that a worker that recovered is used again

The debug lines of each hop show three runners that were slow from 13 to 41 s with no job after that. Cause: since jobs that would be late are not sent, a worker held for very slow gets none, and only runtimes correct its slowness (learn). Each hop and probe now has a line at level debug with its outcome.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -393,6 +393,8 @@
 	if x.jobs[j.id] != j { // the module was replaced meanwhile
 		return
 	}
+	x.log.WithFields(logrus.Fields{"request": j.r.ID, "target": target, "outcome": end.Outcome,
+		"took": time.Since(h.sent)}).Debug("hop ended")
 	if end.Outcome == policy.OK {
 		x.reply(j, Answer{Kind: Served, Result: end.Result})
 	}
@@ -409,6 +411,8 @@
 		defer cancel()
 		end := x.guard(func() HopEnd { return x.egress.Probe(ctx, target) })
 		elapsed := time.Since(sent)
+		x.log.WithFields(logrus.Fields{"target": target, "outcome": end.Outcome, "took": elapsed,
+			"free": end.Report.FreeSlots}).Debug("probe ended")
 		x.do(func() {
 			x.events = append(x.events, policy.Event{Kind: policy.ProbeEnded, Worker: target, Outcome: end.Outcome,
 				Elapsed: elapsed, Report: end.Report})
--- a/policy/api.go
+++ b/policy/api.go
@@ -121,6 +121,11 @@
 	Moot
 )
 
+func (o Outcome) String() string {
+	names := [...]string{"ok", "failed", "full", "timed out", "connect failed", "reset", "cancelled", "moot"}
+	return names[o]
+}
+
 // EventKind tells which fields of an Event are set.
 type EventKind int
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,6 +51,8 @@
 
 const never, away = time.Duration(math.MaxInt64), 1 << 32 // later than any moment; added to ranks elsewhere
 
+const slowFades = 10 * time.Second // over which a great slowness fades while nothing new shows it
+
 const listLost = "the list of workers is unavailable and the last one is used"
 
 // New returns a dispatcher for one scheduler. The seed is the only source of chance.
@@ -639,7 +641,8 @@
 	}
 	k := a.w.kind
 	ratio := max(0.25, min(4, y/max(a.predicted, 1e-4)*a.slow))
-	a.w.slow *= math.Pow(ratio/a.w.slow, slowMemory)
+	slow := d.slowness(a.w)
+	a.w.slow, a.w.learnt = slow*math.Pow(ratio/slow, slowMemory), d.now
 	if a.wasCold { // its slowness tells how fast it really warms; its kind learns nothing
 		return
 	}
@@ -652,7 +655,16 @@
 
 // predict returns L_ij: the seconds that j would run on w now, with the fetch of what it needs.
 func (d *Dispatcher) predict(w *worker, j *job) float64 {
-	return w.kind.runtime(j.size)*w.slow/d.warmth(w) + d.fetch(w, j)
+	return w.kind.runtime(j.size)*d.slowness(w)/d.warmth(w) + d.fetch(w, j)
+}
+
+// slowness returns w's runtimes over its kind's. A great one fades while there are no new runtimes: only jobs
+// that are sent there can show that w is well again. Guards against a worker that is left alone for ever.
+func (d *Dispatcher) slowness(w *worker) float64 {
+	if w.slow < 2 {
+		return w.slow
+	}
+	return max(2, w.slow*math.Exp(-float64(d.now-w.learnt)/float64(slowFades)))
 }
 
 // fetch returns the seconds that w is expected to fetch what j needs. Workers keep what they used last, and
@@ -869,7 +881,7 @@
 
 func (d *Dispatcher) send(j *job, w *worker) {
 	a := &attempt{j: j, w: w, n: len(j.attempts), sent: d.now, wasCold: d.warmth(w) < 1}
-	a.predicted, a.slow = d.predict(w, j), w.slow
+	a.predicted, a.slow = d.predict(w, j), d.slowness(w)
 	j.attempts = append(j.attempts, a)
 	j.held = false
 	w.out = append(w.out, a)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -773,6 +773,21 @@
 	}
 }
 
+// A worker that was slow is tried again after a while: left alone, it could never show that it has recovered.
+func TestSlownessFades(t *testing.T) {
+	d := testDispatcher(t, nil)
+	j := &job{size: 0.05, slots: 1}
+	w := d.order[0]
+	w.slow, w.learnt = 8, d.now
+	if got := d.predict(w, j) / j.size; math.Abs(got-8) > 1e-9 {
+		t.Errorf("just learnt: %v runtimes, want 8", got)
+	}
+	d.now += 5 * slowFades
+	if got := d.predict(w, j) / j.size; got > 2.1 {
+		t.Errorf("long after: %v runtimes, want about 2", got)
+	}
+}
+
 // All schedulers send a key to the same worker while it has room, and to the same next one when it is sick.
 func TestKeysKeepToTheirWorker(t *testing.T) {
 	members := []Member{}
--- a/policy/state.go
+++ b/policy/state.go
@@ -91,6 +91,7 @@
 	peers      []float64 // slots held by each peer, by its own word
 	told       float64   // what peers were last told of our slots here
 	slow       float64   // its runtimes over its kind's
+	learnt     time.Duration
 	fails      float64
 	blocked    time.Duration
 	alive      time.Duration // last sign that it works on jobs
