Turn bad clients away early, let silent ones make room, reload on SIGHUP

Seen with a line for each request's head: usual clients send POST /cobro with Content-Length, ids of 16 hex digits and waits like 5997m. Others send Transfer-Encoding beside it, heads of 200 KB, waits of "soon", "-5", "" or 23 digits, unknown classes in a loop, ids of open requests, and 1152 connections that ask once and stay. From 5 s on no usual client was answered: Accept waited with all sockets held by those (listener.go), and clients that had a socket were refused since open connections, not requests, were counted (ingress.go, full). Bad clients left without a word: 557 of 916, by the 10 s limits and the wait in Accept.

- Transfer-Encoding gets 411 and a close: the handler cannot see a Content-Length beside it.
- Head 1.5 s and 8 KiB, body 1 s more; every error closes, so net/http reads no rest of a body.
- The longest silent connection makes room, never one with a request in hand.
- Headers are strict decimals and plain ids, once each; an id open or answered gets 409 in exchange.arrive.
- A runner's 400 ends the request and is not the runner's fault: it made runners look sick and was sent twice.
- Bodies in hand are bounded to an eighth of the memory.
- A client that only ended its sending got net/http's empty 200; now 502.

SIGHUP ended the process (main.go had no handler). Now the file is read and checked whole, and the watch moves: a held call is broken off and the whole list is asked for, as versions of another service mean nothing.

--- a/cmd/ospreypond/main.go
+++ b/cmd/ospreypond/main.go
@@ -34,6 +34,9 @@
 }
 
 func run(log *logrus.Logger) error {
+	// From the first moment on: a SIGHUP that comes early waits its turn instead of ending the program.
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -59,13 +62,14 @@
 	if err != nil {
 		return fmt.Errorf("key \"listen\": %w", err)
 	}
-	server := ingress.New(x, life, cfg.ClassNames(), clients, log)
+	server := ingress.New(x, life, cfg.ClassNames(), clients, cfg.BodyBudget(), log)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 
 	working := life.Until(lifecycle.Stopped)
 	go watcher.Run(working)
 	go x.Run(working)
+	go reload(working, hups, cfg, watcher, log)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	life.Advance(lifecycle.Serving)
@@ -86,6 +90,30 @@
 	return nil
 }
 
+// reload takes up a new configuration at each signal: the whole file is read and checked, and a faulty one
+// changes nothing.
+func reload(ctx context.Context, signals <-chan os.Signal, cfg *config.Config, watcher *routetable.Watcher, log *logrus.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		next, err := cfg.Reload(os.Getenv)
+		if err != nil {
+			log.WithError(err).Error("new configuration is faulty; the old one stays")
+			continue
+		}
+		watcher.Move(next.Discovery)
+		entry := log.WithField("discovery", next.Discovery)
+		if keys := cfg.NeedRestart(next); len(keys) > 0 {
+			entry = entry.WithField("needs_restart", keys)
+		}
+		entry.Info("configuration reloaded")
+		cfg = next
+	}
+}
+
 // drain stops taking requests and answers those taken: what is still open after the given time is ended.
 func drain(server *ingress.Server, x *exchange.Exchange, within time.Duration) error {
 	end := time.AfterFunc(within, x.Close)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -30,6 +31,7 @@
 
 	Seed     uint64          `json:"-"`
 	Policy   policy.Settings `json:"-"` // Settings, as the decision module takes them
+	inFile   string          // the file's own discovery, whatever LB_DISCOVERY says
 	LogLevel logrus.Level    `json:"-"`
 }
 
@@ -56,7 +58,32 @@
 
 // Load reads the file that LB_CONFIG names. LB_NAME, LB_LISTEN and LB_DISCOVERY, where set, replace what it
 // says, and LB_LOG_LEVEL (default info) sets how much is logged. An error names the key or variable at fault.
-func Load(getenv func(string) string) (*Config, error) {
+func Load(getenv func(string) string) (*Config, error) { return load(getenv, nil) }
+
+// Reload reads and checks everything again and returns what is in force from then on: discovery is, if the
+// file names another than before, and then also over LB_DISCOVERY, which is as old as the process. Whoever
+// replaces the file later means the new address. Everything else is as it was; NeedRestart tells what waits.
+// After an error c stays in force.
+func (c *Config) Reload(getenv func(string) string) (*Config, error) { return load(getenv, c) }
+
+// NeedRestart names the keys that differ in next and that only a restart applies. The seed and the known list
+// are for the start alone.
+func (c *Config) NeedRestart(next *Config) (keys []string) {
+	for _, k := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"limits", c.Limits == next.Limits},
+		{"settings", reflect.DeepEqual(c.Settings, next.Settings)},
+	} {
+		if !k.same {
+			keys = append(keys, k.name)
+		}
+	}
+	return keys
+}
+
+func load(getenv func(string) string, old *Config) (*Config, error) {
 	path := getenv("LB_CONFIG")
 	if path == "" {
 		return nil, errors.New("LB_CONFIG: is not set; it names the configuration file")
@@ -73,6 +100,7 @@
 		}
 		return nil, fmt.Errorf("LB_CONFIG: %s: %w", path, err)
 	}
+	c.inFile = c.Discovery
 	for _, v := range []struct {
 		name string
 		to   *string
@@ -81,6 +109,11 @@
 			*v.to = s
 		}
 	}
+	if old != nil && c.inFile != old.inFile {
+		c.Discovery = c.inFile
+	} else if old != nil {
+		c.Discovery = old.Discovery
+	}
 	c.LogLevel = logrus.InfoLevel
 	if s := getenv("LB_LOG_LEVEL"); s != "" {
 		if c.LogLevel, err = logrus.ParseLevel(s); err != nil {
@@ -189,12 +222,16 @@
 func (c *Config) MemoryTarget() int64 { return int64(c.Limits.MemoryMB) << 20 / 4 * 3 }
 
 // SocketBudget splits the allowed descriptors between clients and egress targets; some are left for
-// discovery, the listener and the runtime.
+// discovery, the listener and the runtime. Clients hold at most a third with requests; a little more lets those
+// that say nothing be told from those. Hops need the most: second copies, and connections kept for the next.
 func (c *Config) SocketBudget() (clients, targets int) {
-	rest := c.Limits.Sockets - minSockets/2
-	return rest / 2, rest - rest/2
+	clients = c.Limits.Sockets * 3 / 8
+	return clients, c.Limits.Sockets - minSockets/2 - clients
 }
 
+// BodyBudget is how many bytes of clients' bodies may be in hand at once.
+func (c *Config) BodyBudget() int64 { return int64(c.Limits.MemoryMB) << 20 / 8 }
+
 // Hold is how long discovery may hold a watch. Where the network is cut in silence, what changed counts as
 // told some time after the hold's end at the latest, so a short hold keeps the list's age within what the
 // rules allow; a very short one would be a load on discovery, which all dispatchers share.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,7 +15,7 @@
 const least = `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ff",
  "settings":{"classes":[{"name":"c","semantics":"safe","deadlineUs":900000}]}}`
 
-func load(t *testing.T, text string, env map[string]string) (*Config, error) {
+func loadText(t *testing.T, text string, env map[string]string) (*Config, error) {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
@@ -27,7 +28,7 @@
 }
 
 func TestDefaults(t *testing.T) {
-	c, err := load(t, least, nil)
+	c, err := loadText(t, least, nil)
 	require.NoError(t, err)
 	assert.Equal(t, Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}, c.Limits)
 	assert.Equal(t, uint64(255), c.Seed)
@@ -45,7 +46,7 @@
 }
 
 func TestEnvironmentReplacesTheFile(t *testing.T) {
-	c, err := load(t, least, map[string]string{"LB_NAME": "n7", "LB_LISTEN": "127.0.0.1:7", "LB_LOG_LEVEL": "debug"})
+	c, err := loadText(t, least, map[string]string{"LB_NAME": "n7", "LB_LISTEN": "127.0.0.1:7", "LB_LOG_LEVEL": "debug"})
 	require.NoError(t, err)
 	assert.Equal(t, "n7", c.Name)
 	assert.Equal(t, "127.0.0.1:7", c.Listen)
@@ -58,17 +59,67 @@
 	assert.ErrorContains(t, err, "LB_CONFIG")
 	_, err = Load(func(string) string { return filepath.Join(t.TempDir(), "none") })
 	assert.ErrorContains(t, err, "LB_CONFIG")
-	_, err = load(t, least, map[string]string{"LB_LOG_LEVEL": "loud"})
+	_, err = loadText(t, least, map[string]string{"LB_LOG_LEVEL": "loud"})
 	assert.ErrorContains(t, err, "LB_LOG_LEVEL")
-	_, err = load(t, "{", nil)
+	_, err = loadText(t, "{", nil)
 	assert.ErrorContains(t, err, "LB_CONFIG")
 }
 
 // The platform waits at most 3 s for the longest deadline, and discovery holds a call for a minute at most.
 func TestCaps(t *testing.T) {
-	c, err := load(t, `{"listen":"a:1","discovery":"a:2","settings":{"rules":{"askWithinUs":900000000},
+	c, err := loadText(t, `{"listen":"a:1","discovery":"a:2","settings":{"rules":{"askWithinUs":900000000},
 		"classes":[{"name":"c","semantics":"safe","deadlineUs":9000000}]}}`, nil)
 	require.NoError(t, err)
 	assert.Equal(t, maxStop, c.StopWithin())
 	assert.Equal(t, maxHold, c.Hold())
 }
+
+// The file that replaces another names discovery's new address, also where LB_DISCOVERY gave the first one. A
+// faulty file changes nothing and its key is named.
+func TestReload(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	env := map[string]string{"LB_CONFIG": file, "LB_DISCOVERY": "127.0.0.1:9"}
+	getenv := func(name string) string { return env[name] }
+	write := func(old, to string) {
+		require.NoError(t, os.WriteFile(file, []byte(strings.Replace(least, old, to, 1)), 0o600))
+	}
+	write("", "")
+	c, err := Load(getenv)
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:9", c.Discovery)
+
+	c, err = c.Reload(getenv)
+	require.NoError(t, err)
+	assert.Equal(t, "127.0.0.1:9", c.Discovery, "the file is the same")
+
+	write("127.0.0.1:2", "nowhere")
+	_, err = c.Reload(getenv)
+	assert.ErrorContains(t, err, "discovery")
+
+	write("127.0.0.1:2", "127.0.0.1:3")
+	next, err := c.Reload(getenv)
+	require.NoError(t, err)
+	assert.Equal(t, "127.0.0.1:3", next.Discovery)
+	assert.Empty(t, c.NeedRestart(next))
+	next, err = next.Reload(getenv)
+	require.NoError(t, err)
+	assert.Equal(t, "127.0.0.1:3", next.Discovery, "read again")
+
+	write("900000", "800000")
+	next, err = c.Reload(getenv)
+	require.NoError(t, err)
+	assert.Equal(t, []string{"settings"}, c.NeedRestart(next))
+}
+
+// Clients get more than the third that requests may hold; hops get the larger part.
+func TestSocketBudget(t *testing.T) {
+	for _, n := range []int{64, 256, 1024} {
+		c := &Config{Limits: Limits{Sockets: n}}
+		clients, targets := c.SocketBudget()
+		assert.Greater(t, clients, n/3)
+		assert.LessOrEqual(t, clients+targets, n-minSockets/2)
+		if n > minSockets {
+			assert.Greater(t, targets, clients)
+		}
+	}
+}
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -217,7 +217,8 @@
 		e.follow(ctx, h, lines, &c, &end)
 	} else {
 		end.Outcome = refused(resp)
-		if resp.StatusCode != http.StatusInternalServerError && end.Outcome == policy.Failed {
+		end.Rejected = end.Outcome == policy.Cancelled
+		if resp.StatusCode != http.StatusInternalServerError && end.Outcome != policy.Full {
 			e.log.WithFields(logrus.Fields{"target": h.Target, "request": h.Request.ID, "status": resp.StatusCode}).
 				Warn("target answered with an unexpected status")
 		}
@@ -251,8 +252,12 @@
 // refused tells the outcome that a status other than 200 stands for.
 func refused(resp *http.Response) policy.Outcome {
 	busy := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
-	if busy && resp.Header.Get("X-Not-Processed") == "1" {
+	switch {
+	case busy && resp.Header.Get("X-Not-Processed") == "1":
 		return policy.Full
+	case resp.StatusCode == http.StatusBadRequest:
+		// Guards against one client's faulty requests making runners look sick, which every client would pay for.
+		return policy.Cancelled
 	}
 	return policy.Failed
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -25,6 +25,9 @@
 	probeLimit = 250 * time.Millisecond
 	// inboxSize is how much may wait for the exchange before those who bring it wait too.
 	inboxSize = 1024
+	// idMemory is how many ids of answered requests are remembered: one that comes again is not a new request,
+	// and a runner that gets it takes it for a second copy.
+	idMemory = 4096
 )
 
 // Exchange connects ingress, egress and the route table to the decision module.
@@ -46,6 +49,9 @@
 	members map[string]policy.Member // as last told, for a module that starts over
 	jobs    map[uint32]*job
 	nextID  uint32
+	ids     map[string]bool // of the requests taken, open ones and the last idMemory
+	oldIDs  []string        // the answered ones among them, a ring
+	oldest  int
 	events  []policy.Event // since the last step
 	spare   []policy.Event
 	actions []policy.Action
@@ -77,7 +83,8 @@
 		return nil, fmt.Errorf("starting the decision module: %w", err)
 	}
 	return &Exchange{set: set, seed: seed, log: log, d: d, clock: newClock(), inbox: make(chan func(), inboxSize),
-		done: make(chan struct{}), members: map[string]policy.Member{}, jobs: map[uint32]*job{}}, nil
+		done: make(chan struct{}), members: map[string]policy.Member{}, jobs: map[uint32]*job{},
+		ids: map[string]bool{}}, nil
 }
 
 // Attach connects the egress targets' side and discovery's side.
@@ -262,6 +269,13 @@
 // arrive takes a request in and gives it the number by which the module knows it.
 func (x *Exchange) arrive(j *job) {
 	r := j.r
+	// Guards against a client that uses the id of another's request: that one goes on as if nothing had come.
+	if x.ids[r.ID] {
+		j.answered = true
+		j.answer <- Answer{Kind: Repeated}
+		return
+	}
+	x.ids[r.ID] = true
 	for x.nextID++; x.jobs[x.nextID] != nil; x.nextID++ {
 	}
 	j.id, j.due = x.nextID, x.clock.at(r.Deadline)
@@ -299,9 +313,21 @@
 	j.answered = true
 	j.net.Stop()
 	j.answer <- a
+	x.retire(j.r.ID)
 	x.forget(j)
 }
 
+// retire remembers the id of an answered request for a while.
+func (x *Exchange) retire(id string) {
+	if len(x.oldIDs) < idMemory {
+		x.oldIDs = append(x.oldIDs, id)
+		return
+	}
+	delete(x.ids, x.oldIDs[x.oldest])
+	x.oldIDs[x.oldest] = id
+	x.oldest = (x.oldest + 1) % idMemory
+}
+
 func (x *Exchange) forget(j *job) {
 	if j.answered && j.out == 0 && x.jobs[j.id] == j {
 		delete(x.jobs, j.id)
@@ -395,6 +421,9 @@
 	}
 	x.log.WithFields(logrus.Fields{"request": j.r.ID, "target": target, "outcome": end.Outcome,
 		"took": time.Since(h.sent)}).Debug("hop ended")
+	if end.Rejected {
+		x.reply(j, Answer{Kind: Rejected})
+	}
 	if end.Outcome == policy.OK {
 		x.reply(j, Answer{Kind: Served, Result: end.Result})
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -99,7 +100,9 @@
 		x.d = nil
 	})
 	assert.Equal(t, Broken, answerOf(t, c).Kind)
-	c = submit(context.Background(), x, request(time.Minute))
+	next := request(time.Minute)
+	next.ID = "next"
+	c = submit(context.Background(), x, next)
 	<-e.hops
 	e.ends <- HopEnd{Outcome: policy.OK, Report: policy.NoReport}
 	assert.Equal(t, Served, answerOf(t, c).Kind)
@@ -116,6 +119,49 @@
 	assert.Equal(t, Broken, answerOf(t, c).Kind)
 }
 
+// Guards against a client that uses the id of another's request, while that one is open or after it: the first
+// goes on, and the second is neither served nor sent to a runner, which would take it for a second copy.
+func TestRepeatedID(t *testing.T) {
+	x, e := run(t, testSettings())
+	c := submit(context.Background(), x, request(time.Minute))
+	<-e.hops
+	assert.Equal(t, Repeated, answerOf(t, submit(context.Background(), x, request(time.Minute))).Kind)
+	e.ends <- HopEnd{Outcome: policy.OK, Report: policy.NoReport}
+	assert.Equal(t, Served, answerOf(t, c).Kind)
+	assert.Equal(t, Repeated, answerOf(t, submit(context.Background(), x, request(time.Minute))).Kind)
+	assert.Empty(t, e.hops)
+}
+
+// The ids of answered requests are forgotten in order, so that memory stays bounded.
+func TestIDsAreForgotten(t *testing.T) {
+	x, _ := run(t, testSettings())
+	left := make(chan bool, 2)
+	x.do(func() {
+		for n := range idMemory + 1 {
+			x.ids[fmt.Sprint(n)] = true
+			x.retire(fmt.Sprint(n))
+		}
+		left <- x.ids["0"]
+		left <- len(x.ids) == idMemory && x.ids["1"]
+	})
+	assert.False(t, <-left)
+	assert.True(t, <-left)
+}
+
+// Guards against one client's faulty requests making a runner look sick: it gets the next request at once.
+func TestRejectedRequestIsNotTheTargetsFault(t *testing.T) {
+	x, e := run(t, testSettings())
+	for n := range 3 {
+		r := request(time.Minute)
+		r.ID = fmt.Sprint(n)
+		c := submit(context.Background(), x, r)
+		<-e.hops
+		e.ends <- HopEnd{Outcome: policy.Cancelled, Rejected: true, Report: policy.NoReport}
+		assert.Equal(t, Rejected, answerOf(t, c).Kind)
+	}
+	assert.Empty(t, e.hops, "sent again")
+}
+
 // A client that leaves ends its hop, whose one end still comes; nothing stays behind.
 func TestClientLeaves(t *testing.T) {
 	x, e := run(t, testSettings())
@@ -138,7 +184,9 @@
 	<-e.hops
 	x.Close()
 	assert.Equal(t, Failed, answerOf(t, out).Kind)
-	assert.Equal(t, Shed, answerOf(t, submit(context.Background(), x, request(time.Minute))).Kind)
+	next := request(time.Minute)
+	next.ID = "next"
+	assert.Equal(t, Shed, answerOf(t, submit(context.Background(), x, next)).Kind)
 }
 
 // The first end counts: a hop that is sent after its request was answered is moot, and one that ends again
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -30,15 +30,17 @@
 
 // The final answers.
 const (
-	Served AnswerKind = iota // Result is a runner's
-	Shed                     // refused: a retry is harmless
-	Failed                   // nothing is promised about its effect
-	Broken                   // failed through a fault of this program
-	Left                     // its client has gone; there is nobody to answer
+	Served   AnswerKind = iota // Result is a runner's
+	Shed                       // refused: a retry is harmless
+	Failed                     // nothing is promised about its effect
+	Broken                     // failed through a fault of this program
+	Left                       // its client has gone; there is nobody to answer
+	Rejected                   // a runner cannot use it
+	Repeated                   // its id is that of another request, which is not touched
 )
 
 func (k AnswerKind) String() string {
-	return [...]string{"served", "shed", "failed", "broken", "left"}[k]
+	return [...]string{"served", "shed", "failed", "broken", "left", "rejected", "repeated"}[k]
 }
 
 // Answer is the one final answer to a request.
@@ -59,8 +61,11 @@
 // HopEnd is how a hop or a probe ended.
 type HopEnd struct {
 	Outcome policy.Outcome
-	Result  []byte // with policy.OK of a hop
-	Report  policy.Report
+	// Rejected: the target found the request itself unusable, which says nothing about the target. Outcome is
+	// policy.Cancelled.
+	Rejected bool
+	Result   []byte // with policy.OK of a hop
+	Report   policy.Report
 }
 
 // Egress is the side of the egress targets. Hop and Probe block until the end is known; they end early when
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -21,15 +22,24 @@
 )
 
 const (
-	maxBody     = 64 << 10
-	headerLimit = 10 * time.Second // for a client to send its headers, and again its body
+	maxBody = 64 << 10
+	// maxHead bounds a request's head; net/http allows 4 KiB more. Usual heads have under 1 KiB.
+	maxHead = 4 << 10
+	// headLimit is for a client to send a request's head, and bodyLimit for the body after it: together under
+	// the 3 s in which one that sends neither must be told so.
+	headLimit = 1500 * time.Millisecond
+	bodyLimit = time.Second
+	// answerLimit is for a client to take its answer.
+	answerLimit = 5 * time.Second
 	idleLimit   = 2 * time.Minute
 	// linger is how long connections are still accepted after the signal to stop: the front sends new ones
 	// for up to 0.4 s, and one that is in the kernel's backlog when the listener closes is lost.
 	linger = 700 * time.Millisecond
-	// crowd is the part of the clients' sockets from which on requests are refused at once. The rest is
-	// there so that the connections beyond can still be told so: one left waiting in the backlog is lost.
-	crowd = 0.85
+	// crowded is the part of the clients' sockets from which on requests in hand are refused at once. The rest
+	// is there so that those beyond can still be told so.
+	crowded = 0.85
+	// refusedRetry is when the client of such a request may come back.
+	refusedRetry = time.Second
 )
 
 // Submitter takes requests and brings their final answers; exchange.Exchange is one.
@@ -39,38 +49,53 @@
 
 // Server takes clients' requests.
 type Server struct {
-	http     http.Server
-	to       Submitter
-	life     *lifecycle.Lifecycle
-	classes  map[string]bool
-	maxRetry time.Duration
-	budget   int64
-	open     atomic.Int64 // clients' connections
-	inHand   atomic.Int64 // requests that have no answer yet
-	crowded  atomic.Bool
-	log      logrus.FieldLogger
+	http    http.Server
+	to      Submitter
+	life    *lifecycle.Lifecycle
+	classes map[string]bool
+	sockets int
+	memory  int64        // for the bodies in hand
+	held    atomic.Int64 // bytes of them
+	inHand  atomic.Int64 // requests that have no answer yet
+	taken   atomic.Int64 // those among them that were read whole and are no client's fault
+	full    atomic.Bool
+	log     *logrus.Logger
 }
 
-// New returns a server of the named classes that holds at most budget connections.
-func New(to Submitter, life *lifecycle.Lifecycle, classes []string, budget int, log *logrus.Logger) *Server {
-	s := &Server{to: to, life: life, classes: map[string]bool{}, budget: int64(budget), log: log}
+// New returns a server of the named classes that holds at most so many sockets, and bodies of at most so many
+// bytes in all.
+func New(to Submitter, life *lifecycle.Lifecycle, classes []string, sockets int, memory int64, log *logrus.Logger) *Server {
+	s := &Server{to: to, life: life, classes: map[string]bool{}, sockets: sockets, memory: memory, log: log}
 	for _, c := range classes {
 		s.classes[c] = true
 	}
-	s.http = http.Server{Handler: s, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit,
-		ConnState: s.count, Protocols: new(http.Protocols)}
+	s.http = http.Server{Handler: s, ReadHeaderTimeout: headLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHead,
+		ConnState: rested, ConnContext: withClient, ErrorLog: stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0),
+		Protocols: new(http.Protocols)}
 	s.http.Protocols.SetHTTP1(true)
 	return s
 }
 
 // Serve takes requests from l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(&limited{Listener: l, room: make(chan struct{}, s.budget)}); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(newCrowd(l, s.sockets, s.log)); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serving clients: %w", err)
 	}
 	return nil
 }
 
+type clientKey struct{}
+
+func withClient(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, clientKey{}, c)
+}
+
+func rested(c net.Conn, state http.ConnState) {
+	if k, ok := c.(*client); ok && state == http.StateIdle {
+		k.rest()
+	}
+}
+
 // Shutdown goes on accepting for a while, as clients still come, then takes nothing new and returns when all
 // that was taken is answered or ctx ends. The phase must be Draining, so that answers close connections.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -85,24 +110,15 @@
 	return nil
 }
 
-func (s *Server) count(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		s.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		s.open.Add(-1)
-	}
-}
-
-// full tells whether clients hold so many connections that a request is refused unseen.
-func (s *Server) full() bool {
-	limit := crowd * float64(s.budget)
-	if s.crowded.Load() { // so that the log does not flutter
+// tooMany tells whether n requests in hand are so many that the last one is refused unseen.
+func (s *Server) tooMany(n int64) bool {
+	limit := crowded * float64(s.sockets)
+	if s.full.Load() { // so that the log does not flutter
 		limit *= 0.9
 	}
-	full := float64(s.open.Load()) > limit
-	if s.crowded.Swap(full) != full {
-		s.log.WithField("connections", s.open.Load()).Warnf("too many client connections: %v", full)
+	full := float64(n) > limit
+	if s.full.Swap(full) != full {
+		s.log.WithField("requests", n).Warnf("too many requests in hand: %v", full)
 	}
 	return full
 }
@@ -136,42 +152,62 @@
 }
 
 func (s *Server) request(w http.ResponseWriter, r *http.Request) {
-	req, wait, err := parse(r)
-	var bad *badHeader
-	switch {
-	case errors.As(err, &bad):
-		s.log.WithError(err).Debug("bad request")
-		s.text(w, http.StatusBadRequest, err.Error())
-		return
-	case r.Method != http.MethodPost:
-		w.Header().Set("Allow", http.MethodPost)
-		s.text(w, http.StatusMethodNotAllowed, "jobs arrive by POST")
-		return
-	case !s.classes[req.Class]:
-		s.text(w, http.StatusNotFound, fmt.Sprintf("no class %q", req.Class))
-		return
-	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(headerLimit))
-	req.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			s.text(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is over %d bytes", maxBody))
-			return
+	// Also for what is not read here: net/http reads the rest of a body before it closes.
+	_ = control.SetReadDeadline(time.Now().Add(bodyLimit))
+	req, wait, fault := s.head(r)
+	if fault == nil {
+		var give func()
+		if give, fault = s.body(w, r, req); give != nil {
+			defer give()
 		}
-		s.text(w, http.StatusBadRequest, "the body broke off")
+	}
+	if k, ok := r.Context().Value(clientKey{}).(*client); ok && fault == nil && !k.take() {
+		fault = &badRequest{http.StatusServiceUnavailable, "", "this connection had to make room"}
+	}
+	if fault != nil {
+		if s.log.IsLevelEnabled(logrus.DebugLevel) {
+			s.log.WithError(fault).Debug("bad request")
+		}
+		w.Header().Set("Connection", "close")
+		if fault.status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", strconv.FormatFloat(refusedRetry.Seconds(), 'f', 3, 64))
+		}
+		s.text(w, fault.status, fault.Error())
 		return
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	req.Arrived = time.Now()
 	req.Deadline = req.Arrived.Add(wait)
-	if s.full() {
-		w.Header().Set("Connection", "close")
-		s.answer(w, req, exchange.Answer{Kind: exchange.Shed, RetryAfter: time.Second})
-		return
+	a := exchange.Answer{Kind: exchange.Shed, RetryAfter: refusedRetry}
+	n := s.taken.Add(1)
+	defer s.taken.Add(-1)
+	if !s.tooMany(n) {
+		a = s.to.Submit(r.Context(), req)
+	}
+	_ = control.SetWriteDeadline(time.Now().Add(answerLimit))
+	s.answer(w, req, a)
+}
+
+// body reads a request's body, whose length must be told. What it takes of the memory for bodies is given back
+// by give. Guards against bodies that use up the memory together, or that never end.
+func (s *Server) body(w http.ResponseWriter, r *http.Request, req *exchange.Request) (give func(), fault *badRequest) {
+	n := r.ContentLength
+	if n > maxBody {
+		return nil, &badRequest{http.StatusRequestEntityTooLarge, "Content-Length", fmt.Sprintf("is over %d", maxBody)}
+	}
+	give = func() { s.held.Add(-n) }
+	if s.held.Add(n) > s.memory {
+		return give, &badRequest{http.StatusServiceUnavailable, "", "no room for the body"}
+	}
+	req.Body = make([]byte, n)
+	if _, err := io.ReadFull(r.Body, req.Body); err != nil {
+		return give, &badRequest{http.StatusBadRequest, "Content-Length", "the body broke off"}
+	}
+	if n > 0 { // sees the end, so that net/http watches for the client's leaving
+		_, _ = r.Body.Read(make([]byte, 1))
 	}
-	s.answer(w, req, s.to.Submit(r.Context(), req))
+	return give, nil
 }
 
 // answer writes a request's final answer.
@@ -179,8 +215,10 @@
 	if s.life.Phase() >= lifecycle.Draining { // it may have begun since the request came
 		w.Header().Set("Connection", "close")
 	}
-	s.log.WithFields(logrus.Fields{"request": req.ID, "answer": a.Kind, "took": time.Since(req.Arrived)}).
-		Debug("request ended")
+	if s.log.IsLevelEnabled(logrus.DebugLevel) {
+		s.log.WithFields(logrus.Fields{"request": req.ID, "answer": a.Kind, "took": time.Since(req.Arrived)}).
+			Debug("request ended")
+	}
 	switch a.Kind {
 	case exchange.Served:
 		w.Header().Set("Content-Type", "application/octet-stream")
@@ -195,7 +233,14 @@
 		s.text(w, http.StatusBadGateway, "failed; it may have had its effect")
 	case exchange.Broken:
 		s.text(w, http.StatusInternalServerError, "internal fault")
-	case exchange.Left: // there is nobody to write to
+	case exchange.Rejected:
+		s.text(w, http.StatusBadRequest, "a runner cannot use this request")
+	case exchange.Repeated:
+		w.Header().Set("Connection", "close")
+		s.text(w, http.StatusConflict, "X-Request-ID: a request with this id is open or was answered")
+	case exchange.Left: // nobody reads it, or one that has closed only its sending: net/http would say 200
+		w.Header().Set("Connection", "close")
+		s.text(w, http.StatusBadGateway, "the client has left")
 	}
 }
 
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -1,32 +1,140 @@
 package ingress
 
 import (
+	"container/list"
 	"net"
 	"sync"
+
+	"github.com/sirupsen/logrus"
 )
 
-// limited is a listener that holds no more connections at once than it has room for.
-type limited struct {
+// crowd is a listener that holds no more connections at once than it has room for. Where a further one comes,
+// the one that has been silent for the longest time makes room: first among those that never brought a
+// request, then among those that wait for their next one. One with a request in hand is never closed. Guards
+// against connections that say nothing and shut others out; harms a client whose idle connection is closed,
+// which opens another.
+type crowd struct {
 	net.Listener
-	room chan struct{}
+	most int
+	log  logrus.FieldLogger
+
+	mu     sync.Mutex
+	open   int
+	silent list.List // of *client without a request yet, the longest silent first
+	idle   list.List // of *client between requests, the longest silent first
+	inHand int
+	packed bool // newcomers are turned away
+}
+
+func newCrowd(l net.Listener, most int, log logrus.FieldLogger) *crowd {
+	return &crowd{Listener: l, most: most, log: log}
 }
 
-func (l *limited) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+func (c *crowd) Accept() (net.Conn, error) {
+	for {
+		conn, err := c.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if k := c.admit(conn); k != nil {
+			return k, nil
+		}
+		_ = conn.Close()
 	}
-	l.room <- struct{}{}
-	return &limitedConn{Conn: c, leave: func() { <-l.room }}, nil
 }
 
-type limitedConn struct {
+// admit makes room for a connection and takes it in; nil means that every one held has a request in hand.
+func (c *crowd) admit(conn net.Conn) *client {
+	k := &client{Conn: conn, in: c}
+	c.mu.Lock()
+	var out *client
+	if c.open >= c.most {
+		for _, l := range []*list.List{&c.silent, &c.idle} {
+			if e := l.Front(); e != nil && out == nil {
+				out = e.Value.(*client)
+				out.leave()
+			}
+		}
+	}
+	full := c.open >= c.most
+	if full != c.packed && (full || c.inHand < c.most*9/10) {
+		c.packed = full
+		c.log.WithField("connections", c.open).Warnf("every client connection has a request and new ones are closed: %v", full)
+	}
+	if !full {
+		c.open++
+		k.at, k.list = c.silent.PushBack(k), &c.silent
+	}
+	c.mu.Unlock()
+	if out != nil {
+		_ = out.Conn.Close()
+	}
+	if full {
+		return nil
+	}
+	return k
+}
+
+// client is a client's connection.
+type client struct {
 	net.Conn
-	once  sync.Once
-	leave func()
+	in *crowd
+
+	// The rest is guarded by in.mu.
+	list *list.List // the one that it waits in; nil: it has a request in hand
+	at   *list.Element
+	gone bool
 }
 
-func (c *limitedConn) Close() error {
-	c.once.Do(c.leave)
-	return c.Conn.Close()
+// leave takes k out of the books; in.mu is held.
+func (k *client) leave() {
+	if k.gone {
+		return
+	}
+	k.gone = true
+	k.in.open--
+	if k.list != nil {
+		k.list.Remove(k.at)
+		k.list = nil
+	} else {
+		k.in.inHand--
+	}
+}
+
+// take notes that a request was read whole, so that the connection stays. It is false for one that had to go.
+func (k *client) take() bool {
+	k.in.mu.Lock()
+	defer k.in.mu.Unlock()
+	if !k.gone && k.list != nil {
+		k.list.Remove(k.at)
+		k.list = nil
+		k.in.inHand++
+	}
+	return !k.gone
+}
+
+// rest notes that the request in hand was answered.
+func (k *client) rest() {
+	k.in.mu.Lock()
+	defer k.in.mu.Unlock()
+	if !k.gone && k.list == nil {
+		k.at, k.list = k.in.idle.PushBack(k), &k.in.idle
+		k.in.inHand--
+	}
+}
+
+func (k *client) Close() error {
+	k.in.mu.Lock()
+	k.leave()
+	k.in.mu.Unlock()
+	return k.Conn.Close()
+}
+
+// CloseWrite lets net/http end its sending before it closes, so that a last answer is not lost with the bytes
+// that nobody read.
+func (k *client) CloseWrite() error {
+	if c, ok := k.Conn.(interface{ CloseWrite() error }); ok {
+		return c.CloseWrite()
+	}
+	return nil
 }
--- a/internal/ingress/parse.go
+++ b/internal/ingress/parse.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"math"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -11,44 +11,106 @@
 	"ospreypond/internal/exchange"
 )
 
-// maxWait bounds what clients say they wait for, so that it adds to any time of day.
-const maxWait = time.Hour
+const (
+	maxWait  = time.Hour // more than any client waits
+	maxSlots = 1 << 10   // more than any runner has
+	maxID    = 128
+)
+
+// badRequest is a request that cannot be understood or used; it names the header at fault, if it is one.
+type badRequest struct {
+	status    int
+	name, why string
+}
+
+func (e *badRequest) Error() string {
+	if e.name == "" {
+		return e.why
+	}
+	return e.name + ": " + e.why
+}
+
+func badHeader(name, format string, args ...any) *badRequest {
+	return &badRequest{http.StatusBadRequest, name, fmt.Sprintf(format, args...)}
+}
+
+// plain matches what is passed on as an id: printable and nothing that a header or a log could choke on.
+// number matches decimals only, as strconv also takes Inf, 1e9, hexadecimals and underscores.
+var (
+	plain  = regexp.MustCompile(`^[0-9A-Za-z._~:+/=-]+$`)
+	number = regexp.MustCompile(`^[0-9]{1,15}(\.[0-9]{1,9})?$`)
+)
 
-// badHeader is a request that cannot be understood; it names the header at fault.
-type badHeader struct{ name, why string }
+func parseNumber(s string) (x float64, ok bool) {
+	if !number.MatchString(s) {
+		return 0, false
+	}
+	x, err := strconv.ParseFloat(s, 64)
+	return x, err == nil
+}
 
-func (e *badHeader) Error() string { return e.name + ": " + e.why }
+// once are the headers that tell something about a request. Which of two would count is a guess that a runner
+// may make in another way.
+var once = []string{"X-Request-ID", "X-Tenant-Id", "X-Route-Key", "X-Timeout", "Idempotency-Key", "X-Retried", "X-Cost",
+	"X-Attrs", "Content-Type"}
 
-// parse reads a request's line and headers. Its body and the times are the caller's to fill in; wait is how
+// head reads a request's line and headers. Its body and the times are the caller's to fill in; wait is how
 // long the client waits from its sending on.
-func parse(r *http.Request) (req *exchange.Request, wait time.Duration, err error) {
-	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+func (s *Server) head(r *http.Request) (req *exchange.Request, wait time.Duration, fault *badRequest) {
+	// Guards against a request hidden in the body of another: with Transfer-Encoding there may be a
+	// Content-Length too, which net/http drops unseen, and the two may tell of different ends. Clients send
+	// the length.
+	if len(r.TransferEncoding) > 0 {
+		return nil, 0, &badRequest{http.StatusLengthRequired, "Transfer-Encoding", "is not taken; Content-Length is due"}
+	}
+	if r.Method != http.MethodPost {
+		return nil, 0, &badRequest{http.StatusMethodNotAllowed, "", "jobs arrive by POST"}
+	}
+	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
+	if !s.classes[class] {
+		return nil, 0, &badRequest{http.StatusNotFound, "", fmt.Sprintf("no class %q", class)}
+	}
+	// Runners get the target as it came: nothing that they could read in another way.
+	if r.RequestURI != r.URL.RequestURI() || strings.ContainsAny(r.RequestURI, "#\\") {
+		return nil, 0, &badRequest{http.StatusBadRequest, "", "the target is not a plain path and query"}
+	}
 	h := r.Header
+	for _, name := range once {
+		if len(h.Values(name)) > 1 {
+			return nil, 0, badHeader(name, "is there %d times", len(h.Values(name)))
+		}
+	}
 	req = &exchange.Request{ID: h.Get("X-Request-ID"), Class: class, Tenant: h.Get("X-Tenant-Id"), Slots: 1,
 		Method: r.Method, Target: r.RequestURI, Key: h.Get("X-Route-Key"),
 		IdempotencyKey: h.Get("Idempotency-Key"), ContentType: h.Get("Content-Type")}
 	if req.ID == "" {
-		return nil, 0, &badHeader{"X-Request-ID", "is missing"}
+		return nil, 0, badHeader("X-Request-ID", "is missing")
+	}
+	for name, v := range map[string]string{"X-Request-ID": req.ID, "Idempotency-Key": req.IdempotencyKey} {
+		if v != "" && (len(v) > maxID || !plain.MatchString(v)) {
+			return nil, 0, badHeader(name, "is not an id")
+		}
 	}
-	if wait, err = parseWait(h.Get("X-Timeout")); err != nil {
-		return nil, 0, &badHeader{"X-Timeout", err.Error()}
+	var why error
+	if wait, why = parseWait(h.Get("X-Timeout")); why != nil {
+		return nil, 0, badHeader("X-Timeout", "%v", why)
 	}
-	if s := h.Get("X-Cost"); s != "" {
-		us, err := strconv.ParseFloat(s, 64)
-		if err != nil || !(us >= 0) {
-			return nil, 0, &badHeader{"X-Cost", fmt.Sprintf("%q is not a number of microseconds", s)}
+	if c := h.Get("X-Cost"); c != "" {
+		us, ok := parseNumber(c)
+		if !ok || us > float64(maxWait/time.Microsecond) {
+			return nil, 0, badHeader("X-Cost", "%q is not a usable number of microseconds", c)
 		}
-		req.Work = time.Duration(min(us, float64(maxWait/time.Microsecond))) * time.Microsecond
+		req.Work = time.Duration(us * float64(time.Microsecond))
 	}
-	switch s := h.Get("X-Retried"); s {
+	switch c := h.Get("X-Retried"); c {
 	case "", "0":
 	case "1":
 		req.Retry = true
 	default:
-		return nil, 0, &badHeader{"X-Retried", fmt.Sprintf("%q is neither 0 nor 1", s)}
+		return nil, 0, badHeader("X-Retried", "%q is neither 0 nor 1", c)
 	}
-	if err := parseAttrs(req, h.Get("X-Attrs")); err != nil {
-		return nil, 0, &badHeader{"X-Attrs", err.Error()}
+	if why = parseAttrs(req, h.Get("X-Attrs")); why != nil {
+		return nil, 0, badHeader("X-Attrs", "%v", why)
 	}
 	return req, wait, nil
 }
@@ -66,11 +128,11 @@
 	default:
 		return 0, fmt.Errorf("%q does not end in a unit, m or u", s)
 	}
-	n, err := strconv.ParseFloat(s[:len(s)-1], 64)
-	if err != nil || !(n >= 0) {
-		return 0, fmt.Errorf("%q is not a time", s)
+	n, ok := parseNumber(s[:len(s)-1])
+	if !ok || n > float64(maxWait/unit) {
+		return 0, fmt.Errorf("%q is not a usable time", s)
 	}
-	return time.Duration(min(n, float64(maxWait/unit)) * float64(unit)), nil
+	return time.Duration(n * float64(unit)), nil
 }
 
 // parseAttrs reads the further figures, name=value set apart by commas. Names that are not known are skipped.
@@ -78,18 +140,19 @@
 	for part := range strings.SplitSeq(s, ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
 		var to *float64
+		most := float64(maxSlots)
 		switch name {
 		case "slots", "needs":
 			to = &req.Slots
 		case "memory", "memNeeded":
-			to = &req.Memory
+			to, most = &req.Memory, 1e9
 		}
 		if to == nil {
 			continue
 		}
-		x, err := strconv.ParseFloat(value, 64)
-		if !ok || err != nil || !(x >= 0) || math.IsInf(x, 0) {
-			return fmt.Errorf("%s: %q is not a number", name, value)
+		x, number := parseNumber(value)
+		if !ok || !number || x > most {
+			return fmt.Errorf("%s: %q is not a usable number", name, value)
 		}
 		*to = x
 	}
--- a/internal/routetable/routetable_test.go
+++ b/internal/routetable/routetable_test.go
@@ -92,7 +92,67 @@
 	defer srv.Close()
 	w := NewWatcher(New(), srv.Listener.Addr().String(), time.Second, nil, logrus.New())
 	before := time.Now()
-	_, err := w.call(context.Background(), 0)
+	_, err := w.call(context.Background(), newPlace(srv.Listener.Addr().String(), false), 0)
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	assert.GreaterOrEqual(t, time.Since(before), callGrace)
 }
+
+// Guards against a watch that is held at discovery's old address while the new one has news: the move breaks it
+// off, and the new service is asked for its whole list, as its versions need not go on from the old one's.
+func TestMoveBreaksOffAHeldWatch(t *testing.T) {
+	serve := func(seq int, host string, held chan<- string) string {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if hold := r.URL.Query().Get("hold_ms"); hold != "" && hold != "0" {
+				held <- r.URL.Query().Get("from")
+				<-r.Context().Done()
+				return
+			}
+			fmt.Fprintf(w, `{"seq":%d,"whole":%v,"hosts":[{"host":%q,"dial":"x:1","health":"SERVING"}]}`, seq,
+				r.URL.RawQuery == "", host)
+		}))
+		t.Cleanup(srv.Close)
+		return srv.Listener.Addr().String()
+	}
+	held, heldNext := make(chan string, 9), make(chan string, 9)
+	first, next := serve(90, "old", held), serve(3, "new", heldNext)
+	news := make(chan policy.Event, 16)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w := NewWatcher(New(), first, time.Hour, func(e policy.Event) { news <- e }, log)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go w.Run(ctx)
+	w.Subscribe()
+	assert.Equal(t, "90", <-held)
+	assert.Equal(t, policy.ListChanged, (<-news).Kind)
+
+	w.Move(next)
+	assert.Equal(t, "3", <-heldNext)
+	e := <-news
+	assert.Equal(t, policy.ListReplaced, e.Kind, "and no failure is told in between")
+	assert.Equal(t, "new", e.Members[0].Worker)
+	_, ok := w.table.Lookup("old")
+	assert.False(t, ok)
+
+	w.Move(next) // the same again: the watch goes on
+	assert.Empty(t, heldNext)
+	assert.Empty(t, news)
+}
+
+// Guards against a move that waits for the module: after a failed call the new address is asked unasked.
+func TestMoveAfterAFailure(t *testing.T) {
+	failed := make(chan policy.Event, 16)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w := NewWatcher(New(), "127.0.0.1:1", time.Second, func(e policy.Event) { failed <- e }, log)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go w.Run(ctx)
+	w.Subscribe()
+	require.Equal(t, policy.ListUnavailable, (<-failed).Kind)
+	asked := make(chan bool, 16)
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { asked <- true }))
+	defer srv.Close()
+	w.Move(srv.Listener.Addr().String())
+	<-asked
+}
--- a/internal/routetable/watch.go
+++ b/internal/routetable/watch.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -22,10 +24,13 @@
 // maxList bounds what is read of one answer.
 const maxList = 4 << 20
 
+// errMoved ends the watch at an address that is not in force any more.
+var errMoved = errors.New("discovery has another address")
+
 // Watcher keeps a Table up to date by watching discovery.
 type Watcher struct {
 	table  *Table
-	base   string
+	at     atomic.Pointer[place]
 	hold   time.Duration
 	client *http.Client
 	news   func(policy.Event)
@@ -33,12 +38,38 @@
 	log    logrus.FieldLogger
 }
 
+// place is an address of discovery while it is in force.
+type place struct {
+	addr  string
+	left  context.Context // ends when another address takes over
+	leave context.CancelFunc
+	whole bool // the whole list is to be asked for: versions of another service mean nothing here
+}
+
+func newPlace(addr string, whole bool) *place {
+	p := &place{addr: addr, whole: whole}
+	p.left, p.leave = context.WithCancel(context.Background())
+	return p
+}
+
 // NewWatcher returns a Watcher on the discovery service at addr. Each call may be held for hold until there is
 // something to tell. What is learned goes into the table first and then to news.
 func NewWatcher(t *Table, addr string, hold time.Duration, news func(policy.Event), log logrus.FieldLogger) *Watcher {
 	tr := &http.Transport{Proxy: nil, DisableCompression: true, MaxIdleConnsPerHost: 1}
-	return &Watcher{table: t, base: "http://" + addr + "/registry/instances", hold: hold, news: news,
-		client: &http.Client{Transport: tr}, kick: make(chan struct{}, 1), log: log}
+	w := &Watcher{table: t, hold: hold, news: news, client: &http.Client{Transport: tr}, kick: make(chan struct{}, 1),
+		log: log}
+	w.at.Store(newPlace(addr, false))
+	return w
+}
+
+// Move goes on at another address at once: a call held at the old one is broken off. It must not be called by
+// two goroutines at once.
+func (w *Watcher) Move(addr string) {
+	if old := w.at.Load(); old.addr != addr {
+		w.at.Store(newPlace(addr, true))
+		old.leave()
+		w.Subscribe() // it may be waiting to be asked, after a call that failed
+	}
 }
 
 // Subscribe asks for the changes from now on. It does not block. While a watch runs it changes nothing.
@@ -58,7 +89,10 @@
 			return
 		case <-w.kick:
 		}
-		err := w.watch(ctx)
+		err := errMoved
+		for errors.Is(err, errMoved) {
+			err = w.watch(ctx, w.at.Load())
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -67,16 +101,21 @@
 	}
 }
 
-// watch calls discovery until a call fails.
-func (w *Watcher) watch(ctx context.Context) error {
+// watch calls discovery until a call fails or discovery moves.
+func (w *Watcher) watch(ctx context.Context, p *place) error {
 	// The first call is not held: the module waits for an answer to its subscription and would wait for the
 	// whole hold where nothing changes.
 	var hold time.Duration
 	for first := true; ; first = false {
-		l, err := w.call(ctx, hold)
+		l, err := w.call(ctx, p, hold)
+		if p.left.Err() != nil { // whatever came is not news any more
+			w.client.CloseIdleConnections()
+			return errMoved
+		}
 		if err != nil {
 			return err
 		}
+		p.whole = false
 		select { // the answer is also that to a subscription made meanwhile
 		case <-w.kick:
 			first = true
@@ -103,13 +142,17 @@
 	}
 }
 
-// call asks for what is newer than the table.
-func (w *Watcher) call(ctx context.Context, hold time.Duration) (*List, error) {
+// call asks for what is newer than the table, or for the whole list.
+func (w *Watcher) call(ctx context.Context, p *place, hold time.Duration) (*List, error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+callGrace)
 	defer cancel()
-	q := url.Values{"from": {strconv.FormatInt(w.table.Seq(), 10)},
-		"hold_ms": {strconv.FormatInt(hold.Milliseconds(), 10)}}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, w.base+"?"+q.Encode(), nil)
+	defer context.AfterFunc(p.left, cancel)()
+	target := "http://" + p.addr + "/registry/instances"
+	if !p.whole {
+		target += "?" + url.Values{"from": {strconv.FormatInt(w.table.Seq(), 10)},
+			"hold_ms": {strconv.FormatInt(hold.Milliseconds(), 10)}}.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return nil, fmt.Errorf("asking discovery: %w", err)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -404,7 +404,7 @@
 		d.backOff = min(patience, d.roundGap*time.Duration(d.set.Schedulers))
 		d.askAt = d.now + time.Duration(d.rng.Int64N(int64(d.backOff)))
 	case d.asking:
-		d.asking, d.askAt = false, never
+		d.asking, d.askAt, d.backOff = false, never, d.roundGap // the next loss starts with short waits again
 	}
 	d.note(&d.listLost, false, listLost)
 	if e.Kind != ListChanged {
--- a/test/integration/program_test.go
+++ b/test/integration/program_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -283,6 +284,36 @@
 	assert.Contains(t, p.log(), "to=stopped")
 }
 
+// Guards against a reload that ends the program, loses what is in hand or stays with the old discovery. A faulty
+// file is named in the log and changes nothing.
+func TestReloadMovesToAnotherDiscovery(t *testing.T) {
+	release := make(chan struct{})
+	old := newRunner(t, "r1", "z", func(w http.ResponseWriter, r *http.Request) {
+		say(w, r, "started", "")
+		<-release
+		done(w, r)
+	})
+	next := newRunner(t, "r2", "z", done)
+	p := start(t, old)
+	inHand := p.later(background, "/keyed", "before", long)
+	eventually(t, "the job does not reach its runner", func() bool { return old.total() == 1 })
+
+	p.reload("nowhere")
+	eventually(t, "the fault is not logged", func() bool {
+		return regexp.MustCompile(`faulty.*discovery`).MatchString(p.log())
+	})
+	p.disc = newDiscovery(t)
+	p.reload(p.disc.addr)
+	p.disc.change(t, next, "SERVING")
+	p.disc.change(t, old, "DELETED")
+	require.Equal(t, http.StatusOK, p.ask(background, "/keyed", "after", long).status)
+	assert.Equal(t, 1, next.count("after"))
+	close(release)
+	a := <-inHand
+	require.NoError(t, a.err)
+	assert.Equal(t, http.StatusOK, a.status)
+}
+
 func TestBadConfigurationNamesItsKey(t *testing.T) {
 	set := func(path string, v any) func(map[string]any) {
 		return func(c map[string]any) {
--- a/test/integration/world_test.go
+++ b/test/integration/world_test.go
@@ -219,6 +219,8 @@
 	cmd  *exec.Cmd
 	url  string
 	disc *discovery
+	file string
+	conf map[string]any
 	exit chan error
 	mu   sync.Mutex
 	logs bytes.Buffer
@@ -263,10 +265,10 @@
 func (p *dispatcher) run(config map[string]any) {
 	text, err := json.Marshal(config)
 	require.NoError(p.t, err)
-	file := filepath.Join(p.t.TempDir(), "config.json")
-	require.NoError(p.t, os.WriteFile(file, text, 0o600))
+	p.conf, p.file = config, filepath.Join(p.t.TempDir(), "config.json")
+	require.NoError(p.t, os.WriteFile(p.file, text, 0o600))
 	p.cmd = exec.Command(program)
-	p.cmd.Env = append(os.Environ(), "LB_CONFIG="+file, "LB_LOG_LEVEL=debug", "LB_NAME=", "LB_LISTEN=", "LB_DISCOVERY=")
+	p.cmd.Env = append(os.Environ(), "LB_CONFIG="+p.file, "LB_LOG_LEVEL=debug", "LB_NAME=", "LB_LISTEN=", "LB_DISCOVERY=")
 	out, err := p.cmd.StderrPipe()
 	require.NoError(p.t, err)
 	require.NoError(p.t, p.cmd.Start())
@@ -332,6 +334,15 @@
 	return c
 }
 
+// reload names another discovery in the configuration file and tells the program so.
+func (p *dispatcher) reload(addr string) {
+	p.conf["discovery"] = addr
+	text, err := json.Marshal(p.conf)
+	require.NoError(p.t, err)
+	require.NoError(p.t, os.WriteFile(p.file, text, 0o600))
+	require.NoError(p.t, p.cmd.Process.Signal(syscall.SIGHUP))
+}
+
 func (p *dispatcher) stop() {
 	require.NoError(p.t, p.cmd.Process.Signal(syscall.SIGTERM))
 }
