Take broken connections for what they are, not for sick or restarted runners

Errors on the sockets: 107 resets read on fresh connections, 14 on kept ones, 74 dials refused or reset, which the module took for restarts. Ruled out: queues at runners (p50 to the first attempt 46 ms), lack of sockets (120 of 256).

- What was not written whole goes on another connection within the hop, at most three dials, so a failed connect means that the runner is down.
- policy: one broken connection is held against nobody, two with nothing good in between are; probes count alike.
- Out of sockets, or a route closed meanwhile, ends as moot: never sent, and not the target's fault.

--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -15,6 +15,7 @@
 
 	mu    sync.Mutex
 	gate  func() error // asked before the next request's first byte
+	no    error        // what it said against it
 	wrote int          // bytes of the present request
 	short bool         // a write of it failed, so its last byte never went out
 }
@@ -23,7 +24,7 @@
 func (c *conn) begin(gate func() error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.gate, c.wrote, c.short = gate, 0, false
+	c.gate, c.no, c.wrote, c.short = gate, nil, 0, false
 }
 
 func (c *conn) Write(b []byte) (int, error) {
@@ -31,7 +32,7 @@
 	defer c.mu.Unlock()
 	if c.gate != nil {
 		if err := c.gate(); err != nil {
-			c.short = true
+			c.no, c.short = err, true
 			return 0, err
 		}
 		c.gate = nil
@@ -55,3 +56,10 @@
 	defer c.mu.Unlock()
 	return c.wrote == 0 || c.short
 }
+
+// refusal returns what the gate said against the present request.
+func (c *conn) refusal() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.no
+}
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -34,11 +35,18 @@
 	// drainLimit is how long the rest of an answer is read for after its last line, so that its connection
 	// can be used again.
 	drainLimit = time.Second
+	// maxDials is how many connections are tried for one request while each is refused, or breaks before it is
+	// written. Guards against a network that resets single connections, which would make runners look as if they
+	// were down. One that is down refuses all of them at once.
+	maxDials = 3
 	// maxLine bounds one line of an answer; no body exceeds 64 KiB.
 	maxLine = 128 << 10
 )
 
-var errNotOpen = errors.New("the target takes nothing new")
+var (
+	errNotOpen   = errors.New("the target takes nothing new")
+	errNoSockets = errors.New("out of sockets for egress targets")
+)
 
 // Egress makes hops and probes. It is safe for use by several goroutines.
 type Egress struct {
@@ -48,6 +56,7 @@
 	idle     time.Duration
 	budget   int64 // connections at once
 	open     atomic.Int64
+	kept     keep
 	log      logrus.FieldLogger
 
 	mu      sync.Mutex
@@ -56,9 +65,9 @@
 
 // New returns an Egress that opens at most budget connections.
 func New(t *routetable.Table, c *config.Config, budget int, log logrus.FieldLogger) *Egress {
-	return &Egress{table: t, settings: &c.Settings, dialer: net.Dialer{Timeout: c.Policy.ConnectTimeout},
-		idle: time.Duration(idleShare * float64(c.Policy.ConnIdle)), budget: int64(budget), log: log,
-		targets: map[string]*http.Transport{}}
+	idle := time.Duration(idleShare * float64(c.Policy.ConnIdle))
+	return &Egress{table: t, settings: &c.Settings, dialer: net.Dialer{Timeout: c.Policy.ConnectTimeout}, idle: idle,
+		kept: keep{most: idle, least: idle}, budget: int64(budget), log: log, targets: map[string]*http.Transport{}}
 }
 
 // transport returns the target's own transport.
@@ -90,7 +99,7 @@
 		if e.open.Load() > e.budget {
 			e.open.Add(-1)
 			e.log.WithField("budget", e.budget).Warn("out of sockets for egress targets")
-			return nil, errors.New("out of sockets for egress targets")
+			return nil, errNoSockets
 		}
 	}
 	c, err := e.dialer.DialContext(ctx, network, addr)
@@ -138,31 +147,79 @@
 
 // call is one request to a target on its way.
 type call struct {
-	e    *Egress
-	mu   sync.Mutex
-	conn *conn
+	e      *Egress
+	mu     sync.Mutex
+	conn   *conn
+	reused bool // conn served a request before this one
+	idle   time.Duration
 }
 
-// do sends a request with the trace that tells what became of it. The caller owns ctx.
+// do sends a request with the trace that tells what became of it. The caller owns ctx. A kept connection that is
+// too old, or breaks before the request's last byte is written, is passed over for the next: what is not whole
+// on the wire is no attempt, so this resends nothing.
 func (c *call) do(ctx context.Context, target string, gate func() error, build func(base string) (*http.Request, error)) (
 	*http.Response, error) {
-	route, ok := c.e.table.Lookup(target)
-	if !ok {
-		return nil, fmt.Errorf("%s: not in the route table", target)
-	}
-	req, err := build("http://" + route.Dial)
-	if err != nil {
-		return nil, err
-	}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if own, ok := info.Conn.(*conn); ok {
-			own.begin(gate)
+			tooOld := info.Reused && info.IdleTime > c.e.kept.limit(time.Now())
+			own.begin(func() error {
+				if tooOld {
+					return errTooOld
+				}
+				return gate()
+			})
 			c.mu.Lock()
-			c.conn = own
+			c.conn, c.reused, c.idle = own, info.Reused, info.IdleTime
 			c.mu.Unlock()
 		}
 	}})
-	return c.e.transport(target).RoundTrip(req.WithContext(ctx))
+	for dials := 0; ; {
+		route, ok := c.e.table.Lookup(target)
+		if !ok {
+			return nil, fmt.Errorf("%s: not in the route table", target)
+		}
+		req, err := build("http://" + route.Dial)
+		if err != nil {
+			return nil, err
+		}
+		c.mu.Lock()
+		c.conn, c.reused = nil, false
+		c.mu.Unlock()
+		resp, err := c.e.transport(target).RoundTrip(req.WithContext(ctx))
+		if err == nil || ctx.Err() != nil {
+			return resp, err
+		}
+		c.mu.Lock()
+		own, reused, idle := c.conn, c.reused, c.idle
+		c.mu.Unlock()
+		if own == nil { // no connection came up
+			if dials++; dials >= maxDials || !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
+				return nil, err
+			}
+			continue
+		}
+		unsent, no := own.abandon(), own.refusal()
+		switch {
+		case !reused:
+			dials++
+		case no == nil:
+			c.e.kept.broke(time.Now(), idle)
+		}
+		if !unsent || errors.Is(no, errNotOpen) || dials >= maxDials {
+			return nil, err
+		}
+	}
+}
+
+// refusal returns why this side kept the request from its connection.
+func (c *call) refusal() error {
+	c.mu.Lock()
+	own := c.conn
+	c.mu.Unlock()
+	if own == nil {
+		return nil
+	}
+	return own.refusal()
 }
 
 // broken tells the outcome of a call that brought no usable answer.
@@ -202,7 +259,9 @@
 		return hopRequest(base, h)
 	})
 	if err != nil {
-		end.Outcome = c.broken(ctx)
+		if end.Outcome = c.broken(ctx); errors.Is(err, errNoSockets) || errors.Is(c.refusal(), errNotOpen) {
+			end.Outcome = policy.Moot // not the target's fault
+		}
 		detach()
 		cancel(nil)
 		e.log.WithError(err).WithFields(logrus.Fields{"target": h.Target, "request": h.Request.ID,
@@ -315,7 +374,7 @@
 func (e *Egress) Probe(ctx context.Context, target string) exchange.HopEnd {
 	end := exchange.HopEnd{Report: policy.NoReport}
 	c := call{e: e}
-	resp, err := c.do(ctx, target, nil, func(base string) (*http.Request, error) {
+	resp, err := c.do(ctx, target, func() error { return nil }, func(base string) (*http.Request, error) {
 		req, err := http.NewRequest(http.MethodGet, base+"/stats", once(nil))
 		if err == nil {
 			req.ContentLength = 0
@@ -324,7 +383,9 @@
 		return req, err
 	})
 	if err != nil {
-		end.Outcome = c.broken(ctx)
+		if end.Outcome = c.broken(ctx); errors.Is(err, errNoSockets) {
+			end.Outcome = policy.Moot
+		}
 		return end
 	}
 	defer resp.Body.Close()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -304,13 +304,16 @@
 	switch e.Outcome {
 	case OK:
 		w.alive, w.idle = d.now, append(w.idle, d.now)
-		w.fails = max(0, w.fails-0.5)
+		w.fails, w.broken = max(0, w.fails-0.5), 0
 		d.learn(a)
 	case Full:
 		w.others, w.othersAt = d.slots(w)-w.busy+1, d.now
-	case Failed, TimedOut, ConnectFailed, Reset:
-		quick := e.Elapsed < d.set.ConnectTimeout/2
-		if e.Outcome == ConnectFailed && quick || e.Outcome == Reset && a.running {
+	case Reset:
+		if d.broke(w) && a.running {
+			w.suspect = d.now
+		}
+	case Failed, TimedOut, ConnectFailed:
+		if e.Outcome == ConnectFailed && e.Elapsed < d.set.ConnectTimeout/2 {
 			w.suspect = d.now
 		}
 		if e.Outcome != TimedOut || w.alive < a.sent {
@@ -588,6 +591,15 @@
 	}
 }
 
+// broke notes a broken connection. One may break by itself; where nothing goes well in between, the next one
+// tells of the worker. Guards against leaving out workers for what the network does to single connections.
+func (d *Dispatcher) broke(w *worker) bool {
+	if w.broken++; w.broken > 1 {
+		d.fail(w)
+	}
+	return w.broken > 1
+}
+
 // warmth is the share of its capacity that w has at least. One that refused a connection at once, or dropped
 // what ran there, has probably restarted and counts as cold until the list tells of its start. Guards against
 // workers that restart together and are pushed over before the list says so; harms one full of connections.
@@ -1007,7 +1019,10 @@
 	}
 	d.closeDrained(w)
 	if w.probing = false; e.Outcome == OK {
+		w.broken = 0
 		d.report(w, e.Report)
+	} else if e.Outcome == Reset {
+		d.broke(w)
 	} else if w.alive < d.now-e.Elapsed && e.Outcome != Full && e.Outcome != Moot && e.Outcome != Failed {
 		d.fail(w)
 	}
