Leave new connections 50 ms to speak before they make room in a crowd

Seen: in bursts of hundreds the listener accepts on and on, so a usual client's connection was the longest silent one before its goroutine had run (listener.go, admit).

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -247,6 +247,24 @@
 	}
 }
 
+// Guards against a burst that pushes out connections before their first bytes are read.
+func TestYoungConnectionsAreNotPushedOut(t *testing.T) {
+	c, now := newCrowd(nil, 2, nil), time.Now()
+	pipe := func() net.Conn { a, _ := net.Pipe(); return a }
+	old, _ := c.admit(pipe(), now.Add(-time.Second))
+	young, _ := c.admit(pipe(), now)
+	third, wait := c.admit(pipe(), now)
+	require.NotNil(t, third)
+	assert.Zero(t, wait)
+	assert.True(t, old.gone)
+	_, wait = c.admit(pipe(), now.Add(10*time.Millisecond))
+	assert.Equal(t, speakIn-10*time.Millisecond, wait)
+	assert.False(t, young.gone)
+	_, wait = c.admit(pipe(), now.Add(speakIn))
+	assert.Zero(t, wait)
+	assert.True(t, young.gone)
+}
+
 // Guards against more requests than there are sockets for: the last ones are told so.
 func TestTooManyRequestsAreRefused(t *testing.T) {
 	const room = 10
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -4,10 +4,19 @@
 	"container/list"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
 
+// speakIn is how long a connection has to speak before it may have to make room. Guards against a burst of silent
+// ones that pushes out a usual client before its first bytes are read. Accept waits at most that long.
+const speakIn = 50 * time.Millisecond
+
+// restIn is how long a connection that brought requests is left to wait for its next one, while others that never
+// brought any have to make room as soon as they may.
+const restIn = time.Second
+
 // crowd is a listener that holds no more connections at once than it has room for. Where a further one comes,
 // the one that has been silent for the longest time makes room: first among those that never brought a
 // request, then among those that wait for their next one. One with a request in hand is never closed. Guards
@@ -36,26 +45,44 @@
 		if err != nil {
 			return nil, err
 		}
-		if k := c.admit(conn); k != nil {
-			return k, nil
+		for {
+			k, wait := c.admit(conn, time.Now())
+			if wait > 0 {
+				time.Sleep(wait)
+				continue
+			}
+			if k != nil {
+				return k, nil
+			}
+			_ = conn.Close()
+			break
 		}
-		_ = conn.Close()
 	}
 }
 
-// admit makes room for a connection and takes it in; nil means that every one held has a request in hand.
-func (c *crowd) admit(conn net.Conn) *client {
-	k := &client{Conn: conn, in: c}
+// admit makes room for a connection and takes it in; nil means that every one held has a request in hand. With
+// wait, it is to be tried again after that.
+func (c *crowd) admit(conn net.Conn, now time.Time) (k *client, wait time.Duration) {
+	k = &client{Conn: conn, in: c, since: now}
 	c.mu.Lock()
 	var out *client
-	if c.open >= c.most {
-		for _, l := range []*list.List{&c.silent, &c.idle} {
-			if e := l.Front(); e != nil && out == nil {
+	for _, l := range []struct {
+		*list.List
+		least time.Duration
+	}{{&c.silent, speakIn}, {&c.idle, restIn}} {
+		if e := l.Front(); e != nil && c.open >= c.most {
+			if young := l.least - now.Sub(e.Value.(*client).since); young <= 0 {
 				out = e.Value.(*client)
 				out.leave()
+			} else if wait == 0 || young < wait {
+				wait = young
 			}
 		}
 	}
+	if c.open >= c.most && wait > 0 {
+		c.mu.Unlock()
+		return nil, wait
+	}
 	full := c.open >= c.most
 	if full != c.packed && (full || c.inHand < c.most*9/10) {
 		c.packed = full
@@ -70,9 +97,9 @@
 		_ = out.Conn.Close()
 	}
 	if full {
-		return nil
+		k = nil
 	}
-	return k
+	return k, 0
 }
 
 // client is a client's connection.
@@ -81,9 +108,10 @@
 	in *crowd
 
 	// The rest is guarded by in.mu.
-	list *list.List // the one that it waits in; nil: it has a request in hand
-	at   *list.Element
-	gone bool
+	since time.Time  // that it is silent
+	list  *list.List // the one that it waits in; nil: it has a request in hand
+	at    *list.Element
+	gone  bool
 }
 
 // leave takes k out of the books; in.mu is held.
@@ -118,6 +146,7 @@
 	k.in.mu.Lock()
 	defer k.in.mu.Unlock()
 	if !k.gone && k.list == nil {
+		k.since = time.Now()
 		k.at, k.list = k.in.idle.PushBack(k), &k.in.idle
 		k.in.inHand--
 	}
