--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,6 +39,8 @@
 	keyMemory     = 5 * time.Second // over which the demand for a key is counted
 	keysMost      = 1 << 14         // keys whose demand is known; then all are learnt anew
 	homeShare     = 0.7             // share of a worker's slots that one key may fill; then it gets another
+	calm          = 0.9             // share of slots in use up to which a key has a home in each zone
+	crossWeight   = 4               // how often the price of a crossing counts in a pairing's cost
 	homeStep      = 0.2             // of a fetch: how much dearer the other workers that have the key are
 	fetchRuns     = 1.2             // mean runtimes that it costs all to fetch what a job needs
 	probeShare    = 0.006           // service that the probes for one request may cost
@@ -682,13 +684,15 @@
 // fetch returns the seconds that w is expected to fetch what j needs. Workers keep what they used last, and
 // all fetch from one store, which slows down for all when too many do. So each key has an order of workers,
 // the same at every scheduler without a word between them, and the first with room keeps what the key needs.
+// While slots are left the own zone has a first one too: a second copy is cheaper than crossings.
 func (d *Dispatcher) fetch(w *worker, j *job) float64 {
 	if j.key == nil {
 		return 0
 	}
-	before, mine := 0, mix(j.key.hash, w.hash)
+	before, mine, own := 0, mix(j.key.hash, w.hash), w.zone == d.set.Zone && d.full < calm
 	for _, o := range d.order {
-		if o != w && o.state == Ready && d.now >= o.blocked && mix(j.key.hash, o.hash) > mine {
+		rival := o != w && o.state == Ready && d.now >= o.blocked && (!own || o.zone == w.zone)
+		if rival && mix(j.key.hash, o.hash) > mine {
 			before++
 		}
 	}
@@ -867,7 +871,7 @@
 	}
 	f := 1 + spread*(w.busy+d.held(w))/d.slots(w)
 	if w.zone != d.set.Zone {
-		f += d.set.CrossZonePrice
+		f += crossWeight * d.set.CrossZonePrice
 	}
 	if n := len(w.idle); n == 0 || w.idle[n-1] <= d.now-d.set.ConnIdle {
 		f += d.set.HandshakePrice
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -862,6 +862,7 @@
 	first := map[string]bool{}
 	for number := range 3 {
 		d := testDispatcher(t, func(s *Settings) { s.Number, s.Schedulers = number, 3 })
+		d.full = 1 // no own first worker for each zone
 		j := &job{key: d.keyFor(7), size: 0.05}
 		j.key.work, j.key.at = 3*d.slots(d.order[0]), d.now
 		for _, w := range d.order {
@@ -878,6 +879,40 @@
 	}
 }
 
+// Guards against crossings that nothing calls for: each key has a first worker in the scheduler's own zone while
+// there are slots, and jobs go there. Where slots are short, it has one for all zones, to spare the store.
+func TestKeyHasAHomeInTheOwnZone(t *testing.T) {
+	for _, zone := range []string{"z0", "z1"} {
+		d := testDispatcher(t, func(s *Settings) { s.Zone, s.CrossZonePrice = zone, 0.03 })
+		for hash := range uint32(50) {
+			j := &job{key: d.keyFor(hash), size: 0.05, class: &d.set.Classes[0], due: time.Hour, aimBy: time.Hour}
+			homes := map[bool]int{}
+			best := d.order[0]
+			for _, w := range d.order {
+				if d.fetch(w, j) == 0 {
+					homes[w.zone == zone]++
+				}
+				if d.cost(j, w, 1, 1) < d.cost(j, best, 1, 1) {
+					best = w
+				}
+			}
+			if homes[true] != 1 || best.zone != zone {
+				t.Errorf("key %d has %d homes in %s and goes to %s", hash, homes[true], zone, best.zone)
+			}
+			d.full = 1
+			all := 0
+			for _, w := range d.order {
+				if d.fetch(w, j) == 0 {
+					all++
+				}
+			}
+			if d.full = 0; all != 1 {
+				t.Errorf("key %d has %d homes where slots are short", hash, all)
+			}
+		}
+	}
+}
+
 // A price that allows less than one probe a job brings one every few jobs, not none.
 func TestFractionalProbes(t *testing.T) {
 	d := testDispatcher(t, func(s *Settings) { s.ProbePrice, s.Probes, s.Reports = 2*probeShare, true, true })
