Hold jobs turned away against their worker until it starts others

With a line for each hop: refused jobs had gone to such runners up to four times, as a key's home forgot within a second that it had turned one away (endAttempt, Full).

Warnings that one client or runner can cause come once a second at most.

--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -57,6 +57,7 @@
 	budget   int64 // connections at once
 	open     atomic.Int64
 	kept     keep
+	warned   rarely
 	log      logrus.FieldLogger
 
 	mu      sync.Mutex
@@ -70,6 +71,14 @@
 		kept: keep{most: idle, least: idle}, budget: int64(budget), log: log, targets: map[string]*http.Transport{}}
 }
 
+// rarely lets one line through each second. Guards against a log that one client, or one runner, fills.
+type rarely struct{ last atomic.Int64 }
+
+func (r *rarely) due(now time.Time) bool {
+	last := r.last.Load()
+	return now.UnixNano()-last >= int64(time.Second) && r.last.CompareAndSwap(last, now.UnixNano())
+}
+
 // transport returns the target's own transport.
 func (e *Egress) transport(target string) *http.Transport {
 	e.mu.Lock()
@@ -98,7 +107,9 @@
 		e.closeAllIdle()
 		if e.open.Load() > e.budget {
 			e.open.Add(-1)
-			e.log.WithField("budget", e.budget).Warn("out of sockets for egress targets")
+			if e.warned.due(time.Now()) {
+				e.log.WithField("budget", e.budget).Warn("out of sockets for egress targets")
+			}
 			return nil, errNoSockets
 		}
 	}
@@ -277,7 +288,7 @@
 	} else {
 		end.Outcome = refused(resp)
 		end.Rejected = end.Outcome == policy.Cancelled
-		if resp.StatusCode != http.StatusInternalServerError && end.Outcome != policy.Full {
+		if resp.StatusCode != http.StatusInternalServerError && end.Outcome != policy.Full && e.warned.due(time.Now()) {
 			e.log.WithFields(logrus.Fields{"target": h.Target, "request": h.Request.ID, "status": resp.StatusCode}).
 				Warn("target answered with an unexpected status")
 		}
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -175,6 +175,18 @@
 	assert.Equal(t, policy.Moot, e.Probe(context.Background(), "w").Outcome)
 }
 
+// Guards against a log that one client's requests fill: one line a second.
+func TestWarningsAreRare(t *testing.T) {
+	var r rarely
+	now, lines := time.Now(), 0
+	for n := range 100 {
+		if r.due(now.Add(time.Duration(n) * 20 * time.Millisecond)) {
+			lines++
+		}
+	}
+	assert.Equal(t, 2, lines)
+}
+
 // Guards against one client's faulty request making a runner look sick.
 func TestUnusableRequestIsRejected(t *testing.T) {
 	e, _ := testEgress(t, serve(t, func(c net.Conn) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,6 +41,7 @@
 	homeShare     = 0.7             // share of a worker's slots that one key may fill; then it gets another
 	calm          = 0.9             // share of slots in use up to which a key has a home in each zone
 	crossWeight   = 4               // how often the price of a crossing counts in a pairing's cost
+	turnedWeight  = 1.0             // how much each job that a worker turned away of late makes it dearer
 	homeStep      = 0.2             // of a fetch: how much dearer the other workers that have the key are
 	fetchRuns     = 1.2             // mean runtimes that it costs all to fetch what a job needs
 	probeShare    = 0.006           // service that the probes for one request may cost
@@ -281,7 +282,7 @@
 func (d *Dispatcher) start(a *attempt) {
 	a.w.alive = d.now
 	if !a.running {
-		a.running, a.started = true, d.now
+		a.running, a.started, a.w.turned = true, d.now, a.w.turned/2
 		a.w.running += a.j.slots
 		a.w.most = max(a.w.most, a.w.running)
 		if rest := max(0, d.slots(a.w)-a.w.running); d.now <= a.sent+d.minAim/2 {
@@ -309,6 +310,7 @@
 		w.fails, w.broken = max(0, w.fails-0.5), 0
 		d.learn(a)
 	case Full:
+		w.turned++
 		w.others, w.othersAt = d.slots(w)-w.busy+1, d.now
 	case Reset:
 		if d.broke(w) && a.running {
@@ -472,6 +474,7 @@
 	}
 	if m.Started != w.started { // a new process: cold, and what its forerunner did does not count
 		w.started, w.suspect, w.fails, w.blocked, w.slow, w.idle = m.Started, 0, 0, 0, 1, nil
+		w.broken, w.turned = 0, 0
 	}
 	w.state = m.State
 	if m.State == Gone && w.kind != nil {
@@ -869,7 +872,7 @@
 	if l > timeLeftTest*(j.due-d.now).Seconds() || j.class.LateWorth == 0 && d.now+seconds(l) > j.aimBy {
 		return failPenalty * maxLeft
 	}
-	f := 1 + spread*(w.busy+d.held(w))/d.slots(w)
+	f := 1 + spread*(w.busy+d.held(w))/d.slots(w) + turnedWeight*float64(w.turned)
 	if w.zone != d.set.Zone {
 		f += crossWeight * d.set.CrossZonePrice
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,10 +1,12 @@
 package policy
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -913,6 +915,32 @@
 	}
 }
 
+// Guards against workers that report room and yet turn away a part of what comes: a job that is turned away goes
+// to another, also while the one has room again, until that one starts others.
+func TestWorkerThatTurnsAwayIsDearer(t *testing.T) {
+	d := testDispatcher(t, nil)
+	j := &job{key: d.keyFor(7), size: 0.05, class: &d.set.Classes[0], due: time.Hour, aimBy: time.Hour}
+	best := func() *worker {
+		return slices.MinFunc(d.order[:2], func(a, b *worker) int { return cmp.Compare(d.cost(j, a, 1, 1), d.cost(j, b, 1, 1)) })
+	}
+	home := best()
+	home.turned = 2
+	if best() == home {
+		t.Error("a worker that turned two jobs away is still the cheapest")
+	}
+	a := &attempt{j: j, w: home, sent: d.now}
+	home.out = append(home.out, a)
+	d.jobs[9] = &job{id: 9, attempts: []*attempt{a}}
+	d.Step(d.now+ms, []Event{{Kind: JobStarted, ID: 9}}, nil)
+	if home.turned != 1 {
+		t.Errorf("%d jobs held against it after a start, want 1", home.turned)
+	}
+	d.Step(d.now+ms, []Event{{Kind: AttemptEnded, ID: 9, Outcome: Full, Report: NoReport}}, nil)
+	if home.turned != 2 {
+		t.Errorf("%d jobs held against it after one more, want 2", home.turned)
+	}
+}
+
 // A price that allows less than one probe a job brings one every few jobs, not none.
 func TestFractionalProbes(t *testing.T) {
 	d := testDispatcher(t, func(s *Settings) { s.ProbePrice, s.Probes, s.Reports = 2*probeShare, true, true })
--- a/policy/state.go
+++ b/policy/state.go
@@ -93,6 +93,7 @@
 	slow       float64   // its runtimes over its kind's
 	learnt     time.Duration
 	fails      float64
+	turned     int // jobs turned away, halved by each that starts
 	broken     int // connections that broke since an attempt ended well
 	blocked    time.Duration
 	alive      time.Duration // last sign that it works on jobs
