Turn away requests whose tenant the settings do not name

One that names no tenant, or an unknown one, was taken as inside an allowance (policy.arrive), and so escaped every share. Usual clients name theirs.

--- a/cmd/ospreypond/main.go
+++ b/cmd/ospreypond/main.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return fmt.Errorf("key \"listen\": %w", err)
 	}
-	server := ingress.New(x, life, cfg.ClassNames(), clients, cfg.BodyBudget(), log)
+	server := ingress.New(x, life, &cfg.Policy, clients, cfg.BodyBudget(), log)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -205,15 +205,6 @@
 	}
 }
 
-// ClassNames returns the names of the classes of requests.
-func (c *Config) ClassNames() []string {
-	names := make([]string, 0, len(c.Policy.Classes))
-	for _, k := range c.Policy.Classes {
-		names = append(names, k.Name)
-	}
-	return names
-}
-
 // Procs is how many threads run Go code at once.
 func (c *Config) Procs() int { return max(1, int(math.Ceil(c.Limits.Cores))) }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -42,7 +42,7 @@
 	assert.Equal(t, int64(144<<20), c.MemoryTarget())
 	clients, targets := c.SocketBudget()
 	assert.Less(t, clients+targets, 1024)
-	assert.Equal(t, []string{"c"}, c.ClassNames())
+	assert.Equal(t, "c", c.Policy.Classes[0].Name)
 }
 
 func TestEnvironmentReplacesTheFile(t *testing.T) {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,6 +19,7 @@
 
 	"ospreypond/internal/exchange"
 	"ospreypond/internal/lifecycle"
+	"ospreypond/policy"
 )
 
 const (
@@ -53,6 +54,7 @@
 	to      Submitter
 	life    *lifecycle.Lifecycle
 	classes map[string]bool
+	tenants map[string]bool // empty: there are none to tell
 	sockets int
 	memory  int64        // for the bodies in hand
 	held    atomic.Int64 // bytes of them
@@ -62,12 +64,16 @@
 	log     *logrus.Logger
 }
 
-// New returns a server of the named classes that holds at most so many sockets, and bodies of at most so many
-// bytes in all.
-func New(to Submitter, life *lifecycle.Lifecycle, classes []string, sockets int, memory int64, log *logrus.Logger) *Server {
-	s := &Server{to: to, life: life, classes: map[string]bool{}, sockets: sockets, memory: memory, log: log}
-	for _, c := range classes {
-		s.classes[c] = true
+// New returns a server of the configured classes and tenants that holds at most so many sockets, and bodies of at
+// most so many bytes in all.
+func New(to Submitter, life *lifecycle.Lifecycle, set *policy.Settings, sockets int, memory int64, log *logrus.Logger) *Server {
+	s := &Server{to: to, life: life, classes: map[string]bool{}, tenants: map[string]bool{}, sockets: sockets, memory: memory,
+		log: log}
+	for _, c := range set.Classes {
+		s.classes[c.Name] = true
+	}
+	for _, t := range set.Tenants {
+		s.tenants[t.Name] = true
 	}
 	s.http = http.Server{Handler: s, ReadHeaderTimeout: headLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHead,
 		ConnState: rested, ConnContext: withClient, ErrorLog: stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0),
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -18,6 +18,7 @@
 
 	"ospreypond/internal/exchange"
 	"ospreypond/internal/lifecycle"
+	"ospreypond/policy"
 )
 
 // submitter answers as its function says.
@@ -29,7 +30,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	life := lifecycle.New(nil)
-	return New(to, life, []string{"c"}, budget, 1<<20, log), life
+	return New(to, life, &policy.Settings{Classes: []policy.Class{{Name: "c"}}}, budget, 1<<20, log), life
 }
 
 func job() *http.Request {
@@ -140,6 +141,19 @@
 	}
 }
 
+// Guards against traffic that names no tenant, or an unknown one, and so would escape every allowance.
+func TestTenantsAreKnown(t *testing.T) {
+	s, _ := testServer(10, func(context.Context, *exchange.Request) exchange.Answer { return exchange.Answer{} })
+	s.tenants["t"] = true
+	for tenant, want := range map[string]int{"t": http.StatusOK, "u": http.StatusBadRequest, "": http.StatusBadRequest} {
+		r := job()
+		r.Header.Set("X-Tenant-Id", tenant)
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, r)
+		assert.Equal(t, want, w.Code, "tenant %q", tenant)
+	}
+}
+
 // listen serves on a socket, as only there net/http does its part.
 func listen(t *testing.T, s *Server) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/ingress/parse.go
+++ b/internal/ingress/parse.go
@@ -91,6 +91,10 @@
 			return nil, 0, badHeader(name, "is not an id")
 		}
 	}
+	// Guards against traffic outside every tenant's allowance, which the module would take as inside one.
+	if len(s.tenants) > 0 && !s.tenants[req.Tenant] {
+		return nil, 0, badHeader("X-Tenant-Id", "%q is no tenant", req.Tenant)
+	}
 	var why error
 	if wait, why = parseWait(h.Get("X-Timeout")); why != nil {
 		return nil, 0, badHeader("X-Timeout", "%v", why)
