Add an embedded durable store: log, index on disk and in memory, passes, recovery

Need: leases, the memory of repeated keys, tenants and recorded traffic must outlast a power cut (issue: embedded durable store). Nothing uses it yet.

--- /dev/null
+++ b/internal/store/check.go
@@ -0,0 +1,216 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"ospreypond/internal/store/manifest"
+	"ospreypond/internal/store/plan"
+	"ospreypond/internal/store/segment"
+	"ospreypond/internal/store/table"
+	"ospreypond/internal/store/vfs"
+)
+
+// Report is what Check found.
+type Report struct {
+	Store    string   `json:"store"` // its id
+	Segments int      `json:"segments"`
+	Frames   int      `json:"frames"`
+	Records  int      `json:"records"`   // keys that are there in what is sealed
+	TornFrom int64    `json:"torn_from"` // where the torn end of the open segment starts; -1: it is whole
+	TornFile string   `json:"torn_file,omitempty"`
+	Notes    []string `json:"notes,omitempty"` // what opening puts right by itself
+	Faults   []string `json:"faults,omitempty"`
+	faults   []error
+}
+
+// Err joins the faults: with none of them the store opens and all of it can be read.
+func (r *Report) Err() error { return errors.Join(r.faults...) }
+
+func (r *Report) fault(err error) {
+	r.faults = append(r.faults, err)
+	r.Faults = append(r.Faults, err.Error())
+}
+
+// Check reads a whole store and changes nothing. It compares every frame and every block with its checksum, and the
+// index with what the segments alone give. An error means that it could not look, not what it found; ErrLocked that the
+// store is open.
+func Check(ctx context.Context, dir string, fsys vfs.FS) (*Report, error) {
+	if fsys == nil {
+		fsys = vfs.OS{}
+	}
+	lock, err := lockDir(fsys, dir, false)
+	if err != nil {
+		return nil, err
+	}
+	defer lock.Close()
+	r := &Report{TornFrom: -1}
+	man, healed, err := manifest.Read(fsys, dir)
+	if err != nil {
+		if errors.Is(err, manifest.ErrNone) {
+			return nil, fmt.Errorf("store %s: %w", dir, err)
+		}
+		r.fault(err)
+		return r, nil
+	}
+	if healed != nil {
+		r.Notes = append(r.Notes, healed.Error())
+	}
+	c := checker{Report: r, s: &Store{dir: dir, opt: Options{FS: fsys}, cache: table.NewCache(1 << 20)}, man: man}
+	r.Store, r.Segments = man.Store, len(man.Segments)
+	if err := decodeID(man.Store, &c.s.id); err != nil {
+		r.fault(err)
+		return r, nil
+	}
+	return r, c.run(ctx)
+}
+
+type checker struct {
+	*Report
+	s   *Store
+	man *manifest.Manifest
+}
+
+func (c *checker) run(ctx context.Context) error {
+	var upTo uint64
+	if c.man.Table != nil {
+		upTo = c.man.Table.Seq
+	}
+	known, all := newGather(), newGather() // of what the index on disk knows, and of all that is sealed
+	good := true
+	for _, g := range c.man.Segments {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		into := []*gather{all}
+		if g.Sealed && (g.Kind == plan.Output || g.Last <= upTo) {
+			into = append(into, known)
+		}
+		good = c.segment(g, into) && good
+	}
+	if good {
+		c.Records = len(all.entries(c.man.Floors))
+	}
+	if c.man.Table == nil {
+		return nil
+	}
+	b, err := c.s.readTable(c.man.Table)
+	if err == nil {
+		defer b.h.unref()
+		if err = b.t.Check(); err != nil {
+			err = fileError(b.h.name, err)
+		}
+	}
+	if err != nil {
+		c.fault(err)
+		return nil
+	}
+	if good {
+		c.compare(b, known)
+	}
+	return nil
+}
+
+// segment reads a segment and tells whether it is well.
+func (c *checker) segment(g plan.Segment, into []*gather) bool {
+	name := segmentName(g.ID)
+	before := len(c.faults)
+	f, err := c.s.opt.FS.Open(c.s.path(name))
+	if err != nil {
+		c.fault(&FileError{File: name, Offset: -1, Err: err})
+		return false
+	}
+	defer f.Close()
+	if err := checkSegment(f, g, c.s.id); err != nil {
+		err.File = name
+		c.fault(err)
+		return false
+	}
+	if !g.Sealed {
+		c.open(f, g, name)
+		return len(c.faults) == before
+	}
+	for i, to := range into {
+		n, _ := to.segment(f, g, func(at int64, err error) error {
+			if i == 0 {
+				c.fault(&FileError{File: name, Offset: at, Err: err})
+			}
+			return nil
+		})
+		if i == 0 {
+			c.Frames += n
+		}
+	}
+	return len(c.faults) == before
+}
+
+// open reads the open segment, whose end may be torn.
+func (c *checker) open(f vfs.File, g plan.Segment, name string) {
+	size, err := f.Size()
+	if err != nil {
+		c.fault(&FileError{File: name, Offset: -1, Err: err})
+		return
+	}
+	at := int64(0)
+	if size >= segment.HeaderSize {
+		sc := segment.NewScanner(f, segment.HeaderSize, size)
+		next := g.First
+		for {
+			var fr segment.Frame
+			if fr, at, err = sc.Next(); err != nil {
+				break
+			}
+			if fr.Seq != next {
+				c.fault(&FileError{File: name, Offset: at, Err: fmt.Errorf("%w: commit %d, and %d is due", ErrCorrupt, fr.Seq, next)})
+				return
+			}
+			if err := segment.Ops(fr.Payload, func(segment.Op) error { return nil }); err != nil {
+				c.fault(&FileError{File: name, Offset: at, Err: err})
+				return
+			}
+			next++
+			c.Frames++
+		}
+		if err == io.EOF {
+			return
+		}
+		if errors.Is(err, ErrCorrupt) {
+			err = tornEnd(sc, next, err)
+		}
+		if err != nil {
+			c.fault(&FileError{File: name, Offset: at, Err: err})
+			return
+		}
+	}
+	c.TornFile, c.TornFrom = name, at
+	c.Notes = append(c.Notes, fmt.Sprintf("%s: offset %d: the end is torn and will be cut off at the next opening", name, at))
+}
+
+// compare holds the index on disk against the one that the segments give.
+func (c *checker) compare(b *baseTable, known *gather) {
+	it := b.t.Seek(nil)
+	for _, want := range known.entries(c.man.Floors) {
+		for it.Next() {
+			e := it.Entry()
+			if e.Loc.Seq <= c.man.Floors[spaceOf(e.Key)] {
+				continue // too old, and not dropped yet
+			}
+			if !bytes.Equal(e.Key, want.Key) || e.Loc != want.Loc {
+				c.fault(&FileError{File: b.h.name, Offset: -1, Err: fmt.Errorf(
+					"%w: the index has key %x at %+v, and the segments have key %x at %+v", ErrCorrupt, e.Key, e.Loc, want.Key, want.Loc)})
+				return
+			}
+			break
+		}
+	}
+	for it.Next() {
+		if e := it.Entry(); e.Loc.Seq > c.man.Floors[spaceOf(e.Key)] {
+			c.fault(&FileError{File: b.h.name, Offset: -1, Err: fmt.Errorf(
+				"%w: the index has key %x at %+v, and the segments have no such key", ErrCorrupt, e.Key, e.Loc)})
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/manifest/manifest.go
@@ -0,0 +1,185 @@
+// Package manifest is the list of what a store consists of. It is small and replaced whole, and lies in two
+// copies that are written one after the other, so that damage to one loses nothing.
+package manifest
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io/fs"
+	"path/filepath"
+
+	"ospreypond/internal/store/plan"
+	"ospreypond/internal/store/segment"
+	"ospreypond/internal/store/vfs"
+)
+
+// Names are the two copies, in the order in which they are written.
+var Names = [2]string{"MANIFEST-A", "MANIFEST-B"}
+
+// Version is the newest format that this release reads and writes.
+const Version = 1
+
+// Manifest is what a store consists of.
+type Manifest struct {
+	Format     int               `json:"format"`
+	Store      string            `json:"store"` // hexadecimal; also in the head of each file
+	Generation uint64            `json:"generation"`
+	NextID     uint64            `json:"next_id"` // of files
+	Segments   []plan.Segment    `json:"segments"`
+	Table      *Table            `json:"table,omitempty"`
+	Floors     map[uint16]uint64 `json:"floors,omitempty"` // by space: records up to this number are too old
+	Marks      []plan.Mark       `json:"marks,omitempty"`
+}
+
+// Table names the checkpoint of the index.
+type Table struct {
+	ID    uint64 `json:"id"`
+	Size  int64  `json:"size"`
+	Seq   uint64 `json:"seq"`
+	Count uint64 `json:"count"`
+}
+
+// Clone returns a copy that shares nothing.
+func (m *Manifest) Clone() *Manifest {
+	c := *m
+	c.Segments = append([]plan.Segment(nil), m.Segments...)
+	c.Marks = append([]plan.Mark(nil), m.Marks...)
+	c.Floors = map[uint16]uint64{}
+	for k, v := range m.Floors {
+		c.Floors[k] = v
+	}
+	if m.Table != nil {
+		t := *m.Table
+		c.Table = &t
+	}
+	return &c
+}
+
+// Encode returns the text of a manifest: a line with length and checksum, then JSON.
+func Encode(m *Manifest) ([]byte, error) {
+	body, err := json.MarshalIndent(m, "", " ")
+	if err != nil {
+		return nil, err
+	}
+	head := fmt.Sprintf("ospreystore %d %d %08x\n", m.Format, len(body), crc32.Checksum(body, segment.Castagnoli))
+	return append([]byte(head), append(body, '\n')...), nil
+}
+
+// Decode reads a manifest's text. Its errors wrap segment.ErrBad or segment.ErrNewer.
+func Decode(b []byte) (*Manifest, error) {
+	line, body, ok := bytes.Cut(b, []byte("\n"))
+	var format, length int
+	var sum uint32
+	if !ok {
+		return nil, fmt.Errorf("%w: offset %d: ends early", segment.ErrBad, len(b))
+	}
+	if _, err := fmt.Sscanf(string(line), "ospreystore %d %d %08x", &format, &length, &sum); err != nil {
+		return nil, fmt.Errorf("%w: offset 0: no manifest", segment.ErrBad)
+	}
+	if format > Version {
+		return nil, fmt.Errorf("%w: %d, this one reads up to %d", segment.ErrNewer, format, Version)
+	}
+	if len(body) != length+1 || length < 0 {
+		return nil, fmt.Errorf("%w: offset %d: %d bytes instead of %d", segment.ErrBad, len(b), len(body), length+1)
+	}
+	if crc32.Checksum(body[:length], segment.Castagnoli) != sum || body[length] != '\n' {
+		return nil, fmt.Errorf("%w: offset %d: checksum", segment.ErrBad, len(line)+1)
+	}
+	m := &Manifest{}
+	if err := json.Unmarshal(body, m); err != nil {
+		return nil, fmt.Errorf("%w: offset %d: %v", segment.ErrBad, len(line)+1, err)
+	}
+	return m, nil
+}
+
+// Write puts both copies on disk, one after the other; when it returns without an error, both are.
+// maybe tells after an error whether the new manifest may be the one in force after a crash all the same.
+func Write(fsys vfs.FS, dir string, m *Manifest) (maybe bool, err error) {
+	text, err := Encode(m)
+	if err != nil {
+		return false, err
+	}
+	// What a full disk would refuse comes first, while nothing is in force yet.
+	for i, name := range Names {
+		if err := writeFile(fsys, filepath.Join(dir, name+fresh), text); err != nil {
+			if i > 0 {
+				_ = fsys.Remove(filepath.Join(dir, Names[0]+fresh))
+			}
+			return false, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	for _, name := range Names {
+		path := filepath.Join(dir, name)
+		if err := fsys.Rename(path+fresh, path); err != nil {
+			return true, fmt.Errorf("%s: %w", name, err)
+		}
+		if err := fsys.SyncDir(dir); err != nil {
+			return true, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return false, nil
+}
+
+// fresh ends the name of a copy that is not in force yet.
+const fresh = ".new"
+
+func writeFile(fsys vfs.FS, path string, text []byte) error {
+	f, err := fsys.Create(path)
+	if err != nil {
+		return err
+	}
+	_, err = f.WriteAt(text, 0)
+	if err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		_ = fsys.Remove(path)
+	}
+	return err
+}
+
+// ErrNone tells that there is no copy at all.
+var ErrNone = errors.New("no manifest")
+
+// Read returns the newest good copy. A fault of the other one comes back as healed: it is to be written again before
+// anything is removed. With no good copy the error names the faults of both.
+func Read(fsys vfs.FS, dir string) (m *Manifest, healed error, err error) {
+	var faults []error
+	missing := 0
+	var found [2]*Manifest
+	for i, name := range Names {
+		b, err := vfs.ReadFile(fsys, filepath.Join(dir, name))
+		if errors.Is(err, fs.ErrNotExist) {
+			missing++
+			faults = append(faults, fmt.Errorf("%s: is missing", name))
+			continue
+		}
+		if err == nil {
+			found[i], err = Decode(b)
+		}
+		if errors.Is(err, segment.ErrNewer) {
+			return nil, nil, fmt.Errorf("%s: %w", name, err)
+		}
+		if err != nil {
+			faults = append(faults, fmt.Errorf("%s: %w", name, err))
+		}
+	}
+	a, b := found[0], found[1]
+	switch {
+	case a == nil && b == nil && missing == 2:
+		return nil, nil, ErrNone
+	case a == nil && b == nil:
+		return nil, nil, errors.Join(faults...)
+	case b == nil || a != nil && a.Generation > b.Generation:
+		m = a
+	default:
+		m = b
+	}
+	if a != nil && b != nil && a.Generation != b.Generation {
+		faults = append(faults, errors.New("copies differ: an earlier write was cut short"))
+	}
+	return m, errors.Join(faults...), nil
+}
--- /dev/null
+++ b/internal/store/open.go
@@ -0,0 +1,509 @@
+package store
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"ospreypond/internal/store/manifest"
+	"ospreypond/internal/store/plan"
+	"ospreypond/internal/store/segment"
+	"ospreypond/internal/store/table"
+	"ospreypond/internal/store/vfs"
+)
+
+const lockName = "LOCK"
+
+// Open opens the store in a folder, which is made if it is not there. What a crash left torn at the end of the log is
+// cut off, and said in the log; any other damage is an error that names file and offset (ErrCorrupt), and nothing is
+// changed then. ErrLocked: somebody has the store open. ErrNewer: it is of a newer release.
+func Open(dir string, opt Options) (*Store, error) {
+	if err := opt.defaults(); err != nil {
+		return nil, err
+	}
+	s := &Store{dir: dir, opt: opt, over: newLayer(), spaces: map[string]*Space{}, cache: table.NewCache(opt.CacheBytes),
+		limits: plan.Limits{SegmentBytes: opt.SegmentBytes, Garbage: opt.Garbage, Graves: 0.2,
+			PassBytes: 16 * opt.SegmentBytes}}
+	if opt.PassBytesPerS > 0 {
+		s.pace = rate.NewLimiter(rate.Limit(opt.PassBytesPerS), max(opt.PassBytesPerS/16, pieceBytes))
+	}
+	s.w.wake = make(chan struct{}, 1)
+	s.p = passer{turn: make(chan struct{}, 1), wake: make(chan struct{}, 1), spared: map[uint64]bool{}}
+	s.p.turn <- struct{}{}
+	lock, err := lockDir(opt.FS, dir, true)
+	if err != nil {
+		return nil, err
+	}
+	s.lock = lock
+	if err := s.open(); err != nil {
+		if s.cur != nil {
+			s.cur.unref()
+		}
+		if s.w.h != nil {
+			s.w.h.unref()
+		}
+		return nil, errors.Join(fmt.Errorf("store %s: %w", dir, err), lock.Close())
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.running.Add(2)
+	go s.w.run(s)
+	go s.p.loop(s)
+	return s, nil
+}
+
+func lockDir(fsys vfs.FS, dir string, create bool) (io.Closer, error) {
+	if create {
+		if err := fsys.MkdirAll(dir); err != nil {
+			return nil, fmt.Errorf("store %s: %w", dir, err)
+		}
+	} else if _, err := fsys.List(dir); err != nil {
+		return nil, fmt.Errorf("store %s: %w", dir, err)
+	}
+	lock, err := fsys.Lock(dir + "/" + lockName)
+	if errors.Is(err, vfs.ErrLocked) {
+		return nil, fmt.Errorf("store %s: %w", dir, ErrLocked)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("store %s: the lock: %w", dir, err)
+	}
+	return lock, nil
+}
+
+func (s *Store) open() error {
+	man, healed, err := manifest.Read(s.opt.FS, s.dir)
+	if errors.Is(err, manifest.ErrNone) {
+		if man, err = s.create(); err != nil {
+			return err
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if err := decodeID(man.Store, &s.id); err != nil {
+		return err
+	}
+	s.man = man
+	if man.Floors == nil {
+		man.Floors = map[uint16]uint64{}
+	}
+	segs := map[uint32]*handle{}
+	defer func() { // the version has holds of its own
+		for _, h := range segs {
+			h.unref()
+		}
+	}()
+	for _, g := range man.Segments {
+		h, err := s.openSegment(g)
+		if err != nil {
+			return err
+		}
+		segs[uint32(g.ID)] = h
+	}
+	base, err := s.openTable(man, segs)
+	if err != nil {
+		return err
+	}
+	s.cur = newVersion(nil, base, segs, man.Clone().Floors)
+	if base != nil {
+		base.h.unref()
+	}
+	if err := s.replay(man, segs); err != nil {
+		return err
+	}
+	if healed != nil {
+		s.opt.Log.WithError(healed).WithField("store", s.dir).Warn("a copy of the manifest is made anew from the other")
+		if err := s.install(func(*manifest.Manifest) {}); err != nil {
+			return err
+		}
+	}
+	if err := s.sweep(); err != nil {
+		return err
+	}
+	return s.loadSpaces()
+}
+
+// create makes an empty store. Nothing of one may be there but what a crash left of this very step.
+func (s *Store) create() (*manifest.Manifest, error) {
+	names, err := s.opt.FS.List(s.dir)
+	if err != nil {
+		return nil, err
+	}
+	for _, n := range names {
+		if !ours(n) {
+			continue
+		}
+		f, err := s.opt.FS.Open(s.path(n))
+		if err != nil {
+			return nil, err
+		}
+		size, err := f.Size()
+		_ = f.Close()
+		if err != nil {
+			return nil, err
+		}
+		if strings.HasSuffix(n, ".tab") || strings.HasSuffix(n, ".seg") && (n != segmentName(1) || size > segment.HeaderSize) {
+			return nil, fmt.Errorf("%w: %s is there, and both copies of the manifest are missing", ErrCorrupt, n)
+		}
+	}
+	if _, err := rand.Read(s.id[:]); err != nil {
+		return nil, err
+	}
+	h, err := s.newSegment(segment.Header{Kind: segment.Log, Store: s.id, ID: 1, First: 1})
+	if err != nil {
+		return nil, err
+	}
+	h.unref()
+	man := &manifest.Manifest{Format: manifest.Version, Store: hex.EncodeToString(s.id[:]), Generation: 1, NextID: 2,
+		Segments: []plan.Segment{{ID: 1, Kind: plan.Log, First: 1}}}
+	_, err = manifest.Write(s.opt.FS, s.dir, man)
+	return man, err
+}
+
+// ours tells whether a file's name is one that the store gives.
+func ours(name string) bool {
+	return strings.HasSuffix(name, ".seg") || strings.HasSuffix(name, ".tab") || strings.HasPrefix(name, "MANIFEST-")
+}
+
+func decodeID(text string, id *[16]byte) error {
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != len(id) {
+		return fmt.Errorf("%w: manifest: store %q", ErrCorrupt, text)
+	}
+	copy(id[:], b)
+	return nil
+}
+
+// openSegment opens a segment and looks at its size and its head.
+func (s *Store) openSegment(g plan.Segment) (*handle, error) {
+	name := segmentName(g.ID)
+	open := s.opt.FS.Open
+	if !g.Sealed {
+		open = s.opt.FS.OpenRW
+	}
+	f, err := open(s.path(name))
+	if err != nil {
+		return nil, &FileError{File: name, Offset: -1, Err: err}
+	}
+	if err := checkSegment(f, g, s.id); err != nil {
+		return nil, errors.Join(&FileError{File: name, Offset: err.Offset, Err: err.Err}, f.Close())
+	}
+	return newHandle(f, name), nil
+}
+
+// checkSegment looks at what a segment is without reading it. The open one may be shorter than a head: then it is
+// torn, not damaged.
+func checkSegment(f vfs.File, g plan.Segment, store [16]byte) *FileError {
+	size, err := f.Size()
+	if err != nil {
+		return &FileError{Offset: -1, Err: err}
+	}
+	if g.Sealed && size != g.Size {
+		return &FileError{Offset: min(size, g.Size), Err: fmt.Errorf("%w: is %d bytes long instead of %d", ErrCorrupt, size, g.Size)}
+	}
+	if size < segment.HeaderSize {
+		return nil
+	}
+	b := make([]byte, segment.HeaderSize)
+	if _, err := f.ReadAt(b, 0); err != nil {
+		return &FileError{Offset: 0, Err: err}
+	}
+	h, err := segment.ParseHeader(b)
+	kind := segment.Log
+	if g.Kind == plan.Output {
+		kind = segment.Output
+	}
+	switch {
+	case err != nil:
+		return &FileError{Offset: 0, Err: err}
+	case h.Store != store:
+		return &FileError{Offset: 0, Err: fmt.Errorf("%w: belongs to another store", ErrCorrupt)}
+	case h.ID != g.ID || h.Kind != kind || kind == segment.Log && h.First != g.First:
+		return &FileError{Offset: 0, Err: fmt.Errorf("%w: is another segment, number %d", ErrCorrupt, h.ID)}
+	}
+	return nil
+}
+
+// openTable opens the index on disk. It holds nothing that the segments do not, so a faulty one is made anew.
+func (s *Store) openTable(man *manifest.Manifest, segs map[uint32]*handle) (*baseTable, error) {
+	if man.Table == nil {
+		return nil, nil
+	}
+	b, err := s.readTable(man.Table)
+	if err == nil || errors.Is(err, ErrNewer) {
+		return b, err
+	}
+	s.opt.Log.WithError(err).WithField("store", s.dir).Warn("index is damaged and made anew from the segments")
+	return s.rebuild(man, segs)
+}
+
+func (s *Store) readTable(m *manifest.Table) (*baseTable, error) {
+	name := tableName(m.ID)
+	f, err := s.opt.FS.Open(s.path(name))
+	if err != nil {
+		return nil, &FileError{File: name, Offset: -1, Err: err}
+	}
+	size, err := f.Size()
+	if err == nil && size != m.Size {
+		err = &table.Error{Offset: min(size, m.Size), Err: fmt.Errorf("%w: is %d bytes long instead of %d", ErrCorrupt, size, m.Size)}
+	}
+	var t *table.Table
+	if err == nil {
+		t, err = table.Open(f, size, s.cache)
+	}
+	if err == nil {
+		if i := t.Info(); i.Store != s.id || i.ID != m.ID || i.Seq != m.Seq || i.Count != m.Count {
+			err = &table.Error{Err: fmt.Errorf("%w: is another table, number %d", ErrCorrupt, i.ID)}
+		}
+	}
+	if err != nil {
+		return nil, errors.Join(fileError(name, err), f.Close())
+	}
+	return &baseTable{t: t, h: newHandle(f, name), size: size}, nil
+}
+
+// rebuild makes the index anew, up to the open segment, from all that is sealed.
+func (s *Store) rebuild(man *manifest.Manifest, segs map[uint32]*handle) (*baseTable, error) {
+	g := newGather()
+	var upTo uint64
+	for _, m := range man.Segments {
+		if !m.Sealed {
+			upTo = m.First - 1
+			continue
+		}
+		h := segs[uint32(m.ID)]
+		if _, err := g.segment(h.f, m, func(at int64, err error) error {
+			return &FileError{File: h.name, Offset: at, Err: err}
+		}); err != nil {
+			return nil, err
+		}
+	}
+	id := s.nextID()
+	name := tableName(id)
+	f, err := s.opt.FS.Create(s.path(name))
+	if err != nil {
+		return nil, err
+	}
+	h := newHandle(f, name)
+	size, err := s.writeRebuilt(f, table.Info{Store: s.id, ID: id, Seq: upTo}, g.entries(man.Floors))
+	var t *table.Table
+	if err == nil {
+		t, err = table.Open(f, size, s.cache)
+	}
+	if err == nil {
+		err = s.opt.FS.SyncDir(s.dir)
+	}
+	if err == nil {
+		err = s.install(func(m *manifest.Manifest) {
+			i := t.Info()
+			m.Table = &manifest.Table{ID: id, Size: size, Seq: i.Seq, Count: i.Count}
+			*man = *m
+		})
+	}
+	if err != nil {
+		h.unref()
+		return nil, fmt.Errorf("making the index anew: %w", err)
+	}
+	return &baseTable{t: t, h: h, size: size}, nil
+}
+
+func (s *Store) writeRebuilt(f vfs.File, info table.Info, entries []table.Entry) (int64, error) {
+	file := &pacedFile{pass: &pass{s: &Store{}, ctx: context.Background()}, f: f, name: tableName(info.ID)}
+	w := table.NewWriter(file, info)
+	for _, e := range entries {
+		if err := w.Add(e); err != nil {
+			return 0, err
+		}
+	}
+	size, _, err := w.Finish()
+	if err == nil {
+		err = file.flush()
+	}
+	if err == nil {
+		err = f.Sync()
+	}
+	return size, err
+}
+
+// replay reads what of the log the index on disk does not know.
+func (s *Store) replay(man *manifest.Manifest, segs map[uint32]*handle) error {
+	var known uint64
+	if man.Table != nil {
+		known = man.Table.Seq
+	}
+	next := known + 1
+	for _, g := range man.Segments {
+		if g.Kind != plan.Log || g.Sealed && g.Last <= known {
+			continue
+		}
+		h := segs[uint32(g.ID)]
+		if g.First != next {
+			return &FileError{File: h.name, Offset: 0,
+				Err: fmt.Errorf("%w: starts with commit %d, and %d is due", ErrCorrupt, g.First, next)}
+		}
+		var err error
+		if g.Sealed {
+			next, err = s.replaySealed(g, h, next)
+		} else {
+			next, err = s.replayOpen(g, h, next)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if s.w.h == nil {
+		return fmt.Errorf("%w: manifest: no open segment", ErrCorrupt)
+	}
+	s.seq, s.w.seq = next-1, next-1
+	s.durable.Store(next - 1)
+	return nil
+}
+
+func (s *Store) replaySealed(g plan.Segment, h *handle, next uint64) (uint64, error) {
+	sc := segment.NewScanner(h.f, segment.HeaderSize, g.Size)
+	next, err := s.replayFrames(sc, g, h, next)
+	if err == io.EOF && next != g.Last+1 {
+		err = fmt.Errorf("%w: ends with commit %d instead of %d", ErrCorrupt, next-1, g.Last)
+	}
+	if err != io.EOF {
+		return next, &FileError{File: h.name, Offset: sc.Offset(), Err: err}
+	}
+	s.w.since.Add(g.Size)
+	return next, nil
+}
+
+// errContent tells of a frame that is whole and yet not what was written there. No cut leaves such a thing.
+var errContent = errors.New("whole frame")
+
+// replayFrames has all frames take effect until one is not as it should be; then it returns why. The Scanner stands
+// before that one.
+func (s *Store) replayFrames(sc *segment.Scanner, g plan.Segment, h *handle, next uint64) (uint64, error) {
+	for {
+		f, at, err := sc.Next()
+		if err != nil {
+			return next, err
+		}
+		if f.Seq != next {
+			sc.Back(at)
+			return next, fmt.Errorf("%w: %w: commit %d, and %d is due", errContent, ErrCorrupt, f.Seq, next)
+		}
+		if err := segment.Ops(f.Payload, func(o segment.Op) error {
+			return s.replayOp(o, f.Seq, uint32(g.ID), uint32(at), !g.Sealed)
+		}); err != nil {
+			sc.Back(at)
+			return next, fmt.Errorf("%w: %w", errContent, err)
+		}
+		if !g.Sealed && at == segment.HeaderSize {
+			s.w.begun = f.Time
+		}
+		next++
+	}
+}
+
+func (s *Store) replayOp(o segment.Op, seq uint64, seg, at uint32, open bool) error {
+	if len(o.Key) < 2 || o.Kind == segment.DeleteRange && len(o.End) < 2 {
+		return fmt.Errorf("%w: key of %d bytes", ErrCorrupt, len(o.Key))
+	}
+	switch o.Kind {
+	case segment.Put:
+		s.over.set(item{key: string(o.Key), loc: table.Loc{Seq: seq, Segment: seg, Offset: at + uint32(o.At),
+			Size: uint32(len(o.Value)), Sum: segment.Sum(o.Key, o.Value)}})
+		if open {
+			s.w.puts += plan.PutBytes(len(o.Key), len(o.Value))
+		}
+		return nil
+	case segment.Delete:
+		s.over.set(item{key: string(o.Key), loc: table.Loc{Seq: seq}})
+	case segment.DeleteRange:
+		s.over.cut(span{string(o.Key), string(o.End)})
+	}
+	if open {
+		s.w.graves += graveBytes(len(o.Key), len(o.End))
+	}
+	return nil
+}
+
+// replayOpen reads the open segment and cuts a torn end off it.
+func (s *Store) replayOpen(g plan.Segment, h *handle, next uint64) (uint64, error) {
+	size, err := h.f.Size()
+	if err != nil {
+		return next, &FileError{File: h.name, Offset: -1, Err: err}
+	}
+	good := size
+	if size >= segment.HeaderSize {
+		sc := segment.NewScanner(h.f, segment.HeaderSize, size)
+		if next, err = s.replayFrames(sc, g, h, next); err != io.EOF {
+			good = sc.Offset()
+			if !errors.Is(err, ErrCorrupt) || errors.Is(err, errContent) {
+				return next, &FileError{File: h.name, Offset: good, Err: err}
+			}
+			if rerr := tornEnd(sc, next, err); rerr != nil {
+				return next, &FileError{File: h.name, Offset: good, Err: rerr}
+			}
+		}
+	}
+	if size < segment.HeaderSize {
+		good = segment.HeaderSize
+		if err = h.f.Truncate(0); err == nil {
+			_, err = h.f.WriteAt(segment.AppendHeader(nil, segment.Header{Kind: segment.Log, Store: s.id, ID: g.ID, First: g.First}), 0)
+		}
+	} else if good < size {
+		err = h.f.Truncate(good)
+	} else {
+		err = nil
+	}
+	if good != size {
+		if err == nil {
+			err = h.f.Sync()
+		}
+		if err != nil {
+			return next, &FileError{File: h.name, Offset: good, Err: fmt.Errorf("cutting a torn end off: %w", err)}
+		}
+		s.opt.Log.WithFields(logrus.Fields{"store": s.dir, "file": h.name, "offset": good, "cut": max(0, size-good),
+			"last": next - 1}).Warn("torn end of the log is cut off; all before it is there")
+	}
+	s.w.h, s.w.id = h.ref(), g.ID
+	s.w.size.Store(good)
+	s.w.since.Add(good)
+	return next, nil
+}
+
+// tornEnd tells whether what follows a bad frame, which would have been commit next, is a torn end: nil. Commits are
+// synced in their order, so a later frame that is whole and calls the bad one durable proves that it was whole once.
+func tornEnd(sc *segment.Scanner, next uint64, cause error) error {
+	was, err := sc.Resync(func(f segment.Frame) bool { return f.Durable >= next })
+	if err != nil {
+		return err
+	}
+	if was {
+		return fmt.Errorf("%w; the frame at offset %d tells that it was whole once", cause, sc.Offset())
+	}
+	return nil
+}
+
+// sweep removes files that no manifest names: what a crash left of a pass or of the opening of a segment.
+func (s *Store) sweep() error {
+	names, err := s.opt.FS.List(s.dir)
+	if err != nil {
+		return err
+	}
+	keep := map[string]bool{manifest.Names[0]: true, manifest.Names[1]: true}
+	for _, g := range s.man.Segments {
+		keep[segmentName(g.ID)] = true
+	}
+	if s.man.Table != nil {
+		keep[tableName(s.man.Table.ID)] = true
+	}
+	for _, n := range names {
+		if ours(n) && !keep[n] {
+			s.remove(n)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/store/plan/plan.go
@@ -0,0 +1,196 @@
+// Package plan makes the store's decisions: when a segment is full, when the index is written down, which
+// segments are rewritten or dropped, what of them must be kept, and what is too old. It has no files, no clock and
+// no goroutines.
+package plan
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Kind tells what a segment holds.
+type Kind string
+
+// The kinds.
+const (
+	Log    Kind = "log"    // commits in their order
+	Output Kind = "output" // records that compaction kept, by key
+)
+
+// Segment is what is known of one segment file. It is part of the manifest.
+type Segment struct {
+	ID     uint64 `json:"id"`
+	Kind   Kind   `json:"kind"`
+	Sealed bool   `json:"sealed,omitempty"` // nothing is written to it any more
+	First  uint64 `json:"first"`            // lowest sequence number; of the open one, the first to come
+	Last   uint64 `json:"last,omitempty"`   // highest sequence number, when sealed
+	Size   int64  `json:"size,omitempty"`   // bytes, when sealed
+	Puts   int64  `json:"puts,omitempty"`   // bytes of the keys and values put, see PutBytes
+	// Live is how many of its bytes were the newest record of their key when a pass last looked; Size until then.
+	Live int64 `json:"live"`
+	// Graves is how many bytes its deletions take. They matter as long as an older record may be found elsewhere.
+	Graves int64 `json:"graves,omitempty"`
+	// Clean: no record in it is shadowed by a deletion with a number up to this one.
+	Clean uint64 `json:"clean,omitempty"`
+}
+
+// PutBytes is what a record counts for in Segment.Puts.
+func PutBytes(key, value int) int64 { return int64(key + value + 8) }
+
+// LiveBytes is the part of a segment that is live if that many of its put bytes are.
+func (s Segment) LiveBytes(puts int64) int64 {
+	if s.Puts <= 0 {
+		return 0
+	}
+	return int64(float64(s.Size-s.Graves) * min(1, float64(puts)/float64(s.Puts)))
+}
+
+// Limits are the settings that decisions depend on. All must be set.
+type Limits struct {
+	SegmentBytes int64
+	// Garbage is the share of a segment that must be dead before it is rewritten, 0 to 1.
+	Garbage float64
+	// Graves is the share of all bytes that deletions may take before the segments that they are kept for are
+	// rewritten.
+	Graves float64
+	// PassBytes bounds what one pass copies.
+	PassBytes int64
+}
+
+// Full tells whether a segment of size bytes is to be sealed before next more are written. A batch larger than a
+// segment gets one of its own.
+func Full(size, next, header int64, l Limits) bool {
+	return size > header && size+next > l.SegmentBytes
+}
+
+// Tail is what has come since the index was last written down.
+type Tail struct {
+	Log     int64 // bytes to be read again at the next opening
+	Overlay int64 // bytes that the part of the index in memory takes
+	Table   int64 // bytes of the part on disk, which a pass writes anew
+}
+
+// overlayMost bounds the part of the index in memory, however large the part on disk is.
+const overlayMost = 16 << 20
+
+// Due tells whether a pass is worth its cost when a segment is sealed: the index is written anew each time, so it
+// must have grown by a part of itself, or opening would take long.
+func Due(t Tail, l Limits) bool {
+	if t.Log == 0 {
+		return false
+	}
+	return t.Overlay >= min(overlayMost, max(t.Table/4, l.SegmentBytes/16)) || t.Log >= 8*l.SegmentBytes
+}
+
+// Victims chooses the segments that a pass rewrites or drops, the emptiest first. The pass has the index up to the
+// sequence number upTo, so only segments that end there or before can be chosen.
+func Victims(segments []Segment, upTo uint64, l Limits) []uint64 {
+	var all, graves int64
+	var sealed []Segment
+	for _, s := range segments {
+		if s.Sealed && s.Last <= upTo {
+			sealed = append(sealed, s)
+			all += s.Size
+			graves += s.Graves
+		}
+	}
+	garbage := func(s Segment) float64 { return 1 - float64(s.Live+s.Graves)/float64(max(s.Size, 1)) }
+	byGarbage := slices.SortedFunc(slices.Values(sealed), func(a, b Segment) int {
+		return cmp.Or(cmp.Compare(garbage(b), garbage(a)), cmp.Compare(a.ID, b.ID))
+	})
+	var ids []uint64
+	var copied int64
+	take := func(s Segment) bool {
+		if slices.Contains(ids, s.ID) {
+			return true
+		}
+		cost := s.Live + s.Graves
+		if copied+cost > l.PassBytes && copied > 0 {
+			return false
+		}
+		ids, copied = append(ids, s.ID), copied+cost
+		return true
+	}
+	for _, s := range byGarbage {
+		if garbage(s) < l.Garbage || !take(s) {
+			break
+		}
+	}
+	// Deletions go once nothing older than they are is left uncleaned: the segments cleaned longest ago go first.
+	if float64(graves) > l.Graves*float64(all) {
+		slices.SortFunc(sealed, func(a, b Segment) int {
+			return cmp.Or(cmp.Compare(a.Clean, b.Clean), cmp.Compare(a.First, b.First), cmp.Compare(a.ID, b.ID))
+		})
+		for _, s := range sealed {
+			if (s.Clean < upTo || s.Graves > 0) && !take(s) {
+				break
+			}
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// GraveNeeded tells whether a deletion with that number must outlast its segment: whether one of the segments that
+// stay may hold a record that it shadows, which an index made anew from the segments would find.
+func GraveNeeded(seq uint64, staying []Segment) bool {
+	for _, s := range staying {
+		if s.First < seq && s.Clean < seq {
+			return true
+		}
+	}
+	return false
+}
+
+// Mark tells that sequence numbers up to Seq were given by that time.
+type Mark struct {
+	Seq    uint64 `json:"seq"`
+	UnixMs int64  `json:"ms"`
+}
+
+// Retention is how long a space's records are kept. Zero fields do not bound.
+type Retention struct {
+	AgeMs int64 `json:"age_ms,omitempty"`
+	Bytes int64 `json:"bytes,omitempty"`
+}
+
+// Floor returns the sequence number up to which a space's records are too old. held tells for each mark how many
+// of the space's bytes have numbers over the previous mark's and up to its own; marks are in order. The floor is
+// always a mark's number or what it was, so records go a whole stretch between two marks at a time, and some are kept
+// up to a stretch longer than asked.
+func Floor(was uint64, r Retention, marks []Mark, held []int64, nowMs int64) uint64 {
+	floor := was
+	if r.AgeMs > 0 {
+		for _, m := range marks {
+			if m.UnixMs <= nowMs-r.AgeMs {
+				floor = max(floor, m.Seq)
+			}
+		}
+	}
+	if r.Bytes > 0 {
+		var sum int64
+		for i := len(marks) - 1; i >= 0; i-- {
+			if sum += held[i]; sum > r.Bytes {
+				floor = max(floor, marks[i].Seq)
+				break
+			}
+		}
+	}
+	return floor
+}
+
+// Trim drops marks that no floor can need any more, so that their number stays bounded: the newest most marks stay,
+// and of the older ones every second.
+func Trim(marks []Mark, most int) []Mark {
+	if len(marks) <= most {
+		return marks
+	}
+	old := marks[:len(marks)-most/2]
+	var kept []Mark
+	for i, m := range old {
+		if i%2 == 1 || i == len(old)-1 {
+			kept = append(kept, m)
+		}
+	}
+	return append(kept, marks[len(marks)-most/2:]...)
+}
--- /dev/null
+++ b/internal/store/vfs/vfs.go
@@ -0,0 +1,122 @@
+// Package vfs is the file system as the durable store uses it: few calls, each of which a test can fail, cut or
+// forget. OS is the real one; vfstest has one in memory that loses what was not synced.
+package vfs
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"sort"
+)
+
+// ErrLocked is returned by FS.Lock for a file that another process holds, or another part of this one.
+var ErrLocked = errors.New("is held by another process")
+
+// File is an open file. Reads may run beside a write.
+type File interface {
+	io.ReaderAt
+	io.WriterAt
+	io.Closer
+	// Sync returns when what was written is on disk. After an error nothing is known of it: the kernel may have
+	// dropped the pages and marked them clean, so that a second call proves nothing.
+	Sync() error
+	Truncate(size int64) error
+	Size() (int64, error)
+}
+
+// FS is a file system. A name that was created, renamed or removed is on disk only after SyncDir of its folder.
+type FS interface {
+	Create(name string) (File, error) // for reading and writing; cuts one that is there
+	Open(name string) (File, error)   // for reading
+	OpenRW(name string) (File, error) // for reading and writing; the file must be there
+	Rename(from, to string) error     // replaces what is there
+	Remove(name string) error
+	List(dir string) ([]string, error) // names of plain files, sorted
+	MkdirAll(dir string) error
+	SyncDir(dir string) error
+	Lock(name string) (io.Closer, error) // ErrLocked if somebody holds it; ends with the process
+}
+
+// OS is the operating system's file system.
+type OS struct{}
+
+type osFile struct{ *os.File }
+
+func (f osFile) Size() (int64, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
+
+func wrap(f *os.File, err error) (File, error) {
+	if err != nil {
+		return nil, err
+	}
+	return osFile{f}, nil
+}
+
+func (OS) Create(name string) (File, error) {
+	return wrap(os.OpenFile(name, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600))
+}
+func (OS) Open(name string) (File, error)   { return wrap(os.Open(name)) }
+func (OS) OpenRW(name string) (File, error) { return wrap(os.OpenFile(name, os.O_RDWR, 0)) }
+func (OS) Rename(from, to string) error     { return os.Rename(from, to) }
+func (OS) Remove(name string) error         { return os.Remove(name) }
+func (OS) MkdirAll(dir string) error        { return os.MkdirAll(dir, 0o700) }
+
+func (OS) List(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			names = append(names, e.Name())
+		}
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+func (OS) SyncDir(dir string) error {
+	d, err := os.Open(filepath.Clean(dir))
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
+// ReadFile returns a file's whole content.
+func ReadFile(fsys FS, name string) ([]byte, error) {
+	f, err := fsys.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	size, err := f.Size()
+	if err != nil {
+		return nil, err
+	}
+	b := make([]byte, size)
+	if n, err := f.ReadAt(b, 0); err != nil && !(errors.Is(err, io.EOF) && n == len(b)) {
+		return nil, err
+	}
+	return b, nil
+}
+
+// Exists tells whether a file is there.
+func Exists(fsys FS, name string) (bool, error) {
+	f, err := fsys.Open(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	return true, f.Close()
+}
