--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -36,6 +36,7 @@
 	seed   uint64
 	egress Egress
 	list   Directory
+	watch  Observer // nil: nobody
 	log    logrus.FieldLogger
 	clock  clock
 	inbox  chan func()
@@ -66,14 +67,20 @@
 	due      time.Duration
 	answer   chan Answer // holds one, so that the exchange never waits for a client's side
 	answered bool
+	kind     AnswerKind
+	at       time.Time // of the answer
 	net      *time.Timer
 	hops     []*hop
 	out      int // hops that have not ended
 }
 
 type hop struct {
-	cancel context.CancelFunc
-	sent   time.Time
+	cancel  context.CancelFunc
+	target  string
+	sent    time.Time
+	took    time.Duration
+	over    bool
+	outcome policy.Outcome
 }
 
 // New returns an exchange round a fresh decision module. Attach must be called before Run.
@@ -90,6 +97,28 @@
 // Attach connects the egress targets' side and discovery's side.
 func (x *Exchange) Attach(e Egress, d Directory) { x.egress, x.list = e, d }
 
+// Watch has o told how each request ended. It must be called before Run.
+func (x *Exchange) Watch(o Observer) { x.watch = o }
+
+// Turned tells the observer of a request that was answered before it came here.
+func (x *Exchange) Turned(r *Request, a Answer) {
+	if x.watch != nil {
+		x.watch.Ended(Ended{Request: r, Answer: a.Kind, Answered: time.Now()})
+	}
+}
+
+// tell tells the observer of a job.
+func (x *Exchange) tell(j *job) {
+	if x.watch == nil {
+		return
+	}
+	e := Ended{Request: j.r, Answer: j.kind, Answered: j.at, Hops: make([]EndedHop, len(j.hops))}
+	for i, h := range j.hops {
+		e.Hops[i] = EndedHop{Target: h.target, Sent: h.sent, Took: h.took, Over: h.over, Outcome: h.outcome}
+	}
+	x.watch.Ended(e)
+}
+
 // do has f run by the exchange's goroutine. Once the exchange has ended it does nothing.
 func (x *Exchange) do(f func()) {
 	select {
@@ -250,6 +279,10 @@
 		for _, h := range j.hops {
 			h.cancel()
 		}
+		if x.jobs[j.id] == j { // its hops' ends will find it gone
+			delete(x.jobs, j.id)
+			x.tell(j)
+		}
 	}
 }
 
@@ -273,6 +306,7 @@
 	if x.ids[r.ID] {
 		j.answered = true
 		j.answer <- Answer{Kind: Repeated}
+		x.Turned(r, Answer{Kind: Repeated})
 		return
 	}
 	x.ids[r.ID] = true
@@ -310,7 +344,7 @@
 	if j.answered {
 		return
 	}
-	j.answered = true
+	j.answered, j.kind, j.at = true, a.Kind, time.Now()
 	j.net.Stop()
 	j.answer <- a
 	x.retire(j.r.ID)
@@ -331,6 +365,7 @@
 func (x *Exchange) forget(j *job) {
 	if j.answered && j.out == 0 && x.jobs[j.id] == j {
 		delete(x.jobs, j.id)
+		x.tell(j)
 	}
 }
 
@@ -379,7 +414,7 @@
 		}
 	}
 	ctx, cancel := context.WithDeadline(x.ctx, limit)
-	h := &hop{cancel: cancel, sent: time.Now()}
+	h := &hop{cancel: cancel, target: target, sent: time.Now()}
 	j.hops = append(j.hops, h)
 	j.out++
 	if j.answered || x.set.MaxAttempts > 0 && n >= x.set.MaxAttempts {
@@ -415,6 +450,7 @@
 func (x *Exchange) hopEnded(j *job, n int, target string, end HopEnd) {
 	h := j.hops[n]
 	h.cancel()
+	h.took, h.over, h.outcome = time.Since(h.sent), true, end.Outcome
 	j.out--
 	if x.jobs[j.id] != j { // the module was replaced meanwhile
 		return
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -81,3 +81,27 @@
 type Directory interface {
 	Subscribe()
 }
+
+// Ended is a request with its answer and all its hops, when the last of them has ended. Hops that ran when the module
+// was replaced, or when the program stopped, have no end.
+type Ended struct {
+	Request  *Request
+	Answer   AnswerKind
+	Answered time.Time
+	Hops     []EndedHop
+}
+
+// EndedHop is one hop of an Ended.
+type EndedHop struct {
+	Target  string
+	Sent    time.Time
+	Took    time.Duration
+	Over    bool // it has ended; otherwise Took and Outcome tell nothing
+	Outcome policy.Outcome
+}
+
+// Observer is told how requests ended. It is called from several goroutines, the exchange's own among them, and must
+// not wait for anything.
+type Observer interface {
+	Ended(Ended)
+}
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -15,6 +15,7 @@
 	// ErrReadOnly: a fault of the disk left it unknown what is on it. Reading goes on; only opening the store again
 	// tells. A commit that got this error may be found then or not.
 	ErrReadOnly = errors.New("store: takes no more writes after a fault of the disk")
+	ErrNoStore  = errors.New("store: there is none")
 	// ErrTooLarge: a key, a value or a batch is over its limit.
 	ErrTooLarge = errors.New("store: too large")
 	// ErrCorrupt: bytes on disk are not what was written.
--- a/internal/store/manifest/manifest.go
+++ b/internal/store/manifest/manifest.go
@@ -64,8 +64,11 @@
 	if err != nil {
 		return nil, err
 	}
-	head := fmt.Sprintf("ospreystore %d %d %08x\n", m.Format, len(body), crc32.Checksum(body, segment.Castagnoli))
-	return append([]byte(head), append(body, '\n')...), nil
+	return append([]byte(headLine(m.Format, body)), append(body, '\n')...), nil
+}
+
+func headLine(format int, body []byte) string {
+	return fmt.Sprintf("ospreystore %d %d %08x\n", format, len(body), crc32.Checksum(body, segment.Castagnoli))
 }
 
 // Decode reads a manifest's text. Its errors wrap segment.ErrBad or segment.ErrNewer.
@@ -85,7 +88,7 @@
 	if len(body) != length+1 || length < 0 {
 		return nil, fmt.Errorf("%w: offset %d: %d bytes instead of %d", segment.ErrBad, len(b), len(body), length+1)
 	}
-	if crc32.Checksum(body[:length], segment.Castagnoli) != sum || body[length] != '\n' {
+	if headLine(format, body[:length]) != string(line)+"\n" || body[length] != '\n' {
 		return nil, fmt.Errorf("%w: offset %d: checksum", segment.ErrBad, len(line)+1)
 	}
 	m := &Manifest{}
--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -37,7 +37,7 @@
 	s.w.wake = make(chan struct{}, 1)
 	s.p = passer{turn: make(chan struct{}, 1), wake: make(chan struct{}, 1), spared: map[uint64]bool{}}
 	s.p.turn <- struct{}{}
-	lock, err := lockDir(opt.FS, dir, true)
+	lock, err := lockDir(opt.FS, dir, !opt.Existing)
 	if err != nil {
 		return nil, err
 	}
@@ -78,6 +78,9 @@
 
 func (s *Store) open() error {
 	man, healed, err := manifest.Read(s.opt.FS, s.dir)
+	if errors.Is(err, manifest.ErrNone) && s.opt.Existing {
+		return ErrNoStore
+	}
 	if errors.Is(err, manifest.ErrNone) {
 		if man, err = s.create(); err != nil {
 			return err
--- a/internal/store/output.go
+++ b/internal/store/output.go
@@ -61,7 +61,7 @@
 	if o := p.out; o != nil {
 		_, a := p.keep[space]
 		_, b := p.keep[o.space]
-		if !plan.Full(o.meta.Size, int64(next), segment.HeaderSize, p.s.limits) && (space == o.space || !a && !b) {
+		if !plan.Full(o.meta.Size, int64(next), p.s.limits) && (space == o.space || !a && !b) {
 			return nil
 		}
 		if err := p.finishOutput(); err != nil {
--- a/internal/store/plan/plan.go
+++ b/internal/store/plan/plan.go
@@ -26,7 +26,7 @@
 	Last   uint64 `json:"last,omitempty"`   // highest sequence number, when sealed
 	Size   int64  `json:"size,omitempty"`   // bytes, when sealed
 	Puts   int64  `json:"puts,omitempty"`   // bytes of the keys and values put, see PutBytes
-	// Live is how many of its bytes were the newest record of their key when a pass last looked; Size until then.
+	// Live is how many of its bytes were the newest record of their key when a pass last looked; all puts until then.
 	Live int64 `json:"live"`
 	// Graves is how many bytes its deletions take. They matter as long as an older record may be found elsewhere.
 	Graves int64 `json:"graves,omitempty"`
@@ -42,9 +42,15 @@
 	if s.Puts <= 0 {
 		return 0
 	}
-	return int64(float64(s.Size-s.Graves) * min(1, float64(puts)/float64(s.Puts)))
+	return int64(float64(s.body()-s.Graves) * min(1, float64(puts)/float64(s.Puts)))
 }
 
+// body is what a segment holds beside its head, which is no garbage: a small segment would be rewritten forever.
+func (s Segment) body() int64 { return max(s.Size-Header, 0) }
+
+// Header is how many bytes of a segment file are its head.
+const Header = 64
+
 // Limits are the settings that decisions depend on. All must be set.
 type Limits struct {
 	SegmentBytes int64
@@ -59,8 +65,8 @@
 
 // Full tells whether a segment of size bytes is to be sealed before next more are written. A batch larger than a
 // segment gets one of its own.
-func Full(size, next, header int64, l Limits) bool {
-	return size > header && size+next > l.SegmentBytes
+func Full(size, next int64, l Limits) bool {
+	return size > Header && size+next > l.SegmentBytes
 }
 
 // Tail is what has come since the index was last written down.
@@ -94,7 +100,7 @@
 			graves += s.Graves
 		}
 	}
-	garbage := func(s Segment) float64 { return 1 - float64(s.Live+s.Graves)/float64(max(s.Size, 1)) }
+	garbage := func(s Segment) float64 { return 1 - float64(s.Live+s.Graves)/float64(max(s.body(), 1)) }
 	byGarbage := slices.SortedFunc(slices.Values(sealed), func(a, b Segment) int {
 		return cmp.Or(cmp.Compare(garbage(b), garbage(a)), cmp.Compare(a.ID, b.ID))
 	})
--- /dev/null
+++ b/internal/store/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package store_test
+
+const raceEnabled = false
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -46,6 +46,8 @@
 
 // Options are a store's settings. The zero value works.
 type Options struct {
+	// Existing has Open fail with ErrNoStore instead of making a store.
+	Existing bool
 	// SyncEvery, if over 0, lets commits return before they are on disk; see the package comment.
 	SyncEvery time.Duration
 	// SegmentBytes is the size at which a segment is sealed; 16 MiB if 0, at most 1 GiB.
@@ -239,16 +241,25 @@
 // Sync returns when all that was committed is on disk.
 func (s *Store) Sync() error { return s.w.control(s, func() error { return s.w.sync(s) }) }
 
-// Compact has the index written down and all rewritten that is worth it, until a pass finds nothing more.
+// Compact has the index written down and all rewritten that is worth it, until passes find nothing more.
 func (s *Store) Compact(ctx context.Context) error {
-	for {
+	least := s.Stats().Bytes
+	for idle := 0; idle < compactIdle; idle++ {
 		again, err := s.p.run(ctx, s, true)
 		if err != nil || !again {
 			return err
 		}
+		if now := s.Stats().Bytes; now < least {
+			idle, least = -1, now
+		}
 	}
+	return nil
 }
 
+// compactIdle is how many passes in a row may find something to rewrite and yet gain nothing: deletions take a few to
+// become needless.
+const compactIdle = 4
+
 // closeTail is how many bytes of log an orderly end leaves to be read at the next opening.
 const closeTail = 2 << 20
 
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -182,7 +182,7 @@
 	for _, r := range group {
 		total += len(r.b.frame)
 	}
-	if plan.Full(w.size.Load(), int64(total), segment.HeaderSize, s.limits) {
+	if plan.Full(w.size.Load(), int64(total), s.limits) {
 		if err := w.roll(s); err != nil {
 			return err
 		}
@@ -295,7 +295,8 @@
 		for i := range m.Segments {
 			if g := &m.Segments[i]; g.ID == w.id {
 				g.Sealed, g.Last, g.Size = true, w.seq, w.size.Load()
-				g.Live, g.Graves, g.Puts = g.Size-w.graves, w.graves, w.puts
+				g.Graves, g.Puts = w.graves, w.puts
+				g.Live = g.LiveBytes(g.Puts)
 			}
 		}
 		m.Segments = append(m.Segments, plan.Segment{ID: id, Kind: plan.Log, First: w.seq + 1})
