Add a command line on cobra, and traffic recording into the durable store

Need: the store must be looked at, filled and repaired from outside, and recorded traffic is its first user.

--- a/cmd/ospreypond/main.go
+++ b/cmd/ospreypond/main.go
@@ -1,127 +1,13 @@
-// Command ospreypond is one dispatcher: it takes clients' requests and has runners do them.
+// Command ospreypond is one dispatcher: it takes clients' requests and has runners do them. Its other commands look
+// after what it stores.
 package main
 
 import (
-	"context"
-	"fmt"
-	"net"
 	"os"
-	"os/signal"
-	"runtime"
-	"runtime/debug"
-	"syscall"
-	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"ospreypond/internal/config"
-	"ospreypond/internal/egress"
-	"ospreypond/internal/exchange"
-	"ospreypond/internal/ingress"
-	"ospreypond/internal/lifecycle"
-	"ospreypond/internal/routetable"
-	"ospreypond/policy"
+	"ospreypond/internal/cli"
 )
 
 func main() {
-	log := logrus.New()
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
-		TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
-	if err := run(log); err != nil {
-		log.WithError(err).Error("ospreypond cannot go on")
-		os.Exit(1)
-	}
-}
-
-func run(log *logrus.Logger) error {
-	// From the first moment on: a SIGHUP that comes early waits its turn instead of ending the program.
-	hups := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP)
-	cfg, err := config.Load(os.Getenv)
-	if err != nil {
-		return fmt.Errorf("configuration: %w", err)
-	}
-	log.SetLevel(cfg.LogLevel)
-	runtime.GOMAXPROCS(cfg.Procs())
-	debug.SetMemoryLimit(cfg.MemoryTarget())
-
-	life := lifecycle.New(func(from, to lifecycle.Phase) {
-		log.WithFields(logrus.Fields{"name": cfg.Name, "from": from, "to": to}).Info("phase changed")
-	})
-	table := routetable.New()
-	x, err := exchange.New(cfg.Policy, cfg.Seed, log)
-	if err != nil {
-		return err
-	}
-	watcher := routetable.NewWatcher(table, cfg.Discovery, cfg.Hold(), x.News, log)
-	clients, targets := cfg.SocketBudget()
-	x.Attach(egress.New(table, cfg, targets, log), watcher)
-	x.News(policy.Event{Kind: policy.ListRestored, Members: table.Apply(&cfg.Known)})
-
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("key \"listen\": %w", err)
-	}
-	server := ingress.New(x, life, &cfg.Policy, clients, cfg.BodyBudget(), log)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-
-	working := life.Until(lifecycle.Stopped)
-	go watcher.Run(working)
-	go x.Run(working)
-	go reload(working, hups, cfg, watcher, log)
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
-	life.Advance(lifecycle.Serving)
-	log.WithField("addr", listener.Addr()).Info("listening")
-
-	select {
-	case err := <-served:
-		return err
-	case s := <-signals:
-		log.WithField("signal", s).Info("asked to stop")
-	}
-	life.Advance(lifecycle.Draining)
-	err = drain(server, x, cfg.StopWithin())
-	life.Advance(lifecycle.Stopped)
-	if err != nil {
-		log.WithError(err).Error("stopped with requests unanswered")
-	}
-	return nil
-}
-
-// reload takes up a new configuration at each signal: the whole file is read and checked, and a faulty one
-// changes nothing.
-func reload(ctx context.Context, signals <-chan os.Signal, cfg *config.Config, watcher *routetable.Watcher, log *logrus.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-		}
-		next, err := cfg.Reload(os.Getenv)
-		if err != nil {
-			log.WithError(err).Error("new configuration is faulty; the old one stays")
-			continue
-		}
-		watcher.Move(next.Discovery)
-		entry := log.WithField("discovery", next.Discovery)
-		if keys := cfg.NeedRestart(next); len(keys) > 0 {
-			entry = entry.WithField("needs_restart", keys)
-		}
-		entry.Info("configuration reloaded")
-		cfg = next
-	}
+	os.Exit(cli.Main(os.Args[1:], cli.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}, os.Getenv))
 }
-
-// drain stops taking requests and answers those taken: what is still open after the given time is ended.
-func drain(server *ingress.Server, x *exchange.Exchange, within time.Duration) error {
-	end := time.AfterFunc(within, x.Close)
-	defer end.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), within+closeGrace)
-	defer cancel()
-	return server.Shutdown(ctx)
-}
-
-// closeGrace is for the last answers to get out.
-const closeGrace = 300 * time.Millisecond
--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,140 @@
+// Package app puts one running dispatcher together from its configuration, and stops it in order.
+package app
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ospreypond/internal/config"
+	"ospreypond/internal/egress"
+	"ospreypond/internal/exchange"
+	"ospreypond/internal/ingress"
+	"ospreypond/internal/lifecycle"
+	"ospreypond/internal/routetable"
+	"ospreypond/internal/store"
+	"ospreypond/internal/traffic"
+	"ospreypond/policy"
+)
+
+// Options are what the command line tells of a dispatcher.
+type Options struct {
+	// Record is a folder to record traffic in; empty: none is recorded.
+	Record string
+	// Keep is how long recorded traffic is kept.
+	Keep store.Retention
+}
+
+// Serve runs one dispatcher until SIGTERM or an interrupt has ended it in order. SIGHUP has it read its configuration
+// again.
+func Serve(opt Options, getenv func(string) string, log *logrus.Logger) error {
+	// From the first moment on: a SIGHUP that comes early waits its turn instead of ending the program.
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
+	cfg, err := config.Load(getenv)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	log.SetLevel(cfg.LogLevel)
+	runtime.GOMAXPROCS(cfg.Procs())
+	debug.SetMemoryLimit(cfg.MemoryTarget())
+
+	life := lifecycle.New(func(from, to lifecycle.Phase) {
+		log.WithFields(logrus.Fields{"name": cfg.Name, "from": from, "to": to}).Info("phase changed")
+	})
+	table := routetable.New()
+	x, err := exchange.New(cfg.Policy, cfg.Seed, log)
+	if err != nil {
+		return err
+	}
+	watcher := routetable.NewWatcher(table, cfg.Discovery, cfg.Hold(), x.News, log)
+	clients, targets := cfg.SocketBudget()
+	x.Attach(egress.New(table, cfg, targets, log), watcher)
+	if opt.Record != "" {
+		rec, err := traffic.Open(opt.Record, opt.Keep, log)
+		if err != nil {
+			return fmt.Errorf("recording traffic: %w", err)
+		}
+		x.Watch(rec)
+		defer rec.Close()
+	}
+	x.News(policy.Event{Kind: policy.ListRestored, Members: table.Apply(&cfg.Known)})
+
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("key \"listen\": %w", err)
+	}
+	server := ingress.New(x, life, &cfg.Policy, clients, cfg.BodyBudget(), log)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+
+	working := life.Until(lifecycle.Stopped)
+	go watcher.Run(working)
+	go x.Run(working)
+	go reload(working, hups, cfg, getenv, watcher, log)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	life.Advance(lifecycle.Serving)
+	log.WithField("addr", listener.Addr()).Info("listening")
+
+	select {
+	case err := <-served:
+		return err
+	case s := <-signals:
+		log.WithField("signal", s).Info("asked to stop")
+	}
+	life.Advance(lifecycle.Draining)
+	err = drain(server, x, cfg.StopWithin())
+	life.Advance(lifecycle.Stopped)
+	if err != nil {
+		log.WithError(err).Error("stopped with requests unanswered")
+	}
+	return nil
+}
+
+// reload takes up a new configuration at each signal: the whole file is read and checked, and a faulty one
+// changes nothing.
+func reload(ctx context.Context, signals <-chan os.Signal, cfg *config.Config, getenv func(string) string,
+	watcher *routetable.Watcher, log *logrus.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		next, err := cfg.Reload(getenv)
+		if err != nil {
+			log.WithError(err).Error("new configuration is faulty; the old one stays")
+			continue
+		}
+		watcher.Move(next.Discovery)
+		entry := log.WithField("discovery", next.Discovery)
+		if keys := cfg.NeedRestart(next); len(keys) > 0 {
+			entry = entry.WithField("needs_restart", keys)
+		}
+		entry.Info("configuration reloaded")
+		cfg = next
+	}
+}
+
+// drain stops taking requests and answers those taken: what is still open after the given time is ended.
+func drain(server *ingress.Server, x *exchange.Exchange, within time.Duration) error {
+	end := time.AfterFunc(within, x.Close)
+	defer end.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), within+closeGrace)
+	defer cancel()
+	return server.Shutdown(ctx)
+}
+
+// closeGrace is for the last answers to get out.
+const closeGrace = 300 * time.Millisecond
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,36 @@
+package cli
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ospreypond/internal/app"
+	"ospreypond/internal/store"
+)
+
+// Defaults for recorded traffic.
+const (
+	keepAge   = 7 * 24 * time.Hour
+	keepBytes = 1 << 30
+)
+
+func newServe(std Streams, getenv func(string) string) *cobra.Command {
+	opt := app.Options{Keep: store.Retention{Age: keepAge, Bytes: keepBytes}}
+	c := &cobra.Command{Use: "serve", Short: "Run one dispatcher", Args: cobra.NoArgs,
+		Long: "Run one dispatcher in the foreground, configured by the file that LB_CONFIG names.\n" +
+			"SIGHUP has it read that file again; SIGTERM ends it in order.",
+		RunE: func(*cobra.Command, []string) error {
+			log := newLog(std.Err)
+			if err := app.Serve(opt, getenv, log); err != nil {
+				log.WithError(err).Error("ospreypond cannot go on")
+				return errSaid
+			}
+			return nil
+		}}
+	f := c.Flags()
+	f.StringVar(&opt.Record, "record", "", "record what each request was and how it ended in the store in this `folder`")
+	f.DurationVar(&opt.Keep.Age, "record-keep", opt.Keep.Age, "drop recorded traffic older than this")
+	f.Int64Var(&opt.Keep.Bytes, "record-bytes", opt.Keep.Bytes, "drop the oldest recorded traffic over this many bytes")
+	return c
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -46,6 +46,8 @@
 // Submitter takes requests and brings their final answers; exchange.Exchange is one.
 type Submitter interface {
 	Submit(ctx context.Context, r *exchange.Request) exchange.Answer
+	// Turned is told of a request that was answered without it.
+	Turned(r *exchange.Request, a exchange.Answer)
 }
 
 // Server takes clients' requests.
@@ -190,6 +192,8 @@
 	defer s.taken.Add(-1)
 	if !s.tooMany(n) {
 		a = s.to.Submit(r.Context(), req)
+	} else {
+		s.to.Turned(req, a)
 	}
 	_ = control.SetWriteDeadline(time.Now().Add(answerLimit))
 	s.answer(w, req, a)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -24,6 +24,8 @@
 // submitter answers as its function says.
 type submitter func(ctx context.Context, r *exchange.Request) exchange.Answer
 
+func (f submitter) Turned(*exchange.Request, exchange.Answer) {}
+
 func (f submitter) Submit(ctx context.Context, r *exchange.Request) exchange.Answer { return f(ctx, r) }
 
 func testServer(budget int, to submitter) (*Server, *lifecycle.Lifecycle) {
--- a/internal/store/check.go
+++ b/internal/store/check.go
@@ -19,7 +19,7 @@
 	Store    string   `json:"store"` // its id
 	Segments int      `json:"segments"`
 	Frames   int      `json:"frames"`
-	Records  int      `json:"records"`   // keys that are there in what is sealed
+	Records  int      `json:"records"`   // keys that are there
 	TornFrom int64    `json:"torn_from"` // where the torn end of the open segment starts; -1: it is whole
 	TornFile string   `json:"torn_file,omitempty"`
 	Notes    []string `json:"notes,omitempty"` // what opening puts right by itself
@@ -130,7 +130,7 @@
 		return false
 	}
 	if !g.Sealed {
-		c.open(f, g, name)
+		c.open(f, g, name, into[0])
 		return len(c.faults) == before
 	}
 	for i, to := range into {
@@ -148,7 +148,7 @@
 }
 
 // open reads the open segment, whose end may be torn.
-func (c *checker) open(f vfs.File, g plan.Segment, name string) {
+func (c *checker) open(f vfs.File, g plan.Segment, name string, all *gather) {
 	size, err := f.Size()
 	if err != nil {
 		c.fault(&FileError{File: name, Offset: -1, Err: err})
@@ -167,7 +167,7 @@
 				c.fault(&FileError{File: name, Offset: at, Err: fmt.Errorf("%w: commit %d, and %d is due", ErrCorrupt, fr.Seq, next)})
 				return
 			}
-			if err := segment.Ops(fr.Payload, func(segment.Op) error { return nil }); err != nil {
+			if err := all.frame(fr, g, at); err != nil {
 				c.fault(&FileError{File: name, Offset: at, Err: err})
 				return
 			}
--- /dev/null
+++ b/internal/traffic/record.go
@@ -0,0 +1,94 @@
+// Package traffic records what each request was and how it ended, in a durable store, and gives it out again. It never
+// makes a request wait: what cannot be written in time is dropped and counted.
+package traffic
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"ospreypond/internal/exchange"
+)
+
+// Record is one request as it is stored and exported. Times are whole microseconds. There are no bodies in it, and of
+// keys only salted hashes, which are the same for the same key within one store.
+type Record struct {
+	ArrivedUs   int64  `json:"arrived_us"` // since 1970
+	Class       string `json:"class"`
+	Tenant      string `json:"tenant,omitempty"`
+	Key         string `json:"key,omitempty"`         // hash of the route key
+	Idempotency string `json:"idempotency,omitempty"` // hash of the idempotency key
+	Retry       bool   `json:"retry,omitempty"`
+	DeadlineUs  int64  `json:"deadline_us"` // from the arrival on
+	WorkUs      int64  `json:"work_us,omitempty"`
+	// Slots and Memory are what the request takes of its runner.
+	Slots      float64 `json:"slots,omitempty"`
+	Memory     float64 `json:"memory,omitempty"`
+	BodyBytes  int     `json:"body_bytes,omitempty"`
+	Answer     string  `json:"answer"`
+	AnsweredUs int64   `json:"answered_us"` // from the arrival on
+	Hops       []Hop   `json:"hops,omitempty"`
+}
+
+// Hop is one attempt at a request on one runner.
+type Hop struct {
+	Target  string `json:"target"`
+	SentUs  int64  `json:"sent_us"` // from the request's arrival on
+	TookUs  int64  `json:"took_us,omitempty"`
+	Outcome string `json:"outcome"` // "open": it had not ended when the request was recorded
+}
+
+// saltSize is the length of the secret that hashes are made with, bytes.
+const saltSize = 16
+
+// hash returns a short keyed hash, 16 hexadecimal digits, or nothing for nothing. kind keeps one key's hash as a route
+// key apart from its hash as an idempotency key.
+func hash(salt []byte, kind, s string) string {
+	if s == "" {
+		return ""
+	}
+	h := hmac.New(sha256.New, salt)
+	h.Write([]byte(kind))
+	h.Write([]byte(s))
+	return hex.EncodeToString(h.Sum(nil)[:8])
+}
+
+// newRecord returns a record with its keys in clear, which seal hides. It holds nothing of the request's body.
+func newRecord(e *exchange.Ended) Record {
+	r := e.Request
+	rec := Record{ArrivedUs: r.Arrived.UnixMicro(), Class: r.Class, Tenant: r.Tenant, Key: r.Key,
+		Idempotency: r.IdempotencyKey, Retry: r.Retry, DeadlineUs: r.Deadline.Sub(r.Arrived).Microseconds(),
+		WorkUs: r.Work.Microseconds(), Slots: r.Slots, Memory: r.Memory, BodyBytes: len(r.Body), Answer: e.Answer.String(),
+		AnsweredUs: e.Answered.Sub(r.Arrived).Microseconds()}
+	for _, h := range e.Hops {
+		hop := Hop{Target: h.Target, SentUs: h.Sent.Sub(r.Arrived).Microseconds(), Outcome: "open"}
+		if h.Over {
+			hop.TookUs, hop.Outcome = h.Took.Microseconds(), h.Outcome.String()
+		}
+		rec.Hops = append(rec.Hops, hop)
+	}
+	return rec
+}
+
+func (r *Record) seal(salt []byte) {
+	r.Key, r.Idempotency = hash(salt, "route", r.Key), hash(salt, "idempotency", r.Idempotency)
+}
+
+// recordKey orders records by their arrival. The second number keeps apart what came at once.
+func recordKey(arrived time.Time, n uint64) []byte {
+	k := binary.BigEndian.AppendUint64(nil, uint64(arrived.UnixMicro()))
+	return binary.BigEndian.AppendUint64(k, n)
+}
+
+// parse reads what is stored under a key.
+func parse(key, value []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return r, fmt.Errorf("traffic: record %x: %w", key, err)
+	}
+	return r, nil
+}
