--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -34,7 +34,7 @@
 	if opt.PassBytesPerS > 0 {
 		s.pace = rate.NewLimiter(rate.Limit(opt.PassBytesPerS), max(opt.PassBytesPerS/16, pieceBytes))
 	}
-	s.w.wake = make(chan struct{}, 1)
+	s.w.wake, s.w.written, s.w.spare = make(chan struct{}, 1), make(chan written, 1), make(chan []*request, 4)
 	s.p = passer{turn: make(chan struct{}, 1), wake: make(chan struct{}, 1), spared: map[uint64]bool{}}
 	s.p.turn <- struct{}{}
 	lock, err := lockDir(opt.FS, dir, !opt.Existing)
@@ -52,8 +52,9 @@
 		return nil, errors.Join(fmt.Errorf("store %s: %w", dir, err), lock.Close())
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.running.Add(2)
+	s.running.Add(3)
 	go s.w.run(s)
+	go s.w.apply(s)
 	go s.p.loop(s)
 	return s, nil
 }
--- a/internal/store/pass.go
+++ b/internal/store/pass.go
@@ -59,7 +59,7 @@
 			}
 		}
 		retry = nil
-		if _, err := p.run(s.ctx, s, freeze); err != nil && s.ctx.Err() == nil && s.fault.Load() == nil {
+		if _, err := p.run(s.ctx, s, freeze, false); err != nil && s.ctx.Err() == nil && s.fault.Load() == nil {
 			s.opt.Log.WithError(err).WithFields(logrus.Fields{"store": s.dir, "again_in": wait}).
 				Warn("index not written down, compaction put off")
 			retry = time.After(wait)
@@ -90,9 +90,9 @@
 	return err == nil && old
 }
 
-// run makes a pass. With freeze it seals the open segment first, so that all that was committed is in it. again
-// tells that another pass would find more to rewrite.
-func (p *passer) run(ctx context.Context, s *Store, freeze bool) (again bool, err error) {
+// run makes a pass. With freeze it seals the open segment first, so that all that was committed is in it; with
+// onlyIndex it rewrites no segments. again tells that another pass would find more to rewrite.
+func (p *passer) run(ctx context.Context, s *Store, freeze, onlyIndex bool) (again bool, err error) {
 	select {
 	case <-p.turn:
 	case <-ctx.Done():
@@ -126,7 +126,8 @@
 	if err := s.Err(); err != nil {
 		return false, err
 	}
-	ps := &pass{s: s, ctx: ctx, v: v, upTo: v.frozen.upTo, live: map[uint64]int64{}, held: map[uint16][]int64{}}
+	ps := &pass{s: s, ctx: ctx, v: v, upTo: v.frozen.upTo, onlyIndex: onlyIndex, live: map[uint64]int64{},
+		held: map[uint16][]int64{}}
 	err = ps.make(p.spared)
 	if err != nil {
 		ps.discard()
@@ -146,14 +147,16 @@
 
 // pass is one pass on its way.
 type pass struct {
-	s       *Store
-	ctx     context.Context
-	v       *version
-	upTo    uint64
-	victims []uint64
-	staying []plan.Segment
-	marks   []plan.Mark
-	reading uint64 // the victim read last
+	s    *Store
+	ctx  context.Context
+	v    *version
+	upTo uint64
+	// onlyIndex: no segments are rewritten.
+	onlyIndex bool
+	victims   []uint64
+	staying   []plan.Segment
+	marks     []plan.Mark
+	reading   uint64 // the victim read last
 
 	out     *output
 	outputs []plan.Segment
@@ -180,7 +183,9 @@
 	s.manMu.Lock()
 	man := s.man.Clone()
 	s.manMu.Unlock()
-	p.victims = p.victimsOf(man.Segments, spared)
+	if !p.onlyIndex {
+		p.victims = p.victimsOf(man.Segments, spared)
+	}
 	for _, g := range man.Segments {
 		if !slices.Contains(p.victims, g.ID) {
 			p.staying = append(p.staying, g)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -245,7 +245,7 @@
 func (s *Store) Compact(ctx context.Context) error {
 	least := s.Stats().Bytes
 	for idle := 0; idle < compactIdle; idle++ {
-		again, err := s.p.run(ctx, s, true)
+		again, err := s.p.run(ctx, s, true, false)
 		if err != nil || !again {
 			return err
 		}
@@ -276,8 +276,11 @@
 	if s.fault.Load() == nil {
 		err = s.Sync()
 		if err == nil && s.w.tail() > closeTail {
+			if s.pace != nil {
+				s.pace.SetLimit(rate.Inf) // nobody else is waiting for the disk now
+			}
 			// Only saves time at the next opening, so that a fault of it harms nothing.
-			if _, perr := s.p.run(s.ctx, s, false); perr != nil {
+			if _, perr := s.p.run(s.ctx, s, true, true); perr != nil {
 				s.opt.Log.WithError(perr).WithField("store", s.dir).Warn("index not written down at the end")
 			}
 		}
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -23,6 +23,8 @@
 	queue   []*request
 	stopped bool
 	wake    chan struct{}
+	written chan written    // to the applier
+	spare   chan []*request // and back
 
 	h      *handle
 	id     uint64
@@ -114,7 +116,7 @@
 		defer t.Stop()
 		tick = t.C
 	}
-	var queue, group []*request
+	var queue []*request
 	for open := true; open; {
 		select {
 		case <-tick:
@@ -127,14 +129,14 @@
 		w.mu.Lock()
 		queue, w.queue = w.queue, queue[:0]
 		w.mu.Unlock()
-		group = group[:0]
-		bytes := 0
+		group, bytes := w.takeGroup(), 0
 		for _, r := range queue {
 			if r.do != nil || bytes+r.size() > groupBytes {
 				w.commit(s, group)
-				group, bytes = group[:0], 0
+				group, bytes = w.takeGroup(), 0
 			}
 			if r.do != nil {
+				w.settle()
 				r.done <- r.do()
 				continue
 			}
@@ -142,8 +144,9 @@
 		}
 		w.commit(s, group)
 		clear(queue)
-		clear(group)
 	}
+	w.settle()
+	close(w.written)
 	if s.opt.SyncEvery > 0 && s.fault.Load() == nil {
 		_ = w.sync(s)
 	}
@@ -156,12 +159,21 @@
 	return len(r.b.frame)
 }
 
-// commit writes batches, syncs once, and has readers see them.
+// written is a group that is on its way from the log to the index.
+type written struct {
+	group   []*request
+	segment uint32
+	at      uint32        // where its first frame lies
+	settled chan struct{} // instead of a group: closed once all before is in the index
+}
+
+// commit writes batches, syncs once, and hands them on to the applier.
 func (w *writer) commit(s *Store, group []*request) {
 	if len(group) == 0 {
 		return
 	}
-	if err := w.write(s, group); err != nil {
+	at, err := w.write(s, group)
+	if err != nil {
 		for _, r := range group {
 			r.seq = 0
 			r.done <- err
@@ -169,14 +181,57 @@
 		return
 	}
 	w.commits.Add(uint64(len(group)))
-	for _, r := range group {
-		r.done <- nil
+	w.written <- written{group: group, segment: uint32(w.id), at: at}
+}
+
+// settle waits until all that was written is in the index.
+func (w *writer) settle() {
+	done := make(chan struct{})
+	w.written <- written{settled: done}
+	<-done
+}
+
+// takeGroup returns an empty slice for a group, one that the applier is done with if there is any.
+func (w *writer) takeGroup() []*request {
+	select {
+	case g := <-w.spare:
+		return g
+	default:
+		return nil
+	}
+}
+
+// apply is the applier's goroutine: it has readers see what was written, and answers, while the writer's is at the
+// next group.
+func (w *writer) apply(s *Store) {
+	defer s.running.Done()
+	for g := range w.written {
+		if g.settled != nil {
+			close(g.settled)
+			continue
+		}
+		s.mu.Lock()
+		for _, r := range g.group {
+			r.b.apply(s.over, r.seq, g.segment, g.at)
+			g.at += uint32(len(r.b.frame))
+			s.seq = r.seq
+		}
+		s.mu.Unlock()
+		for _, r := range g.group {
+			r.done <- nil
+		}
+		clear(g.group)
+		select {
+		case w.spare <- g.group[:0]:
+		default:
+		}
 	}
 }
 
-func (w *writer) write(s *Store, group []*request) error {
+// write returns where the group's first frame lies.
+func (w *writer) write(s *Store, group []*request) (uint32, error) {
 	if err := s.Err(); err != nil {
-		return err
+		return 0, err
 	}
 	total := 0
 	for _, r := range group {
@@ -184,8 +239,9 @@
 	}
 	if plan.Full(w.size.Load(), int64(total), s.limits) {
 		if err := w.roll(s); err != nil {
-			return err
+			return 0, err
 		}
+		w.settle()
 		w.freezeIfDue(s)
 	}
 	now := s.opt.Now()
@@ -204,7 +260,7 @@
 		w.buf = nil
 	}
 	if _, err := w.h.f.WriteAt(buf, start); err != nil {
-		return w.undo(s, start, err)
+		return 0, w.undo(s, start, err)
 	}
 	w.seq, w.dirty = seq, true
 	w.size.Add(int64(total))
@@ -214,21 +270,13 @@
 	}
 	if s.opt.SyncEvery == 0 {
 		if err := w.sync(s); err != nil {
-			return err
+			return 0, err
 		}
 	}
-	at := uint32(start)
-	s.mu.Lock()
-	for _, r := range group {
-		r.b.apply(s.over, r.seq, uint32(w.id), at)
-		at += uint32(len(r.b.frame))
-	}
-	s.seq = seq
-	s.mu.Unlock()
 	for _, r := range group {
 		w.count(r.b)
 	}
-	return nil
+	return uint32(start), nil
 }
 
 // count keeps the open segment's figures.
