Read the log in the order of its commits, trim it at the end, pass sooner where keys are rewritten

Cause: a segment made ready early can be opened after one with a higher number, and replay went by numbers, so opening after a crash refused (found by the crash test; in no release). Also: zeros left at the end by Close were read at the next opening, and few keys written over and over left 128 MB before a pass. Change: order by first commit; Close trims; a pass is due when the index is small beside the log.

--- a/internal/store/model_test.go
+++ b/internal/store/model_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -342,6 +343,9 @@
 	require.ErrorIs(t, err, store.ErrClosed)
 	_, err = store.Open(t.TempDir(), store.Options{Existing: true})
 	require.ErrorIs(t, err, store.ErrNoStore)
+	file := filepath.Join(base, "MANIFEST-A")
+	_, err = store.Open(filepath.Join(file, "x"), store.Options{})
+	require.ErrorContains(t, err, file)
 	_, err = store.Open(t.TempDir(), store.Options{SegmentBytes: 1})
 	require.ErrorContains(t, err, "SegmentBytes")
 }
--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -343,10 +343,7 @@
 		known = man.Table.Seq
 	}
 	next := known + 1
-	for _, g := range man.Segments {
-		if g.Kind != plan.Log || g.Sealed && g.Last <= known {
-			continue
-		}
+	for _, g := range plan.Unknown(man.Segments, known) {
 		h := segs[uint32(g.ID)]
 		if g.First != next {
 			return &FileError{File: h.name, Offset: 0,
--- a/internal/store/plan/plan.go
+++ b/internal/store/plan/plan.go
@@ -84,13 +84,16 @@
 // overlayMost bounds the part of the index in memory, however large the part on disk is.
 const overlayMost = 16 << 20
 
-// Due tells whether a pass is worth its cost when a segment is sealed: the index is written anew each time, so it
-// must have grown by a part of itself, or opening would take long.
+// Due tells whether a pass is worth its cost when a segment is sealed. The index is written anew each time, so it must
+// have grown by a part of itself; or it must be small beside the log, as where few keys are written over and over, so
+// that what is dead goes soon; or opening would take long.
 func Due(t Tail, l Limits) bool {
 	if t.Log == 0 {
 		return false
 	}
-	return t.Overlay >= min(overlayMost, max(t.Table/4, l.SegmentBytes*3/8)) || t.Log >= 8*l.SegmentBytes
+	grown := t.Overlay >= min(overlayMost, max(t.Table/4, l.SegmentBytes*3/8))
+	cheap := t.Log >= 2*l.SegmentBytes && t.Table+t.Overlay <= t.Log/4
+	return grown || cheap || t.Log >= 8*l.SegmentBytes
 }
 
 // Victims chooses the segments that a pass rewrites or drops, the emptiest first. The pass has the index up to the
@@ -142,6 +145,19 @@
 	return ids
 }
 
+// Unknown returns the log segments with commits over known, in the order of their commits. That is not the order of their
+// numbers: a segment that was made ready early may be opened after one with a higher number.
+func Unknown(segments []Segment, known uint64) []Segment {
+	var log []Segment
+	for _, s := range segments {
+		if s.Kind == Log && (!s.Sealed || s.Last > known) {
+			log = append(log, s)
+		}
+	}
+	slices.SortFunc(log, func(a, b Segment) int { return cmp.Compare(a.First, b.First) })
+	return log
+}
+
 // GraveNeeded tells whether a deletion with that number must outlast its segment: whether one of the segments that
 // stay may hold a record that it shadows, which an index made anew from the segments would find.
 func GraveNeeded(seq uint64, staying []Segment) bool {
--- a/internal/store/plan/plan_test.go
+++ b/internal/store/plan/plan_test.go
@@ -92,7 +92,21 @@
 	require.True(t, Due(Tail{Log: 1 << 20, Overlay: 400 << 10}, limits))
 	require.False(t, Due(Tail{Log: 1 << 20, Overlay: 400 << 10, Table: 4 << 20}, limits))
 	require.True(t, Due(Tail{Log: 8 << 20, Overlay: 1, Table: 4 << 20}, limits))
+	require.True(t, Due(Tail{Log: 2 << 20, Overlay: 100 << 10, Table: 100 << 10}, limits), "few keys, much of the log is dead")
+	require.False(t, Due(Tail{Log: 2 << 20, Overlay: 100 << 10, Table: 1 << 20}, limits))
 	require.True(t, Due(Tail{Log: 1 << 20, Overlay: 16 << 20, Table: 1 << 30}, limits), "memory is bounded")
 	require.False(t, Full(Header, 2<<20, limits), "a batch larger than a segment gets an empty one")
 	require.True(t, Full(Header+1, 1<<20, limits))
 }
+
+func TestTheLogIsReadInTheOrderOfItsCommits(t *testing.T) {
+	s := []Segment{
+		{ID: 3, Kind: Output, Sealed: true, First: 1, Last: 9},
+		{ID: 5, Kind: Log, Sealed: true, First: 5, Last: 9},
+		{ID: 6, Kind: Log, First: 31},
+		{ID: 8, Kind: Log, Sealed: true, First: 20, Last: 30},
+		{ID: 9, Kind: Log, Sealed: true, First: 10, Last: 19},
+	}
+	require.Equal(t, []Segment{s[4], s[3], s[2]}, Unknown(s, 9))
+	require.Equal(t, []Segment{s[2]}, Unknown(s, 30))
+}
--- a/internal/store/prepare.go
+++ b/internal/store/prepare.go
@@ -91,7 +91,7 @@
 	return head.ID, h, false, err
 }
 
-// trim cuts the zeros off the open segment when it is sealed.
+// trim cuts the zeros off the open segment when it is sealed or the store is closed.
 func (w *writer) trim(s *Store) error {
 	if !w.prepared {
 		return nil
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -21,6 +21,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"path/filepath"
@@ -289,6 +290,9 @@
 			}
 		}
 	}
+	if s.fault.Load() == nil {
+		err = errors.Join(err, s.w.control(s, func() error { return s.w.trim(s) }))
+	}
 	s.cancel()
 	s.w.stop()
 	s.running.Wait()
