--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -59,13 +60,18 @@
 	watcher := routetable.NewWatcher(table, cfg.Discovery, cfg.Hold(), x.News, log)
 	clients, targets := cfg.SocketBudget()
 	x.Attach(egress.New(table, cfg, targets, log), watcher)
+	var ran sync.WaitGroup
 	if opt.Record != "" {
 		rec, err := traffic.Open(opt.Record, opt.Keep, log)
 		if err != nil {
 			return fmt.Errorf("recording traffic: %w", err)
 		}
 		x.Watch(rec)
-		defer rec.Close()
+		defer func() {
+			life.Advance(lifecycle.Stopped) // whatever ended it, so that the exchange ends and tells of the last ones
+			ran.Wait()
+			_ = rec.Close() // it logs what it could not write
+		}()
 	}
 	x.News(policy.Event{Kind: policy.ListRestored, Members: table.Apply(&cfg.Known)})
 
@@ -80,7 +86,7 @@
 
 	working := life.Until(lifecycle.Stopped)
 	go watcher.Run(working)
-	go x.Run(working)
+	ran.Go(func() { x.Run(working) })
 	go reload(working, hups, cfg, getenv, watcher, log)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
--- a/internal/cli/store.go
+++ b/internal/cli/store.go
@@ -151,7 +151,7 @@
 				return err
 			}
 			defer func() { err = errors.Join(err, s.Close()) }()
-			a := appender{s: s, most: batch, out: std.Out, sync: every > 0}
+			a := appender{s: s, most: batch, out: std.Out}
 			in := bufio.NewScanner(std.In)
 			in.Buffer(nil, 2*store.MaxBatch)
 			n := 0
@@ -183,7 +183,6 @@
 	b    store.Batch
 	most int
 	out  io.Writer
-	sync bool
 }
 
 func (a *appender) line(text []byte) error {
