Have the store's tests share clock, hook and flags with the passes without races

Cause: passes and the making ready of segments run beside the tests since lately and look at what the tests changed (seen by -race in the tests alone, not in the store). Change: atomics, and a setter with the file system's lock.

--- a/internal/store/crash_test.go
+++ b/internal/store/crash_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -168,7 +169,7 @@
 	}
 	for n := 1; ; n += step {
 		h := newHistory(&vfstest.Mem{}, 7, store.Options{PassBytesPerS: -1})
-		h.fs.OnCall = func(c vfstest.Call) vfstest.Fault { return vfstest.Fault{Off: c.N == n} }
+		h.fs.SetOnCall(func(c vfstest.Call) vfstest.Fault { return vfstest.Fault{Off: c.N == n} })
 		if h.run(130) == nil {
 			break
 		}
@@ -179,7 +180,7 @@
 			// A second crash while it recovers, and a third.
 			for range 2 {
 				at := 1 + rnd.IntN(12)
-				left.OnCall = func(c vfstest.Call) vfstest.Fault { return vfstest.Fault{Off: c.N == at} }
+				left.SetOnCall(func(c vfstest.Call) vfstest.Fault { return vfstest.Fault{Off: c.N == at} })
 				opt := h.opt
 				opt.FS = left
 				if s, err := store.Open(dir, opt); err == nil {
@@ -220,7 +221,7 @@
 func TestSyncEveryLosesNoMoreThanThePromiseAndKeepsTheOrder(t *testing.T) {
 	for n := 5; n < 200; n += 3 {
 		h := newHistory(&vfstest.Mem{}, 9, store.Options{PassBytesPerS: -1, SyncEvery: 1e9})
-		h.fs.OnCall = func(c vfstest.Call) vfstest.Fault { return vfstest.Fault{Off: c.N == n} }
+		h.fs.SetOnCall(func(c vfstest.Call) vfstest.Fault { return vfstest.Fault{Off: c.N == n} })
 		s, err := store.Open(dir, h.opt)
 		if err != nil {
 			continue
@@ -441,15 +442,15 @@
 		require.NoError(t, err)
 		spaces, err := h.begin(s)
 		require.NoError(t, err)
-		full := false
+		var full atomic.Bool
 		base := h.fs.Calls()
-		h.fs.OnCall = func(c vfstest.Call) vfstest.Fault {
+		h.fs.SetOnCall(func(c vfstest.Call) vfstest.Fault {
 			if c.N-base >= n && c.N-base < n+25 && (c.Op == "write" || c.Op == "create") {
-				full = true
+				full.Store(true)
 				return vfstest.Fault{Err: syscall.ENOSPC, Short: c.N % 50}
 			}
 			return vfstest.Fault{}
-		}
+		})
 		failed := 0
 		for range 120 {
 			if err := h.commit(s, spaces); err != nil {
@@ -459,7 +460,7 @@
 				require.Equal(t, h.states[h.acked], state(t, s), "reading goes on")
 			}
 		}
-		if !full { // there are no more calls
+		if !full.Load() { // there are no more calls
 			require.Greater(t, n, 100)
 			require.NoError(t, s.Close())
 			break
@@ -481,12 +482,12 @@
 		spaces, err := h.begin(s)
 		require.NoError(t, err)
 		base := h.fs.Calls()
-		h.fs.OnCall = func(c vfstest.Call) vfstest.Fault {
+		h.fs.SetOnCall(func(c vfstest.Call) vfstest.Fault {
 			if c.N-base == n && (c.Op == "sync" || c.Op == "syncdir") {
 				return vfstest.Fault{Err: syscall.EIO}
 			}
 			return vfstest.Fault{}
-		}
+		})
 		for range 120 {
 			if err = h.commit(s, spaces); err != nil {
 				break
--- a/internal/store/model_test.go
+++ b/internal/store/model_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -263,8 +264,10 @@
 }
 
 func TestRetentionDropsWholeOldDataAndNothingElse(t *testing.T) {
-	now := time.UnixMilli(1_000_000_000_000)
-	opt := store.Options{FS: &vfstest.Mem{}, SegmentBytes: 8 << 10, PassBytesPerS: -1, Now: func() time.Time { return now }}
+	var now atomic.Int64 // ms; passes look at the clock too
+	now.Store(1_000_000_000_000)
+	opt := store.Options{FS: &vfstest.Mem{}, SegmentBytes: 8 << 10, PassBytesPerS: -1,
+		Now: func() time.Time { return time.UnixMilli(now.Load()) }}
 	s := open(t, dir, opt)
 	aged, err := s.Space("aged", store.Retention{Age: time.Hour})
 	require.NoError(t, err)
@@ -273,7 +276,7 @@
 	kept := space(t, s, "kept")
 	value := strings.Repeat("v", 200)
 	for n := range 1000 {
-		now = now.Add(10 * time.Second) // 2 h 46 min in all
+		now.Add(10_000) // 2 h 46 min in all
 		key := fmt.Sprintf("%04d", n)
 		put(t, s, aged, key, value)
 		put(t, s, sized, key, value)
--- a/internal/store/vfs/vfstest/mem.go
+++ b/internal/store/vfs/vfstest/mem.go
@@ -105,6 +105,13 @@
 	return f
 }
 
+// SetOnCall replaces OnCall while the file system is in use.
+func (m *Mem) SetOnCall(f func(Call) Fault) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.OnCall = f
+}
+
 // Calls tells how many calls there were.
 func (m *Mem) Calls() int {
 	m.mu.Lock()
