--- a/internal/store/crash_test.go
+++ b/internal/store/crash_test.go
@@ -436,7 +436,7 @@
 }
 
 func TestADiskThatIsFullFailsTheCommitAndNothingElse(t *testing.T) {
-	for n := 1; n < 400; n += 3 {
+	for n := 1; n < 400; n++ {
 		h := newHistory(&vfstest.Mem{}, 13, store.Options{PassBytesPerS: -1})
 		s, err := store.Open(dir, h.opt)
 		require.NoError(t, err)
@@ -475,7 +475,7 @@
 
 func TestAFailedSyncIsNeverTakenForOneThatWorked(t *testing.T) {
 	readOnly := 0
-	for n := 1; n < 500; n += 3 {
+	for n := 1; n < 500; n++ {
 		h := newHistory(&vfstest.Mem{}, 17, store.Options{PassBytesPerS: -1})
 		s, err := store.Open(dir, h.opt)
 		require.NoError(t, err)
--- a/internal/store/pass.go
+++ b/internal/store/pass.go
@@ -197,7 +197,7 @@
 			p.held[space] = make([]int64, len(p.marks))
 		}
 	}
-	if err := p.writeTable(man); err != nil {
+	if err := p.writeTable(); err != nil {
 		return err
 	}
 	if err := p.keepGraves(man); err != nil {
@@ -213,7 +213,7 @@
 }
 
 // writeTable goes over the whole index, writes it down, and copies what lies in victims.
-func (p *pass) writeTable(man *manifest.Manifest) error {
+func (p *pass) writeTable() error {
 	s := p.s
 	id := s.nextID()
 	name := tableName(id)
@@ -224,10 +224,6 @@
 	p.base = &baseTable{h: newHandle(f, name)}
 	file := &pacedFile{pass: p, f: f, name: name}
 	w := table.NewWriter(file, table.Info{Store: s.id, ID: id, Seq: p.upTo})
-	kinds := map[uint64]plan.Kind{}
-	for _, g := range man.Segments {
-		kinds[g.ID] = g.Kind
-	}
 	m := newMerge(p.v.floors, "", p.v.table(), p.v.frozen)
 	var value []byte
 	for m.next() {
--- a/internal/store/space.go
+++ b/internal/store/space.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
@@ -182,6 +181,3 @@
 	value, err := v.read([]byte(key), loc, nil)
 	return value, loc.Seq, err
 }
-
-// IsNotFound tells whether an error says that there is no such key.
-func IsNotFound(err error) bool { return errors.Is(err, ErrNotFound) }
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -27,7 +27,6 @@
 	wake     chan struct{}
 	written  chan written    // to the applier
 	spare    chan []*request // and back
-	want     int             // guarded by mu: wake is not needed before so many are queued
 	last     int             // in the last group
 	syncTook time.Duration   // on average, lately
 
