--- a/internal/cli/store.go
+++ b/internal/cli/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -33,8 +34,16 @@
 	Delete    bool    `json:"delete,omitempty"`
 }
 
-func openStore(std Streams, dir string, existing bool) (*store.Store, error) {
-	return store.Open(dir, store.Options{Existing: existing, Log: newLog(std.Err)})
+// withStore opens a store that is there, has f work on it until it is done or interrupted, and closes it.
+func withStore(c *cobra.Command, std Streams, dir string, f func(context.Context, *store.Store) error) (err error) {
+	ctx, stop := interruptible(c.Context())
+	defer stop()
+	s, err := store.Open(dir, store.Options{Existing: true, Log: newLog(std.Err)})
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, s.Close()) }()
+	return f(ctx, s)
 }
 
 func printJSON(w io.Writer, v any) error {
@@ -68,46 +77,41 @@
 		Long: "Print a store's records, one JSON object a line, by space and in the order of the keys:\n" +
 			"  {\"space\":\"a\",\"key\":BASE64,\"value\":BASE64,\"seq\":N}\n" +
 			"With --text, what is UTF-8 comes as \"key_text\" and \"value_text\" instead. 'append' reads either.",
-		RunE: func(c *cobra.Command, args []string) (err error) {
-			ctx, stop := interruptible(c.Context())
-			defer stop()
-			s, err := openStore(std, args[0], true)
-			if err != nil {
-				return err
-			}
-			defer func() { err = errors.Join(err, s.Close()) }()
-			out := bufio.NewWriter(std.Out)
-			enc := json.NewEncoder(out)
-			snap := s.Snapshot()
-			defer snap.Close()
-			spaces := s.Spaces()
-			slices.SortFunc(spaces, func(a, b *store.Space) int { return strings.Compare(a.Name(), b.Name()) })
-			if only != "" {
-				sp, err := s.Lookup(only)
-				if err != nil {
-					return err
-				}
-				spaces = []*store.Space{sp}
-			}
-			for _, sp := range spaces {
-				it := snap.Range(sp, nil, nil)
-				for it.Next() {
-					value, err := it.Value()
-					if err == nil {
-						err = ctx.Err()
-					}
-					if err == nil {
-						err = enc.Encode(newLine(sp.Name(), it.Key(), value, it.Seq(), text))
-					}
+		RunE: func(c *cobra.Command, args []string) error {
+			return withStore(c, std, args[0], func(ctx context.Context, s *store.Store) error {
+				out := bufio.NewWriter(std.Out)
+				enc := json.NewEncoder(out)
+				snap := s.Snapshot()
+				defer snap.Close()
+				spaces := s.Spaces()
+				slices.SortFunc(spaces, func(a, b *store.Space) int { return strings.Compare(a.Name(), b.Name()) })
+				if only != "" {
+					sp, err := s.Lookup(only)
 					if err != nil {
 						return err
 					}
+					spaces = []*store.Space{sp}
 				}
-				if err := it.Err(); err != nil {
-					return err
+				for _, sp := range spaces {
+					it := snap.Range(sp, nil, nil)
+					for it.Next() {
+						value, err := it.Value()
+						if err == nil {
+							err = ctx.Err()
+						}
+						if err == nil {
+							err = enc.Encode(newLine(sp.Name(), it.Key(), value, it.Seq(), text))
+						}
+						if err != nil {
+							return err
+						}
+					}
+					if err := it.Err(); err != nil {
+						return err
+					}
 				}
-			}
-			return out.Flush()
+				return out.Flush()
+			})
 		}}
 	c.Flags().BoolVar(&text, "text", false, "print keys and values that are UTF-8 as text")
 	c.Flags().StringVar(&only, "space", "", "print only the space of this `name`")
@@ -250,49 +254,41 @@
 	return &cobra.Command{Use: "compact DIR", Short: "Drop what is dead and write the index down", Args: cobra.ExactArgs(1),
 		Long: "Rewrite the segments that are mostly dead, drop what is too old, and write the index down. The store's figures\n" +
 			"before and after are printed.",
-		RunE: func(c *cobra.Command, args []string) (err error) {
-			ctx, stop := interruptible(c.Context())
-			defer stop()
-			s, err := openStore(std, args[0], true)
-			if err != nil {
-				return err
-			}
-			defer func() { err = errors.Join(err, s.Close()) }()
-			before := s.Stats()
-			if err := s.Compact(ctx); err != nil {
-				return err
-			}
-			return printJSON(std.Out, map[string]store.Stats{"before": before, "after": s.Stats()})
+		RunE: func(c *cobra.Command, args []string) error {
+			return withStore(c, std, args[0], func(ctx context.Context, s *store.Store) error {
+				before := s.Stats()
+				if err := s.Compact(ctx); err != nil {
+					return err
+				}
+				return printJSON(std.Out, map[string]store.Stats{"before": before, "after": s.Stats()})
+			})
 		}}
 }
 
 func newStoreStats(std Streams) *cobra.Command {
 	return &cobra.Command{Use: "stats DIR", Short: "Print a store's figures", Args: cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) (err error) {
-			s, err := openStore(std, args[0], true)
-			if err != nil {
-				return err
-			}
-			defer func() { err = errors.Join(err, s.Close()) }()
-			type space struct {
-				Name      string `json:"name"`
-				KeepAge   string `json:"keep_age,omitempty"`
-				KeepBytes int64  `json:"keep_bytes,omitempty"`
-			}
-			out := struct {
-				store.Stats
-				Spaces []space `json:"spaces"`
-			}{s.Stats(), []space{}}
-			for _, sp := range s.Spaces() {
-				r := sp.Retention()
-				v := space{Name: sp.Name(), KeepBytes: r.Bytes}
-				if r.Age > 0 {
-					v.KeepAge = r.Age.String()
+		RunE: func(c *cobra.Command, args []string) error {
+			return withStore(c, std, args[0], func(_ context.Context, s *store.Store) error {
+				type space struct {
+					Name      string `json:"name"`
+					KeepAge   string `json:"keep_age,omitempty"`
+					KeepBytes int64  `json:"keep_bytes,omitempty"`
 				}
-				out.Spaces = append(out.Spaces, v)
-			}
-			slices.SortFunc(out.Spaces, func(a, b space) int { return strings.Compare(a.Name, b.Name) })
-			return printJSON(std.Out, out)
+				out := struct {
+					store.Stats
+					Spaces []space `json:"spaces"`
+				}{s.Stats(), []space{}}
+				for _, sp := range s.Spaces() {
+					r := sp.Retention()
+					v := space{Name: sp.Name(), KeepBytes: r.Bytes}
+					if r.Age > 0 {
+						v.KeepAge = r.Age.String()
+					}
+					out.Spaces = append(out.Spaces, v)
+				}
+				slices.SortFunc(out.Spaces, func(a, b space) int { return strings.Compare(a.Name, b.Name) })
+				return printJSON(std.Out, out)
+			})
 		}}
 }
 
