Add the console address, and listen beside a second process with SO_REUSEPORT

Every call is answered from state the handler can reach at once (the ingress's drain flag, the route table's lock); the module hears of a ban through the exchange's inbox from a goroutine of its own, so no call waits on the exchange. Bans are decided in internal/maintenance (no I/O, no clock): counted, lifted by one call, an unknown id refused, and a runner let back in is told to the module as started then, so it is warmed as a cold one. The route table shows a banned runner as draining to the module and closed to egress, whatever discovery says; the bans are kept in a file under $TMPDIR, replaced by rename, for the process that takes over. A drain makes /health/ready say no, turns keep-alives off (net/http closes the idle connections) and for 3.5 s closes connections that never brought a request.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ospreypond/internal/config"
+	"ospreypond/internal/console"
 	"ospreypond/internal/egress"
 	"ospreypond/internal/exchange"
 	"ospreypond/internal/ingress"
@@ -52,7 +53,11 @@
 	life := lifecycle.New(func(from, to lifecycle.Phase) {
 		log.WithFields(logrus.Fields{"name": cfg.Name, "from": from, "to": to}).Info("phase changed")
 	})
-	table := routetable.New()
+	banned, err := loadBans(os.TempDir())
+	if err != nil {
+		log.WithError(err).Error("the runners taken out before this process are not known")
+	}
+	table := routetable.New(banned...)
 	x, err := exchange.New(cfg.Policy, cfg.Seed, log)
 	if err != nil {
 		return err
@@ -75,11 +80,25 @@
 	}
 	x.News(policy.Event{Kind: policy.ListRestored, Members: table.Apply(&cfg.Known)})
 
-	listener, err := net.Listen("tcp", cfg.Listen)
+	listener, err := listen(context.Background(), cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("key \"listen\": %w", err)
 	}
 	server := ingress.New(x, life, &cfg.Policy, clients, cfg.BodyBudget(), log)
+	if cfg.Console != "" {
+		l, err := net.Listen("tcp", cfg.Console)
+		if err != nil {
+			return fmt.Errorf("key \"console\": %w", err)
+		}
+		ops := console.New(&operator{server: server, table: table, news: x.News, dir: os.TempDir(), log: log}, log)
+		defer ops.Close()
+		go func() {
+			if err := ops.Serve(l); err != nil {
+				log.WithError(err).Error("the console stopped")
+			}
+		}()
+		log.WithField("addr", l.Addr()).Info("console listening")
+	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
--- /dev/null
+++ b/internal/app/operator.go
@@ -0,0 +1,99 @@
+package app
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ospreypond/internal/console"
+	"ospreypond/internal/ingress"
+	"ospreypond/internal/maintenance"
+	"ospreypond/internal/routetable"
+	"ospreypond/policy"
+)
+
+// bansFile holds the runners that operators took out, under $TMPDIR: a process that takes over at an upgrade
+// starts with them, since a ban lasts until it is lifted whatever process serves.
+const bansFile = "ospreypond-bans.json"
+
+// operator carries out the console's calls on the running parts. Each call returns at once: the module is
+// told through the exchange's inbox from a goroutine of its own.
+type operator struct {
+	server *ingress.Server
+	table  *routetable.Table
+	news   func(policy.Event)
+	dir    string // where bans are kept for the next process
+	log    logrus.FieldLogger
+}
+
+func (o *operator) Ready() (bool, string) { return o.server.Ready() }
+func (o *operator) Drain()                { o.server.Drain() }
+func (o *operator) Undrain()              { o.server.Undrain() }
+
+func (o *operator) Disable(id string) error {
+	changed, err := o.table.Disable(id)
+	return o.tell(changed, err)
+}
+
+func (o *operator) Enable(id string) error {
+	changed, err := o.table.Enable(id, time.Now())
+	return o.tell(changed, err)
+}
+
+func (o *operator) tell(changed []policy.Member, err error) error {
+	if errors.Is(err, maintenance.ErrUnknown) {
+		return fmt.Errorf("%w", console.ErrUnknown)
+	}
+	if err != nil {
+		return err
+	}
+	if err := saveBans(o.dir, o.table.Banned()); err != nil {
+		o.log.WithError(err).Error("the runners taken out could not be kept for the next process")
+	}
+	if len(changed) > 0 {
+		go o.news(policy.Event{Kind: policy.ListChanged, Members: changed})
+	}
+	return nil
+}
+
+// saveBans replaces the file whole, so that a process that reads it meanwhile sees the old list or the new.
+func saveBans(dir string, ids []string) error {
+	text, err := json.Marshal(ids)
+	if err != nil {
+		return err
+	}
+	tmp, err := os.CreateTemp(dir, bansFile+".*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(tmp.Name()) // after the rename there is nothing to remove
+	if _, err := tmp.Write(text); err != nil {
+		tmp.Close()
+		return err
+	}
+	if err := tmp.Close(); err != nil {
+		return err
+	}
+	return os.Rename(tmp.Name(), filepath.Join(dir, bansFile))
+}
+
+// loadBans reads what a process before this one kept; no file is no ban.
+func loadBans(dir string) ([]string, error) {
+	text, err := os.ReadFile(filepath.Join(dir, bansFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var ids []string
+	if err := json.Unmarshal(text, &ids); err != nil {
+		return nil, fmt.Errorf("%s: %w", bansFile, err)
+	}
+	return ids, nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,7 @@
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
 	Discovery string          `json:"discovery"`
+	Console   string          `json:"console"` // the operators' address; empty: none
 	SeedText  string          `json:"seed"`
 	Limits    Limits          `json:"limits"`
 	Known     routetable.List `json:"known"` // the list of runners as this dispatcher last had it
@@ -56,7 +57,7 @@
 	minSockets      = 64              // fewer leave no room for clients and runners beside the program's own
 )
 
-// Load reads the file that LB_CONFIG names. LB_NAME, LB_LISTEN and LB_DISCOVERY, where set, replace what it
+// Load reads the file that LB_CONFIG names. LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_CONSOLE, where set, replace what it
 // says, and LB_LOG_LEVEL (default info) sets how much is logged. An error names the key or variable at fault.
 func Load(getenv func(string) string) (*Config, error) { return load(getenv, nil) }
 
@@ -73,7 +74,8 @@
 		name string
 		same bool
 	}{
-		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"limits", c.Limits == next.Limits},
+		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"console", c.Console == next.Console},
+		{"limits", c.Limits == next.Limits},
 		{"settings", reflect.DeepEqual(c.Settings, next.Settings)},
 	} {
 		if !k.same {
@@ -104,7 +106,7 @@
 	for _, v := range []struct {
 		name string
 		to   *string
-	}{{"LB_NAME", &c.Name}, {"LB_LISTEN", &c.Listen}, {"LB_DISCOVERY", &c.Discovery}} {
+	}{{"LB_NAME", &c.Name}, {"LB_LISTEN", &c.Listen}, {"LB_DISCOVERY", &c.Discovery}, {"LB_CONSOLE", &c.Console}} {
 		if s := getenv(v.name); s != "" {
 			*v.to = s
 		}
@@ -135,6 +137,9 @@
 			return key(a.name, "%q is not host:port", a.addr)
 		}
 	}
+	if _, port, err := net.SplitHostPort(c.Console); c.Console != "" && (err != nil || port == "") {
+		return key("console", "%q is not host:port", c.Console)
+	}
 	l := &c.Limits
 	setDefault(&l.Cores, defaultCores)
 	setDefault(&l.MemoryMB, defaultMemoryMB)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -63,6 +63,8 @@
 	inHand  atomic.Int64 // requests that have no answer yet
 	taken   atomic.Int64 // those among them that were read whole and are no client's fault
 	full    atomic.Bool
+	crowd   atomic.Pointer[crowd]
+	drained atomic.Bool // asked by an operator to take nothing new, and reversible unlike the phase
 	log     *logrus.Logger
 }
 
@@ -86,7 +88,9 @@
 
 // Serve takes requests from l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(newCrowd(l, s.sockets, s.log)); !errors.Is(err, http.ErrServerClosed) {
+	c := newCrowd(l, s.sockets, s.log)
+	s.crowd.Store(c)
+	if err := s.http.Serve(c); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serving clients: %w", err)
 	}
 	return nil
@@ -99,8 +103,12 @@
 }
 
 func rested(c net.Conn, state http.ConnState) {
-	if k, ok := c.(*client); ok && state == http.StateIdle {
+	k, ok := c.(*client)
+	switch {
+	case ok && state == http.StateIdle:
 		k.rest()
+	case ok && state == http.StateActive:
+		k.speak()
 	}
 }
 
@@ -141,7 +149,7 @@
 	}()
 	s.inHand.Add(1)
 	defer s.inHand.Add(-1)
-	if s.life.Phase() >= lifecycle.Draining {
+	if s.closing() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/health/ready" {
@@ -152,13 +160,27 @@
 }
 
 func (s *Server) ready(w http.ResponseWriter) {
-	if p := s.life.Phase(); p != lifecycle.Serving {
-		s.text(w, http.StatusServiceUnavailable, p.String())
+	if ok, why := s.Ready(); !ok {
+		s.text(w, http.StatusServiceUnavailable, why)
 		return
 	}
 	s.text(w, http.StatusOK, "ready")
 }
 
+// Ready tells whether clients are to be sent here, and if not, why not.
+func (s *Server) Ready() (bool, string) {
+	if p := s.life.Phase(); p != lifecycle.Serving {
+		return false, p.String()
+	}
+	if s.drained.Load() {
+		return false, "drained"
+	}
+	return true, ""
+}
+
+// closing tells whether every answer is to close its connection.
+func (s *Server) closing() bool { return s.drained.Load() || s.life.Phase() >= lifecycle.Draining }
+
 func (s *Server) request(w http.ResponseWriter, r *http.Request) {
 	control := http.NewResponseController(w)
 	// Also for what is not read here: net/http reads the rest of a body before it closes.
@@ -222,7 +244,7 @@
 
 // answer writes a request's final answer.
 func (s *Server) answer(w http.ResponseWriter, req *exchange.Request, a exchange.Answer) {
-	if s.life.Phase() >= lifecycle.Draining { // it may have begun since the request came
+	if s.closing() { // it may have begun since the request came
 		w.Header().Set("Connection", "close")
 	}
 	if s.log.IsLevelEnabled(logrus.DebugLevel) {
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -112,6 +112,7 @@
 	list  *list.List // the one that it waits in; nil: it has a request in hand
 	at    *list.Element
 	gone  bool
+	spoke bool // the first bytes of a request were read; a drain leaves it
 }
 
 // leave takes k out of the books; in.mu is held.
@@ -150,6 +151,37 @@
 		k.at, k.list = k.in.idle.PushBack(k), &k.in.idle
 		k.in.inHand--
 	}
+	k.spoke = false
+}
+
+// speak notes that a request has begun to arrive.
+func (k *client) speak() {
+	k.in.mu.Lock()
+	k.spoke = true
+	k.in.mu.Unlock()
+}
+
+// closeQuiet closes the connections that never brought a request and have been silent for at least least,
+// unless a request has begun on them.
+func (c *crowd) closeQuiet(now time.Time, least time.Duration) {
+	var out []*client
+	c.mu.Lock()
+	for e := c.silent.Front(); e != nil; e = e.Next() {
+		k := e.Value.(*client)
+		if now.Sub(k.since) < least {
+			break // the list is in the order of their coming
+		}
+		if !k.spoke {
+			out = append(out, k)
+		}
+	}
+	for _, k := range out {
+		k.leave()
+	}
+	c.mu.Unlock()
+	for _, k := range out {
+		_ = k.Conn.Close()
+	}
 }
 
 func (k *client) Close() error {
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"ospreypond/internal/maintenance"
 	"ospreypond/policy"
 )
 
@@ -66,13 +67,17 @@
 
 // Table is the route table. It is safe for use by several goroutines.
 type Table struct {
-	mu     sync.RWMutex
-	seq    int64
-	routes map[string]Route
+	mu      sync.RWMutex
+	seq     int64
+	routes  map[string]Route
+	members map[string]policy.Member // as the list tells them, before bans
+	bans    *maintenance.Bans
 }
 
-// New returns an empty table.
-func New() *Table { return &Table{routes: map[string]Route{}} }
+// New returns an empty table in which the runners named by banned are out.
+func New(banned ...string) *Table {
+	return &Table{routes: map[string]Route{}, members: map[string]policy.Member{}, bans: maintenance.New(banned)}
+}
 
 // Seq returns the version of the list that the table holds.
 func (t *Table) Seq() int64 {
@@ -91,8 +96,54 @@
 
 // Open tells whether a runner may be sent anything new.
 func (t *Table) Open(host string) bool {
-	r, ok := t.Lookup(host)
-	return ok && r.State == policy.Ready
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r, ok := t.routes[host]
+	return ok && r.State == policy.Ready && !t.bans.Banned(host)
+}
+
+// Disable takes a runner out until Enable, whatever the list says, and returns what the module is to be told
+// of it: an entry that drains.
+func (t *Table) Disable(host string) ([]policy.Member, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, known := t.members[host]
+	if err := t.bans.Disable(host, known); err != nil {
+		return nil, err
+	}
+	if !known {
+		return nil, nil
+	}
+	return []policy.Member{t.seen(m)}, nil
+}
+
+// Enable lets a runner serve again; it is told to the module as a process that starts now, cold.
+func (t *Table) Enable(host string, now time.Time) ([]policy.Member, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, known := t.members[host]
+	lifted, err := t.bans.Enable(host, known, time.Duration(now.UnixNano()))
+	if err != nil || !lifted || !known {
+		return nil, err
+	}
+	return []policy.Member{t.seen(m)}, nil
+}
+
+// Banned returns the runners that are out, to hand on to a process that takes over.
+func (t *Table) Banned() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.bans.Held()
+}
+
+// seen is a member as the module is to see it: draining while it is out, and started no sooner than it came
+// back. t.mu is held.
+func (t *Table) seen(m policy.Member) policy.Member {
+	if t.bans.Banned(m.Worker) && m.State == policy.Ready {
+		m.State = policy.Draining
+	}
+	m.Started = t.bans.Started(m.Worker, m.Started)
+	return m
 }
 
 // Apply takes in a list and returns the members for the module's event. Entries that make no sense are left
@@ -103,6 +154,7 @@
 	t.seq = l.Seq
 	if l.Whole {
 		clear(t.routes)
+		clear(t.members)
 	}
 	members := make([]policy.Member, 0, len(l.Hosts))
 	for _, h := range l.Hosts {
@@ -110,13 +162,16 @@
 		if err != nil || h.Host == "" {
 			continue
 		}
+		m := policy.Member{Worker: h.Host, Zone: h.Site, Cell: h.Block, Kind: h.Class, State: state,
+			Started: time.Duration(h.BornMs) * time.Millisecond}
 		if state == policy.Gone {
 			delete(t.routes, h.Host)
+			delete(t.members, h.Host)
 		} else {
 			t.routes[h.Host] = Route{Dial: h.Dial, Site: h.Site, State: state}
+			t.members[h.Host] = m
 		}
-		members = append(members, policy.Member{Worker: h.Host, Zone: h.Site, Cell: h.Block, Kind: h.Class,
-			State: state, Started: time.Duration(h.BornMs) * time.Millisecond})
+		members = append(members, t.seen(m))
 	}
 	return members
 }
