--- /dev/null
+++ b/internal/console/console_test.go
@@ -0,0 +1,155 @@
+package console
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// fake keeps what the calls did.
+type fake struct {
+	mu      sync.Mutex
+	drained bool
+	out     map[string]bool
+	known   map[string]bool
+}
+
+func (f *fake) Ready() (bool, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.drained {
+		return false, "drained"
+	}
+	return true, ""
+}
+func (f *fake) Drain()   { f.mu.Lock(); f.drained = true; f.mu.Unlock() }
+func (f *fake) Undrain() { f.mu.Lock(); f.drained = false; f.mu.Unlock() }
+func (f *fake) Disable(id string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.known[id] {
+		return fmt.Errorf("disable: %w", ErrUnknown)
+	}
+	f.out[id] = true
+	return nil
+}
+func (f *fake) Enable(id string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.known[id] {
+		return fmt.Errorf("enable: %w", ErrUnknown)
+	}
+	delete(f.out, id)
+	return nil
+}
+
+func start(t *testing.T) (string, *fake) {
+	t.Helper()
+	f := &fake{out: map[string]bool{}, known: map[string]bool{"s-1": true}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := New(f, log)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return "http://" + l.Addr().String(), f
+}
+
+func call(t *testing.T, method, url, body string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	require.NoError(t, err)
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	assert.True(t, resp.Close, "one call to a connection")
+	return resp.StatusCode, strings.TrimSpace(string(text))
+}
+
+func TestCalls(t *testing.T) {
+	at, f := start(t)
+	code, _ := call(t, "GET", at+"/ready", "")
+	assert.Equal(t, 200, code)
+
+	code, _ = call(t, "POST", at+"/drain", "")
+	assert.Equal(t, 200, code)
+	code, text := call(t, "GET", at+"/ready", "")
+	assert.Equal(t, 503, code)
+	assert.Contains(t, text, "drained")
+	code, _ = call(t, "POST", at+"/undrain", "")
+	assert.Equal(t, 200, code)
+	code, _ = call(t, "GET", at+"/ready", "")
+	assert.Equal(t, 200, code)
+
+	code, _ = call(t, "POST", at+"/runners/disable", "s-1\n")
+	assert.Equal(t, 200, code)
+	assert.True(t, f.out["s-1"], "white space round the id is no part of it")
+	code, _ = call(t, "POST", at+"/runners/enable", "s-1")
+	assert.Equal(t, 200, code)
+	assert.False(t, f.out["s-1"])
+}
+
+func TestNonsenseIsANoThatNamesItsFault(t *testing.T) {
+	at, _ := start(t)
+	for _, c := range []struct {
+		method, path, body string
+		code               int
+		says               string
+	}{
+		{"POST", "/runners/disable", "s-9", 404, "no runner has this id"},
+		{"POST", "/runners/enable", "s-9", 404, "no runner has this id"},
+		{"POST", "/runners/disable", "", 400, "empty"},
+		{"POST", "/runners/disable", "  \n", 400, "empty"},
+		{"POST", "/runners/disable", "s-1 s-2", 400, "more than one id"},
+		{"POST", "/runners/disable", strings.Repeat("x", 300), 413, "over 256"},
+		{"GET", "/drain", "", 405, "only POST"},
+		{"POST", "/ready", "", 405, "only GET"},
+		{"GET", "/runners/disable", "", 405, "only POST"},
+		{"GET", "/nothing", "", 404, "no such call"},
+	} {
+		code, text := call(t, c.method, at+c.path, c.body)
+		assert.Equal(t, c.code, code, "%s %s %q", c.method, c.path, c.body)
+		assert.Contains(t, text, c.says, "%s %s %q", c.method, c.path, c.body)
+	}
+}
+
+// Callers that connect and finish no call hold nobody else up, and are cut off soon.
+func TestCallersWhoNeverFinishDelayNobody(t *testing.T) {
+	at, _ := start(t)
+	host := strings.TrimPrefix(at, "http://")
+	var hung []net.Conn
+	for i := range 20 {
+		c, err := net.Dial("tcp", host)
+		require.NoError(t, err)
+		hung = append(hung, c)
+		if i%2 == 0 { // half send part of a head, half nothing
+			_, _ = c.Write([]byte("POST /drain HTTP/1.1\r\nHost: x\r\n"))
+		}
+	}
+	began := time.Now()
+	code, _ := call(t, "GET", at+"/ready", "")
+	assert.Equal(t, 200, code)
+	assert.Less(t, time.Since(began), 200*time.Millisecond)
+
+	for _, c := range hung {
+		_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		_, err := bufio.NewReader(c).ReadByte()
+		assert.Error(t, err, "a caller who never finishes is cut off")
+		_ = c.Close()
+	}
+	assert.Less(t, time.Since(began), 2*time.Second)
+}
