Take new settings at SIGHUP: a new module for new requests, the old one ends its own

Design: the exchange holds its decision modules as a list; the last takes new requests, those before decide on the requests they took, with the classes and attempts those started with, and are let go when these have ended. Events of a request go to its own module, news of the list, probes and the stop to all. The ingress swaps the names of classes and tenants at once. A broken file leaves the old settings whole: besides the checks that were there (empty, cut off, a deadline not over 0), a key that the settings in force have and the new ones lack, and attempts not over 0, are refused with the key named.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -106,7 +107,7 @@
 	working := life.Until(lifecycle.Stopped)
 	go watcher.Run(working)
 	ran.Go(func() { x.Run(working) })
-	go reload(working, hups, cfg, getenv, watcher, log)
+	go reload(working, hups, cfg, getenv, watcher, retuner{x, server}, log)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	life.Advance(lifecycle.Serving)
@@ -130,7 +131,7 @@
 // reload takes up a new configuration at each signal: the whole file is read and checked, and a faulty one
 // changes nothing.
 func reload(ctx context.Context, signals <-chan os.Signal, cfg *config.Config, getenv func(string) string,
-	watcher *routetable.Watcher, log *logrus.Logger) {
+	watcher *routetable.Watcher, tune retuner, log *logrus.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -142,6 +143,14 @@
 			log.WithError(err).Error("new configuration is faulty; the old one stays")
 			continue
 		}
+		if !reflect.DeepEqual(cfg.Settings, next.Settings) {
+			if err := tune.x.Retune(next.Policy); err != nil {
+				log.WithError(err).Error("new settings are faulty; the old ones stay")
+				continue
+			}
+			tune.server.Retune(&next.Policy)
+			log.WithField("classes", len(next.Policy.Classes)).Info("settings changed; requests under way keep theirs")
+		}
 		watcher.Move(next.Discovery)
 		entry := log.WithField("discovery", next.Discovery)
 		if keys := cfg.NeedRestart(next); len(keys) > 0 {
@@ -152,6 +161,12 @@
 	}
 }
 
+// retuner takes new settings: the exchange for the decisions, the ingress for the names that requests may use.
+type retuner struct {
+	x      *exchange.Exchange
+	server *ingress.Server
+}
+
 // drain stops taking requests and answers those taken: what is still open after the given time is ended.
 func drain(server *ingress.Server, x *exchange.Exchange, within time.Duration) error {
 	end := time.AfterFunc(within, x.Close)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,7 +9,6 @@
 	"math"
 	"net"
 	"os"
-	"reflect"
 	"strconv"
 	"time"
 
@@ -33,6 +32,7 @@
 	Seed     uint64          `json:"-"`
 	Policy   policy.Settings `json:"-"` // Settings, as the decision module takes them
 	inFile   string          // the file's own discovery, whatever LB_DISCOVERY says
+	keys     []string        // of the settings, as dotted paths
 	LogLevel logrus.Level    `json:"-"`
 }
 
@@ -76,7 +76,6 @@
 	}{
 		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"console", c.Console == next.Console},
 		{"limits", c.Limits == next.Limits},
-		{"settings", reflect.DeepEqual(c.Settings, next.Settings)},
 	} {
 		if !k.same {
 			keys = append(keys, k.name)
@@ -125,6 +124,9 @@
 	if err := c.check(); err != nil {
 		return nil, err
 	}
+	if err := c.checkKeys(text, old); err != nil {
+		return nil, err
+	}
 	return c, nil
 }
 
--- /dev/null
+++ b/internal/config/keys.go
@@ -0,0 +1,53 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// settingKeys lists the keys of the settings object and of the objects in it, as dotted paths; what lies in
+// arrays (the classes, the tenants) may differ from one file to the next and is checked by its own rules.
+func settingKeys(text []byte) ([]string, error) {
+	var file struct {
+		Settings map[string]any `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &file); err != nil {
+		return nil, err
+	}
+	var keys []string
+	var walk func(prefix string, m map[string]any)
+	walk = func(prefix string, m map[string]any) {
+		for k, v := range m {
+			keys = append(keys, prefix+k)
+			if inner, ok := v.(map[string]any); ok {
+				walk(prefix+k+".", inner)
+			}
+		}
+	}
+	walk("", file.Settings)
+	slices.Sort(keys)
+	return keys, nil
+}
+
+// checkKeys refuses settings that lack a key that those in force have: a file cut short or written in part
+// would otherwise pass for settings with that figure at zero. Where the file names the attempts allowed, they
+// must be over 0.
+func (c *Config) checkKeys(text []byte, old *Config) error {
+	keys, err := settingKeys(text)
+	if err != nil {
+		return err
+	}
+	c.keys = keys
+	if old != nil {
+		for _, k := range old.keys {
+			if _, found := slices.BinarySearch(keys, k); !found {
+				return fmt.Errorf("key \"settings.%s\": is missing, and the settings in force have it", k)
+			}
+		}
+	}
+	if _, found := slices.BinarySearch(keys, "limits.maxAttempts"); found && c.Settings.Limits.MaxAttempts <= 0 {
+		return fmt.Errorf("key \"settings.limits.maxAttempts\": %d is not over 0", c.Settings.Limits.MaxAttempts)
+	}
+	return nil
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -43,7 +43,7 @@
 	done   chan struct{}
 
 	// The rest belongs to the goroutine of Run.
-	d       *policy.Dispatcher
+	mods    []*module // the last one takes new requests; those before finish what they took
 	ctx     context.Context
 	started bool
 	closing bool
@@ -53,16 +53,14 @@
 	ids     map[string]bool // of the requests taken, open ones and the last idMemory
 	oldIDs  []string        // the answered ones among them, a ring
 	oldest  int
-	events  []policy.Event // since the last step
-	spare   []policy.Event
 	actions []policy.Action
-	timers  timerHeap
 	stepAt  time.Duration // of the last step
 }
 
 // job is a request that was taken, until it has its answer and all its hops have ended.
 type job struct {
 	id       uint32
+	mod      *module // the one that decides on it, with the settings it started with
 	r        *Request
 	due      time.Duration
 	answer   chan Answer // holds one, so that the exchange never waits for a client's side
@@ -89,7 +87,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("starting the decision module: %w", err)
 	}
-	return &Exchange{set: set, seed: seed, log: log, d: d, clock: newClock(), inbox: make(chan func(), inboxSize),
+	return &Exchange{set: set, seed: seed, log: log, mods: []*module{{d: d, set: set}}, clock: newClock(),
+		inbox: make(chan func(), inboxSize),
 		done: make(chan struct{}), members: map[string]policy.Member{}, jobs: map[uint32]*job{},
 		ids: map[string]bool{}}, nil
 }
@@ -151,7 +150,7 @@
 func (x *Exchange) News(e policy.Event) {
 	x.do(func() {
 		x.remember(&e)
-		x.events = append(x.events, e)
+		x.toAll(e)
 		x.egress.Prune()
 	})
 }
@@ -161,7 +160,7 @@
 func (x *Exchange) Close() {
 	x.do(func() {
 		x.closing = true
-		x.events = append(x.events, policy.Event{Kind: policy.Closing})
+		x.toAll(policy.Event{Kind: policy.Closing})
 	})
 }
 
@@ -197,45 +196,50 @@
 	}
 }
 
-// due tells when the module is to step next: no sooner than the settings' period after the last time.
+// due tells when the modules are to step next: no sooner than the settings' period after the last time.
 func (x *Exchange) due() time.Duration {
 	first := x.stepAt + x.set.Period
-	switch {
-	case len(x.events) > 0:
-		return first
-	case len(x.timers) > 0:
-		return max(first, x.timers[0].at)
+	next := first + time.Hour
+	for _, m := range x.mods {
+		switch {
+		case len(m.events) > 0:
+			return first
+		case len(m.timers) > 0:
+			next = min(next, max(first, m.timers[0].at))
+		}
 	}
-	return first + time.Hour
+	return next
 }
 
-// step has the module decide on what has come in and does as it says.
+// step has each module decide on what has come in for it and does as it says. A module that took no new
+// requests since the settings changed is let go once its requests have ended.
 func (x *Exchange) step(now time.Duration) {
 	x.stepAt = now
-	for len(x.timers) > 0 && x.timers[0].at <= now {
-		x.events = append(x.events, policy.Event{Kind: policy.TimerFired, Token: x.timers[0].token})
-		heap.Pop(&x.timers)
-	}
-	events := x.events
-	x.events = x.spare[:0]
-	for i := range events {
-		if e := &events[i]; e.Kind == policy.Request { // the client's time ran on while it waited here
-			if j := x.jobs[e.ID]; j != nil {
-				e.Left = j.due - now
+	for _, m := range x.mods {
+		if !m.ready(now) {
+			continue
+		}
+		events := m.take(now)
+		for i := range events {
+			if e := &events[i]; e.Kind == policy.Request { // the client's time ran on while it waited here
+				if j := x.jobs[e.ID]; j != nil {
+					e.Left = j.due - now
+				}
 			}
 		}
-	}
-	if x.decide(now, events) {
+		if !x.decide(m, now, events) {
+			return // every module was replaced
+		}
 		for i := range x.actions {
-			x.act(&x.actions[i])
+			x.act(m, &x.actions[i])
 		}
+		m.done(events)
 	}
-	clear(events)
-	x.spare = events[:0]
+	x.mods = slices.DeleteFunc(x.mods, func(m *module) bool { return m != x.mods[len(x.mods)-1] && m.open == 0 })
 }
 
-// decide runs the module; ok is false if it panicked and was replaced.
-func (x *Exchange) decide(now time.Duration, events []policy.Event) (ok bool) {
+// decide runs a module; ok is false if it panicked and every module was replaced.
+func (x *Exchange) decide(m *module, now time.Duration, events []policy.Event) (ok bool) {
 	defer func() {
 		if p := recover(); p != nil {
 			x.log.WithField("panic", p).WithField("stack", string(debug.Stack())).
@@ -243,7 +247,7 @@
 			x.restart()
 		}
 	}()
-	x.actions = x.d.Step(now, events, x.actions[:0])
+	x.actions = m.d.Step(now, events, x.actions[:0])
 	return true
 }
 
@@ -255,7 +259,14 @@
 		x.log.WithError(err).Error("decision module does not start")
 		return
 	}
-	x.d, x.timers, x.jobs, x.events = d, nil, map[uint32]*job{}, x.events[:0]
+	x.jobs, x.mods = map[uint32]*job{}, nil
+	x.begin(d, x.set)
+}
+
+// begin puts a new module in charge of new requests, told of the list as it stands.
+func (x *Exchange) begin(d *policy.Dispatcher, set policy.Settings) {
+	m := &module{d: d, set: set}
+	x.mods = append(x.mods, m)
 	e := policy.Event{Kind: policy.ListRestored}
 	for _, m := range x.members {
 		e.Members = append(e.Members, m)
@@ -266,9 +277,9 @@
 		}
 		return 1
 	})
-	x.events = append(x.events, e)
+	m.events = append(m.events, e)
 	if x.closing {
-		x.events = append(x.events, policy.Event{Kind: policy.Closing})
+		m.events = append(m.events, policy.Event{Kind: policy.Closing})
 	}
 }
 
@@ -281,6 +292,7 @@
 		}
 		if x.jobs[j.id] == j { // its hops' ends will find it gone
 			delete(x.jobs, j.id)
+			j.mod.open--
 			x.tell(j)
 		}
 	}
@@ -312,12 +324,13 @@
 	x.ids[r.ID] = true
 	for x.nextID++; x.jobs[x.nextID] != nil; x.nextID++ {
 	}
-	j.id, j.due = x.nextID, x.clock.at(r.Deadline)
+	j.id, j.due, j.mod = x.nextID, x.clock.at(r.Deadline), x.mods[len(x.mods)-1]
 	x.jobs[j.id] = j
+	j.mod.open++
 	j.net = time.AfterFunc(time.Until(r.Deadline)+x.set.AnswerSlack+netAfter, func() {
 		x.do(func() { x.overdue(j) })
 	})
-	x.events = append(x.events, policy.Event{Kind: policy.Request, ID: j.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key,
+	j.mod.events = append(j.mod.events, policy.Event{Kind: policy.Request, ID: j.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key,
 		Work: r.Work, Slots: r.Slots, Memory: r.Memory, Retry: r.Retry, Report: policy.NoReport})
 }
 
@@ -328,14 +341,14 @@
 	}
 	x.log.WithField("request", j.r.ID).Error("request overdue; answered as failed")
 	x.reply(j, Answer{Kind: Broken})
-	x.events = append(x.events, policy.Event{Kind: policy.ClientGone, ID: j.id})
+	j.mod.events = append(j.mod.events, policy.Event{Kind: policy.ClientGone, ID: j.id})
 }
 
 // leave ends a request whose client has gone.
 func (x *Exchange) leave(j *job) {
 	if !j.answered {
 		x.reply(j, Answer{Kind: Left})
-		x.events = append(x.events, policy.Event{Kind: policy.ClientGone, ID: j.id})
+		j.mod.events = append(j.mod.events, policy.Event{Kind: policy.ClientGone, ID: j.id})
 	}
 }
 
@@ -365,15 +378,19 @@
 func (x *Exchange) forget(j *job) {
 	if j.answered && j.out == 0 && x.jobs[j.id] == j {
 		delete(x.jobs, j.id)
+		j.mod.open--
 		x.tell(j)
 	}
 }
 
-// act carries out one action.
-func (x *Exchange) act(a *policy.Action) {
+// act carries out one action of module m.
+func (x *Exchange) act(m *module, a *policy.Action) {
 	switch a.Kind {
 	case policy.Send, policy.Cancel, policy.Refuse, policy.Fail:
 		j := x.jobs[a.ID]
+		if j != nil && j.mod != m {
+			j = nil // a number that another module gave out
+		}
 		if j == nil {
 			if a.Kind == policy.Send {
 				x.log.WithField("target", a.Worker).Error("decision module sent a request that it does not have")
@@ -391,7 +408,7 @@
 			x.reply(j, Answer{Kind: Failed})
 		}
 	case policy.Arm:
-		heap.Push(&x.timers, timer{a.At, a.Token})
+		heap.Push(&m.timers, timer{a.At, a.Token})
 	case policy.Probe:
 		x.probe(a.Worker)
 	case policy.Subscribe:
@@ -417,14 +434,14 @@
 	h := &hop{cancel: cancel, target: target, sent: time.Now()}
 	j.hops = append(j.hops, h)
 	j.out++
-	if j.answered || x.set.MaxAttempts > 0 && n >= x.set.MaxAttempts {
+	if j.answered || j.mod.set.MaxAttempts > 0 && n >= j.mod.set.MaxAttempts {
 		x.hopEnded(j, n, target, HopEnd{Outcome: policy.Moot, Report: policy.NoReport})
 		return
 	}
 	news := func(k policy.EventKind) {
 		x.do(func() {
 			if j.out > 0 && x.jobs[j.id] == j {
-				x.events = append(x.events, policy.Event{Kind: k, ID: j.id, Attempt: n, Worker: target})
+				j.mod.events = append(j.mod.events, policy.Event{Kind: k, ID: j.id, Attempt: n, Worker: target})
 			}
 		})
 	}
@@ -463,7 +480,7 @@
 	if end.Outcome == policy.OK {
 		x.reply(j, Answer{Kind: Served, Result: end.Result})
 	}
-	x.events = append(x.events, policy.Event{Kind: policy.AttemptEnded, ID: j.id, Attempt: n, Worker: target,
+	j.mod.events = append(j.mod.events, policy.Event{Kind: policy.AttemptEnded, ID: j.id, Attempt: n, Worker: target,
 		Outcome: end.Outcome, Elapsed: time.Since(h.sent), Complete: j.answered, Report: end.Report})
 	x.forget(j)
 }
@@ -479,26 +496,8 @@
 		x.log.WithFields(logrus.Fields{"target": target, "outcome": end.Outcome, "took": elapsed,
 			"free": end.Report.FreeSlots}).Debug("probe ended")
 		x.do(func() {
-			x.events = append(x.events, policy.Event{Kind: policy.ProbeEnded, Worker: target, Outcome: end.Outcome,
-				Elapsed: elapsed, Report: end.Report})
+			x.toAll(policy.Event{Kind: policy.ProbeEnded, Worker: target, Outcome: end.Outcome, Elapsed: elapsed,
+				Report: end.Report})
 		})
 	}()
 }
-
-type timer struct {
-	at    time.Duration
-	token uint64
-}
-
-type timerHeap []timer
-
-func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(a, b int) bool { return h[a].at < h[b].at }
-func (h timerHeap) Swap(a, b int)      { h[a], h[b] = h[b], h[a] }
-func (h *timerHeap) Push(t any)        { *h = append(*h, t.(timer)) }
-func (h *timerHeap) Pop() any {
-	last := len(*h) - 1
-	t := (*h)[last]
-	*h = (*h)[:last]
-	return t
-}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -55,8 +55,7 @@
 	http    http.Server
 	to      Submitter
 	life    *lifecycle.Lifecycle
-	classes map[string]bool
-	tenants map[string]bool // empty: there are none to tell
+	names   atomic.Pointer[names] // of the settings in force
 	sockets int
 	memory  int64        // for the bodies in hand
 	held    atomic.Int64 // bytes of them
@@ -71,14 +70,8 @@
 // New returns a server of the configured classes and tenants that holds at most so many sockets, and bodies of at
 // most so many bytes in all.
 func New(to Submitter, life *lifecycle.Lifecycle, set *policy.Settings, sockets int, memory int64, log *logrus.Logger) *Server {
-	s := &Server{to: to, life: life, classes: map[string]bool{}, tenants: map[string]bool{}, sockets: sockets, memory: memory,
-		log: log}
-	for _, c := range set.Classes {
-		s.classes[c.Name] = true
-	}
-	for _, t := range set.Tenants {
-		s.tenants[t.Name] = true
-	}
+	s := &Server{to: to, life: life, sockets: sockets, memory: memory, log: log}
+	s.Retune(set)
 	s.http = http.Server{Handler: s, ReadHeaderTimeout: headLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHead,
 		ConnState: rested, ConnContext: withClient, ErrorLog: stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0),
 		Protocols: new(http.Protocols)}
@@ -96,6 +89,25 @@
 	return nil
 }
 
+// names are the classes and tenants that requests may name.
+type names struct {
+	classes map[string]bool
+	tenants map[string]bool // empty: there are none to tell
+}
+
+// Retune takes the classes and tenants of new settings: requests that come from now on are checked against
+// them.
+func (s *Server) Retune(set *policy.Settings) {
+	n := &names{classes: map[string]bool{}, tenants: map[string]bool{}}
+	for _, c := range set.Classes {
+		n.classes[c.Name] = true
+	}
+	for _, t := range set.Tenants {
+		n.tenants[t.Name] = true
+	}
+	s.names.Store(n)
+}
+
 type clientKey struct{}
 
 func withClient(ctx context.Context, c net.Conn) context.Context {
--- a/internal/ingress/parse.go
+++ b/internal/ingress/parse.go
@@ -67,7 +67,7 @@
 		return nil, 0, &badRequest{http.StatusMethodNotAllowed, "", "jobs arrive by POST"}
 	}
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
-	if !s.classes[class] {
+	if !s.names.Load().classes[class] {
 		return nil, 0, &badRequest{http.StatusNotFound, "", fmt.Sprintf("no class %q", class)}
 	}
 	// Runners get the target as it came: nothing that they could read in another way.
@@ -92,7 +92,7 @@
 		}
 	}
 	// Guards against traffic outside every tenant's allowance, which the module would take as inside one.
-	if len(s.tenants) > 0 && !s.tenants[req.Tenant] {
+	if n := s.names.Load(); len(n.tenants) > 0 && !n.tenants[req.Tenant] {
 		return nil, 0, badHeader("X-Tenant-Id", "%q is no tenant", req.Tenant)
 	}
 	var why error
