--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -121,13 +121,13 @@
 	c, err := Load(getenv)
 	require.NoError(t, err)
 	for text, says := range map[string]string{
-		"":                               "unexpected end of JSON input",
-		good[:len(good)/2]:               "unexpected end of JSON input",
-		strings.Replace(good, `"periodUs":2000,`, "", 1):            `settings.periodUs": is missing`,
-		strings.Replace(good, `"limits":{"maxAttempts":3},`, "", 1): `settings.limits": is missing`,
-		strings.Replace(good, `"maxAttempts":3`, `"maxAttempts":0`, 1): `maxAttempts": 0 is not over 0`,
-		strings.Replace(good, `"maxAttempts":3`, `"maxAttempts":-1`, 1): `maxAttempts": -1 is not over 0`,
-		strings.Replace(good, `"deadlineUs":900000`, `"deadlineUs":0`, 1): `deadlineUs": 0 is not over 0`,
+		"":                 "unexpected end of JSON input",
+		good[:len(good)/2]: "unexpected end of JSON input",
+		strings.Replace(good, `"periodUs":2000,`, "", 1):                   `settings.periodUs": is missing`,
+		strings.Replace(good, `"limits":{"maxAttempts":3},`, "", 1):        `settings.limits": is missing`,
+		strings.Replace(good, `"maxAttempts":3`, `"maxAttempts":0`, 1):     `maxAttempts": 0 is not over 0`,
+		strings.Replace(good, `"maxAttempts":3`, `"maxAttempts":-1`, 1):    `maxAttempts": -1 is not over 0`,
+		strings.Replace(good, `"deadlineUs":900000`, `"deadlineUs":0`, 1):  `deadlineUs": 0 is not over 0`,
 		strings.Replace(good, `"deadlineUs":900000`, `"deadlineUs":-5`, 1): `deadlineUs": -5 is not over 0`,
 	} {
 		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -89,7 +89,7 @@
 	}
 	return &Exchange{set: set, seed: seed, log: log, mods: []*module{{d: d, set: set}}, clock: newClock(),
 		inbox: make(chan func(), inboxSize),
-		done: make(chan struct{}), members: map[string]policy.Member{}, jobs: map[uint32]*job{},
+		done:  make(chan struct{}), members: map[string]policy.Member{}, jobs: map[uint32]*job{},
 		ids: map[string]bool{}}, nil
 }
 
