--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -153,3 +153,11 @@
 		}
 	}
 }
+
+// At a start, attempts of 0 are the platform's word for no limit, and the program starts.
+func TestNoLimitOfAttemptsStarts(t *testing.T) {
+	c, err := loadText(t, `{"listen":"a:1","discovery":"a:2","settings":{"limits":{"maxAttempts":0},
+		"classes":[{"name":"c","semantics":"safe","deadlineUs":900000}]}}`, nil)
+	require.NoError(t, err)
+	assert.Zero(t, c.Policy.MaxAttempts)
+}
--- a/internal/config/keys.go
+++ b/internal/config/keys.go
@@ -31,7 +31,7 @@
 }
 
 // checkKeys refuses settings that lack a key that those in force have: a file cut short or written in part
-// would otherwise pass for settings with that figure at zero. Where the file names the attempts allowed, they
+// would otherwise pass for settings with that figure at zero. Where a new file names the attempts allowed, they
 // must be over 0.
 func (c *Config) checkKeys(text []byte, old *Config) error {
 	keys, err := settingKeys(text)
@@ -46,7 +46,11 @@
 			}
 		}
 	}
-	if _, found := slices.BinarySearch(keys, "limits.maxAttempts"); found && c.Settings.Limits.MaxAttempts <= 0 {
+	// At a start 0 is the platform's word for no limit; a reload that brings it where a limit was in force is
+	// a broken file.
+	attempts := c.Settings.Limits.MaxAttempts
+	if _, found := slices.BinarySearch(keys, "limits.maxAttempts"); found && old != nil && attempts <= 0 &&
+		attempts != old.Settings.Limits.MaxAttempts {
 		return fmt.Errorf("key \"settings.limits.maxAttempts\": %d is not over 0", c.Settings.Limits.MaxAttempts)
 	}
 	return nil
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -235,7 +235,8 @@
 		}
 		m.done(events)
 	}
-	x.mods = slices.DeleteFunc(x.mods, func(m *module) bool { return m != x.mods[len(x.mods)-1] && m.open == 0 })
+	current := x.mods[len(x.mods)-1]
+	x.mods = slices.DeleteFunc(x.mods, func(m *module) bool { return m != current && m.open == 0 })
 }
 
 // decide runs a module; ok is false if it panicked and every module was replaced.
--- a/internal/exchange/module.go
+++ b/internal/exchange/module.go
@@ -49,14 +49,16 @@
 	}
 }
 
-// Retune has new requests decided on under new settings from now on. Those under way keep theirs. It does not
-// block; an error is one of settings that no module starts with.
+// Retune has new requests decided on under new settings from now on; those under way keep theirs. It returns
+// once they are queued ahead of every request that is submitted later, so that whoever lets the new classes in
+// afterwards finds them decided on.
+// An error is one of settings that no module starts with.
 func (x *Exchange) Retune(set policy.Settings) error {
 	d, err := policy.New(set, x.seed)
 	if err != nil {
 		return fmt.Errorf("starting the decision module: %w", err)
 	}
-	go x.do(func() {
+	x.do(func() {
 		x.set = set
 		x.begin(d, set)
 	})
