--- a/internal/ingress/drain_test.go
+++ b/internal/ingress/drain_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 
 	"ospreypond/internal/exchange"
 	"ospreypond/internal/lifecycle"
+	"ospreypond/policy"
 )
 
 // serving starts a server on a socket of its own, answering every job at once.
@@ -96,3 +98,21 @@
 	assert.Equal(t, 200, send(t, again, r, "/c/3").StatusCode)
 	assert.False(t, closed(again, 600*time.Millisecond), "and stay")
 }
+
+// New settings: a request of a new class is taken at once, one of a class that vanished is told so.
+func TestRetuneChangesTheClassesTaken(t *testing.T) {
+	s, life := testServer(10, func(context.Context, *exchange.Request) exchange.Answer {
+		return exchange.Answer{Kind: exchange.Served}
+	})
+	life.Advance(lifecycle.Serving)
+	s.Retune(&policy.Settings{Classes: []policy.Class{{Name: "d"}}})
+	r := httptest.NewRequest(http.MethodPost, "/d/x", strings.NewReader("body"))
+	r.Header = job().Header
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	assert.Equal(t, http.StatusOK, w.Code, "the new class")
+	w = httptest.NewRecorder()
+	s.ServeHTTP(w, job())
+	assert.Equal(t, http.StatusNotFound, w.Code, "the class that vanished")
+	assert.Contains(t, w.Body.String(), `no class "c"`)
+}
