Count and log why a request is given up before a runner sees it

Design: ingress keeps one tally by reason (GiveUps). The handler counts its own faults (each badRequest carries its reason: header:NAME, body-slow, body-left, class, ...). What net/http or the crowd ends before a handler runs is seen on the connection itself: the client wrapper counts bytes read since the last answer, notes whether a read timed out or broke and whether net/http wrote an answer of its own, and classifies the request when the connection ends (head-slow, head-left, head-refused, head-room, head-swept). The first of each reason is logged at once, and a summary line every 10 s while counts change; the console answers GET /givenup.

A body that stops coming now gets 408 naming it, not 400.

--- a/internal/app/operator.go
+++ b/internal/app/operator.go
@@ -32,9 +32,10 @@
 	log    logrus.FieldLogger
 }
 
-func (o *operator) Ready() (bool, string) { return o.server.Ready() }
-func (o *operator) Drain()                { o.server.Drain() }
-func (o *operator) Undrain()              { o.server.Undrain() }
+func (o *operator) Ready() (bool, string)     { return o.server.Ready() }
+func (o *operator) Drain()                    { o.server.Drain() }
+func (o *operator) Undrain()                  { o.server.Undrain() }
+func (o *operator) GivenUp() map[string]int64 { return o.server.GiveUps().Counts() }
 
 func (o *operator) Disable(id string) error {
 	changed, err := o.table.Disable(id)
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -7,12 +7,15 @@
 package console
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
 	stdlog "log"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -44,6 +47,8 @@
 	// Disable takes a runner out, Enable lets it serve again; an error wraps ErrUnknown for an id nobody has.
 	Disable(id string) error
 	Enable(id string) error
+	// GivenUp returns how many requests were given up before a runner saw them, by reason, since the start.
+	GivenUp() map[string]int64
 }
 
 // Server answers the operators' calls.
@@ -58,6 +63,7 @@
 	s := &Server{ops: ops, log: log}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", s.ready)
+	mux.HandleFunc("GET /givenup", s.givenUp)
 	mux.HandleFunc("POST /drain", s.drain)
 	mux.HandleFunc("POST /undrain", s.undrain)
 	mux.HandleFunc("POST /runners/disable", s.runner(ops.Disable, "disabled"))
@@ -111,6 +117,23 @@
 	text(w, http.StatusOK, "ready")
 }
 
+// givenUp writes a line for each reason, its count and its name, the most frequent first, and last their total.
+func (s *Server) givenUp(w http.ResponseWriter, _ *http.Request) {
+	counts := s.ops.GivenUp()
+	reasons := slices.Collect(maps.Keys(counts))
+	slices.SortFunc(reasons, func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	var b strings.Builder
+	var all int64
+	for _, r := range reasons {
+		fmt.Fprintf(&b, "%d %s\n", counts[r], r)
+		all += counts[r]
+	}
+	fmt.Fprintf(&b, "%d in all", all)
+	text(w, http.StatusOK, b.String())
+}
+
 func (s *Server) drain(w http.ResponseWriter, _ *http.Request) {
 	s.ops.Drain()
 	s.log.Info("console: drain")
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -53,6 +53,10 @@
 	return nil
 }
 
+func (f *fake) GivenUp() map[string]int64 {
+	return map[string]int64{"head-slow": 3, "header:X-Timeout": 1, "body-left": 3}
+}
+
 func start(t *testing.T) (string, *fake) {
 	t.Helper()
 	f := &fake{out: map[string]bool{}, known: map[string]bool{"s-1": true}}
@@ -101,6 +105,10 @@
 	code, _ = call(t, "POST", at+"/runners/enable", "s-1")
 	assert.Equal(t, 200, code)
 	assert.False(t, f.out["s-1"])
+
+	code, text = call(t, "GET", at+"/givenup", "")
+	assert.Equal(t, 200, code)
+	assert.Equal(t, "3 body-left\n3 head-slow\n1 header:X-Timeout\n7 in all", text, "the most frequent first")
 }
 
 func TestNonsenseIsANoThatNamesItsFault(t *testing.T) {
@@ -118,6 +126,7 @@
 		{"POST", "/runners/disable", strings.Repeat("x", 300), 413, "over 256"},
 		{"GET", "/drain", "", 405, "only POST"},
 		{"POST", "/ready", "", 405, "only GET"},
+		{"POST", "/givenup", "", 405, "only GET"},
 		{"GET", "/runners/disable", "", 405, "only POST"},
 		{"GET", "/nothing", "", 404, "no such call"},
 	} {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -63,6 +63,7 @@
 	taken   atomic.Int64 // those among them that were read whole and are no client's fault
 	full    atomic.Bool
 	crowd   atomic.Pointer[crowd]
+	giveUps *GiveUps
 	drained atomic.Bool // asked by an operator to take nothing new, and reversible unlike the phase
 	log     *logrus.Logger
 }
@@ -70,7 +71,7 @@
 // New returns a server of the configured classes and tenants that holds at most so many sockets, and bodies of at
 // most so many bytes in all.
 func New(to Submitter, life *lifecycle.Lifecycle, set *policy.Settings, sockets int, memory int64, log *logrus.Logger) *Server {
-	s := &Server{to: to, life: life, sockets: sockets, memory: memory, log: log}
+	s := &Server{to: to, life: life, sockets: sockets, memory: memory, giveUps: newGiveUps(log), log: log}
 	s.Retune(set)
 	s.http = http.Server{Handler: s, ReadHeaderTimeout: headLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHead,
 		ConnState: rested, ConnContext: withClient, ErrorLog: stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0),
@@ -81,14 +82,20 @@
 
 // Serve takes requests from l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	c := newCrowd(l, s.sockets, s.log)
+	c := newCrowd(l, s.sockets, s.giveUps, s.log)
 	s.crowd.Store(c)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go s.giveUps.summarise(ctx)
 	if err := s.http.Serve(c); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serving clients: %w", err)
 	}
 	return nil
 }
 
+// GiveUps counts the requests given up before the exchange saw them.
+func (s *Server) GiveUps() *GiveUps { return s.giveUps }
+
 // names are the classes and tenants that requests may name.
 type names struct {
 	classes map[string]bool
@@ -161,6 +168,9 @@
 	}()
 	s.inHand.Add(1)
 	defer s.inHand.Add(-1)
+	if k, ok := r.Context().Value(clientKey{}).(*client); ok {
+		k.heard.Store(true) // from here on the handler counts what it gives up
+	}
 	if s.closing() {
 		w.Header().Set("Connection", "close")
 	}
@@ -205,9 +215,10 @@
 		}
 	}
 	if k, ok := r.Context().Value(clientKey{}).(*client); ok && fault == nil && !k.take() {
-		fault = &badRequest{http.StatusServiceUnavailable, "", "this connection had to make room"}
+		fault = &badRequest{http.StatusServiceUnavailable, "", "this connection had to make room", madeRoom}
 	}
 	if fault != nil {
+		s.giveUps.add(fault.reason())
 		if s.log.IsLevelEnabled(logrus.DebugLevel) {
 			s.log.WithError(fault).Debug("bad request")
 		}
@@ -227,6 +238,7 @@
 	if !s.tooMany(n) {
 		a = s.to.Submit(r.Context(), req)
 	} else {
+		s.giveUps.add(tooMany)
 		s.to.Turned(req, a)
 	}
 	_ = control.SetWriteDeadline(time.Now().Add(answerLimit))
@@ -238,15 +250,18 @@
 func (s *Server) body(w http.ResponseWriter, r *http.Request, req *exchange.Request) (give func(), fault *badRequest) {
 	n := r.ContentLength
 	if n > maxBody {
-		return nil, &badRequest{http.StatusRequestEntityTooLarge, "Content-Length", fmt.Sprintf("is over %d", maxBody)}
+		return nil, &badRequest{http.StatusRequestEntityTooLarge, "Content-Length", fmt.Sprintf("is over %d", maxBody), bodyLarge}
 	}
 	give = func() { s.held.Add(-n) }
 	if s.held.Add(n) > s.memory {
-		return give, &badRequest{http.StatusServiceUnavailable, "", "no room for the body"}
+		return give, &badRequest{http.StatusServiceUnavailable, "", "no room for the body", bodyRoom}
 	}
 	req.Body = make([]byte, n)
 	if _, err := io.ReadFull(r.Body, req.Body); err != nil {
-		return give, &badRequest{http.StatusBadRequest, "Content-Length", "the body broke off"}
+		if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
+			return give, &badRequest{http.StatusRequestTimeout, "", "the body did not come in time", bodySlow}
+		}
+		return give, &badRequest{http.StatusBadRequest, "Content-Length", "the body broke off", bodyLeft}
 	}
 	if n > 0 { // sees the end, so that net/http watches for the client's leaving
 		_, _ = r.Body.Read(make([]byte, 1))
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -2,8 +2,10 @@
 
 import (
 	"container/list"
+	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,8 +26,9 @@
 // which opens another.
 type crowd struct {
 	net.Listener
-	most int
-	log  logrus.FieldLogger
+	most    int
+	giveUps *GiveUps
+	log     logrus.FieldLogger
 
 	mu     sync.Mutex
 	open   int
@@ -35,8 +38,8 @@
 	packed bool // newcomers are turned away
 }
 
-func newCrowd(l net.Listener, most int, log logrus.FieldLogger) *crowd {
-	return &crowd{Listener: l, most: most, log: log}
+func newCrowd(l net.Listener, most int, giveUps *GiveUps, log logrus.FieldLogger) *crowd {
+	return &crowd{Listener: l, most: most, giveUps: giveUps, log: log}
 }
 
 func (c *crowd) Accept() (net.Conn, error) {
@@ -73,7 +76,7 @@
 		if e := l.Front(); e != nil && c.open >= c.most {
 			if young := l.least - now.Sub(e.Value.(*client).since); young <= 0 {
 				out = e.Value.(*client)
-				out.leave()
+				out.leave(headRoom)
 			} else if wait == 0 || young < wait {
 				wait = young
 			}
@@ -113,13 +116,70 @@
 	at    *list.Element
 	gone  bool
 	spoke bool // the first bytes of a request were read; a drain leaves it
+
+	// What tells, when the connection ends, whether a request was begun on it and never reached the handler.
+	pending atomic.Int64 // bytes read since the last answer
+	heard   atomic.Bool  // the handler has the request
+	refused atomic.Bool  // net/http wrote an answer of its own
+	lastErr atomic.Int32 // how the last read failed: one of the read constants
+}
+
+// How a read failed.
+const (
+	readOK = iota
+	readLate
+	readBroken
+)
+
+func (k *client) Read(p []byte) (int, error) {
+	n, err := k.Conn.Read(p)
+	k.pending.Add(int64(n))
+	var late net.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &late) && late.Timeout():
+		k.lastErr.Store(readLate)
+	default:
+		k.lastErr.Store(readBroken)
+	}
+	return n, err
+}
+
+func (k *client) Write(p []byte) (int, error) {
+	if !k.heard.Load() && k.pending.Load() > 0 {
+		k.refused.Store(true) // only net/http writes before the handler: its 4xx for a head it cannot read
+	}
+	return k.Conn.Write(p)
 }
 
-// leave takes k out of the books; in.mu is held.
-func (k *client) leave() {
+// lost tells why a request begun on the connection is given up as the connection ends, if one was; by is the
+// reason where the dispatcher itself closes it.
+func (k *client) lost(by string) (reason string, ok bool) {
+	if k.heard.Load() || k.pending.Load() == 0 {
+		return "", false
+	}
+	switch {
+	case k.lastErr.Load() == readBroken: // net/http answers 400 to a head cut short, but nobody reads it
+		return headLeft, true
+	case k.refused.Load():
+		return headRefused, true
+	case by != "":
+		return by, true
+	case k.lastErr.Load() == readLate:
+		return headSlow, true
+	}
+	return headClosed, true
+}
+
+// leave takes k out of the books, and counts a request given up with it; by is the reason where the dispatcher
+// closes it. in.mu is held.
+func (k *client) leave(by string) {
 	if k.gone {
 		return
 	}
+	if reason, ok := k.lost(by); ok && k.in.giveUps != nil {
+		k.in.giveUps.add(reason)
+	}
 	k.gone = true
 	k.in.open--
 	if k.list != nil {
@@ -152,6 +212,9 @@
 		k.in.inHand--
 	}
 	k.spoke = false
+	k.heard.Store(false)
+	k.pending.Store(0)
+	k.refused.Store(false)
 }
 
 // speak notes that a request has begun to arrive.
@@ -176,7 +239,7 @@
 		}
 	}
 	for _, k := range out {
-		k.leave()
+		k.leave(headSwept)
 	}
 	c.mu.Unlock()
 	for _, k := range out {
@@ -186,7 +249,7 @@
 
 func (k *client) Close() error {
 	k.in.mu.Lock()
-	k.leave()
+	k.leave("")
 	k.in.mu.Unlock()
 	return k.Conn.Close()
 }
--- a/internal/ingress/parse.go
+++ b/internal/ingress/parse.go
@@ -21,6 +21,15 @@
 type badRequest struct {
 	status    int
 	name, why string
+	kind      string // the reason it is counted for, one of the constants in giveup.go; empty: the header's name
+}
+
+// reason is what the request is counted as given up for.
+func (e *badRequest) reason() string {
+	if e.kind != "" {
+		return e.kind
+	}
+	return headerField + e.name
 }
 
 func (e *badRequest) Error() string {
@@ -31,7 +40,7 @@
 }
 
 func badHeader(name, format string, args ...any) *badRequest {
-	return &badRequest{http.StatusBadRequest, name, fmt.Sprintf(format, args...)}
+	return &badRequest{http.StatusBadRequest, name, fmt.Sprintf(format, args...), ""}
 }
 
 // plain matches what is passed on as an id: printable and nothing that a header or a log could choke on.
@@ -61,18 +70,18 @@
 	// Content-Length too, which net/http drops unseen, and the two may tell of different ends. Clients send
 	// the length.
 	if len(r.TransferEncoding) > 0 {
-		return nil, 0, &badRequest{http.StatusLengthRequired, "Transfer-Encoding", "is not taken; Content-Length is due"}
+		return nil, 0, &badRequest{http.StatusLengthRequired, "Transfer-Encoding", "is not taken; Content-Length is due", chunked}
 	}
 	if r.Method != http.MethodPost {
-		return nil, 0, &badRequest{http.StatusMethodNotAllowed, "", "jobs arrive by POST"}
+		return nil, 0, &badRequest{http.StatusMethodNotAllowed, "", "jobs arrive by POST", method}
 	}
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
 	if !s.names.Load().classes[class] {
-		return nil, 0, &badRequest{http.StatusNotFound, "", fmt.Sprintf("no class %q", class)}
+		return nil, 0, &badRequest{http.StatusNotFound, "", fmt.Sprintf("no class %q", class), noClass}
 	}
 	// Runners get the target as it came: nothing that they could read in another way.
 	if r.RequestURI != r.URL.RequestURI() || strings.ContainsAny(r.RequestURI, "#\\") {
-		return nil, 0, &badRequest{http.StatusBadRequest, "", "the target is not a plain path and query"}
+		return nil, 0, &badRequest{http.StatusBadRequest, "", "the target is not a plain path and query", target}
 	}
 	h := r.Header
 	for _, name := range once {
