Take chunked bodies, and refuse only a Content-Length beside them

Ruled out: the head's 1.5 s limit (head-slow 0) and the crowd (head-room 0).

Design: the refusal was there because net/http drops a Content-Length that stands beside Transfer-Encoding unseen, and the two may frame a request hidden in the body. ingress now follows the framing on the wire itself (framing.go): each client read passes through a small state machine that reads heads, skips Content-Length bodies and chunks, and keeps a verdict per head in order, so pipelined requests get their own. A chunked body is read only where its head was seen whole with no Content-Length; the rest is still 400 and a close. Chunked bodies take of the memory for bodies as they grow, within the same 64 KiB. Passed over: refusing chunked after the first request of a connection, which is simpler but turns away clients that keep their connections.

--- a/internal/ingress/giveup.go
+++ b/internal/ingress/giveup.go
@@ -24,7 +24,7 @@
 	bodyLeft    = "body-left"                      // the body broke off
 	bodyLarge   = "body-large"                     // Content-Length over what a request may carry
 	bodyRoom    = "body-memory"                    // the bodies in hand use what there is
-	chunked     = "transfer-encoding"              // no Content-Length
+	smuggled    = "transfer-encoding"              // beside Content-Length, or not seen whole on the wire
 	method      = "method"                         // jobs arrive by POST
 	noClass     = "class"                          // the path names none
 	target      = "target"                         // runners could read it in another way
--- a/internal/ingress/giveup_test.go
+++ b/internal/ingress/giveup_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -62,3 +64,37 @@
 	time.Sleep(100 * time.Millisecond)
 	assert.Empty(t, s.GiveUps().Counts())
 }
+
+// Chunked bodies are taken, in pieces and over a connection used again, while a Content-Length beside
+// Transfer-Encoding, which net/http drops unseen, is still refused, also where it comes after other requests.
+func TestChunkedBodiesAreTakenAndSmugglingIsNot(t *testing.T) {
+	got := make(chan string, 10)
+	s, _ := testServer(20, func(_ context.Context, r *exchange.Request) exchange.Answer {
+		got <- string(r.Body)
+		return exchange.Answer{Kind: exchange.Served, Result: r.Body}
+	})
+	addr := listen(t, s)
+	const chunked = head + "Transfer-Encoding: chunked\r\n\r\n"
+	c, from := dial(t, addr, "")
+	for i, piece := range []string{chunked[:20], chunked[20:], "3\r\nab", "c\r\n", "2;x=1\r\nde\r\n0\r\n\r\n",
+		head + "Content-Length: 2\r\n\r\nfg" + chunked + "1\r\nh\r\n0\r\n\r\n"} {
+		if i > 0 {
+			time.Sleep(30 * time.Millisecond)
+		}
+		_, err := io.WriteString(c, piece)
+		require.NoError(t, err)
+	}
+	for _, want := range []string{"abcde", "fg", "h"} {
+		resp := response(t, from)
+		assert.Equal(t, http.StatusOK, resp.StatusCode)
+		assert.Equal(t, want, <-got)
+	}
+	_, err := io.WriteString(c, head+"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n"+
+		head+"Content-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusBadRequest, response(t, from).StatusCode)
+	_, err = from.ReadByte()
+	assert.ErrorIs(t, err, io.EOF, "closed after the refusal")
+	assert.Empty(t, got, "nothing hidden was submitted")
+	assert.Equal(t, map[string]int64{smuggled: 1}, s.GiveUps().Counts())
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -168,8 +168,10 @@
 	}()
 	s.inHand.Add(1)
 	defer s.inHand.Add(-1)
+	chunked := false // whether a chunked body may be read
 	if k, ok := r.Context().Value(clientKey{}).(*client); ok {
 		k.heard.Store(true) // from here on the handler counts what it gives up
+		chunked = k.frames.take()
 	}
 	if s.closing() {
 		w.Header().Set("Connection", "close")
@@ -178,7 +180,7 @@
 		s.ready(w)
 		return
 	}
-	s.request(w, r)
+	s.request(w, r, chunked)
 }
 
 func (s *Server) ready(w http.ResponseWriter) {
@@ -203,11 +205,11 @@
 // closing tells whether every answer is to close its connection.
 func (s *Server) closing() bool { return s.drained.Load() || s.life.Phase() >= lifecycle.Draining }
 
-func (s *Server) request(w http.ResponseWriter, r *http.Request) {
+func (s *Server) request(w http.ResponseWriter, r *http.Request, chunked bool) {
 	control := http.NewResponseController(w)
 	// Also for what is not read here: net/http reads the rest of a body before it closes.
 	_ = control.SetReadDeadline(time.Now().Add(bodyLimit))
-	req, wait, fault := s.head(r)
+	req, wait, fault := s.head(r, chunked)
 	if fault == nil {
 		var give func()
 		if give, fault = s.body(w, r, req); give != nil {
@@ -249,6 +251,9 @@
 // by give. Guards against bodies that use up the memory together, or that never end.
 func (s *Server) body(w http.ResponseWriter, r *http.Request, req *exchange.Request) (give func(), fault *badRequest) {
 	n := r.ContentLength
+	if n < 0 {
+		return s.chunkedBody(r, req)
+	}
 	if n > maxBody {
 		return nil, &badRequest{http.StatusRequestEntityTooLarge, "Content-Length", fmt.Sprintf("is over %d", maxBody), bodyLarge}
 	}
@@ -258,10 +263,7 @@
 	}
 	req.Body = make([]byte, n)
 	if _, err := io.ReadFull(r.Body, req.Body); err != nil {
-		if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
-			return give, &badRequest{http.StatusRequestTimeout, "", "the body did not come in time", bodySlow}
-		}
-		return give, &badRequest{http.StatusBadRequest, "Content-Length", "the body broke off", bodyLeft}
+		return give, brokenBody(err, "Content-Length")
 	}
 	if n > 0 { // sees the end, so that net/http watches for the client's leaving
 		_, _ = r.Body.Read(make([]byte, 1))
@@ -269,6 +271,40 @@
 	return give, nil
 }
 
+// chunkedBody reads a body of unknown length, taking of the memory for bodies as it grows.
+func (s *Server) chunkedBody(r *http.Request, req *exchange.Request) (give func(), fault *badRequest) {
+	var held int64
+	give = func() { s.held.Add(-held) }
+	piece := make([]byte, 4<<10)
+	for {
+		n, err := r.Body.Read(piece)
+		if held += int64(n); held > maxBody {
+			return give, &badRequest{http.StatusRequestEntityTooLarge, "", fmt.Sprintf("the body is over %d", maxBody), bodyLarge}
+		}
+		if s.held.Add(int64(n)) > s.memory {
+			return give, &badRequest{http.StatusServiceUnavailable, "", "no room for the body", bodyRoom}
+		}
+		req.Body = append(req.Body, piece[:n]...)
+		switch {
+		case errors.Is(err, io.EOF):
+			if req.Body == nil {
+				req.Body = []byte{}
+			}
+			return give, nil
+		case err != nil:
+			return give, brokenBody(err, "Transfer-Encoding")
+		}
+	}
+}
+
+// brokenBody tells why a body could not be read whole: it did not come in time, or it broke off.
+func brokenBody(err error, framing string) *badRequest {
+	if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
+		return &badRequest{http.StatusRequestTimeout, "", "the body did not come in time", bodySlow}
+	}
+	return &badRequest{http.StatusBadRequest, framing, "the body broke off", bodyLeft}
+}
+
 // answer writes a request's final answer.
 func (s *Server) answer(w http.ResponseWriter, req *exchange.Request, a exchange.Answer) {
 	if s.closing() { // it may have begun since the request came
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -66,7 +66,7 @@
 // admit makes room for a connection and takes it in; nil means that every one held has a request in hand. With
 // wait, it is to be tried again after that.
 func (c *crowd) admit(conn net.Conn, now time.Time) (k *client, wait time.Duration) {
-	k = &client{Conn: conn, in: c, since: now}
+	k = &client{Conn: conn, in: c, since: now, frames: newFraming()}
 	c.mu.Lock()
 	var out *client
 	for _, l := range []struct {
@@ -122,6 +122,7 @@
 	heard   atomic.Bool  // the handler has the request
 	refused atomic.Bool  // net/http wrote an answer of its own
 	lastErr atomic.Int32 // how the last read failed: one of the read constants
+	frames  *framing
 }
 
 // How a read failed.
@@ -134,6 +135,7 @@
 func (k *client) Read(p []byte) (int, error) {
 	n, err := k.Conn.Read(p)
 	k.pending.Add(int64(n))
+	k.frames.see(p[:n])
 	var late net.Error
 	switch {
 	case err == nil:
--- a/internal/ingress/parse.go
+++ b/internal/ingress/parse.go
@@ -64,13 +64,13 @@
 	"X-Attrs", "Content-Type"}
 
 // head reads a request's line and headers. Its body and the times are the caller's to fill in; wait is how
-// long the client waits from its sending on.
-func (s *Server) head(r *http.Request) (req *exchange.Request, wait time.Duration, fault *badRequest) {
+// long the client waits from its sending on. chunked tells whether the head on the wire allows a chunked body.
+func (s *Server) head(r *http.Request, chunked bool) (req *exchange.Request, wait time.Duration, fault *badRequest) {
 	// Guards against a request hidden in the body of another: with Transfer-Encoding there may be a
-	// Content-Length too, which net/http drops unseen, and the two may tell of different ends. Clients send
-	// the length.
-	if len(r.TransferEncoding) > 0 {
-		return nil, 0, &badRequest{http.StatusLengthRequired, "Transfer-Encoding", "is not taken; Content-Length is due", chunked}
+	// Content-Length too, which net/http drops unseen, and the two may tell of different ends. framing saw
+	// the head on the wire.
+	if len(r.TransferEncoding) > 0 && !chunked {
+		return nil, 0, &badRequest{http.StatusBadRequest, "Transfer-Encoding", "stands beside Content-Length", smuggled}
 	}
 	if r.Method != http.MethodPost {
 		return nil, 0, &badRequest{http.StatusMethodNotAllowed, "", "jobs arrive by POST", method}
