Wait for pieces while they keep coming, and say 408 when a head stops

Cause: a head had 1.5 s in all and a body 1 s, whatever came meanwhile. A client that sends 20-byte pieces 400 ms apart needs about 2.4 s for a usual head, so net/http cut it off unheard; by hand it saw a bare close or 400 naming nothing. A client that takes 2 s to begin was cut off too.

Design: what counts is silence, not the whole. The client connection keeps the read deadline net/http asks for and, before each read, puts the earlier of it and the silence allowed where the connection stands: 2.5 s for the first byte (silent connections are still closed within 3 s), 1.5 s between pieces of a head or body; 10 s bounds a head and a body however they come. Not while a handler holds the request, as net/http's read for a leaving client would take the deadline for one. A head that stops is told 408 naming it, once, before the close. Passed over: a longer fixed head limit, which waits just as long for connections that say nothing.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -26,10 +26,6 @@
 	maxBody = 64 << 10
 	// maxHead bounds a request's head; net/http allows 4 KiB more. Usual heads have under 1 KiB.
 	maxHead = 4 << 10
-	// headLimit is for a client to send a request's head, and bodyLimit for the body after it: together under
-	// the 3 s in which one that sends neither must be told so.
-	headLimit = 1500 * time.Millisecond
-	bodyLimit = time.Second
 	// answerLimit is for a client to take its answer.
 	answerLimit = 5 * time.Second
 	idleLimit   = 2 * time.Minute
@@ -73,7 +69,7 @@
 func New(to Submitter, life *lifecycle.Lifecycle, set *policy.Settings, sockets int, memory int64, log *logrus.Logger) *Server {
 	s := &Server{to: to, life: life, sockets: sockets, memory: memory, giveUps: newGiveUps(log), log: log}
 	s.Retune(set)
-	s.http = http.Server{Handler: s, ReadHeaderTimeout: headLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHead,
+	s.http = http.Server{Handler: s, ReadHeaderTimeout: headWithin, IdleTimeout: idleLimit, MaxHeaderBytes: maxHead,
 		ConnState: rested, ConnContext: withClient, ErrorLog: stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0),
 		Protocols: new(http.Protocols)}
 	s.http.Protocols.SetHTTP1(true)
@@ -171,6 +167,7 @@
 	chunked := false // whether a chunked body may be read
 	if k, ok := r.Context().Value(clientKey{}).(*client); ok {
 		k.heard.Store(true) // from here on the handler counts what it gives up
+		k.end()
 		chunked = k.frames.take()
 	}
 	if s.closing() {
@@ -208,7 +205,11 @@
 func (s *Server) request(w http.ResponseWriter, r *http.Request, chunked bool) {
 	control := http.NewResponseController(w)
 	// Also for what is not read here: net/http reads the rest of a body before it closes.
-	_ = control.SetReadDeadline(time.Now().Add(bodyLimit))
+	_ = control.SetReadDeadline(time.Now().Add(bodyWithin))
+	k, _ := r.Context().Value(clientKey{}).(*client)
+	if k != nil {
+		k.begin()
+	}
 	req, wait, fault := s.head(r, chunked)
 	if fault == nil {
 		var give func()
@@ -216,10 +217,15 @@
 			defer give()
 		}
 	}
-	if k, ok := r.Context().Value(clientKey{}).(*client); ok && fault == nil && !k.take() {
+	if k != nil {
+		k.end()
+	}
+	if k != nil && fault == nil && !k.take() {
 		fault = &badRequest{http.StatusServiceUnavailable, "", "this connection had to make room", madeRoom}
 	}
 	if fault != nil {
+		// net/http reads what is left of the body before it closes; a client that sends it slowly is not waited for.
+		_ = control.SetReadDeadline(time.Now().Add(gapWithin))
 		s.giveUps.add(fault.reason())
 		if s.log.IsLevelEnabled(logrus.DebugLevel) {
 			s.log.WithError(fault).Debug("bad request")
