Send a third of a cold runner's part after an own restart, not nothing

Design: in that window the new process uses a third of its part. The forerunner's part and a third stay at 1.33 parts, 0.8 of what pushes a cold runner over (parts are 0.6 of it).

The test fails with nothing sent (as before) and with a whole part.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -626,22 +626,22 @@
 }
 
 // coldRoom tells whether j fits into the own part of a cold worker's budget. What is sent in a window stays
-// under it, and after an own restart a window is waited out. Harm: parts of idle schedulers are lost.
+// under it, and after an own restart a third of it for a window. Harm: parts of idle schedulers are lost.
 func (d *Dispatcher) coldRoom(w *worker, j *job) bool {
 	warm := d.warmth(w)
 	if warm >= 1 || d.set.FallMultiple <= 0 || d.set.TipAfter <= 0 {
 		return true
 	}
 	part, mine := d.coldParts(w, warm)
-	if !mine || d.now < d.born+d.set.TipAfter && d.born > w.started {
-		return false
+	if d.now < d.born+d.set.TipAfter && d.born > w.started {
+		part /= 3 // what a forerunner sent in the window is not known here: 1.33 parts stay under the fall
 	}
 	sum := w.kind.runtime(j.size) * j.slots
 	w.coldSent = slices.DeleteFunc(w.coldSent, func(s amount) bool { return s.at <= d.now-d.set.TipAfter })
 	for _, s := range w.coldSent {
 		sum += s.work
 	}
-	return sum <= part
+	return mine && sum <= part
 }
 
 // ---- runtimes ----
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -225,6 +225,42 @@
 	}
 }
 
+// A scheduler that starts while a worker is cold does not know what its forerunner sent there in the window: it
+// sends a third of its part, not nothing, so that a runner put back during an upgrade still gets work.
+func TestOwnRestartSendsAThirdToColdWorkers(t *testing.T) {
+	start := 10 * time.Second
+	from, to := start+time.Second, start+2*time.Second // the window after the restart
+	list := []Event{{Kind: ListRestored, Members: []Member{{Worker: "a", Zone: "z0", Kind: "k", Started: start}}}}
+	sent := func(born time.Duration) (work float64) {
+		s := testSettings()
+		s.Schedulers = 1
+		d, err := New(s, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.Step(born, list, nil)
+		d.report(d.order[0], Report{FreeSlots: 4})
+		d.run = 0.6
+		for id, at := uint32(1), born; at < to; id, at = id+1, at+5*ms {
+			e := request(id, "safe")
+			e.Work = 50 * ms
+			var ended []Event
+			for _, a := range of(Send, d.Step(at, []Event{e}, nil)) {
+				if at >= from {
+					work += 0.05
+				}
+				ended = append(ended, Event{Kind: AttemptEnded, ID: a.ID, Outcome: OK, Complete: true, Report: NoReport})
+			}
+			d.Step(at, ended, nil)
+		}
+		return work
+	}
+	before, after := sent(start-time.Second), sent(from)
+	if after <= 0 || after > before/3+0.15 { // as warmth grows, so does the part: a few jobs more
+		t.Errorf("%.2f s of work sent in the window after an own restart, %.2f without one: a third is due", after, before)
+	}
+}
+
 // Many workers that restart at once refuse connections, or drop what runs, before the list says so: they count as
 // cold at once. A connection that is only slow to set up tells nothing of the kind.
 func TestRefusalsAndResetsLookLikeRestarts(t *testing.T) {
