Make room with the connection silent longest since its last byte

Design: a read that brings bytes of a request moves its connection to the end of the silent list, so the list is ordered by silence since the last byte and the one that says nothing goes first. Passed over: keeping connections with any byte in apart from those with none, which a crowd that sends a few bytes and stops would turn into a shield.

The test fails without the move.

--- a/internal/ingress/deadline.go
+++ b/internal/ingress/deadline.go
@@ -76,8 +76,10 @@
 	silence := k.limit(time.Now())
 	n, err := k.Conn.Read(p)
 	if n > 0 {
+		now := time.Now()
+		k.in.touch(k, now)
 		k.dl.Lock()
-		k.last = time.Now()
+		k.last = now
 		if k.phase == waitFirst {
 			k.phase = inRequest
 		}
--- a/internal/ingress/deadline_test.go
+++ b/internal/ingress/deadline_test.go
@@ -57,3 +57,30 @@
 		})
 	}
 }
+
+// Guards against a slow writer being taken for a silent connection when room is made: the one silent the longest
+// since its last byte goes first, so a crowd that says nothing is pushed out before a client that sends in pieces.
+func TestPiecesKeepTheirPlaceInACrowd(t *testing.T) {
+	const room = 4
+	s, _ := testServer(room, func(_ context.Context, r *exchange.Request) exchange.Answer {
+		return exchange.Answer{Kind: exchange.Served, Result: r.Body}
+	})
+	addr := listen(t, s)
+	const whole = head + "Content-Length: 2\r\n\r\nok"
+	for range 3 * room { // a crowd that came before and says nothing
+		dial(t, addr, "")
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(speakIn)
+	slow, from := dial(t, addr, whole[:10])
+	for i := 10; i < len(whole); i += 10 {
+		time.Sleep(speakIn / 2)
+		dial(t, addr, "") // a silent newcomer, for whom room is made
+		_, err := io.WriteString(slow, whole[i:min(i+10, len(whole))])
+		require.NoError(t, err)
+	}
+	resp, err := http.ReadResponse(from, nil)
+	require.NoError(t, err, "the slow writer stays")
+	assert.Equal(t, http.StatusOK, resp.StatusCode)
+	assert.Zero(t, s.GiveUps().Counts()[headRoom], "no request was pushed out: %v", s.GiveUps().Counts())
+}
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -19,8 +19,8 @@
 const restIn = time.Second
 
 // crowd is a listener that holds no more connections at once than it has room for. Where a further one comes,
-// the one that has been silent for the longest time makes room: first among those that never brought a
-// request, then among those that wait for their next one. One with a request in hand is never closed. Guards
+// the one that has been silent for the longest time makes room: first among those that have not brought a
+// whole request, silent since their last byte, then among those that wait for their next one. One with a request in hand is never closed. Guards
 // against connections that say nothing and shut others out; harms a client whose idle connection is closed,
 // which opens another.
 type crowd struct {
@@ -104,6 +104,17 @@
 	return k, 0
 }
 
+// touch notes that bytes of a request came on k: while it waits among the silent, it goes to their end, so that
+// a client that sends in pieces is not taken for one that says nothing and made to go first.
+func (c *crowd) touch(k *client, now time.Time) {
+	c.mu.Lock()
+	if !k.gone && k.list == &c.silent {
+		k.since = now
+		c.silent.MoveToBack(k.at)
+	}
+	c.mu.Unlock()
+}
+
 // client is a client's connection.
 type client struct {
 	net.Conn
