Test that console calls are answered while the exchange's inbox is stuck

Need: the issue asks that every call be answered within 1 s however loaded the exchange is; it held by design but had no test.

Change: a test with a stuck inbox makes each call (disable, enable, drain, undrain, ready, givenup) within the caller's second, and sees the module told once it reads again.

--- a/internal/app/operator_test.go
+++ b/internal/app/operator_test.go
@@ -2,12 +2,20 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"ospreypond/internal/ingress"
+	"ospreypond/internal/lifecycle"
+	"ospreypond/internal/routetable"
+	"ospreypond/policy"
 )
 
 // Bans go to the next process whole: what one saves, the next loads; no file is no ban, a spoilt one an error
@@ -40,3 +48,39 @@
 	require.NoError(t, err, "the second listener beside the first")
 	defer second.Close()
 }
+
+// Guards against a call that waits for a busy exchange: with the exchange's inbox stuck, every call of the console
+// is still answered at once, and the module is told once it takes news again.
+func TestCallsDoNotWaitForTheExchange(t *testing.T) {
+	table := routetable.New()
+	table.Apply(&routetable.List{Whole: true, Hosts: []routetable.Host{{Host: "s-1", Dial: "127.0.0.1:1", Health: "SERVING"}}})
+	stuck := make(chan policy.Event) // nobody reads it until the end
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	server := ingress.New(nil, lifecycle.New(nil), &policy.Settings{}, 10, 1<<20, log)
+	o := &operator{server: server, table: table, news: func(e policy.Event) { stuck <- e }, dir: t.TempDir(), log: log}
+	for _, call := range []func() error{
+		func() error { return o.Disable("s-1") },
+		func() error { return o.Enable("s-1") },
+		func() error { o.Drain(); return nil },
+		func() error { o.Undrain(); return nil },
+		func() error { _, _ = o.Ready(); _ = o.GivenUp(); return nil },
+	} {
+		done := make(chan error, 1)
+		go func() { done <- call() }()
+		select {
+		case err := <-done:
+			require.NoError(t, err)
+		case <-time.After(time.Second): // what a caller waits
+			t.Fatal("a call waited for the exchange")
+		}
+	}
+	for range 2 { // the module hears of the ban and of its end
+		select {
+		case e := <-stuck:
+			assert.Equal(t, policy.ListChanged, e.Kind)
+		case <-time.After(5 * time.Second):
+			t.Fatal("the module was never told")
+		}
+	}
+}
