Test that a ban taken at the old console holds in the new program

Need: the ban's hand-over at an upgrade was tested on the file alone, not with two running programs.

Change: the integration test takes r1 out at the old program's console, starts a second program beside it with its own console and the same TMPDIR, stops the first (exit 0), and sends twenty jobs to the second: r1 gets none of them, r2 serves them, and after /runners/enable at the new console r1 gets work again. The test programs can be given more of the environment, so bans stay in the test's own folder.

--- a/test/integration/upgrade_test.go
+++ b/test/integration/upgrade_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"net"
@@ -92,3 +93,63 @@
 	assert.LessOrEqual(t, len(failed), 2, "turned back: %v", failed)
 	assert.Contains(t, next.log(), "msg=\"request ended\"", "the new program served some")
 }
+
+// freeAddr is an address on loopback that nobody listens at.
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Guards against a ban that ends with the process that took it: a runner taken out at the old program's console
+// gets nothing from the new one, whatever discovery lists, until it is put back at the new console.
+func TestBanHoldsOverAnUpgrade(t *testing.T) {
+	out, in := newRunner(t, "r1", "z", done), newRunner(t, "r2", "z", done)
+	shared := []string{"TMPDIR=" + t.TempDir()} // where bans are handed on
+	old := &dispatcher{t: t, env: shared, disc: newDiscovery(t), exit: make(chan error, 1)}
+	listen, consoles := freeAddr(t), []string{freeAddr(t), freeAddr(t)}
+	old.run(map[string]any{"name": "n0", "listen": listen, "console": consoles[0], "discovery": old.disc.addr,
+		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"known":    map[string]any{"seq": 0, "whole": true, "hosts": []any{out.entry("SERVING"), in.entry("SERVING")}},
+		"settings": json.RawMessage(settings)})
+	old.url = "http://" + listen
+	call := func(console, path, body string) int {
+		resp, err := http.Post("http://"+console+path, "text/plain", strings.NewReader(body))
+		if err != nil {
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	eventually(t, "the old console does not say yes", func() bool { return call(consoles[0], "/runners/disable", "r1") == 200 })
+
+	next := &dispatcher{t: t, env: shared, disc: old.disc, exit: make(chan error, 1), url: old.url}
+	conf := maps.Clone(old.conf)
+	conf["console"] = consoles[1]
+	next.run(conf)
+	eventually(t, "the new program is not ready", func() bool {
+		resp, err := http.Get("http://" + consoles[1] + "/ready")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	old.stop()
+	require.NoError(t, <-old.exit)
+	before := out.total()
+	for n := range 20 {
+		a := next.ask(background, "/safe", fmt.Sprintf("after-%d", n), 3*time.Second)
+		require.NoError(t, a.err)
+		assert.Equal(t, http.StatusOK, a.status, a.body)
+	}
+	assert.Equal(t, before, out.total(), "the banned runner got work from the new program")
+	assert.Positive(t, in.total())
+
+	require.Equal(t, 200, call(consoles[1], "/runners/enable", "r1"))
+	eventually(t, "the runner put back gets no work", func() bool {
+		_ = next.ask(background, "/safe", fmt.Sprintf("back-%d", time.Now().UnixNano()), 3*time.Second)
+		return out.total() > before
+	})
+}
--- a/test/integration/world_test.go
+++ b/test/integration/world_test.go
@@ -218,6 +218,7 @@
 	t    *testing.T
 	cmd  *exec.Cmd
 	args []string
+	env  []string // more of the environment
 	url  string
 	disc *discovery
 	file string
@@ -273,6 +274,7 @@
 	require.NoError(p.t, os.WriteFile(p.file, text, 0o600))
 	p.cmd = exec.Command(program, p.args...)
 	p.cmd.Env = append(os.Environ(), "LB_CONFIG="+p.file, "LB_LOG_LEVEL=debug", "LB_NAME=", "LB_LISTEN=", "LB_DISCOVERY=")
+	p.cmd.Env = append(p.cmd.Env, p.env...)
 	out, err := p.cmd.StderrPipe()
 	require.NoError(p.t, err)
 	require.NoError(p.t, p.cmd.Start())
