Count the configuration files taken and refused at SIGHUP

Need: the issue asks that a broken settings file be logged and counted; it was logged only, so operators could not tell how many of their files had changed nothing.

Design: a small counter owned by app (reloads) is told by the reload goroutine of each file taken or refused, with the last fault; the log lines carry taken=N and refused=N, and the console answers GET /reloads in one line. Passed over: a Prometheus registry for two numbers, which would be the first metric library in the program for one call.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -86,12 +86,13 @@
 		return fmt.Errorf("key \"listen\": %w", err)
 	}
 	server := ingress.New(x, life, &cfg.Policy, clients, cfg.BodyBudget(), log)
+	files := &reloads{}
 	if cfg.Console != "" {
 		l, err := net.Listen("tcp", cfg.Console)
 		if err != nil {
 			return fmt.Errorf("key \"console\": %w", err)
 		}
-		ops := console.New(&operator{server: server, table: table, news: x.News, dir: os.TempDir(), log: log}, log)
+		ops := console.New(&operator{server: server, table: table, news: x.News, reloads: files, dir: os.TempDir(), log: log}, log)
 		defer ops.Close()
 		go func() {
 			if err := ops.Serve(l); err != nil {
@@ -107,7 +108,7 @@
 	working := life.Until(lifecycle.Stopped)
 	go watcher.Run(working)
 	ran.Go(func() { x.Run(working) })
-	go reload(working, hups, cfg, getenv, watcher, retuner{x, server}, log)
+	go reload(working, hups, cfg, getenv, watcher, retuner{x, server}, files, log)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	life.Advance(lifecycle.Serving)
@@ -131,7 +132,7 @@
 // reload takes up a new configuration at each signal: the whole file is read and checked, and a faulty one
 // changes nothing.
 func reload(ctx context.Context, signals <-chan os.Signal, cfg *config.Config, getenv func(string) string,
-	watcher *routetable.Watcher, tune retuner, log *logrus.Logger) {
+	watcher *routetable.Watcher, tune retuner, files *reloads, log *logrus.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -140,12 +141,12 @@
 		}
 		next, err := cfg.Reload(getenv)
 		if err != nil {
-			log.WithError(err).Error("new configuration is faulty; the old one stays")
+			log.WithError(err).WithField("refused", files.refuse(err)).Error("new configuration is faulty; the old one stays")
 			continue
 		}
 		if !reflect.DeepEqual(cfg.Settings, next.Settings) {
 			if err := tune.x.Retune(next.Policy); err != nil {
-				log.WithError(err).Error("new settings are faulty; the old ones stay")
+				log.WithError(err).WithField("refused", files.refuse(err)).Error("new settings are faulty; the old ones stay")
 				continue
 			}
 			tune.server.Retune(&next.Policy)
@@ -156,7 +157,7 @@
 		if keys := cfg.NeedRestart(next); len(keys) > 0 {
 			entry = entry.WithField("needs_restart", keys)
 		}
-		entry.Info("configuration reloaded")
+		entry.WithField("taken", files.take()).Info("configuration reloaded")
 		cfg = next
 	}
 }
--- a/internal/app/operator.go
+++ b/internal/app/operator.go
@@ -28,14 +28,17 @@
 	server *ingress.Server
 	table  *routetable.Table
 	news   func(policy.Event)
-	dir    string // where bans are kept for the next process
-	log    logrus.FieldLogger
+	// reloads counts the files read at SIGHUP.
+	reloads *reloads
+	dir     string // where bans are kept for the next process
+	log     logrus.FieldLogger
 }
 
 func (o *operator) Ready() (bool, string)     { return o.server.Ready() }
 func (o *operator) Drain()                    { o.server.Drain() }
 func (o *operator) Undrain()                  { o.server.Undrain() }
 func (o *operator) GivenUp() map[string]int64 { return o.server.GiveUps().Counts() }
+func (o *operator) Reloads() string           { return o.reloads.String() }
 
 func (o *operator) Disable(id string) error {
 	changed, err := o.table.Disable(id)
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -49,6 +49,8 @@
 	Enable(id string) error
 	// GivenUp returns how many requests were given up before a runner saw them, by reason, since the start.
 	GivenUp() map[string]int64
+	// Reloads tells in one line how many configuration files were taken and refused at SIGHUP, and why the last was.
+	Reloads() string
 }
 
 // Server answers the operators' calls.
@@ -64,6 +66,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", s.ready)
 	mux.HandleFunc("GET /givenup", s.givenUp)
+	mux.HandleFunc("GET /reloads", func(w http.ResponseWriter, _ *http.Request) { text(w, http.StatusOK, ops.Reloads()) })
 	mux.HandleFunc("POST /drain", s.drain)
 	mux.HandleFunc("POST /undrain", s.undrain)
 	mux.HandleFunc("POST /runners/disable", s.runner(ops.Disable, "disabled"))
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -57,6 +57,8 @@
 	return map[string]int64{"head-slow": 3, "header:X-Timeout": 1, "body-left": 3}
 }
 
+func (f *fake) Reloads() string { return "1 taken, 0 refused" }
+
 func start(t *testing.T) (string, *fake) {
 	t.Helper()
 	f := &fake{out: map[string]bool{}, known: map[string]bool{"s-1": true}}
@@ -109,6 +111,9 @@
 	code, text = call(t, "GET", at+"/givenup", "")
 	assert.Equal(t, 200, code)
 	assert.Equal(t, "3 body-left\n3 head-slow\n1 header:X-Timeout\n7 in all", text, "the most frequent first")
+	code, text = call(t, "GET", at+"/reloads", "")
+	assert.Equal(t, 200, code)
+	assert.Equal(t, "1 taken, 0 refused", text)
 }
 
 func TestNonsenseIsANoThatNamesItsFault(t *testing.T) {
--- a/test/integration/program_test.go
+++ b/test/integration/program_test.go
@@ -306,10 +306,11 @@
 
 	p.reload("nowhere")
 	eventually(t, "the fault is not logged", func() bool {
-		return regexp.MustCompile(`faulty.*discovery`).MatchString(p.log())
+		return regexp.MustCompile(`faulty.*discovery.*refused=1`).MatchString(p.log())
 	})
 	p.disc = newDiscovery(t)
 	p.reload(p.disc.addr)
+	eventually(t, "the file taken is not counted", func() bool { return strings.Contains(p.log(), "taken=1") })
 	p.disc.change(t, next, "SERVING")
 	p.disc.change(t, old, "DELETED")
 	require.Equal(t, http.StatusOK, p.ask(background, "/keyed", "after", long).status)
