Drop an argument that the read deadline never used

Need: limit took the time and ignored it, as the silences count from the last bytes. Change: no argument. Measured: ingress tests pass with -race; nothing else changes.

--- a/internal/ingress/deadline.go
+++ b/internal/ingress/deadline.go
@@ -52,7 +52,7 @@
 
 // limit sets the connection's read deadline to the earlier of net/http's and the one of silence, and tells
 // whether that of silence is the one in force.
-func (k *client) limit(now time.Time) (silence bool) {
+func (k *client) limit() (silence bool) {
 	k.dl.Lock()
 	at, want := time.Time{}, k.want
 	switch {
@@ -73,7 +73,7 @@
 }
 
 func (k *client) Read(p []byte) (int, error) {
-	silence := k.limit(time.Now())
+	silence := k.limit()
 	n, err := k.Conn.Read(p)
 	if n > 0 {
 		now := time.Now()
