Tell the socket of a read deadline only when it changes

Need: every read of a client's connection set its deadline anew, though it changes only when bytes come or net/http asks; reads are the hot path of ingress.

Change: the client keeps the deadline the socket has and sets it only on a change, under the same lock as the rest of its deadline state.

--- a/internal/ingress/deadline.go
+++ b/internal/ingress/deadline.go
@@ -38,8 +38,8 @@
 // SetReadDeadline keeps the deadline that net/http wants; Read applies it together with the silences.
 func (k *client) SetReadDeadline(t time.Time) error {
 	k.dl.Lock()
-	k.want = t
-	k.dl.Unlock()
+	defer k.dl.Unlock()
+	k.want, k.applied = t, t
 	return k.Conn.SetReadDeadline(t)
 }
 
@@ -51,10 +51,11 @@
 }
 
 // limit sets the connection's read deadline to the earlier of net/http's and the one of silence, and tells
-// whether that of silence is the one in force.
+// whether that of silence is the one in force. The socket is told only of a change, as reads come often.
 func (k *client) limit() (silence bool) {
 	k.dl.Lock()
-	at, want := time.Time{}, k.want
+	defer k.dl.Unlock()
+	at := time.Time{}
 	switch {
 	case k.phase == waitFirst:
 		at = k.last.Add(firstWithin)
@@ -63,13 +64,15 @@
 		// deadline for a leaving.
 		at = k.last.Add(gapWithin)
 	}
-	k.dl.Unlock()
-	if at.IsZero() || (!want.IsZero() && want.Before(at)) {
-		_ = k.Conn.SetReadDeadline(want)
-		return false
+	silence = !at.IsZero() && (k.want.IsZero() || !k.want.Before(at))
+	if !silence {
+		at = k.want
+	}
+	if !at.Equal(k.applied) {
+		k.applied = at
+		_ = k.Conn.SetReadDeadline(at)
 	}
-	_ = k.Conn.SetReadDeadline(at)
-	return true
+	return silence
 }
 
 func (k *client) Read(p []byte) (int, error) {
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -136,10 +136,11 @@
 	// toldLate: the client was told that its head stopped coming; net/http reads again after a timeout.
 	toldLate atomic.Bool
 
-	dl    sync.Mutex // guards what follows: Read and SetReadDeadline come from several goroutines
-	want  time.Time  // the read deadline that net/http set
-	last  time.Time  // when the last bytes came, or the connection did
-	phase int        // one of waitFirst, waitNext, inRequest
+	dl      sync.Mutex // guards what follows: Read and SetReadDeadline come from several goroutines
+	want    time.Time  // the read deadline that net/http set
+	applied time.Time  // the one the socket has
+	last    time.Time  // when the last bytes came, or the connection did
+	phase   int        // one of waitFirst, waitNext, inRequest
 }
 
 // How a read failed.
