--- a/internal/ingress/parse.go
+++ b/internal/ingress/parse.go
@@ -70,7 +70,8 @@
 	// Content-Length too, which net/http drops unseen, and the two may tell of different ends. framing saw
 	// the head on the wire.
 	if len(r.TransferEncoding) > 0 && !chunked {
-		return nil, 0, &badRequest{http.StatusBadRequest, "Transfer-Encoding", "stands beside Content-Length", smuggled}
+		return nil, 0, &badRequest{http.StatusBadRequest, "Transfer-Encoding",
+			"stands beside Content-Length, or the head was not whole on the wire", smuggled}
 	}
 	if r.Method != http.MethodPost {
 		return nil, 0, &badRequest{http.StatusMethodNotAllowed, "", "jobs arrive by POST", method}
