Pass cold workers' budget round all dispatchers in turns, and time them by the usual course

At fault: policy.coldParts gave each cold worker's budget to 1 to 3 of 80 dispatchers for good, each with 3 requests/s; policy.predict divided by the settings' worst warmth, so that a job of 0.5 s on a fresh runner (1.7 s) never made its aim (1.5 s) and fresh runners stayed empty until 6 s of 8.5 s had passed.

Change: coldRoom cuts the window into turns in which every scheduler has an equal part; jobs larger than a part go out from the schedulers whose places come first in that turn. predict uses the usual course of warming; the worst case still bounds what is sent.

Tests: 80 schedulers together stay inside the budget in every window and use most of it with 3 requests/s each; fixed owners, no bound and the worst case in predict each fail them.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,6 +32,9 @@
 	sickShare     = 4               // sick workers for each healthy one from which on none is avoided
 	failsMax      = 4               // doublings of that time at most
 	coldMargin    = 0.6             // share of the cold budget that is used; predictions err
+	warmsWithin   = 0.7             // part of the longest time within which most workers are warm
+	startsAbove   = 0.15            // part of the way from the coldest start to the full at which most start
+	coldTurns     = 4               // turns in the window of that budget, each with other schedulers in front
 	spread        = 0.2             // how much a full worker is dearer than an empty one, at equal runtimes
 	nearWorkers   = 12              // workers looked at first, at least
 	nearWidest    = 4               // times as many at most
@@ -206,7 +209,7 @@
 			return false
 		}
 	}
-	return d.coldRoom(w, j)
+	return d.coldRoom(w, w.kind.runtime(j.size)*j.slots)
 }
 
 // settled tells whether a may have run and nothing may follow it: workers may no longer know its key by then.
@@ -424,7 +427,7 @@
 	slices.SortFunc(d.order, func(a, b *worker) int { return cmp.Compare(a.rank, b.rank) })
 	d.cold = d.cold[:0]
 	for _, w := range d.order {
-		if _, mine := d.coldParts(w, 1); mine && d.warmth(w) < 1 {
+		if d.warmth(w) < 1 {
 			d.cold = append(d.cold, w)
 		}
 	}
@@ -445,7 +448,7 @@
 	end := min(len(d.order), d.homes+abroad)
 	d.view = append(append(d.view[:0], d.order[:min(d.homes, d.reach)]...), d.order[d.homes:end]...)
 	for _, w := range d.cold {
-		if _, mine := d.coldParts(w, d.warmth(w)); mine && !slices.Contains(d.view, w) {
+		if d.coldRoom(w, d.run) && !slices.Contains(d.view, w) {
 			d.view = append(d.view, w)
 		}
 	}
@@ -595,32 +598,41 @@
 	return d.set.ColdFrom + (1-d.set.ColdFrom)*max(0, d.now-since).Seconds()/d.set.ColdFor.Seconds()
 }
 
-// coldParts cuts the cold budget that all share into parts of two slots' time in a window. Schedulers whose
-// numbers follow the worker's hash have one each. It uses nothing that each learns by itself, so they add up.
-func (d *Dispatcher) coldParts(w *worker, warm float64) (part float64, mine bool) {
-	budget := coldMargin * d.set.FallMultiple * warm * max(1, w.kind.seen) * d.set.TipAfter.Seconds()
-	parts := max(1, min(d.set.Schedulers, int(budget/2/d.set.TipAfter.Seconds())))
-	place := (d.set.Number + int(w.hash)) % d.set.Schedulers
-	return budget / float64(parts), place < parts
+// likely is the share of its capacity that w has by the usual course: the settings tell the coldest start and
+// the longest time, and hardly any worker has both. What w does then corrects it by its slowness.
+func (d *Dispatcher) likely(w *worker) float64 {
+	warm := d.warmth(w)
+	return min(1, (warm-d.set.ColdFrom)/warmsWithin+d.set.ColdFrom+startsAbove*(1-d.set.ColdFrom))
 }
 
-// coldRoom tells whether j fits into the own part of a cold worker's budget. What is sent in a window stays
-// under it, and after an own restart a third of it for a window. Harm: parts of idle schedulers are lost.
-func (d *Dispatcher) coldRoom(w *worker, j *job) bool {
+// coldRoom tells whether so much work, in seconds, may go to a cold worker now: all schedulers together must
+// stay inside its budget, though none is told of the others. Time is cut into turns, and in each every
+// scheduler has an equal part. A job that is larger than the part goes out as often as the part is large: the
+// schedulers whose places come first in this turn send one each. The order changes from turn to turn and
+// worker to worker, so that a scheduler with few requests has a turn at some cold worker nearly always and no
+// part is lost for long. In any window, turns that only touch it included, the sum stays inside the budget.
+// After an own restart a third is used for a window, as what a forerunner sent, or sends beside us in an
+// upgrade, is not known here.
+func (d *Dispatcher) coldRoom(w *worker, work float64) bool {
 	warm := d.warmth(w)
 	if warm >= 1 || d.set.FallMultiple <= 0 || d.set.TipAfter <= 0 {
 		return true
 	}
-	part, mine := d.coldParts(w, warm)
+	part := coldMargin * d.set.FallMultiple * warm * max(1, w.kind.seen) * d.set.TipAfter.Seconds() /
+		(coldTurns + 1) / float64(d.set.Schedulers)
 	if d.now < d.born+d.set.TipAfter && d.born > w.started {
-		part /= 3 // what a forerunner sent in the window is not known here: 1.33 parts stay under the fall
+		part /= 3
+	}
+	turn := d.now / (d.set.TipAfter / coldTurns)
+	if w.coldTurn != turn {
+		w.coldTurn, w.coldSent = turn, 0
 	}
-	sum := w.kind.runtime(j.size) * j.slots
-	w.coldSent = slices.DeleteFunc(w.coldSent, func(s amount) bool { return s.at <= d.now-d.set.TipAfter })
-	for _, s := range w.coldSent {
-		sum += s.work
+	if w.coldSent > 0 {
+		return w.coldSent+work <= part
 	}
-	return mine && sum <= part
+	first := float64(mix(uint32(turn), w.hash)) / (math.MaxUint32 + 1)
+	_, place := math.Modf(first + float64(d.set.Number)/float64(d.set.Schedulers))
+	return place*work < part
 }
 
 // ---- runtimes ----
@@ -651,7 +663,7 @@
 
 // predict returns L_ij: the seconds that j would run on w now, with the fetch of what it needs.
 func (d *Dispatcher) predict(w *worker, j *job) float64 {
-	return w.kind.runtime(j.size)*d.slowness(w)/d.warmth(w) + d.fetch(w, j)
+	return w.kind.runtime(j.size)*d.slowness(w)/d.likely(w) + d.fetch(w, j)
 }
 
 // slowness returns w's runtimes over its kind's. A great one fades while there are no new runtimes: only jobs
@@ -889,7 +901,7 @@
 		w.idle = w.idle[:n-1]
 	}
 	if a.wasCold {
-		w.coldSent = append(w.coldSent, amount{d.now, w.kind.runtime(j.size) * j.slots})
+		w.coldSent += w.kind.runtime(j.size) * j.slots
 	}
 	j.check = d.now + j.class.Aim
 	if !d.set.TellsStart { // as if it ran from the send on
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -173,55 +173,112 @@
 }
 
 // However many schedulers there are, what all send to a cold worker stays inside its budget in every window, own
-// restarts included; several have a part of it, and each part holds a job.
-func TestColdBudgetIsSharedAndOwnRestartWaits(t *testing.T) {
-	start, senders := 10*time.Second, 0
-	var sends []amount
-	const schedulers = 40
-	list := []Event{{Kind: ListReplaced, Members: []Member{{Worker: "a", Zone: "z0", Kind: "k", Started: start}}}}
-	for n := 0; n < schedulers; n++ {
-		d := testDispatcher(t, func(s *Settings) { s.Schedulers, s.Number = schedulers, n })
-		d.Step(start, list, nil)
-		place := (n + int(d.workers["a"].hash)) % schedulers
-		d.run = 0.6 / float64(1+place) // each has learned other runtimes
-		id, before := uint32(0), len(sends)
-		for at := start; at < start+4*time.Second; at += 5 * ms {
-			if n%8 == 3 && at == start+2*time.Second { // restarts while the worker is cold
-				s := d.set
-				d, _ = New(s, 1)
-				d.run = 0.6 / float64(1+place)
-				restored := list[0]
-				restored.Kind = ListRestored
-				d.Step(at, []Event{restored}, nil)
-				d.report(d.order[0], Report{FreeSlots: 4})
+// restarts included. Where each has a few requests only, most of the budget is used all the same.
+func TestColdBudgetIsSharedByAll(t *testing.T) {
+	type work struct {
+		at     time.Duration
+		amount float64
+	}
+	const schedulers, start, size = 80, 10 * time.Second, 60 * ms
+	list := Event{Kind: ListReplaced, Members: []Member{{Worker: "a", Zone: "z0", Kind: "k", Started: start}}}
+	for _, tt := range []struct {
+		name     string
+		every    time.Duration // between one scheduler's requests
+		restarts bool
+		least    float64 // part of the margin's share that is used in each window
+	}{
+		{"many requests", 20 * ms, false, 0.7},
+		{"a few requests", 330 * ms, false, 0.6},
+		{"every eighth restarts", 20 * ms, true, 0.5},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var sends []work
+			senders := map[int]bool{}
+			for n := range schedulers {
+				fresh := func(at time.Duration, kind EventKind) *Dispatcher {
+					d := testDispatcher(t, func(s *Settings) { s.Schedulers, s.Number = schedulers, n })
+					d.born = never
+					d.run = 0.6 / float64(1+n) // each has learned other runtimes
+					e := list
+					e.Kind = kind
+					d.Step(at, []Event{e}, nil)
+					d.report(d.workers["a"], Report{FreeSlots: 4})
+					return d
+				}
+				d := fresh(start, ListReplaced)
+				id := uint32(0)
+				for at := start; at < start+4*time.Second; at += 10 * ms {
+					if tt.restarts && n%8 == 3 && at == start+2*time.Second { // while the worker is cold
+						d = fresh(at, ListRestored)
+					}
+					var events []Event
+					if (at+time.Duration(n)*7*ms)%tt.every < 10*ms {
+						id++
+						e := request(id, "safe")
+						e.Work = size
+						events = append(events, e)
+					}
+					var ended []Event
+					for _, a := range of(Send, d.Step(at, events, nil)) {
+						sends = append(sends, work{at, size.Seconds()})
+						senders[n] = true
+						ended = append(ended, Event{Kind: AttemptEnded, ID: a.ID, Outcome: OK, Complete: true, Report: NoReport})
+					}
+					d.Step(at, ended, nil)
+				}
 			}
-			id++
-			e := request(id, "safe")
-			e.Work = 150 * ms
-			var ended []Event
-			for _, a := range of(Send, d.Step(at, []Event{e}, nil)) {
-				sends = append(sends, amount{at, 0.15})
-				ended = append(ended, Event{Kind: AttemptEnded, ID: a.ID, Outcome: OK, Complete: true, Report: NoReport})
+			for from := start; from < start+3*time.Second; from += 50 * ms {
+				sum := 0.0
+				for _, s := range sends {
+					if s.at >= from && s.at < from+time.Second {
+						sum += s.amount
+					}
+				}
+				budget := 3 * (0.2 + 0.8*(0.5+(from-start).Seconds())/5) * 4 // its mean in this second
+				if sum > budget {
+					t.Errorf("%.2f s of work within a second from %v, the budget is %.2f", sum, from, budget)
+				}
+				if sum < tt.least*coldMargin*budget*coldTurns/(coldTurns+1) {
+					t.Errorf("only %.2f s of work within a second from %v, the budget is %.2f", sum, from, budget)
+				}
 			}
-			d.Step(at, ended, nil)
-		}
-		if len(sends) > before {
-			senders++
-		}
-	}
-	for from := start; from < start+4*time.Second; from += 50 * ms {
-		work := 0.0
-		for _, s := range sends {
-			if s.at >= from && s.at < from+time.Second {
-				work += s.work
+			if len(senders) < schedulers/4 {
+				t.Errorf("%d schedulers sent anything", len(senders))
 			}
-		}
-		if budget := 3 * (0.2 + 0.8*(0.5+(from-start).Seconds())/5) * 4; work > budget { // its mean in this second
-			t.Errorf("%v s of work within a second from %v, the budget is %v", work, from, budget)
+		})
+	}
+}
+
+// Workers start somewhat warmer and warm sooner than the settings' worst case: a job that makes its aim by the usual
+// course goes to one that just started, while the worst case alone bounds what all send.
+func TestColdWorkersAreTimedByTheUsualCourse(t *testing.T) {
+	d := testDispatcher(t, func(s *Settings) { s.Schedulers = 1 })
+	w := d.workers["a"]
+	w.started, d.now = 10*time.Second, 10*time.Second
+	if worst, usual := d.warmth(w), d.likely(w); worst != 0.2 || usual <= worst || usual > 0.4 {
+		t.Errorf("warmth at the start %v at worst, %v by the usual course", worst, usual)
+	}
+	for at := time.Duration(0); at < 6*time.Second; at += 100 * ms {
+		d.now = 10*time.Second + at
+		if worst, usual := d.warmth(w), d.likely(w); usual < worst || usual > 1 {
+			t.Errorf("%v after the start: %v at worst, %v by the usual course", at, worst, usual)
 		}
 	}
-	if senders < 2 {
-		t.Errorf("%d schedulers sent anything", senders)
+	if d.now = 14 * time.Second; d.likely(w) < 1 {
+		t.Errorf("not warm after four fifths of the longest time: %v", d.likely(w))
+	}
+	list := Event{Kind: ListReplaced, Members: []Member{{Worker: "a", Zone: "z0", Kind: "k", Started: 20 * time.Second}}}
+	d.Step(20*time.Second, []Event{list}, nil)
+	d.report(w, Report{FreeSlots: 4})
+	e := request(1, "safe") // its aim is 220 ms: at a fifth of the speed it would be late
+	e.Work = 60 * ms
+	d.Step(20*time.Second, []Event{e}, nil)
+	sends := 0
+	for at := 20 * time.Second; at < 20*time.Second+200*ms; at += 5 * ms {
+		sends += len(of(Send, d.Step(at, nil, nil)))
+	}
+	if sends != 1 {
+		t.Errorf("sent %d times to a worker that just started", sends)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -92,8 +92,9 @@
 	turned     int // jobs turned away, halved by each that starts
 	broken     int // connections that broke since an attempt ended well
 	blocked    time.Duration
-	alive      time.Duration // last sign that it works on jobs
-	coldSent   []amount
+	alive      time.Duration   // last sign that it works on jobs
+	coldSent   float64         // seconds of work sent in this turn, while cold
+	coldTurn   time.Duration   // number of that turn
 	idle       []time.Duration // when own idle connections were last used
 	probing    bool
 	askedAt    time.Duration // when it was last probed
@@ -102,10 +103,6 @@
 	sent, ended time.Duration
 	slots       float64
 }
-type amount struct {
-	at   time.Duration
-	work float64
-}
 
 // kind is a machine kind with its learned runtimes: a linear fit on the size first, then a table by size.
 type kind struct {
