Probe the worker a held job would go to, and open cold workers by fresh reports of room

A dispatcher has 3 requests/s and 0.6 probes a request over 24 and more runners: each runner was asked about every 13 s by each of them, so that what it knew of most was a mean. Its turn at a cold runner (1 in 16) hardly met a request whose key had its home there.

The first form of the opening looked at when a report came, not at whether it showed room: 80 dispatchers in one test sent twice a cold worker's budget; it is held to a report that showed a free slot.

At fault: policy.probe asked the longest unasked worker; policy.coldRoom knew no more than its blind part.

Change: probes go first to the worker that the newest held job would go to, if it was not asked for 2 s (0.25 s where it is cold), at up to 1.5 a request; others cost 2.5 times as much of the budget, as before 0.6 a request. A report of room within 200 ms lets a part through that is bounded by what all can send before their reports show it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,13 +47,16 @@
 	turnedWeight  = 1.0             // how much each job that a worker turned away of late makes it dearer
 	homeStep      = 0.2             // of a fetch: how much dearer the other workers that have the key are
 	fetchRuns     = 1.2             // mean runtimes that it costs all to fetch what a job needs
-	probeShare    = 0.006           // service that the probes for one request may cost
+	probeShare    = 0.015           // service that the probes for one request may cost
+	surveyPrice   = 2.5             // how many of those one probe counts that no job at hand asks for
 	probesMost    = 6               // probes for one request, whatever they cost
 	reportAge     = time.Second     // assumed age of what a load report shows
 )
 
 const never, away = time.Duration(math.MaxInt64), 1 << 32 // later than any moment; added to ranks elsewhere
 
+const reportFresh = 200 * time.Millisecond // so long after a report came a worker is still much as it shows
+
 const slowFades = 10 * time.Second // over which a great slowness fades while nothing new shows it
 
 const listLost = "the list of workers is unavailable and the last one is used"
@@ -520,7 +523,9 @@
 			own += p.slots
 		}
 	}
-	w.seen = max(w.seen, free)
+	if w.seen, w.roomAt = max(w.seen, free), 0; free >= 1 {
+		w.roomAt = d.now
+	}
 	w.kind.seen = max(w.kind.seen, free)
 	w.others, w.othersAt = max(0, d.slots(w)-free-own+max(0, math.Round(r.Queued))), d.now
 	d.crowd += crowdMemory * (min(1, w.others/d.slots(w)) - d.crowd)
@@ -612,7 +617,8 @@
 // worker to worker, so that a scheduler with few requests has a turn at some cold worker nearly always and no
 // part is lost for long. In any window, turns that only touch it included, the sum stays inside the budget.
 // After an own restart a third is used for a window, as what a forerunner sent, or sends beside us in an
-// upgrade, is not known here.
+// upgrade, is not known here. A fresh report of room lets more through: what the worker holds then is less
+// than its slots, and what all send until their reports show it is all that comes beside what it does.
 func (d *Dispatcher) coldRoom(w *worker, work float64) bool {
 	warm := d.warmth(w)
 	if warm >= 1 || d.set.FallMultiple <= 0 || d.set.TipAfter <= 0 {
@@ -623,6 +629,11 @@
 	if d.now < d.born+d.set.TipAfter && d.born > w.started {
 		part /= 3
 	}
+	if w.roomAt > 0 && d.now < w.roomAt+reportFresh {
+		burst := coldMargin * (d.set.FallMultiple - 1) * warm * max(1, w.kind.seen) * d.set.TipAfter.Seconds()
+		turns := float64(d.set.TipAfter/coldTurns) / float64(reportFresh)
+		part = max(part, burst*turns/float64(d.set.Schedulers))
+	}
 	turn := d.now / (d.set.TipAfter / coldTurns)
 	if w.coldTurn != turn {
 		w.coldTurn, w.coldSent = turn, 0
@@ -863,6 +874,11 @@
 	if l > timeLeftTest*(j.due-d.now).Seconds() || j.class.LateWorth == 0 && d.now+seconds(l) > j.aimBy {
 		return failPenalty * maxLeft
 	}
+	return c*l*d.factor(w) + d.rank(j, l)*maxLeft
+}
+
+// factor tells how much dearer a pairing with w is made by prices and by how full it is.
+func (d *Dispatcher) factor(w *worker) float64 {
 	f := 1 + spread*(w.busy+d.held(w))/d.slots(w) + turnedWeight*float64(w.turned)
 	if w.zone != d.set.Zone {
 		f += crossWeight * d.set.CrossZonePrice
@@ -870,7 +886,7 @@
 	if n := len(w.idle); n == 0 || w.idle[n-1] <= d.now-d.set.ConnIdle {
 		f += d.set.HandshakePrice
 	}
-	return c*l*f + d.rank(j, l)*maxLeft
+	return f
 }
 
 // fits tells whether w has the slots and, where told, the memory for j.
@@ -989,22 +1005,55 @@
 		return
 	}
 	near := d.near()
-	for ; d.toAsk >= 1; d.toAsk-- {
-		var next *worker
-		for _, w := range near {
-			if w.state == Ready && !w.probing && (next == nil || w.askedAt < next.askedAt) {
-				next = w
-			}
+	for d.toAsk >= 1 {
+		next, price := d.wanted(near), 1.0
+		if next == nil {
+			next, price = d.longestUnasked(near), surveyPrice
 		}
-		if next == nil || next.askedAt > 0 && d.now < next.askedAt+reportAge/4 {
-			d.toAsk = min(d.toAsk, 1)
+		if next == nil || price > d.toAsk {
+			d.toAsk = min(d.toAsk, surveyPrice)
 			return
 		}
+		d.toAsk -= price
 		next.probing, next.askedAt = true, d.now
 		d.out = append(d.out, Action{Kind: Probe, Worker: next.name})
 	}
 }
 
+// wanted returns the worker that the newest held job would go to, if what is known of it is old. Where
+// workers are many and requests few, a scheduler knows little of most of them whatever it does.
+func (d *Dispatcher) wanted(near []*worker) (next *worker) {
+	for i := len(d.open) - 1; i >= 0 && next == nil; i-- {
+		j, least := d.open[i], math.Inf(1)
+		for _, w := range near {
+			fresh := 2 * reportAge
+			if d.warmth(w) < 1 {
+				fresh = reportAge / 4
+			}
+			known := w.probing || w.askedAt > 0 && d.now < w.askedAt+fresh
+			if j.held && w.state == Ready && !known && d.room(w) >= 1 {
+				if l := d.predict(w, j) * d.factor(w); l < least {
+					next, least = w, l
+				}
+			}
+		}
+	}
+	return next
+}
+
+// longestUnasked returns the worker that was asked longest ago, if that is not just now.
+func (d *Dispatcher) longestUnasked(near []*worker) (next *worker) {
+	for _, w := range near {
+		if w.state == Ready && !w.probing && (next == nil || w.askedAt < next.askedAt) {
+			next = w
+		}
+	}
+	if next != nil && next.askedAt > 0 && d.now < next.askedAt+reportAge/4 {
+		return nil
+	}
+	return next
+}
+
 func (d *Dispatcher) probed(e *Event) {
 	w := d.workers[e.Worker]
 	if w == nil {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -296,7 +296,7 @@
 			t.Fatal(err)
 		}
 		d.Step(born, list, nil)
-		d.report(d.order[0], Report{FreeSlots: 4})
+		d.order[0].kind.seen = 4
 		d.run = 0.6
 		for id, at := uint32(1), born; at < to; id, at = id+1, at+5*ms {
 			e := request(id, "safe")
@@ -1038,7 +1038,9 @@
 	d := testDispatcher(t, func(s *Settings) { s.ProbePrice, s.Probes, s.Reports = 2*probeShare, true, true })
 	probes := 0
 	for n := range 8 {
-		out := d.Step(time.Duration(n+3)*time.Second, []Event{request(uint32(n+1), "safe")}, nil)
+		at := time.Duration(n+3) * time.Second
+		d.Step(at-ms, []Event{{Kind: ClientGone, ID: uint32(n)}}, nil) // no round is due as the next job comes
+		out := d.Step(at, []Event{request(uint32(n+1), "safe")}, nil)
 		for _, a := range of(Probe, out) {
 			probes++
 			d.Step(time.Duration(n+3)*time.Second+ms, []Event{{Kind: ProbeEnded, Worker: a.Worker, Report: NoReport}}, nil)
--- a/policy/state.go
+++ b/policy/state.go
@@ -84,7 +84,8 @@
 	memory     float64 // own
 	seen       float64 // most slots reported free
 	seenMemory float64
-	others     float64 // slots held by other schedulers, by the last report
+	roomAt     time.Duration // of the last report, if it showed room
+	others     float64       // slots held by other schedulers, by the last report
 	othersAt   time.Duration
 	slow       float64 // its runtimes over its kind's
 	learnt     time.Duration
