Estimate room, fullness and cold shares where workers report nothing

At fault: without reports policy.held took half of every worker's slots for held by others (crowd 0.5 for good); coldRoom took a kind for one slot (kind.seen came from reports only), so that no job fitted a cold part; cost counted a fetch (1.2 mean runtimes, more than a tile's whole aim) against the aim at any load and forbade what fails by that; fetch gave each key a home in each zone although fetches took as long as jobs.

Change: nothing is held by others until a start shows it; kinds have the most slots that ran at once; fullness is what this scheduler holds times the schedulers; a fetch counts against the aim as far as workers are full; where no reports are, a failing pairing is made last while workers are under 0.9 full, as the design prices it; keys have a home in each zone only once fetches were seen to take under 0.35 of a run.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,6 @@
 package policy
 
-// The interface is in api.go, the types of the module's memory in state.go. This file holds every decision:
-// requests and rule guards; the view of the workers; runtimes; the round; probes and list calls.
+// api.go has the interface, state.go the types of the module's memory; this file holds every decision.
 
 import (
 	"cmp"
@@ -42,7 +41,8 @@
 	keyMemory     = 5 * time.Second // over which the demand for a key is counted
 	keysMost      = 1 << 14         // keys whose demand is known; then all are learnt anew
 	homeShare     = 0.7             // share of a worker's slots that one key may fill; then it gets another
-	calm          = 0.9             // share of slots in use up to which a key has a home in each zone
+	calm          = 0.9             // share of slots in use up to which a key may have a home in each zone
+	shortFetch    = 0.35            // mean runtimes up to which a fetch costs less than crossings, and it has
 	crossWeight   = 4               // how often the price of a crossing counts in a pairing's cost
 	turnedWeight  = 1.0             // how much each job that a worker turned away of late makes it dearer
 	homeStep      = 0.2             // of a fetch: how much dearer the other workers that have the key are
@@ -53,14 +53,14 @@
 	reportAge     = time.Second     // assumed age of what a load report shows
 )
 
+const listLost = "the list of workers is unavailable and the last one is used"
+
 const never, away = time.Duration(math.MaxInt64), 1 << 32 // later than any moment; added to ranks elsewhere
 
-const reportFresh = 200 * time.Millisecond // so long after a report came a worker is still much as it shows
+const freshFor = 200 * time.Millisecond // so long after a report came a worker is still much as it shows
 
 const slowFades = 10 * time.Second // over which a great slowness fades while nothing new shows it
 
-const listLost = "the list of workers is unavailable and the last one is used"
-
 // New returns a dispatcher for one scheduler. The seed is the only source of chance.
 func New(s Settings, seed uint64) (*Dispatcher, error) {
 	if len(s.Classes) == 0 || s.Schedulers < 0 || s.Number < 0 || s.MaxAttempts < 0 {
@@ -86,6 +86,10 @@
 	d.perJob = min(probesMost, probeShare/max(s.ProbePrice, 1e-9))
 	d.minAim = min(d.minAim, time.Minute)
 	d.run = d.minAim.Seconds()
+	d.fetched = fetchRuns * d.run
+	if !s.Reports {
+		d.crowd = 0 // nothing says that others hold any
+	}
 	d.roundGap = max(d.minAim/roundsPerAim, s.Period, time.Millisecond)
 	d.backOff = d.roundGap
 	for i, t := range s.Tenants {
@@ -282,6 +286,7 @@
 		a.running, a.started, a.w.turned = true, d.now, a.w.turned/2
 		a.w.running += a.j.slots
 		a.w.most = max(a.w.most, a.w.running)
+		a.w.kind.seen = max(a.w.kind.seen, a.w.most)
 		if rest := max(0, d.slots(a.w)-a.w.running); d.now <= a.sent+d.minAim/2 {
 			a.w.others = min(a.w.others, rest)
 		} else { // it waited for a place, so others had all the rest
@@ -383,8 +388,6 @@
 	}
 }
 
-func (a *attempt) overdue() time.Duration { return seconds(overdueRuns*a.predicted) + a.j.class.Aim }
-
 // canMove tells whether a cancelled attempt could be made up for on another worker that has room now.
 func (d *Dispatcher) canMove(a *attempt) bool {
 	a.over = true
@@ -398,9 +401,9 @@
 // ---- the view of the workers ----
 
 func (d *Dispatcher) list(e *Event) {
+	d.note(&d.listLost, e.Kind == ListUnavailable, listLost)
 	switch patience := max(d.set.AskWithin/2, d.roundGap); {
 	case e.Kind == ListUnavailable: // spread over longer and longer times, as all may have lost it at once
-		d.note(&d.listLost, true, listLost)
 		d.asking, d.askAt = false, d.now+d.roundGap+time.Duration(d.rng.Int64N(int64(d.backOff)))
 		d.backOff = min(2*d.backOff, patience)
 		return
@@ -410,7 +413,6 @@
 	case d.asking:
 		d.asking, d.askAt, d.backOff = false, never, d.roundGap // the next loss starts with short waits again
 	}
-	d.note(&d.listLost, false, listLost)
 	if e.Kind != ListChanged {
 		for _, w := range d.order {
 			w.state = Gone
@@ -462,7 +464,7 @@
 	w := d.workers[m.Worker]
 	if w == nil {
 		w = &worker{name: m.Worker, hash: hashOf(m.Worker) & 0xffffff, slow: 1, started: m.Started,
-			othersAt: -time.Hour}
+			othersAt: -time.Hour, askedAt: -time.Hour}
 		d.workers[m.Worker] = w
 		w.rank = int64(hashOf(fmt.Sprint(m.Worker, d.set.Number)))
 		d.order = append(d.order, w)
@@ -548,17 +550,11 @@
 // room estimates the free slots of w. An own job or probe that waits there means none, whatever the reason it
 // hangs, pauses, or others filled it.
 func (d *Dispatcher) room(w *worker) float64 {
-	if w.state != Ready || d.now < w.blocked && !d.failOpen {
-		return 0
-	}
-	if w.probing && d.now > w.askedAt+d.minAim/2 {
+	waits := func(a *attempt) bool { return !a.running }
+	if w.state != Ready || d.now < w.blocked && !d.failOpen || w.probing && d.now > w.askedAt+d.minAim/2 ||
+		slices.ContainsFunc(w.out, waits) {
 		return 0
 	}
-	for _, a := range w.out {
-		if !a.running {
-			return 0
-		}
-	}
 	free := d.slots(w) - w.busy - d.held(w)
 	if w.fails > 0 && !d.failOpen { // the way back from failures: one job at a time
 		free = min(free, 1-float64(len(w.out)))
@@ -611,28 +607,25 @@
 }
 
 // coldRoom tells whether so much work, in seconds, may go to a cold worker now: all schedulers together must
-// stay inside its budget, though none is told of the others. Time is cut into turns, and in each every
-// scheduler has an equal part. A job that is larger than the part goes out as often as the part is large: the
-// schedulers whose places come first in this turn send one each. The order changes from turn to turn and
-// worker to worker, so that a scheduler with few requests has a turn at some cold worker nearly always and no
-// part is lost for long. In any window, turns that only touch it included, the sum stays inside the budget.
-// After an own restart a third is used for a window, as what a forerunner sent, or sends beside us in an
-// upgrade, is not known here. A fresh report of room lets more through: what the worker holds then is less
-// than its slots, and what all send until their reports show it is all that comes beside what it does.
+// stay inside its budget, though none is told of the others. Time is cut into turns, in each of which every
+// scheduler has an equal part; a job larger than the part goes out as often as the part is large, from those
+// whose places come first in this turn, so that no part is lost for long where each has few requests. In any
+// window, turns that only touch it included, the sum stays inside the budget. After an own restart a third is
+// used for a window, as what a forerunner did, or does beside us in an upgrade, is unknown. A fresh report of
+// room lets more through: only what all send until their reports show it comes beside what the worker does.
 func (d *Dispatcher) coldRoom(w *worker, work float64) bool {
 	warm := d.warmth(w)
 	if warm >= 1 || d.set.FallMultiple <= 0 || d.set.TipAfter <= 0 {
 		return true
 	}
-	part := coldMargin * d.set.FallMultiple * warm * max(1, w.kind.seen) * d.set.TipAfter.Seconds() /
-		(coldTurns + 1) / float64(d.set.Schedulers)
+	window := d.set.TipAfter.Seconds()
+	mine := coldMargin * warm * max(1, w.kind.seen) * window / float64(d.set.Schedulers)
+	part := mine * d.set.FallMultiple / (coldTurns + 1)
 	if d.now < d.born+d.set.TipAfter && d.born > w.started {
 		part /= 3
 	}
-	if w.roomAt > 0 && d.now < w.roomAt+reportFresh {
-		burst := coldMargin * (d.set.FallMultiple - 1) * warm * max(1, w.kind.seen) * d.set.TipAfter.Seconds()
-		turns := float64(d.set.TipAfter/coldTurns) / float64(reportFresh)
-		part = max(part, burst*turns/float64(d.set.Schedulers))
+	if w.roomAt > 0 && d.now < w.roomAt+freshFor {
+		part = max(part, mine*(d.set.FallMultiple-1)*window/coldTurns/freshFor.Seconds())
 	}
 	turn := d.now / (d.set.TipAfter / coldTurns)
 	if w.coldTurn != turn {
@@ -658,6 +651,10 @@
 	if !a.running || y <= 0 {
 		return
 	}
+	if a.fetch >= fetchRuns*d.run/2 {
+		d.fetches = min(40, d.fetches+1)
+		d.fetched += (y - a.predicted + a.fetch - d.fetched) / (d.fetches + 1)
+	}
 	k := a.w.kind
 	ratio := max(0.25, min(4, y/max(a.predicted, 1e-4)*a.slow))
 	slow := d.slowness(a.w)
@@ -694,7 +691,8 @@
 	if j.key == nil {
 		return 0
 	}
-	before, mine, own := 0, mix(j.key.hash, w.hash), w.zone == d.set.Zone && d.full < calm
+	before, mine, spare := 0, mix(j.key.hash, w.hash), d.full < calm && d.fetched < shortFetch*d.run
+	own := spare && w.zone == d.set.Zone
 	for _, o := range d.order {
 		rival := o != w && o.state == Ready && d.now >= o.blocked && (!own || o.zone == w.zone)
 		if rival && mix(j.key.hash, o.hash) > mine {
@@ -790,6 +788,9 @@
 			d.home = d.home || w.zone == d.set.Zone
 		}
 	}
+	if !d.set.Reports {
+		d.full += crowdMemory * (d.likelyFull() - d.full)
+	}
 	d.note(&d.failOpen, sick > sickShare*ready, "nearly all workers near by look sick and none is avoided")
 	d.note(&d.overload, d.full > packed || d.overload && d.full > 0.9*packed, "late jobs are given up")
 	fastest, maxLeft := math.Inf(1), 0.0
@@ -810,8 +811,12 @@
 		places = append(places, slices.Repeat([]*worker{w}, max(0, n))...)
 	}
 	var pairs []pair
+	dearest := failPenalty * maxLeft
+	if !d.set.Reports && d.full < calm { // such guesses may be wrong, and there is room
+		dearest *= 10
+	}
 	for i, p := range assign(costs, len(places)) {
-		if p >= 0 && costs[i][p] < failPenalty*maxLeft {
+		if p >= 0 && costs[i][p] < dearest {
 			pairs = append(pairs, pair{jobs[i], places[p], costs[i][p]})
 		}
 	}
@@ -832,6 +837,18 @@
 	}
 }
 
+// likelyFull returns the share of slots in use where no reports tell it: as if all schedulers held as much as
+// this.
+func (d *Dispatcher) likelyFull() float64 {
+	busy, all := 0.0, 1.0
+	for _, w := range d.order {
+		if w.state == Ready {
+			busy, all = busy+w.busy, all+w.kind.seen*d.likely(w)
+		}
+	}
+	return min(2, busy*float64(d.set.Schedulers)/all)
+}
+
 // hopeless tells whether j, not started yet, is given up: it cannot make its aim any more while reports show
 // workers full on the whole, so it would make others late. Guards against overload and lost capacity; it
 // gives up the part of the worth that late answers earn.
@@ -865,16 +882,20 @@
 }
 
 // cost prices a pairing: C_j x L_ij with the design's test and penalty. The small factors only choose among
-// about equal pairings: prices of the settings, and how full the worker is.
+// about equal pairings: prices of the settings, and how full the worker is. A fetch counts against the aim as
+// far as workers are full: the one store slows down for all then.
 func (d *Dispatcher) cost(j *job, w *worker, c, maxLeft float64) float64 {
 	if !d.maySend(j, w) || j.class.Semantics == Unsafe && w.fails > 0 && !d.failOpen || d.stayHome(j, w) {
 		return 100 * failPenalty * maxLeft
 	}
 	l := d.predict(w, j)
-	if l > timeLeftTest*(j.due-d.now).Seconds() || j.class.LateWorth == 0 && d.now+seconds(l) > j.aimBy {
-		return failPenalty * maxLeft
+	price := c*l*d.factor(w) + d.rank(j, l)*maxLeft
+	if l > timeLeftTest*(j.due-d.now).Seconds() {
+		return 100 * failPenalty * maxLeft
+	} else if l -= d.fetch(w, j) * max(0, 1-d.full); j.class.LateWorth == 0 && d.now+seconds(l) > j.aimBy {
+		return failPenalty*maxLeft + price
 	}
-	return c*l*d.factor(w) + d.rank(j, l)*maxLeft
+	return price
 }
 
 // factor tells how much dearer a pairing with w is made by prices and by how full it is.
@@ -907,7 +928,7 @@
 
 func (d *Dispatcher) send(j *job, w *worker) {
 	a := &attempt{j: j, w: w, n: len(j.attempts), sent: d.now, wasCold: d.warmth(w) < 1}
-	a.predicted, a.slow = d.predict(w, j), d.slowness(w)
+	a.predicted, a.fetch, a.slow = d.predict(w, j), d.fetch(w, j), d.slowness(w)
 	j.attempts = append(j.attempts, a)
 	j.held = false
 	w.out = append(w.out, a)
@@ -921,7 +942,7 @@
 	}
 	j.check = d.now + j.class.Aim
 	if !d.set.TellsStart { // as if it ran from the send on
-		a.running, a.started, j.check = true, d.now, d.now+a.overdue()
+		a.running, a.started, j.check = true, d.now, d.now+seconds(overdueRuns*a.predicted)+j.class.Aim
 		w.running += j.slots
 	}
 	j.check = min(j.check, j.due+d.set.AnswerSlack/2)
@@ -974,12 +995,10 @@
 			p[c0], c0 = p[way[c0]], way[c0]
 		}
 	}
-	res := make([]int, rows)
-	for c := 1; c <= m; c++ {
-		if p[c] > 0 && c <= cols {
+	res := slices.Repeat([]int{-1}, rows)
+	for c := 1; c <= cols; c++ {
+		if p[c] > 0 {
 			res[p[c]-1] = c - 1
-		} else if p[c] > 0 {
-			res[p[c]-1] = -1
 		}
 	}
 	return res
@@ -1006,10 +1025,7 @@
 	}
 	near := d.near()
 	for d.toAsk >= 1 {
-		next, price := d.wanted(near), 1.0
-		if next == nil {
-			next, price = d.longestUnasked(near), surveyPrice
-		}
+		next, price := d.toProbe(near)
 		if next == nil || price > d.toAsk {
 			d.toAsk = min(d.toAsk, surveyPrice)
 			return
@@ -1020,38 +1036,30 @@
 	}
 }
 
-// wanted returns the worker that the newest held job would go to, if what is known of it is old. Where
-// workers are many and requests few, a scheduler knows little of most of them whatever it does.
-func (d *Dispatcher) wanted(near []*worker) (next *worker) {
-	for i := len(d.open) - 1; i >= 0 && next == nil; i-- {
-		j, least := d.open[i], math.Inf(1)
-		for _, w := range near {
-			fresh := 2 * reportAge
-			if d.warmth(w) < 1 {
-				fresh = reportAge / 4
-			}
-			known := w.probing || w.askedAt > 0 && d.now < w.askedAt+fresh
-			if j.held && w.state == Ready && !known && d.room(w) >= 1 {
-				if l := d.predict(w, j) * d.factor(w); l < least {
-					next, least = w, l
-				}
-			}
+// toProbe returns the worker whose report tells most and how many probes it counts as: the one that the
+// newest held job would go to, if what is known of it is old, or else the one that was asked longest ago.
+func (d *Dispatcher) toProbe(near []*worker) (next *worker, price float64) {
+	var newest *job
+	for _, j := range d.open {
+		if j.held {
+			newest = j
 		}
 	}
-	return next
-}
-
-// longestUnasked returns the worker that was asked longest ago, if that is not just now.
-func (d *Dispatcher) longestUnasked(near []*worker) (next *worker) {
+	least := math.Inf(1)
 	for _, w := range near {
-		if w.state == Ready && !w.probing && (next == nil || w.askedAt < next.askedAt) {
-			next = w
+		age := d.now - w.askedAt
+		if w.state != Ready || w.probing || age < reportAge/4 {
+			continue
+		}
+		l, counts := 1e9-age.Seconds(), surveyPrice
+		if newest != nil && (age >= 2*reportAge || d.warmth(w) < 1) && d.room(w) >= 1 {
+			l, counts = d.predict(w, newest)*d.factor(w), 1
+		}
+		if l < least {
+			next, least, price = w, l, counts
 		}
 	}
-	if next != nil && next.askedAt > 0 && d.now < next.askedAt+reportAge/4 {
-		return nil
-	}
-	return next
+	return next, price
 }
 
 func (d *Dispatcher) probed(e *Event) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -868,24 +868,31 @@
 	}
 }
 
-// A job is not sent where it would only be late when a late answer earns nothing: it waits for a better place.
+// Where a late answer earns nothing, a job is not sent where it would only be late: it waits for a better place. Where
+// no reports tell what workers hold, predictions err more: it goes out while there is room.
 func TestNothingLateIsSentWhereItEarnsNothing(t *testing.T) {
 	for _, tt := range []struct {
-		late float64
-		want int
-	}{{0, 0}, {0.5, 1}} {
+		late, full float64
+		reports    bool
+		want       int
+	}{{0, 0.5, true, 0}, {0.5, 0.5, true, 1}, {0, 1, false, 0}, {0, 0.5, false, 1}} {
 		d := testDispatcher(t, func(s *Settings) {
+			s.Reports = tt.reports
 			for i := range s.Classes {
 				s.Classes[i].LateWorth = tt.late
 			}
 		})
-		d.run = 0.01
+		d.run, d.full = 0.01, tt.full
+		for _, w := range d.order { // about as full where no reports tell it
+			w.busy = 4 * tt.full
+			w.running, w.most = w.busy, 8
+		}
 		for _, w := range d.order {
 			w.slow = 8
 		}
 		d.Step(time.Second, []Event{{Kind: Request, ID: 1, Class: "safe", Left: time.Second, Work: 50 * ms, Slots: 1}}, nil)
 		if got := len(sent(d, time.Second+d.roundGap)); got != tt.want {
-			t.Errorf("late worth %v: %d sent, want %d", tt.late, got, tt.want)
+			t.Errorf("late worth %v, %v of the slots in use, reports %v: %d sent, want %d", tt.late, tt.full, tt.reports, got, tt.want)
 		}
 	}
 }
@@ -978,6 +985,7 @@
 func TestKeyHasAHomeInTheOwnZone(t *testing.T) {
 	for _, zone := range []string{"z0", "z1"} {
 		d := testDispatcher(t, func(s *Settings) { s.Zone, s.CrossZonePrice = zone, 0.03 })
+		d.fetched = 0 // they were seen to be short
 		for hash := range uint32(50) {
 			j := &job{key: d.keyFor(hash), size: 0.05, class: &d.set.Classes[0], due: time.Hour, aimBy: time.Hour}
 			homes := map[bool]int{}
--- a/policy/state.go
+++ b/policy/state.go
@@ -36,6 +36,8 @@
 	largest       float64   // seconds at speed 1 of the largest job seen
 	crowd, full   float64   // the mean shares of slots that others hold and that are in use
 	run           float64   // the mean runtime, seconds
+	fetches       float64   // how many were seen, 40 at most
+	fetched       float64   // the mean time that fetches took, seconds
 	out           []Action
 }
 
@@ -60,6 +62,7 @@
 	sent, started                     time.Duration
 	running, over, neverRan, withdraw bool
 	predicted                         float64 // seconds
+	fetch                             float64 // seconds of them to fetch what the job needs
 	slow                              float64 // of its worker when it was sent
 	wasCold                           bool
 }
