--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -176,35 +176,6 @@
 	return nil
 }
 
-// check finds figures that no dispatcher can work with. Its error goes on after the opening quote of a key.
-func (s *Settings) check() error {
-	if len(s.Classes) == 0 {
-		return errors.New(`classes": is empty`)
-	}
-	for i, c := range s.Classes {
-		if c.Name == "" {
-			return fmt.Errorf(`classes[%d].name": is empty`, i)
-		}
-		if c.DeadlineUs <= 0 {
-			return fmt.Errorf(`classes[%d].deadlineUs": %v is not over 0`, i, c.DeadlineUs)
-		}
-	}
-	for _, f := range []struct {
-		key string
-		v   float64
-	}{
-		{"periodUs", s.PeriodUs}, {"limits.connIdleUs", s.Limits.ConnIdleUs},
-		{"limits.connectTimeoutUs", s.Limits.ConnectTimeoutUs}, {"rules.answerSlackUs", s.Rules.AnswerSlackUs},
-		{"rules.askWithinUs", s.Rules.AskWithinUs}, {"rules.coldUs", s.Rules.ColdUs},
-		{"rules.tipAfterUs", s.Rules.TipAfterUs}, {"limits.maxRetryAfterUs", s.Limits.MaxRetryAfterUs},
-	} {
-		if f.v < 0 {
-			return fmt.Errorf(`%s": %v is negative`, f.key, f.v)
-		}
-	}
-	return nil
-}
-
 func setDefault[T comparable](v *T, to T) {
 	var zero T
 	if *v == zero {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,7 +82,7 @@
 			d.minAim = min(d.minAim, first)
 		}
 	}
-	d.set.Schedulers, d.set.MaxAttempts = max(1, s.Schedulers), cmp.Or(s.MaxAttempts, math.MaxInt)
+	d.set.Schedulers, d.set.MaxAttempts = max(s.Schedulers, s.Number+1), cmp.Or(s.MaxAttempts, math.MaxInt)
 	d.perJob = min(probesMost, probeShare/max(s.ProbePrice, 1e-9))
 	d.minAim = min(d.minAim, time.Minute)
 	d.run = d.minAim.Seconds()
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1414,3 +1414,14 @@
 		}
 	}
 }
+
+// Where the settings do not tell how many schedulers there are, a scheduler's own number tells the fewest there can be:
+// its part of a cold worker's budget follows that, not a fleet of one.
+func TestOwnNumberTellsTheFewestSchedulers(t *testing.T) {
+	for _, tt := range []struct{ told, number, want int }{{0, 0, 1}, {0, 7, 8}, {80, 7, 80}, {1, 0, 1}} {
+		d := testDispatcher(t, func(s *Settings) { s.Schedulers, s.Number = tt.told, tt.number })
+		if d.set.Schedulers != tt.want {
+			t.Errorf("told %d, number %d: %d schedulers, want %d", tt.told, tt.number, d.set.Schedulers, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/test/integration/deployments_test.go
@@ -0,0 +1,74 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Settings of each deployment's shape. The first has reports, one keyed class and prices for probes; the second none of
+// these, but classes of unlike length and effect, slots and memory, and keys dropped by cells.
+const (
+	payments = `{"zone":"z","zones":["z","y"],"balancers":5,"slotNo":2,"periodUs":2000,"discovery":"ask","kinds":["m","n"],
+ "classes":[{"name":"keyed","semantics":"keyed","keyScope":"zone","memorySpanUs":10000000,"objectiveUs":500000,"deadlineUs":6000000}],
+ "clients":{"marksRetry":false},"familyInfo":{"classKind":[-1],"classStretch":[2],"tellsStart":true,"progressUs":2000000,
+  "queueOrder":"fifo","reportX0":"free slots","reportX1":"free memory"},
+ "limits":{"cancelling":true,"probes":true,"mayDuplicate":true,"retryAfter":true,"maxRetryAfterUs":2000000,"connIdleUs":5000000,
+  "connectTimeoutUs":200000,"maxAttempts":4,"maxOpen":20000,"multiplex":1},"report":{"via":"probe","fields":["tps","load_share","x0"]},
+ "rules":{"answerSlackUs":8000,"askWithinUs":10000000,"coldFrom":0.3,"coldUs":8500000,"drainGraceUs":1000000,"fallMultiple":2.5,
+  "tipAfterUs":3000000},"tariffs":{"crossZone":0.03,"handshake":0.02,"probe":0.01,"lateFail":0.069,"waste":0.04},
+ "tenants":[{"name":"t0","allowancePerS":100}]}`
+	rendering = `{"zone":"z","zones":["z","y"],"balancers":3,"slotNo":0,"periodUs":2000,"discovery":"ask","kinds":["m","n"],
+ "classes":[{"name":"safe","semantics":"safe","objectiveUs":750000,"deadlineUs":6000000},
+  {"name":"long","semantics":"safe","objectiveUs":1000000,"deadlineUs":25000000},
+  {"name":"keyed","semantics":"keyed","keyScope":"cell","memorySpanUs":40000000,"objectiveUs":2000000,"deadlineUs":25000000},
+  {"name":"unsafe","semantics":"unsafe","objectiveUs":1000000,"deadlineUs":25000000}],
+ "clients":{"marksRetry":true},"familyInfo":{"classKind":[-1,-1,-1,-1],"classStretch":[2.5,2,2,2],"tellsStart":true,
+  "progressUs":2000000,"queueOrder":"fifo"},
+ "limits":{"cancelling":true,"probes":true,"mayDuplicate":false,"retryAfter":false,"connIdleUs":30000000,"connectTimeoutUs":150000,
+  "maxAttempts":3,"maxOpen":20000,"multiplex":1},"report":{"via":"none","fields":[]},
+ "rules":{"answerSlackUs":8000,"askWithinUs":10000000,"coldFrom":0.13,"coldUs":24000000,"drainGraceUs":750000,"fallMultiple":3,
+  "tipAfterUs":2000000},"tariffs":{"crossZone":0.03,"probe":0.002,"lateFail":0.03,"waste":0.05},"tenants":[]}`
+)
+
+// One program serves both deployments by their settings alone: every class is answered with what a runner made, an
+// unstarted job that a runner turns away goes to another, and one refused everywhere has Retry-After only where the
+// settings allow it. Requests that a deployment's settings do not know are turned away by name.
+func TestServesBothDeployments(t *testing.T) {
+	for _, tt := range []struct {
+		name, settings string
+		classes        []string
+		tenant         string
+		retryAfter     bool
+	}{
+		{"payments", payments, []string{"keyed"}, "t0", true},
+		{"rendering", rendering, []string{"safe", "long", "keyed", "unsafe"}, "", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			good, full := newRunner(t, "s-1", "z", done), newRunner(t, "s-2", "z", status(http.StatusServiceUnavailable, true))
+			p := startAs(t, tt.settings, nil, good, full)
+			from := func(r *http.Request) {
+				if tt.tenant != "" {
+					r.Header.Set("X-Tenant-Id", tt.tenant)
+				}
+				r.Header.Set("X-Attrs", "slots=2,memory=0.7")
+			}
+			for i, class := range tt.classes {
+				for n := range 3 {
+					a := p.ask(context.Background(), "/"+class, fmt.Sprintf("%s-%d-%d", tt.name, i, n), 5*time.Second, from)
+					assert.Equal(t, http.StatusOK, a.status, "%s: %s", class, a.body)
+				}
+			}
+			assert.Equal(t, http.StatusNotFound, p.ask(context.Background(), "/unknown", tt.name+"-x", time.Second, from).status)
+
+			alone := startAs(t, tt.settings, nil, newRunner(t, "s-3", "z", status(http.StatusServiceUnavailable, true)))
+			a := alone.ask(context.Background(), "/"+tt.classes[0], tt.name+"-full", 2*time.Second, from)
+			assert.Equal(t, http.StatusServiceUnavailable, a.status, a.body)
+			assert.Equal(t, tt.retryAfter, a.header.Get("Retry-After") != "", "Retry-After %q", a.header.Get("Retry-After"))
+		})
+	}
+}
--- a/test/integration/program_test.go
+++ b/test/integration/program_test.go
@@ -342,6 +342,9 @@
 		"classes[0].semantics":      set("settings.classes", []any{map[string]any{"name": "a", "deadlineUs": 5}}),
 		"settings.limits.probes":    set("settings.limits.probes", 7),
 		"settings.rules.tipAfterUs": set("settings.rules.tipAfterUs", -3),
+		"settings.slotNo":           set("settings.slotNo", 1),
+		"classes[0].keyScope": set("settings.classes",
+			[]any{map[string]any{"name": "a", "semantics": "keyed", "keyScope": "rack", "deadlineUs": 5}}),
 	} {
 		t.Run(key, func(t *testing.T) {
 			var c, s map[string]any
--- a/test/integration/world_test.go
+++ b/test/integration/world_test.go
@@ -244,6 +244,11 @@
 
 // startWith has arguments for the program too.
 func startWith(t *testing.T, args []string, known ...*runner) *dispatcher {
+	return startAs(t, settings, args, known...)
+}
+
+// startAs has the settings of another deployment too.
+func startAs(t *testing.T, settings string, args []string, known ...*runner) *dispatcher {
 	p := &dispatcher{t: t, args: args, disc: newDiscovery(t), exit: make(chan error, 1)}
 	hosts := []any{}
 	for _, rn := range known {
