Count whole fetches against the aim and start with own homes again where reports are

At fault: policy.cost counted a fetch against the aim only as far as workers are full, and New took fetches for long until they were seen to be short; a dispatcher with 3 requests/s learns that late, and again after each restart.

Change: both hold only where workers report nothing; with reports the aim test and the homes are as before.

--- a/policy/noreport_test.go
+++ b/policy/noreport_test.go
@@ -127,18 +127,22 @@
 	}
 }
 
-// A fetch counts against a job's aim as far as workers are full.
+// Where no reports are, a fetch counts against a job's aim as far as workers are full; where they are, always: what
+// fetches beside a full store costs large fleets and bursts more than it gives.
 func TestFetchCountsAgainstTheAimAsFarAsWorkersAreFull(t *testing.T) {
-	d := withoutReports(t, nil)
-	d.now, d.run = time.Second, 0.2
-	j := &job{class: &d.set.Classes[0], size: 0.05, slots: 1, due: d.now + time.Second, aimBy: d.now + 150*ms}
-	for hash := uint32(0); j.key == nil || d.fetch(d.order[0], j) < 0.12; hash++ {
-		j.key = d.keyFor(hash)
-	}
-	for full, late := range map[float64]bool{0: false, 1: true} {
-		d.full = full
-		if got := d.cost(j, d.order[0], 1, 1) >= failPenalty; got != late {
-			t.Errorf("%v of the slots in use: fails the test %v, want %v", full, got, late)
+	for _, tt := range []struct {
+		reports bool
+		full    float64
+		late    bool
+	}{{false, 0, false}, {false, 1, true}, {true, 0, true}, {true, 1, true}} {
+		d := withoutReports(t, func(s *Settings) { s.Reports = tt.reports })
+		d.now, d.run, d.full = time.Second, 0.2, tt.full
+		j := &job{class: &d.set.Classes[0], size: 0.05, slots: 1, due: d.now + time.Second, aimBy: d.now + 150*ms}
+		for hash := uint32(0); j.key == nil || d.fetch(d.order[0], j) < 0.12; hash++ {
+			j.key = d.keyFor(hash)
+		}
+		if got := d.cost(j, d.order[0], 1, 1) >= failPenalty; got != tt.late {
+			t.Errorf("reports %v, %v of the slots in use: fails the test %v, want %v", tt.reports, tt.full, got, tt.late)
 		}
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -86,9 +86,8 @@
 	d.perJob = min(probesMost, probeShare/max(s.ProbePrice, 1e-9))
 	d.minAim = min(d.minAim, time.Minute)
 	d.run = d.minAim.Seconds()
-	d.fetched = fetchRuns * d.run
-	if !s.Reports {
-		d.crowd = 0 // nothing says that others hold any
+	if !s.Reports { // nothing says that others hold any
+		d.crowd, d.fetched, d.unseen = 0, fetchRuns*d.run, 1
 	}
 	d.roundGap = max(d.minAim/roundsPerAim, s.Period, time.Millisecond)
 	d.backOff = d.roundGap
@@ -882,8 +881,8 @@
 }
 
 // cost prices a pairing: C_j x L_ij with the design's test and penalty. The small factors only choose among
-// about equal pairings: prices of the settings, and how full the worker is. A fetch counts against the aim as
-// far as workers are full: the one store slows down for all then.
+// about equal pairings: prices of the settings, and how full the worker is. A fetch counts against the aim,
+// but where no reports are only as far as workers are full: the one store slows down for all then.
 func (d *Dispatcher) cost(j *job, w *worker, c, maxLeft float64) float64 {
 	if !d.maySend(j, w) || j.class.Semantics == Unsafe && w.fails > 0 && !d.failOpen || d.stayHome(j, w) {
 		return 100 * failPenalty * maxLeft
@@ -892,7 +891,9 @@
 	price := c*l*d.factor(w) + d.rank(j, l)*maxLeft
 	if l > timeLeftTest*(j.due-d.now).Seconds() {
 		return 100 * failPenalty * maxLeft
-	} else if l -= d.fetch(w, j) * max(0, 1-d.full); j.class.LateWorth == 0 && d.now+seconds(l) > j.aimBy {
+	}
+	l -= d.fetch(w, j) * max(0, d.unseen-d.full)
+	if j.class.LateWorth == 0 && d.now+seconds(l) > j.aimBy {
 		return failPenalty*maxLeft + price
 	}
 	return price
