Give keys one home until fetches are seen to be short, with reports too

Checked and ruled out: the whole fetch in the aim test.

At fault: policy.New took fetches for short at the start, so that 300 dispatchers with few requests gave each key a home in every zone for the seconds until they had seen otherwise.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -85,9 +85,9 @@
 	d.set.Schedulers, d.set.MaxAttempts = max(s.Schedulers, s.Number+1), cmp.Or(s.MaxAttempts, math.MaxInt)
 	d.perJob = min(probesMost, probeShare/max(s.ProbePrice, 1e-9))
 	d.minAim = min(d.minAim, time.Minute)
-	d.run = d.minAim.Seconds()
+	d.run, d.fetched = d.minAim.Seconds(), fetchRuns*d.minAim.Seconds()
 	if !s.Reports { // nothing says that others hold any
-		d.crowd, d.fetched, d.unseen = 0, fetchRuns*d.run, 1
+		d.crowd, d.unseen = 0, 1
 	}
 	d.roundGap = max(d.minAim/roundsPerAim, s.Period, time.Millisecond)
 	d.backOff = d.roundGap
@@ -892,8 +892,8 @@
 	if l > timeLeftTest*(j.due-d.now).Seconds() {
 		return 100 * failPenalty * maxLeft
 	}
-	l -= d.fetch(w, j) * max(0, d.unseen-d.full)
-	if j.class.LateWorth == 0 && d.now+seconds(l) > j.aimBy {
+	sure := l - d.fetch(w, j)*max(0, d.unseen-d.full)
+	if j.class.LateWorth == 0 && d.now+seconds(sure) > j.aimBy {
 		return failPenalty*maxLeft + price
 	}
 	return price
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -985,6 +985,7 @@
 func TestKeyHasAHomeInTheOwnZone(t *testing.T) {
 	for _, zone := range []string{"z0", "z1"} {
 		d := testDispatcher(t, func(s *Settings) { s.Zone, s.CrossZonePrice = zone, 0.03 })
+		d.fetched = 0 // they were seen to be short
 		for hash := range uint32(50) {
 			j := &job{key: d.keyFor(hash), size: 0.05, class: &d.set.Classes[0], due: time.Hour, aimBy: time.Hour}
 			homes := map[bool]int{}
