Mend what a second read found: derived state, doubled fetches, a division by zero

Seen: unseen only repeated settings.Reports; cost looked up each pairing's fetch twice also where reports make it 0; a tipAfterUs under 4 ns divided by zero in coldRoom (a panic of the module at its first cold runner); withoutReports copied testDispatcher.

Change: cost asks the settings, and only then for the fetch; a turn is 1 ns at least; one set-up for both tests. No decision changed.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -179,3 +179,11 @@
 		}
 	}
 }
+
+// Windows too short to be cut into turns are settings like others: nothing is divided by them.
+func TestShortestColdWindow(t *testing.T) {
+	d := testDispatcher(t, func(s *Settings) { s.TipAfter = 1 })
+	w := d.order[0]
+	w.started, d.now = 10*time.Second, 10*time.Second
+	d.coldRoom(w, 0.05)
+}
--- a/policy/noreport_test.go
+++ b/policy/noreport_test.go
@@ -10,17 +10,12 @@
 
 func withoutReports(t *testing.T, change func(*Settings)) *Dispatcher {
 	t.Helper()
-	s := testSettings()
-	s.Reports = false
-	if change != nil {
-		change(&s)
-	}
-	d, err := New(s, 1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	d.Step(0, []Event{testList()}, nil)
-	return d
+	return untold(t, func(s *Settings) {
+		s.Reports = false
+		if change != nil {
+			change(s)
+		}
+	})
 }
 
 // begin has n jobs run at w that started as soon as they were sent.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -87,7 +87,7 @@
 	d.minAim = min(d.minAim, time.Minute)
 	d.run, d.fetched = d.minAim.Seconds(), fetchRuns*d.minAim.Seconds()
 	if !s.Reports { // nothing says that others hold any
-		d.crowd, d.unseen = 0, 1
+		d.crowd = 0
 	}
 	d.roundGap = max(d.minAim/roundsPerAim, s.Period, time.Millisecond)
 	d.backOff = d.roundGap
@@ -626,7 +626,7 @@
 	if w.roomAt > 0 && d.now < w.roomAt+freshFor {
 		part = max(part, mine*(d.set.FallMultiple-1)*window/coldTurns/freshFor.Seconds())
 	}
-	turn := d.now / (d.set.TipAfter / coldTurns)
+	turn := d.now / max(1, d.set.TipAfter/coldTurns)
 	if w.coldTurn != turn {
 		w.coldTurn, w.coldSent = turn, 0
 	}
@@ -836,8 +836,7 @@
 	}
 }
 
-// likelyFull returns the share of slots in use where no reports tell it: as if all schedulers held as much as
-// this.
+// likelyFull returns the share of slots in use where no reports tell it, as if all schedulers held as much.
 func (d *Dispatcher) likelyFull() float64 {
 	busy, all := 0.0, 1.0
 	for _, w := range d.order {
@@ -880,9 +879,8 @@
 	return r
 }
 
-// cost prices a pairing: C_j x L_ij with the design's test and penalty. The small factors only choose among
-// about equal pairings: prices of the settings, and how full the worker is. A fetch counts against the aim,
-// but where no reports are only as far as workers are full: the one store slows down for all then.
+// cost prices a pairing: C_j x L_ij with the design's test and penalty; small factors only choose among
+// about equal pairings. Where no reports are, a fetch counts against the aim as far as workers are full only.
 func (d *Dispatcher) cost(j *job, w *worker, c, maxLeft float64) float64 {
 	if !d.maySend(j, w) || j.class.Semantics == Unsafe && w.fails > 0 && !d.failOpen || d.stayHome(j, w) {
 		return 100 * failPenalty * maxLeft
@@ -892,8 +890,10 @@
 	if l > timeLeftTest*(j.due-d.now).Seconds() {
 		return 100 * failPenalty * maxLeft
 	}
-	sure := l - d.fetch(w, j)*max(0, d.unseen-d.full)
-	if j.class.LateWorth == 0 && d.now+seconds(sure) > j.aimBy {
+	if !d.set.Reports {
+		l -= d.fetch(w, j) * max(0, 1-d.full)
+	}
+	if j.class.LateWorth == 0 && d.now+seconds(l) > j.aimBy {
 		return failPenalty*maxLeft + price
 	}
 	return price
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -35,7 +35,8 @@
 	}}
 }
 
-func testDispatcher(t testing.TB, change func(*Settings)) *Dispatcher {
+// untold returns a dispatcher that has the list and no report.
+func untold(t testing.TB, change func(*Settings)) *Dispatcher {
 	t.Helper()
 	s := testSettings()
 	if change != nil {
@@ -46,6 +47,12 @@
 		t.Fatal(err)
 	}
 	d.Step(0, []Event{testList()}, nil)
+	return d
+}
+
+func testDispatcher(t testing.TB, change func(*Settings)) *Dispatcher {
+	t.Helper()
+	d := untold(t, change)
 	for _, w := range d.order {
 		d.report(w, Report{FreeSlots: 4, FreeMemory: -1, Queued: -1, InFlight: -1, Load: -1})
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -36,7 +36,6 @@
 	largest       float64   // seconds at speed 1 of the largest job seen
 	crowd, full   float64   // the mean shares of slots that others hold and that are in use
 	run           float64   // the mean runtime, seconds
-	unseen        float64   // 1 where no reports tell what workers hold
 	fetches       float64   // how many were seen, 40 at most
 	fetched       float64   // the mean time that fetches took, seconds
 	out           []Action
