--- a/policy/policy.go
+++ b/policy/policy.go
@@ -156,8 +156,6 @@
 	}
 }
 
-// ---- requests and rule guards ----
-
 func (d *Dispatcher) arrive(e *Event) {
 	row, ok := d.classes[e.Class]
 	if d.jobs[e.ID] != nil {
@@ -397,8 +395,6 @@
 	})
 }
 
-// ---- the view of the workers ----
-
 func (d *Dispatcher) list(e *Event) {
 	d.note(&d.listLost, e.Kind == ListUnavailable, listLost)
 	switch patience := max(d.set.AskWithin/2, d.roundGap); {
@@ -638,8 +634,6 @@
 	return place*work < part
 }
 
-// ---- runtimes ----
-
 func row(size float64) int {
 	return max(0, min(39, 24+int(math.Round(2*math.Log2(max(size, 1e-6))))))
 }
@@ -758,8 +752,6 @@
 	return size * k.sy / k.sx
 }
 
-// ---- the round ----
-
 // wantRound has held jobs matched at the next moment of the round's grid. Schedulers' grids are shifted
 // against each other so that those in step do not all pick the same worker at once.
 func (d *Dispatcher) wantRound() {
@@ -847,9 +839,8 @@
 	return min(2, busy*float64(d.set.Schedulers)/all)
 }
 
-// hopeless tells whether j, not started yet, is given up: it cannot make its aim any more while reports show
-// workers full on the whole, so it would make others late. Guards against overload and lost capacity; it
-// gives up the part of the worth that late answers earn.
+// hopeless tells whether j, not started yet, is given up: it would end late and, where workers are full on the
+// whole, make others late. Guards against overload; gives up the part of the worth that late answers earn.
 func (d *Dispatcher) hopeless(j *job, l float64) bool {
 	return (d.overload || j.class.LateWorth == 0) && d.now+seconds(l) > j.aimBy
 }
@@ -1005,8 +996,6 @@
 	return res
 }
 
-// ---- probes and list calls ----
-
 // outside sends what goes to others than workers' job queues: list calls and probes.
 func (d *Dispatcher) outside() {
 	if !d.set.AskList {
