Watch pushed lists unasked: nothing opened the watch where discovery is push

Now the watcher keeps such a watch open by itself, from the start and after SIGHUP, opens it anew after silence or a failure (50 ms, doubling up to 1 s, by cenkalti/backoff), and holds its calls for 2 s, so that one fallen silent is open again after 3.5 s at most, well within 6 s. Where lists are asked for nothing changes. TestPushedListsAreWatchedUnasked was seen to hang without it.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -106,6 +106,7 @@
 	defer signal.Stop(signals)
 
 	working := life.Until(lifecycle.Stopped)
+	watcher.Keep(!cfg.Policy.AskList)
 	go watcher.Run(working)
 	ran.Go(func() { x.Run(working) })
 	go reload(working, hups, cfg, getenv, watcher, retuner{x, server}, files, log)
@@ -150,6 +151,7 @@
 				continue
 			}
 			tune.server.Retune(&next.Policy)
+			watcher.Keep(!next.Policy.AskList)
 			log.WithField("classes", len(next.Policy.Classes)).Info("settings changed; requests under way keep theirs")
 		}
 		watcher.Move(next.Discovery)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -52,6 +52,7 @@
 	defaultConnect  = 200 * time.Millisecond
 	defaultIdle     = 5 * time.Second
 	defaultHold     = 5 * time.Second
+	pushedHold      = 2 * time.Second // a watch fallen silent is open anew well within the 6 s after which its news counts as told
 	maxHold         = time.Minute     // the longest that discovery holds a call
 	maxStop         = 3 * time.Second // the longest deadline that the platform waits for at a planned restart
 	minSockets      = 64              // fewer leave no room for clients and runners beside the program's own
@@ -206,6 +207,9 @@
 // rules allow; a very short one would be a load on discovery, which all dispatchers share.
 func (c *Config) Hold() time.Duration {
 	hold := c.Policy.AskWithin / 2
+	if !c.Policy.AskList {
+		return pushedHold
+	}
 	if hold <= 0 {
 		hold = defaultHold
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -36,6 +36,8 @@
 	assert.Equal(t, defaultConnect, c.Policy.ConnectTimeout)
 	assert.Equal(t, defaultIdle, c.Policy.ConnIdle)
 	assert.Equal(t, logrus.InfoLevel, c.LogLevel)
+	assert.Equal(t, pushedHold, c.Hold(), "lists are pushed where nothing says otherwise")
+	c.Policy.AskList = true
 	assert.Equal(t, defaultHold, c.Hold())
 	assert.Equal(t, 900*time.Millisecond, c.StopWithin(), "the longest deadline")
 	assert.Equal(t, 1, c.Procs())
@@ -67,7 +69,7 @@
 
 // The platform waits at most 3 s for the longest deadline, and discovery holds a call for a minute at most.
 func TestCaps(t *testing.T) {
-	c, err := loadText(t, `{"listen":"a:1","discovery":"a:2","settings":{"rules":{"askWithinUs":900000000},
+	c, err := loadText(t, `{"listen":"a:1","discovery":"a:2","settings":{"discovery":"ask","rules":{"askWithinUs":900000000},
 		"classes":[{"name":"c","semantics":"safe","deadlineUs":9000000}]}}`, nil)
 	require.NoError(t, err)
 	assert.Equal(t, maxStop, c.StopWithin())
--- a/internal/routetable/routetable_test.go
+++ b/internal/routetable/routetable_test.go
@@ -86,6 +86,49 @@
 	assert.Equal(t, "from=9&hold_ms=7000", <-calls, "the next call goes out at once and is held")
 }
 
+// Where lists are pushed nobody asks for them: the watch is opened from the first moment on, and anew when it fell silent or
+// failed, until that is switched off.
+func TestPushedListsAreWatchedUnasked(t *testing.T) {
+	calls := make(chan int, 64)
+	n := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n++
+		calls <- n
+		switch n {
+		case 1, 5:
+			fmt.Fprint(w, `{"seq": 9, "whole": false, "hosts": []}`)
+		case 2: // silent
+			<-r.Context().Done()
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer srv.Close()
+	news := make(chan policy.Event, 64)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w := NewWatcher(New(), srv.Listener.Addr().String(), 10*time.Millisecond, func(e policy.Event) { news <- e }, log)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go w.Run(ctx)
+	w.Keep(true)
+	assert.Equal(t, policy.ListChanged, (<-news).Kind, "unasked")
+	for range 3 {
+		assert.Equal(t, policy.ListUnavailable, (<-news).Kind, "silent, and then refused")
+	}
+	assert.Equal(t, policy.ListChanged, (<-news).Kind, "and open again")
+	w.Keep(false)
+	for len(calls) > 0 {
+		<-calls
+	}
+	time.Sleep(2 * againFirst)
+	for len(calls) > 0 { // one that was arranged before
+		<-calls
+	}
+	time.Sleep(3 * againMost / 2)
+	assert.Empty(t, calls)
+}
+
 // Guards against a network cut in silence: a call that brings nothing ends by itself.
 func TestSilentCallEnds(t *testing.T) {
 	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
--- a/internal/routetable/watch.go
+++ b/internal/routetable/watch.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
 	"ospreypond/policy"
@@ -21,6 +22,13 @@
 // after another and a call may wait its turn; a cut network is silent, so without this a call never ends.
 const callGrace = 1500 * time.Millisecond
 
+// A watch that the Watcher keeps up by itself is opened anew so soon after it ended, and after ever longer waits up to the
+// second while calls go on failing.
+const (
+	againFirst = 50 * time.Millisecond
+	againMost  = time.Second
+)
+
 // maxList bounds what is read of one answer.
 const maxList = 4 << 20
 
@@ -35,6 +43,7 @@
 	client *http.Client
 	news   func(policy.Event)
 	kick   chan struct{}
+	keep   atomic.Bool
 	log    logrus.FieldLogger
 }
 
@@ -80,15 +89,27 @@
 	}
 }
 
+// Keep says whether the Watcher keeps a watch open by itself, where lists are pushed: what there is to tell then counts as
+// told whether or not anybody asks. Else the module asks, by Subscribe.
+func (w *Watcher) Keep(on bool) {
+	if w.keep.Swap(on) != on && on {
+		w.Subscribe()
+	}
+}
+
 // Run watches until ctx ends. It starts when subscribed to; after a failed call it tells the module, which
-// decides when to subscribe again.
+// decides when to subscribe again, or does so itself where it keeps the watch.
 func (w *Watcher) Run(ctx context.Context) {
+	again := backoff.ExponentialBackOff{InitialInterval: againFirst, MaxInterval: againMost, Multiplier: 2,
+		RandomizationFactor: backoff.DefaultRandomizationFactor}
+	again.Reset()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-w.kick:
 		}
+		began := time.Now()
 		err := errMoved
 		for errors.Is(err, errMoved) {
 			err = w.watch(ctx, w.at.Load())
@@ -98,6 +119,12 @@
 		}
 		w.log.WithError(err).Warn("discovery call failed; the route table stays as it is")
 		w.news(policy.Event{Kind: policy.ListUnavailable})
+		if w.keep.Load() {
+			if time.Since(began) > againMost { // it was up for a while
+				again.Reset()
+			}
+			time.AfterFunc(again.NextBackOff(), w.Subscribe)
+		}
 	}
 }
 
