Look at waiting attempts four times within an aim, and move those that have not started

Jobs that started had waited 0.33 s. A third of the sends went to runners never probed; 300 dispatchers hold one job each there, so no estimate of room is right. Now an attempt is looked at after each quarter of the aim and moved while another runner is known to have room; its runner counts as having turned a job away, and is blamed for silence sooner each time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,6 +26,7 @@
 	queueGuess    = 0.15            // queued jobs a slot at a full worker, where reports tell none
 	crowdMemory   = 0.05            // weight of the newest report in how full workers are of others' jobs
 	slowMemory    = 0.2             // weight of the newest runtime in a worker's own slowness
+	firstLook     = 4               // parts of an aim after each of which an attempt is looked at
 	overdueRuns   = 3               // an attempt is overdue after this many predicted runtimes plus its aim
 	blockAims     = 4               // a failing worker is first left alone for this many of the shortest aims
 	sickShare     = 4               // sick workers for each healthy one from which on none is avoided
@@ -364,7 +365,7 @@
 		d.finish(j)
 		return
 	}
-	j.check = min(j.due+last, d.now+max(d.minAim/2, d.set.Period))
+	j.check = min(j.due+last, d.now+max(d.minAim/firstLook, d.set.Period))
 	for _, a := range j.attempts {
 		if a.over || a.withdraw || a.running && d.set.TellsStart { // one that runs for long may just be long
 			continue
@@ -375,11 +376,12 @@
 		}
 		// Guards against hung, paused and vanished workers: nothing was heard from it since the send.
 		// A worker that is only slow loses some sends until its next sign of life.
-		silent := a.w.alive < a.sent && d.now >= a.sent+j.class.Aim
+		silent := a.w.alive < a.sent && d.now >= a.sent+j.class.Aim>>min(2, a.w.turned)
 		if silent {
 			d.fail(a.w)
 		}
 		if (silent || !a.running) && d.canMove(a) {
+			a.w.turned++
 			d.withdraw(a)
 		}
 	}
@@ -932,7 +934,7 @@
 	if a.wasCold {
 		w.coldSent += w.kind.runtime(j.size) * j.slots
 	}
-	j.check = d.now + j.class.Aim
+	j.check = d.now + j.class.Aim/firstLook
 	if !d.set.TellsStart { // as if it ran from the send on
 		a.running, a.started, j.check = true, d.now, d.now+seconds(overdueRuns*a.predicted)+j.class.Aim
 		w.running += j.slots
