--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -34,6 +34,8 @@
 	Record string
 	// Keep is how long recorded traffic is kept.
 	Keep store.Retention
+	// Fleet is the operator's own settings file; empty: this dispatcher keeps to itself.
+	Fleet string
 }
 
 // Serve runs one dispatcher until SIGTERM or an interrupt has ended it in order. SIGHUP has it read its configuration
@@ -80,6 +82,10 @@
 		}()
 	}
 	x.News(policy.Event{Kind: policy.ListRestored, Members: table.Apply(&cfg.Known)})
+	peers, err := joinFleet(opt.Fleet, cfg, x, log)
+	if err != nil {
+		return err
+	}
 
 	listener, err := listen(context.Background(), cfg.Listen)
 	if err != nil {
@@ -92,7 +98,7 @@
 		if err != nil {
 			return fmt.Errorf("key \"console\": %w", err)
 		}
-		ops := console.New(&operator{server: server, table: table, news: x.News, reloads: files, dir: os.TempDir(), log: log}, log)
+		ops := console.New(&operator{server: server, table: table, news: x.News, reloads: files, peers: peers, dir: os.TempDir(), log: log}, log)
 		defer ops.Close()
 		go func() {
 			if err := ops.Serve(l); err != nil {
@@ -109,7 +115,9 @@
 	watcher.Keep(!cfg.Policy.AskList)
 	go watcher.Run(working)
 	ran.Go(func() { x.Run(working) })
-	go reload(working, hups, cfg, getenv, watcher, retuner{x, server}, files, log)
+	peers.start()
+	defer peers.leave()
+	go reload(working, hups, cfg, getenv, watcher, retuner{x, server, peers}, files, log)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	life.Advance(lifecycle.Serving)
@@ -122,6 +130,7 @@
 		log.WithField("signal", s).Info("asked to stop")
 	}
 	life.Advance(lifecycle.Draining)
+	peers.leave() // what it may use passes on; what it holds it still ends
 	err = drain(server, x, cfg.StopWithin())
 	life.Advance(lifecycle.Stopped)
 	if err != nil {
@@ -146,11 +155,10 @@
 			continue
 		}
 		if !reflect.DeepEqual(cfg.Settings, next.Settings) {
-			if err := tune.x.Retune(next.Policy); err != nil {
+			if err := tune.retune(next); err != nil {
 				log.WithError(err).WithField("refused", files.refuse(err)).Error("new settings are faulty; the old ones stay")
 				continue
 			}
-			tune.server.Retune(&next.Policy)
 			watcher.Keep(!next.Policy.AskList)
 			log.WithField("classes", len(next.Policy.Classes)).Info("settings changed; requests under way keep theirs")
 		}
@@ -168,6 +176,18 @@
 type retuner struct {
 	x      *exchange.Exchange
 	server *ingress.Server
+	peers  *peers
+}
+
+func (r retuner) retune(next *config.Config) error {
+	if err := r.peers.fits(next); err != nil {
+		return err
+	}
+	if err := r.x.Retune(next.Policy); err != nil {
+		return err
+	}
+	r.server.Retune(&next.Policy)
+	return nil
 }
 
 // drain stops taking requests and answers those taken: what is still open after the given time is ended.
--- a/internal/app/operator.go
+++ b/internal/app/operator.go
@@ -30,6 +30,7 @@
 	news   func(policy.Event)
 	// reloads counts the files read at SIGHUP.
 	reloads *reloads
+	peers   *peers
 	dir     string // where bans are kept for the next process
 	log     logrus.FieldLogger
 }
@@ -39,6 +40,7 @@
 func (o *operator) Undrain()                  { o.server.Undrain() }
 func (o *operator) GivenUp() map[string]int64 { return o.server.GiveUps().Counts() }
 func (o *operator) Reloads() string           { return o.reloads.String() }
+func (o *operator) Fleet() any                { return o.peers.look() }
 
 func (o *operator) Disable(id string) error {
 	changed, err := o.table.Disable(id)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -1,11 +1,13 @@
 package cli
 
 import (
+	"errors"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"ospreypond/internal/app"
+	"ospreypond/internal/settings"
 	"ospreypond/internal/store"
 )
 
@@ -23,6 +25,12 @@
 		RunE: func(*cobra.Command, []string) error {
 			log := newLog(std.Err)
 			if err := app.Serve(opt, getenv, log); err != nil {
+				var faults settings.Faults
+				if errors.As(err, &faults) {
+					for _, f := range faults {
+						log.WithError(f).Error("the settings file has a fault")
+					}
+				}
 				log.WithError(err).Error("ospreypond cannot go on")
 				return errSaid
 			}
@@ -31,6 +39,7 @@
 	f := c.Flags()
 	f.StringVar(&opt.Record, "record", "", "record what each request was and how it ended in the store in this `folder`")
 	f.DurationVar(&opt.Keep.Age, "record-keep", opt.Keep.Age, "drop recorded traffic older than this")
+	f.StringVar(&opt.Fleet, "fleet", "", "take part in a fleet as the settings `file` says")
 	f.Int64Var(&opt.Keep.Bytes, "record-bytes", opt.Keep.Bytes, "drop the oldest recorded traffic over this many bytes")
 	return c
 }
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -51,6 +52,8 @@
 	GivenUp() map[string]int64
 	// Reloads tells in one line how many configuration files were taken and refused at SIGHUP, and why the last was.
 	Reloads() string
+	// Fleet returns what there is to tell of the fleet, for JSON; nil where this dispatcher is in none.
+	Fleet() any
 }
 
 // Server answers the operators' calls.
@@ -67,6 +70,7 @@
 	mux.HandleFunc("GET /ready", s.ready)
 	mux.HandleFunc("GET /givenup", s.givenUp)
 	mux.HandleFunc("GET /reloads", func(w http.ResponseWriter, _ *http.Request) { text(w, http.StatusOK, ops.Reloads()) })
+	mux.HandleFunc("GET /fleet", s.fleet)
 	mux.HandleFunc("POST /drain", s.drain)
 	mux.HandleFunc("POST /undrain", s.undrain)
 	mux.HandleFunc("POST /runners/disable", s.runner(ops.Disable, "disabled"))
@@ -112,6 +116,21 @@
 	})
 }
 
+func (s *Server) fleet(w http.ResponseWriter, _ *http.Request) {
+	view := s.ops.Fleet()
+	if view == nil {
+		text(w, http.StatusNotFound, "this dispatcher is in no fleet: it was started without --fleet")
+		return
+	}
+	body, err := json.MarshalIndent(view, "", "  ")
+	if err != nil {
+		text(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(body, '\n')) // a caller that has gone needs no answer
+}
+
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
 	if ok, why := s.ops.Ready(); !ok {
 		text(w, http.StatusServiceUnavailable, "not ready: "+why)
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -22,6 +22,7 @@
 	drained bool
 	out     map[string]bool
 	known   map[string]bool
+	fleet   any
 }
 
 func (f *fake) Ready() (bool, string) {
@@ -58,6 +59,7 @@
 }
 
 func (f *fake) Reloads() string { return "1 taken, 0 refused" }
+func (f *fake) Fleet() any      { return f.fleet }
 
 func start(t *testing.T) (string, *fake) {
 	t.Helper()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"container/heap"
 	"context"
 	"fmt"
+	"math"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -48,6 +49,7 @@
 	started bool
 	closing bool
 	members map[string]policy.Member // as last told, for a module that starts over
+	fleet   *policy.Event            // as last told; nil: no fleet
 	jobs    map[uint32]*job
 	nextID  uint32
 	ids     map[string]bool // of the requests taken, open ones and the last idMemory
@@ -155,6 +157,19 @@
 	})
 }
 
+// Share takes in which numbers of those that the dispatchers' budgets are cut into this one acts for: all of them for so
+// long from now, after that only its own. living is how many dispatchers are held to be there.
+func (x *Exchange) Share(numbers []int, sure time.Duration, living int) {
+	until := time.Duration(math.MaxInt64)
+	if now := x.clock.now(); sure < until-now {
+		until = now + sure
+	}
+	x.do(func() {
+		x.fleet = &policy.Event{Kind: policy.FleetTold, Numbers: numbers, Until: until, Living: living}
+		x.toAll(*x.fleet)
+	})
+}
+
 // Close has every open request answered now, and every later one at once. The exchange goes on so that the
 // answers get out.
 func (x *Exchange) Close() {
@@ -279,6 +294,9 @@
 		return 1
 	})
 	m.events = append(m.events, e)
+	if x.fleet != nil {
+		m.events = append(m.events, *x.fleet)
+	}
 	if x.closing {
 		m.events = append(m.events, policy.Event{Kind: policy.Closing})
 	}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,339 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ospreypond/internal/fleet"
+	"ospreypond/internal/fleet/share"
+	"ospreypond/internal/fleet/virtual"
+)
+
+const tick = 500 * time.Millisecond // the probe interval
+
+// options are a usual network's; a failing run is repeated by its seed alone.
+func options(seed uint64) virtual.Options {
+	return virtual.Options{Seed: seed, Config: fleet.Config{Interval: tick}, Delay: time.Millisecond, Jitter: 10 * time.Millisecond}
+}
+
+// startAll starts n processes at once and waits until they agree.
+func startAll(t *testing.T, n int, opt virtual.Options) *virtual.World {
+	t.Helper()
+	w := virtual.New(n, opt)
+	for _, node := range w.Nodes {
+		require.NoError(t, w.Start(node))
+	}
+	within(t, w, 60*tick, "all are met")
+	return w
+}
+
+// within waits until all that run agree.
+func within(t *testing.T, w *virtual.World, most time.Duration, what string) time.Duration {
+	t.Helper()
+	took, ok := w.Until(tick/2, most, func() bool { return w.Agree() })
+	require.True(t, ok, "%s: not within %v", what, most)
+	return took
+}
+
+// count returns how many changes of a kind the processes noted since a moment.
+func count(w *virtual.World, k fleet.ChangeKind, since time.Duration) (n int) {
+	for _, node := range w.Nodes {
+		for _, c := range node.Changes {
+			if c.Kind == k && c.At >= since {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func TestJoins(t *testing.T) {
+	t.Run("one by one", func(t *testing.T) {
+		w := virtual.New(30, options(1))
+		for _, n := range w.Nodes {
+			require.NoError(t, w.Start(n))
+			within(t, w, 10*tick, n.Name)
+		}
+	})
+	t.Run("300 at once", func(t *testing.T) { startAll(t, 300, options(2)) })
+	t.Run("seeds all dead", func(t *testing.T) {
+		w := virtual.New(20, options(3))
+		for _, n := range w.Nodes[3:] {
+			require.NoError(t, w.Start(n))
+		}
+		w.For(60 * tick)
+		for _, n := range w.Nodes[3:] {
+			require.Equal(t, 1, n.Core.Living(), "nobody to be met yet")
+		}
+		require.NoError(t, w.Start(w.Nodes[1]))
+		within(t, w, 20*tick, "once a seed is there")
+	})
+	t.Run("a seed that is cut off", func(t *testing.T) {
+		opt := options(4)
+		opt.Link = func(_ time.Duration, from, to *virtual.Node) virtual.Link {
+			return virtual.Link{Cut: from.Name == "d0" || to.Name == "d0"}
+		}
+		w := virtual.New(20, opt)
+		for _, n := range w.Nodes {
+			require.NoError(t, w.Start(n))
+		}
+		_, ok := w.Until(tick, 60*tick, func() bool { return w.Agree(w.Nodes[1:]...) })
+		require.True(t, ok)
+		assert.Equal(t, 1, w.Nodes[0].Core.Living())
+	})
+}
+
+func TestRestarts(t *testing.T) {
+	t.Run("a tenth at a time", func(t *testing.T) {
+		w := startAll(t, 100, options(5))
+		for first := 0; first < 100; first += 10 {
+			for _, n := range w.Nodes[first : first+10] {
+				w.Kill(n)
+			}
+			w.For(2 * tick)
+			for _, n := range w.Nodes[first : first+10] {
+				require.NoError(t, w.Start(n))
+			}
+			w.For(4 * tick)
+		}
+		within(t, w, 20*tick, "after the last")
+	})
+	t.Run("seven in ten killed", func(t *testing.T) {
+		w := startAll(t, 100, options(6))
+		for _, n := range w.Nodes[:70] {
+			w.Kill(n)
+		}
+		within(t, w, 60*tick, "the others know")
+		for _, n := range w.Nodes[:70] {
+			require.NoError(t, w.Start(n))
+		}
+		within(t, w, 30*tick, "all are back")
+	})
+	t.Run("a new life follows the old one for good", func(t *testing.T) {
+		w := startAll(t, 10, options(7))
+		old, _ := w.Nodes[4].Core.Take()
+		w.Nodes[4].Core.Tick(w.Now)
+		old, _ = w.Nodes[4].Core.Take() // what the old life sent last, and the network holds back
+		w.Kill(w.Nodes[4])
+		w.For(2 * tick)
+		require.NoError(t, w.Start(w.Nodes[4]))
+		within(t, w, 20*tick, "the new life")
+		life := w.Nodes[4].Core.Snapshot().Self.Life
+		p := &fleet.Packet{Kind: fleet.Ping, From: fleet.Record{Name: "d4", Addr: w.Nodes[4].Addr, Life: life - 1, Incarnation: 99}}
+		for _, d := range old {
+			p = d.Packet
+		}
+		assert.Equal(t, fleet.EarlierLife, w.Nodes[1].Core.Receive(w.Now, w.Nodes[4].Addr, p))
+		for _, m := range w.Nodes[1].Core.Snapshot().Members {
+			if m.Name == "d4" {
+				assert.Equal(t, life, m.Life)
+			}
+		}
+	})
+	t.Run("a machine whose clock stands behind", func(t *testing.T) {
+		w := startAll(t, 10, options(8))
+		before := w.Nodes[4].Core.Snapshot().Self.Life
+		w.Kill(w.Nodes[4])
+		w.For(4 * tick)
+		require.NoError(t, w.Restart(w.Nodes[4], before+1000))
+		within(t, w, 20*tick, "a later life")
+		w.Kill(w.Nodes[4])
+		require.NoError(t, w.Restart(w.Nodes[4], before))
+		within(t, w, 20*tick, "the new life")
+		assert.Greater(t, w.Nodes[4].Core.Snapshot().Self.Life, before+1000)
+	})
+	t.Run("two lives of one name", func(t *testing.T) {
+		w := startAll(t, 10, options(9))
+		again, err := w.Beside(w.Nodes[4])
+		require.NoError(t, err)
+		_, ok := w.Until(tick, 20*tick, func() bool { return w.Nodes[4].Core.Snapshot().Superseded })
+		assert.True(t, ok, "the older one steps back")
+		w.For(20 * tick)
+		assert.False(t, again.Core.Snapshot().Superseded)
+		for _, n := range w.Nodes[:4] {
+			assert.Equal(t, 10, n.Core.Living(), "one name is one member")
+		}
+	})
+	t.Run("a leave is known at once", func(t *testing.T) {
+		w := startAll(t, 100, options(10))
+		w.Leave(w.Nodes[50])
+		within(t, w, 8*tick, "the others know")
+	})
+}
+
+// Whatever was cut off is found again, without anyone's help, and soon, however long it lasted.
+func TestPartitionsHeal(t *testing.T) {
+	zone := func(n *virtual.Node) int { return int(n.Zone[0] - 'a') }
+	for name, cut := range map[string]func(from, to *virtual.Node) bool{
+		"in two":       func(a, b *virtual.Node) bool { return (a.Number < 15) != (b.Number < 15) },
+		"in three":     func(a, b *virtual.Node) bool { return a.Number/10 != b.Number/10 },
+		"uneven":       func(a, b *virtual.Node) bool { return (a.Number < 2) != (b.Number < 2) },
+		"one way":      func(a, b *virtual.Node) bool { return a.Number < 10 && b.Number >= 10 },
+		"a zone alone": func(a, b *virtual.Node) bool { return (zone(a) == 0) != (zone(b) == 0) },
+		"some links":   func(a, b *virtual.Node) bool { return (a.Number*7+b.Number*3)%5 == 0 },
+	} {
+		for _, last := range []time.Duration{5 * time.Second, time.Minute, 30 * time.Minute} {
+			t.Run(fmt.Sprint(name, " ", last), func(t *testing.T) {
+				t.Parallel()
+				opt, from, to := options(11), time.Duration(0), time.Duration(0)
+				opt.Link = func(now time.Duration, a, b *virtual.Node) virtual.Link {
+					return virtual.Link{Cut: now >= from && now < to && cut(a, b)}
+				}
+				w := startAll(t, 30, opt)
+				from, to = w.Now, w.Now+last
+				w.Run(to - 1)
+				parted := !w.Agree()
+				w.Run(to)
+				took := within(t, w, 40*tick, "healed")
+				if last > 20*time.Second && name != "some links" && name != "one way" {
+					assert.True(t, parted, "the cut was seen")
+				}
+				if name == "some links" {
+					assert.Zero(t, count(w, fleet.Died, 0), "others reach whom one does not")
+				}
+				t.Logf("agreed %.1f intervals after", float64(took)/float64(tick))
+			})
+		}
+	}
+}
+
+// A bad network shuts nobody out for good, and one that is only lossy nobody at all.
+func TestBadNetworks(t *testing.T) {
+	for name, tt := range map[string]struct {
+		link  func(now time.Duration) virtual.Link
+		never bool // nobody may be held dead
+	}{
+		"a fifth lost": {func(time.Duration) virtual.Link { return virtual.Link{Loss: 0.2} }, true},
+		"doubled":      {func(time.Duration) virtual.Link { return virtual.Link{Double: 0.3} }, true},
+		"2 s late":     {func(time.Duration) virtual.Link { return virtual.Link{Late: 0.3, By: 2 * time.Second} }, true},
+		"all of it": {func(time.Duration) virtual.Link {
+			return virtual.Link{Loss: 0.3, Double: 0.3, Late: 0.3, By: 2 * time.Second}
+		}, false},
+		"bursts of 1 s": {func(now time.Duration) virtual.Link { return virtual.Link{Cut: now%(7*time.Second) < time.Second} }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			bad, opt := false, options(12)
+			opt.Link = func(now time.Duration, _, _ *virtual.Node) virtual.Link {
+				if !bad {
+					return virtual.Link{}
+				}
+				return tt.link(now)
+			}
+			w := startAll(t, 50, opt)
+			bad = true
+			w.For(200 * tick)
+			if died := count(w, fleet.Died, 0); tt.never {
+				assert.Zero(t, died)
+			}
+			bad = false
+			within(t, w, 40*tick, "afterwards")
+		})
+	}
+}
+
+// A process that slept accuses nobody for the time it slept, and is itself back within seconds. A clock that jumps looks
+// like sleep one way and like nothing the other way.
+func TestSleepersAndClocks(t *testing.T) {
+	for name, do := range map[string]func(w *virtual.World, n *virtual.Node){
+		"stopped for 20 s": func(w *virtual.World, n *virtual.Node) {
+			w.Stop(n)
+			w.For(20 * time.Second)
+			w.Continue(n)
+		},
+		"clock an hour ahead": func(_ *virtual.World, n *virtual.Node) { n.Skew = time.Hour },
+		"clock an hour back":  func(_ *virtual.World, n *virtual.Node) { n.Skew = -time.Hour },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := startAll(t, 50, options(13))
+			since := w.Now
+			do(w, w.Nodes[7])
+			within(t, w, 20*tick, "it is back")
+			w.For(40 * tick)
+			for _, n := range w.Nodes {
+				for _, c := range n.Changes {
+					if c.At > since && c.Kind == fleet.Died {
+						require.Equal(t, "d7", c.Member.Name, "held dead by %s at %v", n.Name, c.At)
+					}
+				}
+			}
+			assert.True(t, w.Agree())
+		})
+	}
+}
+
+// The snapshot says whether the view is settled, and since when.
+func TestSettled(t *testing.T) {
+	w := startAll(t, 30, options(14))
+	w.For(20 * tick)
+	for _, n := range w.Nodes {
+		require.True(t, n.Core.Snapshot().Settled, n.Name)
+	}
+	w.Kill(w.Nodes[3])
+	_, ok := w.Until(tick/2, 20*tick, func() bool { return !w.Nodes[8].Core.Snapshot().Settled })
+	require.True(t, ok, "someone is suspected")
+	within(t, w, 40*tick, "dead")
+	w.For(20 * tick)
+	s := w.Nodes[8].Core.Snapshot()
+	assert.True(t, s.Settled)
+	assert.Positive(t, s.Since)
+	var kinds []string
+	for _, c := range w.Nodes[8].Changes {
+		if c.Member.Name == "d3" {
+			kinds = append(kinds, c.Kind.String())
+		}
+	}
+	assert.Equal(t, []string{"joined", "suspected", "died"}, kinds, "changes come in order")
+}
+
+// Where refusals count, the dead are known at once, and those left act for all numbers together, each for its own ones.
+func TestNumbersFollowTheDead(t *testing.T) {
+	opt := options(15)
+	opt.Config.Refusals = true
+	opt.Config.Share = share.Config{Size: 40, Lease: 15 * tick, Pause: tick}
+	w := startAll(t, 40, opt)
+	once := func() (held int) {
+		by := map[int]string{}
+		for _, n := range w.Running() {
+			for _, k := range n.Core.Numbers(w.Now) {
+				require.Empty(t, by[k], "number %d is used by %s too", k, n.Name)
+				by[k] = n.Name
+			}
+		}
+		return len(by)
+	}
+	w.For(20 * tick)
+	require.Equal(t, 40, once())
+	for _, n := range w.Nodes[:28] {
+		w.Kill(n)
+	}
+	took := within(t, w, 60*tick, "the others know")
+	assert.LessOrEqual(t, took, 20*tick, "refusals proves it")
+	for range 40 {
+		w.For(tick)
+		once()
+	}
+	assert.GreaterOrEqual(t, once(), 38, "nearly every number is acted for")
+	for _, n := range w.Nodes[:28] {
+		require.NoError(t, w.Start(n))
+	}
+	for range 40 {
+		w.For(tick / 2)
+		once()
+	}
+	assert.Equal(t, 40, once())
+
+	cut := w.Now // a partition moves nothing
+	opt2 := func(_ time.Duration, a, b *virtual.Node) virtual.Link {
+		return virtual.Link{Cut: (a.Number < 20) != (b.Number < 20)}
+	}
+	w.Links(opt2)
+	for w.Now < cut+60*tick {
+		w.For(tick)
+		require.Equal(t, 40, once())
+	}
+}
--- /dev/null
+++ b/internal/fleet/packet/packet.go
@@ -0,0 +1,222 @@
+// Package packet is the form of the fleet's packets on the wire: a version, the fleet's name, the packet as CBOR (RFC 8949)
+// and a keyed digest over all of it.
+//
+//	1 byte   version, 1
+//	1 byte   length of the fleet's name
+//	n bytes  the fleet's name
+//	...      the packet: CBOR, every struct an array of fixed length, so that a field missing or too many is a fault
+//	16 bytes HMAC-SHA256 over all before it, cut to 16 bytes
+//
+// CBOR was weighed against msgpack and protobuf. All three are small enough; a record takes 60 to 70 bytes in each, most of
+// it names. CBOR's decoder refuses what it was not asked for (indefinite lengths, other types, elements over a bound,
+// trailing bytes) by options; msgpack's takes numbers of any width and kind for any field and has no bound on arrays;
+// protobuf keeps unknown fields by design and needs a generator at build time. A new version gets a new first byte.
+package packet
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"ospreypond/internal/fleet"
+	"ospreypond/internal/fleet/share"
+)
+
+const (
+	version = 1
+	macSize = 16
+	// Most is the largest datagram in bytes. It passes every usual network whole.
+	Most = 1400
+)
+
+// Reason says why a datagram is dropped.
+type Reason string
+
+// The reasons.
+const (
+	TooLong   Reason = "too long"
+	Version   Reason = "other version"
+	Foreign   Reason = "other fleet"
+	Forged    Reason = "digest does not match"
+	Malformed Reason = "malformed"
+)
+
+// Error is a datagram that is dropped.
+type Error struct {
+	Reason Reason
+	Err    error // what the decoder said, if anything
+}
+
+func (e *Error) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("datagram dropped: %s: %v", e.Reason, e.Err)
+	}
+	return "datagram dropped: " + string(e.Reason)
+}
+
+func (e *Error) Unwrap() error { return e.Err }
+
+// Codec writes and reads the datagrams of one fleet. It is safe for concurrent use.
+type Codec struct {
+	name string
+	key  []byte
+	enc  cbor.EncMode
+	dec  cbor.DecMode
+}
+
+// New returns the codec of the fleet of that name, whose members all have the same key.
+func New(name string, key []byte) (*Codec, error) {
+	if name == "" || len(name) > 64 {
+		return nil, fmt.Errorf("a fleet's name has 1 to 64 bytes, not %d", len(name))
+	}
+	if len(key) < 16 {
+		return nil, fmt.Errorf("a fleet's key has 16 bytes at least, not %d", len(key))
+	}
+	enc, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		return nil, err
+	}
+	dec, err := cbor.DecOptions{MaxArrayElements: 512, MaxNestedLevels: 5, IndefLength: cbor.IndefLengthForbidden,
+		TagsMd: cbor.TagsForbidden, UTF8: cbor.UTF8RejectInvalid,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode()
+	if err != nil {
+		return nil, err
+	}
+	return &Codec{name: name, key: key, enc: enc, dec: dec}, nil
+}
+
+// The forms on the wire. They are apart from the core's types so that a change there is no change here.
+type (
+	wirePacket struct {
+		_       struct{} `cbor:",toarray"`
+		Kind    uint8
+		From    wireRecord
+		ToLife  uint64
+		Seq     uint64
+		Probe   uint64
+		Target  string
+		At      string
+		Digest  uint64
+		Records []wireRecord
+		Sums    []uint64
+		Proofs  []wireProof
+	}
+	wireRecord struct {
+		_           struct{} `cbor:",toarray"`
+		Name        string
+		Addr        string
+		Zone        string
+		Life        uint64
+		Incarnation uint32
+		State       uint8
+		By          uint32
+		AgeMs       uint64
+	}
+	wireProof struct {
+		_      struct{} `cbor:",toarray"`
+		Number uint32
+		AgeUs  uint64
+	}
+)
+
+// Encode returns p as a datagram; an error if it would be too long.
+func (c *Codec) Encode(p *fleet.Packet) ([]byte, error) {
+	w := wirePacket{Kind: uint8(p.Kind), From: toWire(&p.From), ToLife: p.ToLife, Seq: p.Seq, Probe: p.Probe,
+		Target: p.Target, At: p.TargetAddr, Digest: p.Digest, Sums: p.Sums}
+	for i := range p.Records {
+		w.Records = append(w.Records, toWire(&p.Records[i]))
+	}
+	for _, f := range p.Proofs { // rounded up: a proof must not look younger than it is
+		w.Proofs = append(w.Proofs, wireProof{Number: uint32(f.Number), AgeUs: uint64((f.Age + time.Microsecond - 1) / time.Microsecond)})
+	}
+	body, err := c.enc.Marshal(&w)
+	if err != nil {
+		return nil, err
+	}
+	d := append([]byte{version, byte(len(c.name))}, c.name...)
+	d = append(d, body...)
+	d = append(d, c.mac(d)...)
+	if len(d) > Most {
+		return nil, &Error{Reason: TooLong, Err: fmt.Errorf("%d bytes, %d allowed", len(d), Most)}
+	}
+	return d, nil
+}
+
+// Decode returns the packet in a datagram. Its error is an *Error.
+func (c *Codec) Decode(d []byte) (*fleet.Packet, error) {
+	if len(d) > Most {
+		return nil, &Error{Reason: TooLong}
+	}
+	if len(d) < 2+macSize {
+		return nil, &Error{Reason: Malformed, Err: fmt.Errorf("%d bytes", len(d))}
+	}
+	if d[0] != version {
+		return nil, &Error{Reason: Version, Err: fmt.Errorf("%d, not %d", d[0], version)}
+	}
+	end := 2 + int(d[1])
+	if end > len(d)-macSize || string(d[2:end]) != c.name {
+		return nil, &Error{Reason: Foreign}
+	}
+	if !hmac.Equal(c.mac(d[:len(d)-macSize]), d[len(d)-macSize:]) {
+		return nil, &Error{Reason: Forged}
+	}
+	var w wirePacket
+	if err := c.dec.Unmarshal(d[end:len(d)-macSize], &w); err != nil {
+		return nil, &Error{Reason: Malformed, Err: err}
+	}
+	p := &fleet.Packet{Kind: fleet.Kind(w.Kind), From: fromWire(&w.From), ToLife: w.ToLife, Seq: w.Seq, Probe: w.Probe,
+		Target: w.Target, TargetAddr: w.At, Digest: w.Digest, Sums: w.Sums}
+	for i := range w.Records {
+		p.Records = append(p.Records, fromWire(&w.Records[i]))
+	}
+	for _, f := range w.Proofs {
+		p.Proofs = append(p.Proofs, share.Proof{Number: int(f.Number), Age: bounded(f.AgeUs, time.Microsecond)})
+	}
+	return p, nil
+}
+
+// Seq returns the number of a datagram that this codec wrote, of which no more than the beginning may be left: a machine
+// that refuses a datagram sends back its first bytes only. It looks at no digest: refusals are matched with what was sent.
+func (c *Codec) Seq(d []byte) (seq uint64, ok bool) {
+	end := 2 + len(c.name)
+	if len(d) <= end || d[0] != version || int(d[1]) != len(c.name) || string(d[2:end]) != c.name || d[end]>>5 != 4 {
+		return 0, false
+	}
+	var (
+		rest   = d[end+1:]
+		kind   uint8
+		from   cbor.RawMessage
+		toLife uint64
+		err    error
+	)
+	for _, v := range []any{&kind, &from, &toLife, &seq} {
+		if rest, err = c.dec.UnmarshalFirst(rest, v); err != nil {
+			return 0, false
+		}
+	}
+	return seq, true
+}
+
+func (c *Codec) mac(d []byte) []byte {
+	h := hmac.New(sha256.New, c.key)
+	h.Write(d)
+	return h.Sum(nil)[:macSize]
+}
+
+func toWire(r *fleet.Record) wireRecord {
+	return wireRecord{Name: r.Name, Addr: r.Addr, Zone: r.Zone, Life: r.Life, Incarnation: r.Incarnation,
+		State: uint8(r.State), By: r.By, AgeMs: uint64(max(0, r.Age) / time.Millisecond)}
+}
+
+func fromWire(w *wireRecord) fleet.Record {
+	return fleet.Record{Name: w.Name, Addr: w.Addr, Zone: w.Zone, Life: w.Life, Incarnation: w.Incarnation,
+		State: fleet.State(w.State), By: w.By, Age: bounded(w.AgeMs, time.Millisecond)}
+}
+
+// bounded is n units, or the longest duration where that is more.
+func bounded(n uint64, unit time.Duration) time.Duration {
+	return time.Duration(min(n, uint64(1<<62)/uint64(unit))) * unit
+}
--- /dev/null
+++ b/internal/fleet/share/share_test.go
@@ -0,0 +1,246 @@
+package share
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// The exploration's clock ticks in units. Proofs hold for lease units, and users count by pause units.
+const (
+	unit  = time.Second
+	lease = 2
+	pause = 1
+)
+
+// model is a fleet at one moment: for each place the ledger of its process, if one runs, and what is on its way.
+type model struct {
+	now     time.Duration
+	procs   []proc
+	flights []flight
+	used    []use // by number: who used it last, and when
+}
+
+type proc struct {
+	up     bool
+	life   int
+	ledger *Ledger
+}
+
+// flight is a refusal or an answer on its way to a process.
+type flight struct {
+	to, life int
+	number   int           // of a refusal; -1: an answer
+	sent     time.Duration // when what it answers was sent, by its receiver's clock
+	proofs   []Proof
+}
+
+type use struct {
+	who, life int
+	at        time.Duration
+}
+
+func (m *model) clone() *model {
+	c := &model{now: m.now, procs: append([]proc(nil), m.procs...), flights: append([]flight(nil), m.flights...),
+		used: append([]use(nil), m.used...)}
+	for i := range c.procs {
+		if c.procs[i].up {
+			c.procs[i].ledger = c.procs[i].ledger.Clone()
+		}
+	}
+	return c
+}
+
+// key names a state, with every time counted from now and what is long past left out.
+func (m *model) key() string {
+	old := func(t time.Duration) int { return int(min(9, (m.now-t)/unit)) }
+	s := ""
+	for _, p := range m.procs {
+		if !p.up {
+			s += "-|"
+			continue
+		}
+		s += fmt.Sprint("b", old(p.ledger.bound))
+		for n := range p.ledger.proof {
+			if p.ledger.dead(m.now, n) {
+				s += fmt.Sprint(",", n, ":", old(p.ledger.proof[n].at), ":", old(p.ledger.proof[n].since))
+			}
+		}
+		s += "|"
+	}
+	for _, f := range m.flights {
+		s += fmt.Sprint("f", f.to, f.number, old(f.sent), f.life == m.procs[f.to].life)
+		for _, p := range f.proofs {
+			s += fmt.Sprint(".", p.Number, int(p.Age/unit))
+		}
+	}
+	for _, u := range m.used {
+		s += fmt.Sprint("u", u.who, old(u.at), u.life == m.procs[max(0, u.who)].life)
+	}
+	return s
+}
+
+// check has every process use all its numbers, and finds two that use one within the same span.
+func (m *model) check() error {
+	for i, p := range m.procs {
+		if !p.up {
+			continue
+		}
+		for _, n := range p.ledger.Numbers(m.now) {
+			u := &m.used[n]
+			if (u.who != i || u.life != p.life) && u.who >= 0 && m.now < u.at+pause*unit {
+				return fmt.Errorf("at %v number %d is used by %d, and was by %d at %v", m.now, n, i, u.who, u.at)
+			}
+			*u = use{i, p.life, m.now}
+		}
+	}
+	return nil
+}
+
+// next returns every state that can follow: a crash, a start, time, a datagram that is refused or answered at once or late.
+// What is never chosen stands for what is lost or cut off.
+func (m *model) next(starts int) (out []*model) {
+	add := func(change func(c *model)) {
+		c := m.clone()
+		change(c)
+		out = append(out, c)
+	}
+	add(func(c *model) { c.now += unit })
+	late := len(m.flights) == 0 // one datagram at a time is late, as long as it may be; the others arrive at once
+	for i, p := range m.procs {
+		if p.up {
+			add(func(c *model) { c.procs[i].up = false })
+		} else if p.life < starts {
+			add(func(c *model) { c.start(i) })
+		}
+		for j := range m.procs {
+			switch {
+			case i == j || !p.up:
+			case !m.procs[j].up: // its machine refuses
+				add(func(c *model) { c.procs[i].ledger.Refused(c.now, j, c.now) })
+				if late {
+					add(func(c *model) { c.flights = append(c.flights, flight{to: i, life: p.life, number: j, sent: c.now}) })
+				}
+			case len(m.procs[j].ledger.Proofs(m.now, 9)) > 0: // it answers, with what it knows
+				proofs := m.procs[j].ledger.Proofs(m.now, 9)
+				add(func(c *model) { c.procs[i].ledger.Merge(c.now, c.now, proofs) })
+				if late {
+					add(func(c *model) {
+						c.flights = append(c.flights, flight{to: i, life: p.life, number: -1, sent: c.now, proofs: proofs})
+					})
+				}
+			}
+		}
+	}
+	for k, f := range m.flights {
+		add(func(c *model) { // it arrives
+			c.flights = append(c.flights[:k:k], c.flights[k+1:]...)
+			if p := &c.procs[f.to]; p.up && p.life == f.life && f.number >= 0 {
+				p.ledger.Refused(c.now, f.number, f.sent)
+			} else if p.up && p.life == f.life {
+				p.ledger.Merge(c.now, f.sent, f.proofs)
+			}
+		})
+	}
+	return out
+}
+
+func (m *model) start(i int) {
+	l, err := New(Config{Size: len(m.procs), Own: i, Lease: lease * unit, Pause: pause * unit}, m.now)
+	if err != nil {
+		panic(err)
+	}
+	m.procs[i] = proc{up: true, life: m.procs[i].life + 1, ledger: l}
+}
+
+// Every state that three dispatchers can come to within some steps, with crashes, restarts, silence and late datagrams at
+// any point: no number is ever used by two in the same span.
+func TestNoNumberIsUsedByTwo(t *testing.T) {
+	depth := 9
+	if testing.Short() {
+		depth = 8
+	}
+	first := &model{now: time.Hour}
+	for range 3 {
+		first.procs = append(first.procs, proc{})
+		first.used = append(first.used, use{who: -1})
+	}
+	for i := range first.procs {
+		first.start(i)
+	}
+	first.now += 10 * unit
+	level, seen, gained := []*model{first}, map[uint64]bool{}, 0
+	for range depth {
+		var following []*model
+		for _, m := range level {
+			for _, c := range m.next(2) {
+				if err := c.check(); err != nil {
+					t.Fatal(err)
+				}
+				for _, p := range c.procs {
+					if p.up && len(p.ledger.Numbers(c.now)) > 1 {
+						gained++
+					}
+				}
+				if k := xxhash.Sum64String(c.key()); !seen[k] {
+					seen[k] = true
+					following = append(following, c)
+				}
+			}
+		}
+		level = following
+	}
+	t.Logf("%d states, %d of them with somebody who acts for more than itself", len(seen), gained)
+	assert.Positive(t, gained, "a rule under which nobody ever gains is safe and useless")
+}
+
+// Heirs are spread: where seven in ten of 300 are dead, no one acts for more than a few times the mean.
+func TestHeirsAreSpread(t *testing.T) {
+	const size, dead = 300, 210
+	all, most := 0, 0
+	for own := dead; own < size; own++ {
+		l, err := New(Config{Size: size, Own: own, Lease: time.Minute, Pause: time.Second}, 0)
+		require.NoError(t, err)
+		for n := range dead {
+			l.Refused(2*time.Minute, n, 2*time.Minute)
+		}
+		got := len(l.Numbers(2*time.Minute + 2*time.Second))
+		all, most = all+got, max(most, got)
+	}
+	assert.Equal(t, size, all, "each number is used by exactly one")
+	assert.LessOrEqual(t, most, 12)
+}
+
+func TestConfigIsChecked(t *testing.T) {
+	for field, cfg := range map[string]Config{
+		"Size": {Lease: 1}, "Own": {Size: 3, Own: 3, Lease: 1}, "Lease": {Size: 3}, "Pause": {Size: 3, Lease: 1, Pause: -1},
+	} {
+		_, err := New(cfg, 0)
+		var fault *ConfigError
+		require.ErrorAs(t, err, &fault)
+		assert.Equal(t, field, fault.Field)
+	}
+}
+
+// A proof is as old as what was refused, however late the refusal comes; a start waits for every proof that there may be,
+// and for what was counted with one.
+func TestTimesAreCountedFromTheSafeSide(t *testing.T) {
+	l, err := New(Config{Size: 2, Own: 0, Lease: 10 * time.Second, Pause: time.Second}, 0)
+	require.NoError(t, err)
+	assert.Equal(t, 11100*time.Millisecond, l.Ready(), "the lease, and as much more as clocks may differ, and the pause")
+	assert.Empty(t, l.Numbers(l.Ready()-1))
+	assert.Equal(t, []int{0}, l.Numbers(l.Ready()))
+	l.Refused(28*time.Second, 1, 20*time.Second)
+	assert.Equal(t, []int{0}, l.Numbers(28*time.Second), "not before the pause is over")
+	assert.Equal(t, []int{0, 1}, l.Numbers(29*time.Second))
+	assert.Equal(t, []int{0}, l.Numbers(30*time.Second))
+	l.Refused(41*time.Second, 1, 30*time.Second)
+	assert.Empty(t, l.Proofs(41*time.Second, 9), "it came when it was over")
+	l.Refused(50*time.Second, 1, 50*time.Second)
+	l.Restart(52 * time.Second)
+	assert.Empty(t, l.Numbers(53*time.Second), "nothing is known where the clock went back")
+}
--- /dev/null
+++ b/internal/fleet/udp/udp.go
@@ -0,0 +1,233 @@
+// Package udp is the shell round the fleet's core: one UDP socket, one clock, and one goroutine that owns the core.
+package udp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"ospreypond/internal/fleet"
+	"ospreypond/internal/fleet/packet"
+)
+
+const (
+	// inbox is how many datagrams wait for the core; more are dropped and counted, as the network would.
+	inbox = 512
+	// bindAgain is how often an address is tried that another process has: at an upgrade in place the one before.
+	bindAgain = 250 * time.Millisecond
+	// leaveGrace is for the last datagrams to get out.
+	leaveGrace = 50 * time.Millisecond
+)
+
+// Options say how a dispatcher takes part.
+type Options struct {
+	// Self needs Name, Addr (the socket's own ip:port) and Zone; its Life is taken from this machine's clock.
+	Self   fleet.Record
+	Config fleet.Config
+	Codec  *packet.Codec
+	// Held, if set, is told of the numbers that this dispatcher acts for, whenever they change or their time runs on, and of
+	// how many are held to live. It must not block.
+	Held func(Held)
+	Log  logrus.FieldLogger
+}
+
+// Held are the numbers that a dispatcher acts for.
+type Held struct {
+	Numbers []int // rising; none until it has its socket and what others may have done for it is over
+	// Sure is how long all of them may be used from now on without hearing more; then only its own.
+	Sure   time.Duration
+	Living int // a guess, for what costs time only
+}
+
+// View is what others may ask.
+type View struct {
+	fleet.Snapshot
+	// Age is how long ago this was; At the clock that its Since and the members' are read off, at that moment.
+	At time.Duration
+	// Dropped counts datagrams by the reason why nothing came of them.
+	Dropped map[string]int64
+}
+
+// Node is one dispatcher's part in the fleet. Its methods are safe for concurrent use.
+type Node struct {
+	opt  Options
+	view atomic.Pointer[View]
+
+	mu      sync.Mutex
+	dropped map[string]int64
+
+	// The rest belongs to Run's goroutine.
+	core *fleet.Core
+	told Held
+	aims map[string]netip.AddrPort
+}
+
+// event is something that came through the socket.
+type event struct {
+	from string
+	p    *fleet.Packet // nil: a refusal of the datagram seq
+	seq  uint64
+}
+
+// New returns a node that does nothing until Run.
+func New(opt Options) *Node {
+	return &Node{opt: opt, dropped: map[string]int64{}, aims: map[string]netip.AddrPort{}}
+}
+
+// View returns the newest view; nil before the socket is had.
+func (n *Node) View() *View {
+	v := n.view.Load()
+	if v == nil {
+		return nil
+	}
+	c := *v
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c.Dropped = maps.Clone(n.dropped)
+	return &c
+}
+
+// Run takes part until ctx ends, and then leaves in order. While another process has the address it waits: of two under one
+// name only the one with the socket takes part.
+func (n *Node) Run(ctx context.Context) error {
+	conn, err := n.bind(ctx)
+	if err != nil || conn == nil {
+		return err
+	}
+	defer conn.Close()
+	self := n.opt.Self
+	self.Life = uint64(time.Now().UnixMilli())
+	if n.core, err = fleet.New(n.opt.Config, self, now()); err != nil {
+		return err
+	}
+	n.opt.Log.WithFields(logrus.Fields{"addr": self.Addr, "life": self.Life}).Info("fleet: taking part")
+	events := make(chan event, inbox)
+	reading := make(chan error, 1)
+	go func() { reading <- n.read(conn, events) }()
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			n.core.Leave(now())
+			n.tell(Held{}) // from here on nothing is used, and the socket may go
+			n.send(conn)
+			time.Sleep(leaveGrace)
+			return nil
+		case err := <-reading:
+			n.tell(Held{})
+			return fmt.Errorf("fleet: reading: %w", err)
+		case e := <-events:
+			n.take(e)
+		case <-wake.C:
+			n.core.Tick(now())
+		}
+		n.send(conn)
+		n.publish()
+		wake.Reset(min(n.core.Wait(), time.Hour))
+	}
+}
+
+// bind gets the socket; nil if ctx ends first.
+func (n *Node) bind(ctx context.Context) (*net.UDPConn, error) {
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var set error
+		err := c.Control(func(fd uintptr) { set = unix.SetsockoptInt(int(fd), unix.IPPROTO_IP, unix.IP_RECVERR, 1) })
+		return errors.Join(err, set)
+	}}
+	for told := false; ; told = true {
+		pc, err := lc.ListenPacket(ctx, "udp4", n.opt.Self.Addr)
+		if err == nil {
+			return pc.(*net.UDPConn), nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return nil, fmt.Errorf("fleet: listen: %w", err)
+		}
+		if !told {
+			n.opt.Log.WithField("addr", n.opt.Self.Addr).Warn("fleet: another process has the address; waiting for it to end")
+		}
+		select {
+		case <-ctx.Done():
+			return nil, nil
+		case <-time.After(bindAgain):
+		}
+	}
+}
+
+func (n *Node) take(e event) {
+	if e.p == nil {
+		n.core.Refused(now(), e.from, e.seq)
+		return
+	}
+	if v := n.core.Receive(now(), e.from, e.p); v != fleet.Taken {
+		n.drop(v.String())
+	}
+}
+
+func (n *Node) drop(reason string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dropped[reason]++
+}
+
+// send sends what the core has to say and logs what it saw.
+func (n *Node) send(conn *net.UDPConn) {
+	out, changes := n.core.Take()
+	for _, c := range changes {
+		n.opt.Log.WithFields(logrus.Fields{"member": c.Member.Name, "addr": c.Member.Addr, "life": c.Member.Life,
+			"incarnation": c.Member.Incarnation}).Info("fleet: " + c.Kind.String())
+	}
+	for _, d := range out {
+		text, err := n.opt.Codec.Encode(d.Packet)
+		if err != nil {
+			n.drop("not sent: too long")
+			continue
+		}
+		to, ok := n.aims[d.To]
+		if !ok {
+			if to, err = netip.ParseAddrPort(d.To); err != nil {
+				n.drop("not sent: no address")
+				continue
+			}
+			n.aims[d.To] = to
+		}
+		// An error may be an earlier datagram's refusal, which is read where refusals are; then this one was not sent.
+		if _, err := conn.WriteToUDPAddrPort(text, to); err != nil {
+			if _, err = conn.WriteToUDPAddrPort(text, to); err != nil {
+				n.drop("not sent: network")
+			}
+		}
+	}
+}
+
+// publish lets others see the view, and tells of the numbers.
+func (n *Node) publish() {
+	n.view.Store(&View{Snapshot: n.core.Snapshot(), At: now()})
+	numbers, sure := n.core.Held(now())
+	n.tell(Held{Numbers: numbers, Sure: sure, Living: n.core.Living()})
+}
+
+func (n *Node) tell(h Held) {
+	if n.opt.Held != nil {
+		n.opt.Held(h)
+	}
+}
+
+// now reads a clock that never jumps and that goes on while the machine sleeps: leases hold by it.
+func now() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("fleet: this system has no CLOCK_BOOTTIME: " + err.Error())
+	}
+	return time.Duration(ts.Nano())
+}
--- /dev/null
+++ b/internal/fleet/udp/udp_test.go
@@ -0,0 +1,118 @@
+package udp
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ospreypond/internal/fleet"
+	"ospreypond/internal/fleet/packet"
+	"ospreypond/internal/fleet/share"
+)
+
+const patience = 20 * time.Second
+
+func free(t *testing.T) string {
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer c.Close()
+	return c.LocalAddr().String()
+}
+
+// member is a node that runs until stop.
+type member struct {
+	*Node
+	stop func()
+	mu   sync.Mutex
+	held Held
+}
+
+func (m *member) numbers() []int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.held.Numbers
+}
+
+func run(t *testing.T, name string, number int, roster []string) *member {
+	codec, err := packet.New("f", []byte("sixteen bytes or more"))
+	require.NoError(t, err)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	const interval = 50 * time.Millisecond
+	m := &member{}
+	m.Node = New(Options{Self: fleet.Record{Name: name, Addr: roster[number]}, Codec: codec, Log: log,
+		Config: fleet.Config{Interval: interval, Seeds: roster, Refusals: true, Roster: roster,
+			Share: share.Config{Size: len(roster), Own: number, Lease: 10 * interval, Pause: interval}},
+		Held: func(h Held) { m.mu.Lock(); m.held = h; m.mu.Unlock() }})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- m.Run(ctx) }()
+	m.stop = sync.OnceFunc(func() {
+		stop()
+		assert.NoError(t, <-done)
+	})
+	t.Cleanup(m.stop)
+	return m
+}
+
+func living(m *member) int {
+	if v := m.View(); v != nil {
+		return v.Living
+	}
+	return 0
+}
+
+// On real sockets: members meet, a socket that closes is proof enough for its number to pass to the other, the next process
+// at the address waits for it and gets the number back, and what is no packet is counted and harms nobody.
+func TestSocketsAreTheProof(t *testing.T) {
+	roster := []string{free(t), free(t)}
+	a, b := run(t, "a", 0, roster), run(t, "b", 1, roster)
+	eventually := func(what string, ok func() bool) {
+		t.Helper()
+		require.Eventually(t, ok, patience, 10*time.Millisecond, what)
+	}
+	eventually("both know both", func() bool { return living(a) == 2 && living(b) == 2 })
+	eventually("each has its own", func() bool { return len(a.numbers()) == 1 && len(b.numbers()) == 1 })
+
+	noise, err := net.Dial("udp4", roster[0])
+	require.NoError(t, err)
+	defer noise.Close()
+	for _, d := range []string{"", "x", strings.Repeat("y", 1401), "\x01\x01g" + strings.Repeat("z", 40), "\x01\x01f" + strings.Repeat("z", 40)} {
+		_, err := noise.Write([]byte(d))
+		require.NoError(t, err)
+	}
+	eventually("noise is counted by reason", func() bool {
+		d := a.View().Dropped
+		return d[string(packet.TooLong)] == 1 && d[string(packet.Foreign)] == 1 && d[string(packet.Forged)] == 1 && d[string(packet.Malformed)] == 2
+	})
+
+	again := run(t, "b", 1, roster) // an upgrade in place: the old one still has the socket
+	time.Sleep(4 * bindAgain)
+	assert.Nil(t, again.View())
+	assert.Empty(t, again.numbers())
+	b.stop()
+	assert.Empty(t, b.numbers(), "who leaves uses nothing before its socket goes")
+	eventually("the new one takes part", func() bool { return living(again) == 2 })
+	eventually("with its own number", func() bool { return len(again.numbers()) == 1 })
+
+	again.stop()
+	eventually("the number of the dead passes", func() bool { return len(a.numbers()) == 2 })
+	assert.Equal(t, 1, living(a))
+	last := run(t, "b", 1, roster)
+	eventually("and passes back", func() bool { return len(a.numbers()) == 1 && len(last.numbers()) == 1 })
+}
+
+func TestAnAddressThatCannotBe(t *testing.T) {
+	codec, err := packet.New("f", []byte("sixteen bytes or more"))
+	require.NoError(t, err)
+	n := New(Options{Self: fleet.Record{Name: "a", Addr: "192.0.2.1:9"}, Codec: codec, Config: fleet.Config{Interval: time.Second}, Log: logrus.New()})
+	assert.ErrorContains(t, n.Run(context.Background()), "192.0.2.1")
+}
--- /dev/null
+++ b/internal/fleet/virtual/virtual.go
@@ -0,0 +1,325 @@
+// Package virtual runs many members of a fleet, the real cores, in one goroutine and in virtual time. Links lose, double,
+// delay and reorder datagrams and are cut one way or both; members are killed, stopped, continued and started anew. A run is
+// a function of its seed.
+package virtual
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"ospreypond/internal/fleet"
+)
+
+// Link is what happens to a datagram on its way.
+type Link struct {
+	Loss, Double, Late float64       // shares
+	By                 time.Duration // how late the late ones are
+	Cut                bool
+}
+
+// Options describe a world.
+type Options struct {
+	Seed uint64
+	// Config is every member's; its Seeds, Roster, Share.Own and Seed are filled in by the world where they are empty.
+	Config fleet.Config
+	// Link returns the state of the way between two members at a moment. nil: all ways are open.
+	Link func(now time.Duration, from, to *Node) Link
+	// Delay is the shortest time on the way, Jitter what may come to it.
+	Delay, Jitter time.Duration
+	// Size returns the bytes that a packet takes; nil: bytes are not counted.
+	Size func(*fleet.Packet) int
+	// Verdict, if set, is told what became of each packet that arrived.
+	Verdict func(fleet.Verdict)
+}
+
+// Node is one member's place: its name and address. Its process comes and goes.
+type Node struct {
+	Name, Addr, Zone string
+	Number           int
+	Core             *fleet.Core // nil while no process runs
+	Began            time.Duration
+	Datagrams, Bytes int64 // sent
+	Changes          []fleet.Change
+	// Skew is added to the time that the process reads.
+	Skew    time.Duration
+	lives   uint64
+	tickAt  time.Duration
+	stopped bool
+	held    []*event // what came while it was stopped
+}
+
+// Runs tells whether a process runs here and is not stopped.
+func (n *Node) Runs() bool { return n.Core != nil && !n.stopped }
+
+// World is a fleet with its network.
+type World struct {
+	Nodes  []*Node
+	Now    time.Duration
+	opt    Options
+	rng    *rand.Rand
+	byAddr map[string]*Node
+	events events
+	order  uint64
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	node  *Node
+	core  *fleet.Core // a tick of this process
+	from  string
+	p     *fleet.Packet // a datagram, or
+	no    bool          // its refusal, which comes back to node
+	to    string
+}
+
+type events []*event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(*event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+// New returns a world with n places, in three zones by turns, in which no process runs.
+func New(n int, opt Options) *World {
+	w := &World{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 1)), byAddr: map[string]*Node{}}
+	for i := range n {
+		node := &Node{Name: fmt.Sprintf("d%d", i), Addr: fmt.Sprintf("10.0.%d.%d:7", i/250, i%250), Zone: string(rune('a' + i%3)), Number: i}
+		w.Nodes = append(w.Nodes, node)
+		w.byAddr[node.Addr] = node
+	}
+	return w
+}
+
+// Links changes what happens to datagrams from now on.
+func (w *World) Links(link func(now time.Duration, from, to *Node) Link) { w.opt.Link = link }
+
+// Start begins a process at a place; one that runs there is killed.
+func (w *World) Start(n *Node) error {
+	n.lives++
+	return w.Restart(n, max(n.lives, 1+uint64(max(0, w.Now+n.Skew)/time.Millisecond)))
+}
+
+// Beside begins a later process under the name of one that runs, at a place of its own.
+func (w *World) Beside(n *Node) (*Node, error) {
+	again := &Node{Name: n.Name, Addr: n.Addr + "1", Zone: n.Zone, Number: n.Number}
+	w.Nodes, w.byAddr[again.Addr] = append(w.Nodes, again), again
+	return again, w.Start(again)
+}
+
+// Restart is Start with a life of the caller's.
+func (w *World) Restart(n *Node, life uint64) error {
+	cfg := w.opt.Config
+	cfg.Seed = w.rng.Uint64()
+	if cfg.Seeds == nil {
+		for _, s := range w.Nodes[:min(3, len(w.Nodes))] {
+			cfg.Seeds = append(cfg.Seeds, s.Addr)
+		}
+	}
+	if cfg.Share.Size > 0 {
+		cfg.Share.Own, cfg.Roster = n.Number, make([]string, cfg.Share.Size)
+		for i := range cfg.Roster {
+			cfg.Roster[i] = w.Nodes[i].Addr
+		}
+	}
+	c, err := fleet.New(cfg, fleet.Record{Name: n.Name, Addr: n.Addr, Zone: n.Zone, Life: life}, w.Now+n.Skew)
+	if err != nil {
+		return err
+	}
+	n.Core, n.Began, n.stopped, n.held, n.Changes, n.tickAt = c, w.Now, false, nil, nil, 0
+	w.tick(n)
+	return nil
+}
+
+// Kill ends a process at once.
+func (w *World) Kill(n *Node) { n.Core, n.stopped, n.held = nil, false, nil }
+
+// Leave ends a process in order.
+func (w *World) Leave(n *Node) {
+	n.Core.Leave(w.Now)
+	w.send(n)
+	w.Kill(n)
+}
+
+// Stop halts a process as SIGSTOP does: its socket stays and keeps what comes. Continue lets it go on.
+func (w *World) Stop(n *Node) { n.stopped = true }
+
+// Continue lets a stopped process go on.
+func (w *World) Continue(n *Node) {
+	if n.stopped = false; n.Core == nil {
+		return
+	}
+	held := n.held
+	n.held, n.tickAt = nil, 0
+	for _, e := range held[:min(len(held), 500)] { // what a socket keeps
+		e.at = w.Now
+		w.push(e)
+	}
+	w.tick(n)
+}
+
+// Run lets time pass until the moment.
+func (w *World) Run(until time.Duration) {
+	for len(w.events) > 0 && w.events[0].at <= until {
+		e := heap.Pop(&w.events).(*event)
+		w.Now = max(w.Now, e.at)
+		w.happen(e)
+	}
+	w.Now = until
+}
+
+// For lets time pass.
+func (w *World) For(d time.Duration) { w.Run(w.Now + d) }
+
+// Until lets time pass in steps until ok says so, for most at the longest; it returns how long that took.
+func (w *World) Until(step, most time.Duration, ok func() bool) (time.Duration, bool) {
+	begin := w.Now
+	for !ok() {
+		if w.Now-begin >= most {
+			return w.Now - begin, false
+		}
+		w.For(step)
+	}
+	return w.Now - begin, true
+}
+
+func (w *World) push(e *event) {
+	w.order++
+	e.order = w.order
+	heap.Push(&w.events, e)
+}
+
+// tick has the process at n ticked when it asks for, if that is sooner than what it asked for before.
+func (w *World) tick(n *Node) {
+	if wait := n.Core.Wait(); wait < time.Hour {
+		if at := w.Now + wait; n.tickAt <= w.Now || at < n.tickAt {
+			n.tickAt = at
+			w.push(&event{at: at, node: n, core: n.Core})
+		}
+	}
+}
+
+func (w *World) happen(e *event) {
+	n := e.node
+	switch {
+	case n.Core == nil && e.p != nil && !e.no:
+		if from := w.byAddr[e.from]; from.Core != nil && !w.link(n, from).Cut { // the machine lives and refuses
+			w.push(&event{at: w.Now + w.opt.Delay, node: from, core: from.Core, to: n.Addr, p: e.p, no: true})
+		}
+		return
+	case n.Core == nil || e.core != nil && e.core != n.Core:
+		return
+	case n.stopped:
+		if e.p != nil {
+			n.held = append(n.held, e)
+		}
+		return
+	}
+	now := w.Now + n.Skew
+	if e.at == n.tickAt && e.core != nil {
+		n.tickAt = 0
+	}
+	switch {
+	case e.no:
+		n.Core.Refused(now, e.to, e.p.Seq)
+	case e.p != nil:
+		v := n.Core.Receive(now, e.from, e.p)
+		if w.opt.Verdict != nil {
+			w.opt.Verdict(v)
+		}
+	default:
+		n.Core.Tick(now)
+	}
+	w.send(n)
+	w.tick(n)
+}
+
+func (w *World) link(from, to *Node) Link {
+	if w.opt.Link == nil {
+		return Link{}
+	}
+	return w.opt.Link(w.Now, from, to)
+}
+
+func (w *World) send(n *Node) {
+	out, changes := n.Core.Take()
+	n.Changes = append(n.Changes, changes...)
+	for _, d := range out {
+		n.Datagrams++
+		if w.opt.Size != nil {
+			n.Bytes += int64(w.opt.Size(d.Packet))
+		}
+		to := w.byAddr[d.To]
+		if to == nil {
+			continue
+		}
+		l := w.link(n, to)
+		copies := 1
+		if w.rng.Float64() < l.Double {
+			copies = 2
+		}
+		for range copies {
+			if l.Cut || w.rng.Float64() < l.Loss {
+				continue
+			}
+			at := w.Now + w.opt.Delay
+			if w.opt.Jitter > 0 {
+				at += time.Duration(w.rng.Int64N(int64(w.opt.Jitter)))
+			}
+			if w.rng.Float64() < l.Late {
+				at += l.By
+			}
+			w.push(&event{at: at, node: to, from: n.Addr, p: copied(d.Packet)})
+		}
+	}
+}
+
+// copied is what another process reads of a packet: nothing is shared with it.
+func copied(p *fleet.Packet) *fleet.Packet {
+	c := *p
+	c.Records, c.Sums, c.Proofs = slices.Clone(p.Records), slices.Clone(p.Sums), slices.Clone(p.Proofs)
+	return &c
+}
+
+// Running returns the places whose processes run.
+func (w *World) Running() (out []*Node) {
+	for _, n := range w.Nodes {
+		if n.Runs() {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Agree tells whether all running processes, or those given, hold just each other living.
+func (w *World) Agree(nodes ...*Node) bool {
+	if nodes == nil {
+		nodes = w.Running()
+	}
+	want := map[string]bool{}
+	for _, n := range nodes {
+		want[n.Name] = true
+	}
+	for _, n := range nodes {
+		if n.Core.Living() != len(nodes) || n.Core.Digest() != nodes[0].Core.Digest() {
+			return false
+		}
+	}
+	for _, m := range nodes[0].Core.Snapshot().Members {
+		if m.State.Living() != want[m.Name] {
+			return false
+		}
+	}
+	return true
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -143,6 +143,7 @@
 	ListReplaced                     // Members: the complete list
 	ListRestored                     // Members: the list as last known before a restart
 	ListUnavailable                  // a list call failed or the subscription dropped
+	FleetTold                        // Numbers, Until, Living: a fleet's word; without one its own number
 	Closing                          // this scheduler stops: what is open, and what still comes, ends now
 )
 
@@ -166,6 +167,9 @@
 	Token    uint64
 	Worker   string
 	Members  []Member
+	Numbers  []int         // each stands for an equal part of what Schedulers share
+	Until    time.Duration // from then on only this scheduler's own of them holds
+	Living   int           // schedulers that are there, as far as is known
 }
 
 // ActionKind tells which fields of an Action are set.
@@ -184,6 +188,9 @@
 	Log                         // Text
 )
 
+// listLost is logged when the list can't be had any more, and when it can again.
+const listLost = "the list of workers is unavailable and the last one is used"
+
 // Action is one thing the scheduler is to do now, in the order given.
 type Action struct {
 	Kind       ActionKind
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,8 +54,6 @@
 	reportAge     = time.Second     // assumed age of what a load report shows
 )
 
-const listLost = "the list of workers is unavailable and the last one is used"
-
 const never, away = time.Duration(math.MaxInt64), 1 << 32 // later than any moment; added to ranks elsewhere
 
 const freshFor = 200 * time.Millisecond // so long after a report came a worker is still much as it shows
@@ -84,6 +82,7 @@
 		}
 	}
 	d.set.Schedulers, d.set.MaxAttempts = max(s.Schedulers, s.Number+1), cmp.Or(s.MaxAttempts, math.MaxInt)
+	d.numbers, d.until, d.peers = []int{s.Number}, never, d.set.Schedulers
 	d.perJob = min(probesMost, probeShare/max(s.ProbePrice, 1e-9))
 	d.minAim = min(d.minAim, time.Minute)
 	d.run, d.fetched = d.minAim.Seconds(), fetchRuns*d.minAim.Seconds()
@@ -141,6 +140,8 @@
 		d.probed(e)
 	case ListChanged, ListReplaced, ListRestored, ListUnavailable:
 		d.list(e)
+	case FleetTold:
+		d.numbers, d.until, d.peers = e.Numbers, e.Until, max(1, e.Living)
 	case Closing:
 		d.closing = true
 		for _, j := range d.open {
@@ -186,7 +187,7 @@
 		j.aimBy -= d.longest[row] - e.Left
 	}
 	if t, ok := d.tenants[e.Tenant]; ok {
-		b, rate := &d.buckets[t], d.set.Tenants[t].Allowance/float64(d.set.Schedulers)
+		b, rate := &d.buckets[t], d.set.Tenants[t].Allowance*d.share()
 		b.tokens, b.at = min(max(1, rate), b.tokens+rate*(d.now-b.at).Seconds()), d.now
 		if j.over = b.tokens < 1; !j.over {
 			b.tokens--
@@ -437,11 +438,10 @@
 	d.wantRound()
 }
 
-// near returns the workers that this scheduler looks at, in an order of its own, so that it knows something
-// of them and others prefer others: its own zone's, and other zones' where crossing is cheap, as one may be
-// fuller. Where they have no place for a job, the next round looks at more of them, in all zones.
+// near returns the workers that this scheduler looks at, in an order of its own: its own zone's, and others'
+// where crossing is cheap. Where they have no place for a job, the next round looks at more, in all zones.
 func (d *Dispatcher) near() []*worker {
-	least := max(nearWorkers, nearOverlap*len(d.order)/d.set.Schedulers)
+	least := max(nearWorkers, nearOverlap*len(d.order)/d.peers)
 	d.reach = min(max(d.reach, least), nearWidest*least)
 	abroad := d.reach - min(d.homes, least)
 	if d.set.CrossZonePrice <= cheapCrossing {
@@ -567,8 +567,7 @@
 }
 
 // fail notes a sign that w does not work. It is left alone for a while, twice as long each time, and then
-// tried with single jobs that may be repeated. Guards against quick errors, silence and refused connections
-// alike; a worker hit by a stray error loses a little traffic. Where nearly all look sick, none is avoided.
+// tried with single jobs that may be repeated. Where nearly all look sick, none is avoided.
 func (d *Dispatcher) fail(w *worker) {
 	if d.now >= w.blocked {
 		w.fails = min(failsMax, math.Floor(w.fails)+1)
@@ -576,8 +575,7 @@
 	}
 }
 
-// broke notes a broken connection. One may break by itself; where nothing goes well in between, the next one
-// tells of the worker. Guards against leaving out workers for what the network does to single connections.
+// broke notes a broken connection. One may break by itself; a second one, with nothing well between, counts.
 func (d *Dispatcher) broke(w *worker) bool {
 	if w.broken++; w.broken > 1 {
 		d.fail(w)
@@ -586,8 +584,7 @@
 }
 
 // warmth is the share of its capacity that w has at least. One that refused a connection at once, or dropped
-// what ran there, has probably restarted and counts as cold until the list tells of its start. Guards against
-// workers that restart together and are pushed over before the list says so; harms one full of connections.
+// what ran there, counts as cold until the list tells of a start: all may have restarted together.
 func (d *Dispatcher) warmth(w *worker) float64 {
 	since := max(w.started, w.suspect)
 	if since == 0 || d.set.ColdFor <= 0 || d.now >= since+d.set.ColdFor {
@@ -603,20 +600,19 @@
 	return min(1, (warm-d.set.ColdFrom)/warmsWithin+d.set.ColdFrom+startsAbove*(1-d.set.ColdFrom))
 }
 
-// coldRoom tells whether so much work, in seconds, may go to a cold worker now: all schedulers together must
-// stay inside its budget, though none is told of the others. Time is cut into turns, in each of which every
-// scheduler has an equal part; a job larger than the part goes out as often as the part is large, from those
-// whose places come first in this turn, so that no part is lost for long where each has few requests. In any
-// window, turns that only touch it included, the sum stays inside the budget. After an own restart a third is
-// used for a window, as what a forerunner did, or does beside us in an upgrade, is unknown. A fresh report of
-// room lets more through: only what all send until their reports show it comes beside what the worker does.
+// coldRoom tells whether so much work, in seconds, may go to a cold worker now: all schedulers together stay
+// inside its budget. Time is cut into turns, in each of which every number has an equal part; a larger job
+// goes out as often as the part is large, by the numbers whose places come first in this turn. In any
+// window, turns that only touch it included, the sum stays inside. After an own restart a third is used for
+// a window, as what a forerunner did, or does beside us, is unknown. A fresh report of room lets more
+// through: only what all send until their reports show it comes beside what the worker does.
 func (d *Dispatcher) coldRoom(w *worker, work float64) bool {
 	warm := d.warmth(w)
 	if warm >= 1 || d.set.FallMultiple <= 0 || d.set.TipAfter <= 0 {
 		return true
 	}
 	window := d.set.TipAfter.Seconds()
-	mine := coldMargin * warm * max(1, w.kind.seen) * window / float64(d.set.Schedulers)
+	mine := coldMargin * warm * max(1, w.kind.seen) * window * d.share()
 	part := mine * d.set.FallMultiple / (coldTurns + 1)
 	if d.now < d.born+d.set.TipAfter && d.born > w.started {
 		part /= 3
@@ -632,10 +628,22 @@
 		return w.coldSent+work <= part
 	}
 	first := float64(mix(uint32(turn), w.hash)) / (math.MaxUint32 + 1)
-	_, place := math.Modf(first + float64(d.set.Number)/float64(d.set.Schedulers))
-	return place*work < part
+	return slices.ContainsFunc(d.mine(), func(n int) bool { // each number has its own chance
+		_, place := math.Modf(first + float64(n)/float64(d.set.Schedulers))
+		return place*work < part/float64(len(d.mine()))
+	})
+}
+
+// mine returns the numbers whose parts of what all share are for this scheduler to use now.
+func (d *Dispatcher) mine() []int {
+	if own := slices.Index(d.numbers, d.set.Number); own >= 0 && d.now >= d.until {
+		return d.numbers[own : own+1]
+	}
+	return d.numbers
 }
 
+func (d *Dispatcher) share() float64 { return float64(len(d.mine())) / float64(d.set.Schedulers) }
+
 func row(size float64) int {
 	return max(0, min(39, 24+int(math.Round(2*math.Log2(max(size, 1e-6))))))
 }
@@ -669,8 +677,7 @@
 	return w.kind.runtime(j.size)*d.slowness(w)/d.likely(w) + d.fetch(w, j)
 }
 
-// slowness returns w's runtimes over its kind's. A great one fades while there are no new runtimes: only jobs
-// that are sent there can show that w is well again. Guards against a worker that is left alone for ever.
+// slowness returns w's runtimes over its kind's. A great one fades, as only jobs show that w is well again.
 func (d *Dispatcher) slowness(w *worker) float64 {
 	if w.slow < 2 {
 		return w.slow
@@ -695,7 +702,7 @@
 		}
 	}
 	// A key in great demand has several first workers, and schedulers start at different ones of them.
-	demand := j.key.demand(d.now) / keyMemory.Seconds() * float64(d.set.Schedulers)
+	demand := j.key.demand(d.now) / keyMemory.Seconds() * float64(d.peers)
 	homes := 1 + int(demand/(homeShare*d.slots(w)))
 	if before < homes {
 		turn := (before + homes - d.set.Number%homes) % homes
@@ -838,11 +845,11 @@
 			busy, all = busy+w.busy, all+w.kind.seen*d.likely(w)
 		}
 	}
-	return min(2, busy*float64(d.set.Schedulers)/all)
+	return min(2, busy*float64(d.peers)/all)
 }
 
-// hopeless tells whether j, not started yet, is given up: it would end late and, where workers are full on the
-// whole, make others late. Guards against overload; gives up the part of the worth that late answers earn.
+// hopeless tells whether j, not started yet, is given up: it would end late and, where workers are full on
+// the whole, make others late. It gives up the part of the worth that late answers earn.
 func (d *Dispatcher) hopeless(j *job, l float64) bool {
 	return (d.overload || j.class.LateWorth == 0) && d.now+seconds(l) > j.aimBy
 }
@@ -860,8 +867,7 @@
 }
 
 // rank tells what goes first, in units of the round's largest time left: jobs inside their tenant's share,
-// and among them those that make their aim if they run for l seconds. Guards against a backlog of late jobs
-// that makes every later job late too; late ones may starve while traffic stays over capacity.
+// and among them those that make their aim if they run for l seconds. Late ones may starve.
 func (d *Dispatcher) rank(j *job, l float64) (r float64) {
 	if j.over {
 		r = 2
@@ -872,8 +878,8 @@
 	return r
 }
 
-// cost prices a pairing: C_j x L_ij with the design's test and penalty; small factors only choose among
-// about equal pairings. Where no reports are, a fetch counts against the aim as far as workers are full only.
+// cost prices a pairing: C_j x L_ij with the design's test and penalty; small factors choose among equals.
+// Where no reports are, a fetch counts against the aim as far as workers are full only.
 func (d *Dispatcher) cost(j *job, w *worker, c, maxLeft float64) float64 {
 	if !d.maySend(j, w) || j.class.Semantics == Unsafe && w.fails > 0 && !d.failOpen || d.stayHome(j, w) {
 		return 100 * failPenalty * maxLeft
@@ -910,8 +916,7 @@
 		(w.seenMemory <= 0 || w.memory == 0 || w.memory+j.memory <= w.seenMemory)
 }
 
-// stayHome keeps j from crossing zones while it can wait for a place in its own: for a part of its slack that
-// grows with the price of a crossing, and not where its own zone has no usable worker.
+// stayHome keeps j from crossing zones for a part of its slack that grows with the price of a crossing.
 func (d *Dispatcher) stayHome(j *job, w *worker) bool {
 	if w.zone == d.set.Zone || d.set.CrossZonePrice <= cheapCrossing || !d.home || len(j.attempts) > 0 {
 		return false
--- /dev/null
+++ b/policy/shares_test.go
@@ -0,0 +1,93 @@
+package policy
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"ospreypond/internal/fleet/share"
+)
+
+// dead has the schedulers for which is says so die as the worker starts, while those left are told whose numbers pass to
+// them, as the real ledger has it; with view false nobody is told anything. What cut says are silent to each other: that is
+// no proof, so nothing passes.
+func (f *fleet) dead(is func(n int) bool, view bool) {
+	f.idle = is
+	for n := range f.all {
+		if is(n) || !view {
+			continue
+		}
+		l, err := share.New(share.Config{Size: len(f.all), Own: n, Lease: time.Hour, Pause: time.Millisecond}, f.start-2*time.Hour)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for d := range f.all {
+			if is(d) {
+				l.Refused(f.start-time.Second, d, f.start-time.Second)
+			}
+		}
+		e := Event{Kind: FleetTold, Numbers: l.Numbers(f.start), Until: f.start + time.Hour, Living: len(f.all)}
+		f.inbox[n] = append([]Event{e}, f.inbox[n]...)
+	}
+}
+
+// Seven in ten schedulers die as a worker starts cold. Those left, who see nothing of it but what their shares allow, have
+// far too many requests. With the view they use the whole budget, without it three tenths, and never more than it.
+func TestSharesOfTheDeadAreUsed(t *testing.T) {
+	for _, n := range []int{80, 300} {
+		served := func(view bool, is func(int) bool) int {
+			f := newFleet(t, n, false)
+			f.dead(is, view)
+			f.run(f.start+4*time.Second, time.Duration(n)*2*ms)
+			for from := f.start; from < f.start+3*time.Second; from += 50 * ms {
+				if sum, budget := f.within(from), 3*4*f.warmth(from+500*ms); sum > budget {
+					t.Errorf("%d schedulers: %.2f s of work within a second from %v, the budget is %.2f", n, sum, from, budget)
+				}
+			}
+			return f.served
+		}
+		most := func(k int) bool { return k%10 < 7 }
+		with, without, calm := served(true, most), served(false, most), served(false, func(int) bool { return false })
+		t.Logf("%d schedulers, seven in ten dead: %d jobs served by the cold worker with the view, %d without, %d if nobody dies", n, with, without, calm)
+		if float64(with) < 1.8*float64(without) {
+			t.Errorf("%d schedulers: %d jobs served with the view, %d without", n, with, without)
+		}
+		nobody := func(int) bool { return false }
+		if same := served(true, nobody); same != calm {
+			t.Errorf("%d schedulers, all alive: %d jobs served with the view, %d without", n, same, calm)
+		}
+	}
+}
+
+// A scheduler uses the parts of all its numbers while they are sure, then its own, and nothing while it has none.
+func TestNumbersAreUsedWhileTheyAreSure(t *testing.T) {
+	for name, tt := range map[string]struct {
+		numbers []int
+		now     time.Duration
+		want    []int
+	}{
+		"none":         {nil, 5 * time.Second, nil},
+		"its own":      {[]int{2}, 5 * time.Second, []int{2}},
+		"the dead's":   {[]int{0, 2, 3}, 5 * time.Second, []int{0, 2, 3}},
+		"not for long": {[]int{0, 2, 3}, 6 * time.Second, []int{2}},
+	} {
+		d := testDispatcher(t, func(s *Settings) { s.Schedulers, s.Number = 4, 2 })
+		d.Step(4*time.Second, []Event{{Kind: FleetTold, Numbers: tt.numbers, Until: 6 * time.Second, Living: 3}}, nil)
+		d.now = tt.now
+		if got := d.mine(); !slices.Equal(got, tt.want) {
+			t.Errorf("%s: acts for %v, want %v", name, got, tt.want)
+		}
+		w := d.order[0]
+		w.started = d.now
+		sent := 0.0
+		for range 1000 {
+			if d.coldRoom(w, 0.001) {
+				sent, w.coldSent = sent+0.001, w.coldSent+0.001
+			}
+		}
+		one := coldMargin * d.warmth(w) * max(1, w.kind.seen) * d.set.TipAfter.Seconds() / 4 * d.set.FallMultiple / (coldTurns + 1)
+		if want := one * float64(len(tt.want)); sent > want+0.001 || sent < want/2-0.002 {
+			t.Errorf("%s: %.3f s sent to a cold worker, its parts are %.3f", name, sent, want)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -28,6 +28,10 @@
 
 	roundAt, scanAt, askAt, armedAt time.Duration
 
+	numbers []int         // whose parts of what all share this scheduler may use, its own among them
+	until   time.Duration // from then on only its own, unless it is told more
+	peers   int           // schedulers that are taken to live
+
 	asking, failOpen, home, overload, listLost, closing bool
 
 	view, cold    []*worker // what near returned last; not warm, with a part for this scheduler
