--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -73,8 +73,8 @@
 	}
 	if f.Refusals {
 		p.size = len(f.Roster)
-		if f.Roster[min(p.own, p.size-1)] != f.Listen {
-			return nil, &FleetError{"roster", fmt.Sprintf("has %s for number %d, but listen is %s", f.Roster[min(p.own, p.size-1)], p.own, f.Listen),
+		if at := f.Roster[min(p.own, p.size-1)]; at != f.Advertise {
+			return nil, &FleetError{"roster", fmt.Sprintf("has %s for number %d, but this dispatcher is at %s", at, p.own, f.Advertise),
 				"put each dispatcher's address at the place of its slotNo"}
 		}
 		fc.Refusals, fc.Roster = true, f.Roster
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.node = udp.New(udp.Options{Self: fleet.Record{Name: cfg.Name, Addr: f.Listen, Zone: cfg.Settings.Zone}, Config: fc,
+	p.node = udp.New(udp.Options{Listen: f.Listen, Self: fleet.Record{Name: cfg.Name, Addr: f.Advertise, Zone: cfg.Settings.Zone}, Config: fc,
 		Codec: codec, Held: p.hold, Log: log})
 	return p, nil
 }
--- a/internal/fleet/share/share_test.go
+++ b/internal/fleet/share/share_test.go
@@ -56,32 +56,36 @@
 }
 
 // key names a state, with every time counted from now and what is long past left out.
-func (m *model) key() string {
-	old := func(t time.Duration) int { return int(min(9, (m.now-t)/unit)) }
-	s := ""
+func (m *model) key() uint64 {
+	old := func(t time.Duration) byte { return byte(min(9, (m.now-t)/unit)) }
+	is := func(b bool) byte {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	var b []byte
 	for _, p := range m.procs {
-		if !p.up {
-			s += "-|"
+		if b = append(b, '|'); !p.up {
 			continue
 		}
-		s += fmt.Sprint("b", old(p.ledger.bound))
+		b = append(b, old(p.ledger.bound))
 		for n := range p.ledger.proof {
 			if p.ledger.dead(m.now, n) {
-				s += fmt.Sprint(",", n, ":", old(p.ledger.proof[n].at), ":", old(p.ledger.proof[n].since))
+				b = append(b, ',', byte(n), old(p.ledger.proof[n].at), old(p.ledger.proof[n].since))
 			}
 		}
-		s += "|"
 	}
 	for _, f := range m.flights {
-		s += fmt.Sprint("f", f.to, f.number, old(f.sent), f.life == m.procs[f.to].life)
+		b = append(b, 'f', byte(f.to), byte(f.number), old(f.sent), is(f.life == m.procs[f.to].life))
 		for _, p := range f.proofs {
-			s += fmt.Sprint(".", p.Number, int(p.Age/unit))
+			b = append(b, byte(p.Number), byte(p.Age/unit))
 		}
 	}
 	for _, u := range m.used {
-		s += fmt.Sprint("u", u.who, old(u.at), u.life == m.procs[max(0, u.who)].life)
+		b = append(b, 'u', byte(u.who), old(u.at), is(u.life == m.procs[max(0, u.who)].life))
 	}
-	return s
+	return xxhash.Sum64(b)
 }
 
 // check has every process use all its numbers, and finds two that use one within the same span.
@@ -186,7 +190,7 @@
 						gained++
 					}
 				}
-				if k := xxhash.Sum64String(c.key()); !seen[k] {
+				if k := c.key(); !seen[k] {
 					seen[k] = true
 					following = append(following, c)
 				}
--- a/internal/fleet/udp/udp.go
+++ b/internal/fleet/udp/udp.go
@@ -31,7 +31,9 @@
 
 // Options say how a dispatcher takes part.
 type Options struct {
-	// Self needs Name, Addr (the socket's own ip:port) and Zone; its Life is taken from this machine's clock.
+	// Listen is the socket's own ip:port.
+	Listen string
+	// Self needs Name, Addr (where others reach the socket) and Zone; its Life is taken from this machine's clock.
 	Self   fleet.Record
 	Config fleet.Config
 	Codec  *packet.Codec
@@ -146,7 +148,7 @@
 		return errors.Join(err, set)
 	}}
 	for told := false; ; told = true {
-		pc, err := lc.ListenPacket(ctx, "udp4", n.opt.Self.Addr)
+		pc, err := lc.ListenPacket(ctx, "udp4", n.opt.Listen)
 		if err == nil {
 			return pc.(*net.UDPConn), nil
 		}
@@ -154,7 +156,7 @@
 			return nil, fmt.Errorf("fleet: listen: %w", err)
 		}
 		if !told {
-			n.opt.Log.WithField("addr", n.opt.Self.Addr).Warn("fleet: another process has the address; waiting for it to end")
+			n.opt.Log.WithField("addr", n.opt.Listen).Warn("fleet: another process has the address; waiting for it to end")
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/fleet/udp/udp_test.go
+++ b/internal/fleet/udp/udp_test.go
@@ -48,7 +48,7 @@
 	log.SetOutput(io.Discard)
 	const interval = 50 * time.Millisecond
 	m := &member{}
-	m.Node = New(Options{Self: fleet.Record{Name: name, Addr: roster[number]}, Codec: codec, Log: log,
+	m.Node = New(Options{Listen: roster[number], Self: fleet.Record{Name: name, Addr: roster[number]}, Codec: codec, Log: log,
 		Config: fleet.Config{Interval: interval, Seeds: roster, Refusals: true, Roster: roster,
 			Share: share.Config{Size: len(roster), Own: number, Lease: 10 * interval, Pause: interval}},
 		Held: func(h Held) { m.mu.Lock(); m.held = h; m.mu.Unlock() }})
@@ -113,6 +113,6 @@
 func TestAnAddressThatCannotBe(t *testing.T) {
 	codec, err := packet.New("f", []byte("sixteen bytes or more"))
 	require.NoError(t, err)
-	n := New(Options{Self: fleet.Record{Name: "a", Addr: "192.0.2.1:9"}, Codec: codec, Config: fleet.Config{Interval: time.Second}, Log: logrus.New()})
+	n := New(Options{Listen: "192.0.2.1:9", Self: fleet.Record{Name: "a", Addr: "192.0.2.1:9"}, Codec: codec, Config: fleet.Config{Interval: time.Second}, Log: logrus.New()})
 	assert.ErrorContains(t, n.Run(context.Background()), "192.0.2.1")
 }
--- a/internal/fleet/virtual/virtual.go
+++ b/internal/fleet/virtual/virtual.go
@@ -323,3 +323,6 @@
 	}
 	return true
 }
+
+// Lives returns how many processes were begun here.
+func (n *Node) Lives() int { return int(n.lives) }
--- a/internal/settings/call.go
+++ b/internal/settings/call.go
@@ -152,7 +152,7 @@
 )
 
 func (c *call) fleet() *Fleet {
-	f := &Fleet{Name: c.text("name", true), Key: c.text("key", true), Listen: c.text("listen", true), Seeds: c.addresses("seeds"),
+	f := &Fleet{Name: c.text("name", true), Key: c.text("key", true), Listen: c.text("listen", true), Advertise: c.text("advertise", false), Seeds: c.addresses("seeds"),
 		Refusals: c.truth("refusals"), Roster: c.addresses("roster")}
 	f.Interval = c.duration("interval", defaultInterval, leastInterval, mostInterval)
 	f.Lease = c.duration("lease", leaseIntervals*f.Interval, leastLease*f.Interval, time.Hour)
@@ -166,13 +166,18 @@
 	if _, ok := c.args["listen"]; ok {
 		c.address("listen", f.Listen)
 	}
+	if _, ok := c.args["advertise"]; ok {
+		c.address("advertise", f.Advertise)
+	} else {
+		f.Advertise = f.Listen
+	}
 	switch {
 	case len(f.Seeds) == 0 && len(f.Roster) == 0:
 		c.fault("seeds", "is missing, and so is roster", "give the addresses of some dispatchers, or of all in roster")
 	case len(f.Roster) > rosterMost:
 		c.fault("roster", fmt.Sprintf("has %d addresses", len(f.Roster)), fmt.Sprintf("at most %d", rosterMost))
-	case len(f.Roster) > 0 && !slices.Contains(f.Roster, f.Listen):
-		c.fault("roster", "does not have listen, "+f.Listen, "it names the address of each number, this dispatcher's too")
+	case len(f.Roster) > 0 && !slices.Contains(f.Roster, f.Advertise):
+		c.fault("roster", "does not have "+f.Advertise, "it has the address of each number, this dispatcher's too")
 	case f.Refusals && len(f.Roster) == 0:
 		c.fault("refusals", "is True without a roster", "a refusal proves nothing where it is not known whose address it is")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,14 +23,16 @@
 
 // Fleet is what fleet(...) says: how this dispatcher takes part in a fleet.
 type Fleet struct {
-	Name     string // the fleet's
-	Listen   string // ip:port of this dispatcher's socket
-	Seeds    []string
-	Key      string
-	Interval time.Duration
-	Refusals bool
-	Roster   []string
-	Lease    time.Duration
+	Name   string // the fleet's
+	Listen string // ip:port of this dispatcher's socket
+	// Advertise is where others reach that socket, where that is not Listen; Roster and Seeds have such addresses.
+	Advertise string
+	Seeds     []string
+	Key       string
+	Interval  time.Duration
+	Refusals  bool
+	Roster    []string
+	Lease     time.Duration
 }
 
 // Settings is all that a file says.
