--- a/bench/storebench/engines.go
+++ b/bench/storebench/engines.go
@@ -1,13 +1,18 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
+	"encoding/binary"
 	"errors"
-	"fmt"
+	"io"
+	"maps"
+	"os"
 	"path/filepath"
+	"slices"
+	"sync"
 
-	"github.com/cockroachdb/pebble/v2"
-	"go.etcd.io/bbolt"
+	"golang.org/x/sys/unix"
 
 	"ospreypond/internal/store"
 )
@@ -21,13 +26,8 @@
 	close() error
 }
 
-// engines open by name. bbolt commits either one by one or in batches of whoever waits.
-var engines = map[string]func(dir string) (engine, error){
-	"ospreypond":  openOurs,
-	"pebble":      openPebble,
-	"bbolt":       func(dir string) (engine, error) { return openBolt(dir, false) },
-	"bbolt-batch": func(dir string) (engine, error) { return openBolt(dir, true) },
-}
+// engines open by name.
+var engines = map[string]func(dir string) (engine, error){"ospreypond": openOurs, "append": openAppended}
 
 type ours struct {
 	s  *store.Store
@@ -77,116 +77,78 @@
 
 func (o ours) close() error { return o.s.Close() }
 
-type peb struct{ d *pebble.DB }
-
-type quiet struct{}
-
-func (quiet) Infof(string, ...any)      {}
-func (quiet) Errorf(string, ...any)     {}
-func (quiet) Fatalf(f string, a ...any) { panic(fmt.Sprintf(f, a...)) }
-
-func openPebble(dir string) (engine, error) {
-	d, err := pebble.Open(dir, &pebble.Options{Logger: quiet{}})
-	return peb{d}, err
+// appended is the plainest store that keeps the promise: one file, each put appended and synced under one lock, and all of
+// it in memory, which opening reads the whole file for.
+type appended struct {
+	mu   sync.Mutex
+	file *os.File
+	all  map[string][]byte
 }
 
-func (p peb) put(key, value []byte) error { return p.d.Set(key, value, pebble.Sync) }
-
-func (p peb) load(keys, values [][]byte) error {
-	b := p.d.NewBatch()
-	for i := range keys {
-		if err := b.Set(keys[i], values[i], nil); err != nil {
-			return err
-		}
-	}
-	return b.Commit(pebble.NoSync)
-}
+const lengths = 8 // before each record: the key's and the value's, four bytes each
 
-func (p peb) get(key []byte) (int, error) {
-	v, c, err := p.d.Get(key)
+func openAppended(dir string) (engine, error) {
+	f, err := os.OpenFile(filepath.Join(dir, "log"), os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o600)
 	if err != nil {
-		return 0, err
-	}
-	n := len(bytes.Clone(v)) // the others copy too
-	return n, c.Close()
-}
-
-func (p peb) scan() (int, error) {
-	it, err := p.d.NewIter(nil)
-	if err != nil {
-		return 0, err
+		return nil, err
 	}
-	n := 0
-	for it.First(); it.Valid(); it.Next() {
-		n++
+	a := &appended{file: f, all: map[string][]byte{}}
+	in := bufio.NewReaderSize(f, 1<<20)
+	for {
+		var head [lengths]byte
+		if _, err := io.ReadFull(in, head[:]); errors.Is(err, io.EOF) {
+			return a, nil
+		} else if err != nil {
+			return nil, err
+		}
+		key := make([]byte, binary.LittleEndian.Uint32(head[:]))
+		value := make([]byte, binary.LittleEndian.Uint32(head[4:]))
+		if _, err := io.ReadFull(in, key); err != nil {
+			return nil, err
+		}
+		if _, err := io.ReadFull(in, value); err != nil {
+			return nil, err
+		}
+		a.all[string(key)] = value
 	}
-	return n, errors.Join(it.Error(), it.Close())
 }
 
-func (p peb) close() error { return p.d.Close() }
-
-type bolt struct {
-	d     *bbolt.DB
-	batch bool
+func record(b, key, value []byte) []byte {
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(key)))
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(value)))
+	return append(append(b, key...), value...)
 }
 
-var bucket = []byte("bench")
+func (a *appended) put(key, value []byte) error {
+	return a.load([][]byte{key}, [][]byte{value})
+}
 
-func openBolt(dir string, batch bool) (engine, error) {
-	d, err := bbolt.Open(filepath.Join(dir, "bolt.db"), 0o600, &bbolt.Options{FreelistType: bbolt.FreelistMapType})
-	if err != nil {
-		return nil, err
+func (a *appended) load(keys, values [][]byte) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var b []byte
+	for i := range keys {
+		b = record(b, keys[i], values[i])
 	}
-	if d.View(func(tx *bbolt.Tx) error {
-		if tx.Bucket(bucket) == nil {
-			return errors.New("none")
-		}
-		return nil
-	}) != nil {
-		err = d.Update(func(tx *bbolt.Tx) error {
-			_, err := tx.CreateBucket(bucket)
-			return err
-		})
+	if _, err := a.file.Write(b); err != nil {
+		return err
 	}
-	return bolt{d, batch}, err
-}
-
-func (b bolt) put(key, value []byte) error {
-	f := func(tx *bbolt.Tx) error { return tx.Bucket(bucket).Put(key, value) }
-	if b.batch {
-		return b.d.Batch(f)
+	for i := range keys {
+		a.all[string(keys[i])] = values[i]
 	}
-	return b.d.Update(f)
-}
-
-func (b bolt) load(keys, values [][]byte) error {
-	return b.d.Update(func(tx *bbolt.Tx) error {
-		for i := range keys {
-			if err := tx.Bucket(bucket).Put(keys[i], values[i]); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
+	return unix.Fdatasync(int(a.file.Fd()))
 }
 
-func (b bolt) get(key []byte) (int, error) {
-	n := 0
-	return n, b.d.View(func(tx *bbolt.Tx) error {
-		n = len(bytes.Clone(tx.Bucket(bucket).Get(key)))
-		return nil
-	})
+func (a *appended) get(key []byte) (int, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(bytes.Clone(a.all[string(key)])), nil
 }
 
-func (b bolt) scan() (int, error) {
-	n := 0
-	return n, b.d.View(func(tx *bbolt.Tx) error {
-		c := tx.Bucket(bucket).Cursor()
-		for k, _ := c.First(); k != nil; k, _ = c.Next() {
-			n++
-		}
-		return nil
-	})
+func (a *appended) scan() (int, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(slices.Sorted(maps.Keys(a.all))), nil
 }
 
-func (b bolt) close() error { return b.d.Close() }
+func (a *appended) close() error { return a.file.Close() }
--- a/bench/storebench/main.go
+++ b/bench/storebench/main.go
@@ -1,4 +1,5 @@
-// Command storebench measures ospreypond's durable store beside bbolt and pebble, on the same work in one run. Each
+// Command storebench measures ospreypond's durable store beside the plainest one, a file that each commit is appended and
+// synced to, on the same work in one run; its earlier figures are in docs/ROADMAP.md. Each
 // figure is the median of several rounds in which the engines take turns; each engine's phase runs in a process of its
 // own, so that memory is its own too.
 package main
@@ -16,7 +17,7 @@
 	"github.com/spf13/cobra"
 )
 
-var names = []string{"ospreypond", "pebble", "bbolt", "bbolt-batch"}
+var names = []string{"ospreypond", "append"}
 
 type config struct {
 	Records int
@@ -35,7 +36,7 @@
 
 func command() *cobra.Command {
 	c := config{Records: 1_000_000, Small: 100_000, Seconds: 2, Rounds: 3}
-	root := &cobra.Command{Use: "storebench", Short: "Measure the durable store beside bbolt and pebble", Args: cobra.NoArgs,
+	root := &cobra.Command{Use: "storebench", Short: "Measure the durable store beside plain appending", Args: cobra.NoArgs,
 		SilenceUsage: true, RunE: func(*cobra.Command, []string) error { return run(c) }}
 	f := root.Flags()
 	f.IntVar(&c.Records, "records", c.Records, "records in the large store")
@@ -156,10 +157,7 @@
 			}
 		}
 		for _, records := range []int{c.Small, c.Records} {
-			for _, name := range order[:] {
-				if name == "bbolt-batch" { // the same store as bbolt
-					continue
-				}
+			for _, name := range order {
 				what := fmt.Sprintf("%d records", records)
 				a := phaseArgs{Records: records}
 				if err := measure(all, what, name, "fill", base, a, func(dir string) error {
--- /dev/null
+++ b/internal/fleet/figures_test.go
@@ -0,0 +1,107 @@
+package fleet_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ospreypond/internal/fleet"
+	"ospreypond/internal/fleet/packet"
+	"ospreypond/internal/fleet/share"
+	"ospreypond/internal/fleet/virtual"
+)
+
+var (
+	figures = flag.Bool("figures", false, "measure the figures in docs/view.md; takes minutes")
+	most    = flag.Int("most", 1000, "the largest fleet to measure")
+)
+
+// TestFigures measures what docs/view.md states, in multiples of the probe interval.
+func TestFigures(t *testing.T) {
+	if !*figures {
+		t.Skip("-figures is not set")
+	}
+	codec, err := packet.New("pagos-mercados", []byte("sixteen bytes or more"))
+	require.NoError(t, err)
+	for _, n := range []int{3, 30, 300, 1000} {
+		if n > *most {
+			break
+		}
+		for _, loss := range []float64{0, 0.05, 0.2} {
+			opt := options(uint64(n))
+			largest := 0
+			opt.Size = func(p *fleet.Packet) int {
+				d, err := codec.Encode(p)
+				require.NoError(t, err)
+				largest = max(largest, len(d))
+				return len(d)
+			}
+			bad := func(time.Duration, *virtual.Node, *virtual.Node) virtual.Link { return virtual.Link{Loss: loss} }
+			opt.Link = bad
+			w := virtual.New(n, opt)
+			for _, node := range w.Nodes {
+				require.NoError(t, w.Start(node))
+			}
+			line := fmt.Sprintf("%4d members, %2.0f%% lost: ", n, 100*loss)
+			until := func(what string) {
+				took, ok := w.Until(tick/4, 400*tick, func() bool { return w.Agree() })
+				line += fmt.Sprintf("%s %.1f", what, float64(took)/float64(tick))
+				if !ok {
+					line += " (not)"
+				}
+				line += ", "
+			}
+			until("all at once")
+			w.For(40 * tick)
+			intervals := 7200 * 3 / max(3, n/100) // an hour of 300 and fewer
+			since, began := w.Now, time.Now()
+			var datagrams, bytes int64
+			for _, node := range w.Nodes {
+				datagrams, bytes = datagrams-node.Datagrams, bytes-node.Bytes
+			}
+			w.For(time.Duration(intervals) * tick)
+			cpu := time.Since(began)
+			for _, node := range w.Nodes {
+				datagrams, bytes = datagrams+node.Datagrams, bytes+node.Bytes
+			}
+			each := float64(n) * float64(intervals) * tick.Seconds()
+			line += fmt.Sprintf("%.2f datagrams, %.0f bytes, %.0f us of CPU (coding and the world included) a member and second, %d suspected and %d held dead in %.2f h of the fleet, ",
+				float64(datagrams)/each, float64(bytes)/each, float64(cpu.Microseconds())/each, count(w, fleet.Suspected, since)/n, count(w, fleet.Died, since), float64(intervals)*tick.Hours())
+			w.Kill(w.Nodes[n-1])
+			until("crash")
+			require.NoError(t, w.Start(w.Nodes[n-1]))
+			until("join")
+			w.Links(func(_ time.Duration, a, b *virtual.Node) virtual.Link {
+				return virtual.Link{Loss: loss, Cut: (a.Number < n/2) != (b.Number < n/2)}
+			})
+			w.For(240 * tick)
+			w.Links(bad)
+			until("equal after a cut in two")
+			fmt.Printf("%slargest datagram %d bytes\n", line, largest)
+		}
+		opt := options(uint64(n))
+		opt.Config.Refusals = true
+		opt.Config.Share = share.Config{Size: n, Lease: 15 * tick, Pause: 2 * tick}
+		w := virtual.New(n, opt)
+		for _, node := range w.Nodes {
+			require.NoError(t, w.Start(node))
+		}
+		w.For(60 * tick)
+		for _, node := range w.Nodes[:n*7/10] {
+			w.Kill(node)
+		}
+		line, began := fmt.Sprintf("%4d members, seven in ten killed, refusals count: parts in use ", n), w.Now
+		for _, at := range []int{2, 5, 10, 15, 20, 30, 40} {
+			w.Run(began + time.Duration(at)*tick)
+			used := 0
+			for _, node := range w.Running() {
+				used += len(node.Core.Numbers(w.Now))
+			}
+			line += fmt.Sprintf("%d%% after %d, ", 100*used/n, at)
+		}
+		fmt.Println(line + "intervals")
+	}
+}
--- a/internal/routetable/routetable_test.go
+++ b/internal/routetable/routetable_test.go
@@ -96,7 +96,7 @@
 		calls <- n
 		switch n {
 		case 1, 5:
-			fmt.Fprint(w, `{"seq": 9, "whole": false, "hosts": []}`)
+			fmt.Fprint(w, "{\n  \"seq\": 9,\n  \"whole\": false,\n  \"hosts\": [\n  ]\n}\n") // lists may come indented
 		case 2: // silent
 			<-r.Context().Done()
 		default:
--- /dev/null
+++ b/test/integration/stop_test.go
@@ -0,0 +1,76 @@
+package integration
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// After SIGTERM clients go on sending on every connection that stays open. Each such request gets its whole answer, or its
+// connection was closed in order: not a byte of an answer came on it.
+func TestConnectionsThatStayOpenAfterSIGTERMAreServed(t *testing.T) {
+	p := start(t, newRunner(t, "r1", "z", done))
+	const conns = 12
+	var (
+		wait           sync.WaitGroup
+		mu             sync.Mutex
+		served, closed int
+	)
+	stopping := make(chan struct{})
+	for i := range conns {
+		c, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+		require.NoError(t, err)
+		defer c.Close()
+		in := bufio.NewReader(c)
+		ask := func(n int) (whole, none bool) {
+			_ = c.SetDeadline(time.Now().Add(patience))
+			id := fmt.Sprintf("c%d-%d", i, n)
+			_, _ = fmt.Fprintf(c, "POST /keyed HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nIdempotency-Key: key-%s\r\nX-Timeout: 9000m\r\nContent-Length: 0\r\n\r\n", id, id)
+			if _, err := in.Peek(1); err != nil {
+				return false, true
+			}
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				return false, false
+			}
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			return err == nil && resp.StatusCode == http.StatusOK && string(body) == `made "here"`, false
+		}
+		whole, _ := ask(0)
+		require.True(t, whole)
+		wait.Go(func() {
+			<-stopping
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond) // within the time that is accepted, and after it
+			for n := 1; ; n++ {
+				whole, none := ask(n)
+				mu.Lock()
+				if none {
+					closed++
+				} else if assert.True(t, whole, "an answer that is not whole") {
+					served++
+				}
+				mu.Unlock()
+				if !whole {
+					return
+				}
+			}
+		})
+	}
+	p.stop()
+	eventually(t, "the signal is not seen", func() bool { return strings.Contains(p.log(), "to=draining") })
+	close(stopping)
+	wait.Wait()
+	assert.Equal(t, conns, closed)
+	assert.Positive(t, served, "connections that stay open are served")
+	assert.NoError(t, <-p.exit, "exit status")
+}
