--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -72,7 +72,7 @@
 	if opt.Record != "" {
 		rec, err := traffic.Open(opt.Record, opt.Keep, log)
 		if err != nil {
-			return fmt.Errorf("recording traffic: %w", err)
+			return &StartError{"recording traffic", "mend the folder, or start without --record", err}
 		}
 		x.Watch(rec)
 		defer func() {
@@ -89,14 +89,14 @@
 
 	listener, err := listen(context.Background(), cfg.Listen)
 	if err != nil {
-		return fmt.Errorf("key \"listen\": %w", err)
+		return &StartError{`key "listen"`, "take an address of this machine that no other program has", err}
 	}
 	server := ingress.New(x, life, &cfg.Policy, clients, cfg.BodyBudget(), log)
 	files := &reloads{}
 	if cfg.Console != "" {
 		l, err := net.Listen("tcp", cfg.Console)
 		if err != nil {
-			return fmt.Errorf("key \"console\": %w", err)
+			return &StartError{`key "console"`, "take an address of this machine that no other program has", err}
 		}
 		ops := console.New(&operator{server: server, table: table, news: x.News, reloads: files, peers: peers, dir: os.TempDir(), log: log}, log)
 		defer ops.Close()
--- /dev/null
+++ b/internal/app/errors.go
@@ -0,0 +1,14 @@
+package app
+
+import "fmt"
+
+// StartError is a part of the dispatcher that can't be started.
+type StartError struct {
+	Part string // the key, variable or flag that it hangs on
+	Fix  string // what an operator can do
+	Err  error
+}
+
+func (e *StartError) Error() string { return fmt.Sprintf("%s: %v (%s)", e.Part, e.Err, e.Fix) }
+
+func (e *StartError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/app/errors_test.go
@@ -0,0 +1,52 @@
+package app
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// The on-call page lists every type of error of the parts that operators start, reload and watch, and no other.
+func TestOnCallListsTheErrors(t *testing.T) {
+	inCode := map[string]bool{}
+	for _, dir := range []string{"app", "config", "settings", "fleet"} {
+		require.NoError(t, filepath.WalkDir(filepath.Join("..", dir), func(path string, d fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			if err != nil {
+				return err
+			}
+			for _, decl := range f.Decls {
+				if fn, ok := decl.(*ast.FuncDecl); ok && fn.Recv != nil && fn.Name.Name == "Error" {
+					of := fn.Recv.List[0].Type
+					if star, ok := of.(*ast.StarExpr); ok {
+						of = star.X
+					}
+					inCode[f.Name.Name+"."+of.(*ast.Ident).Name] = true
+				}
+			}
+			return nil
+		}))
+	}
+	require.NotEmpty(t, inCode)
+	page, err := os.ReadFile("../../docs/oncall.md")
+	require.NoError(t, err)
+	_, section, found := strings.Cut(string(page), "## Errors by type")
+	require.True(t, found)
+	listed := map[string]bool{}
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z]+\\.[A-Z][A-Za-z]+)`").FindAllStringSubmatch(section, -1) {
+		listed[m[1]] = true
+	}
+	assert.Equal(t, inCode, listed)
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -30,6 +31,7 @@
 					for _, f := range faults {
 						log.WithError(f).Error("the settings file has a fault")
 					}
+					err = fmt.Errorf("%d faults in the settings file", len(faults))
 				}
 				log.WithError(err).Error("ospreypond cannot go on")
 				return errSaid
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -88,19 +88,19 @@
 func load(getenv func(string) string, old *Config) (*Config, error) {
 	path := getenv("LB_CONFIG")
 	if path == "" {
-		return nil, errors.New("LB_CONFIG: is not set; it names the configuration file")
+		return nil, &SourceError{Variable: "LB_CONFIG", Problem: "is not set", Fix: "let it name the configuration file"}
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("LB_CONFIG: %w", err)
+		return nil, &SourceError{Variable: "LB_CONFIG", Problem: "cannot be read", Fix: "let it name a file that this user may read", Err: err}
 	}
 	c := &Config{}
 	if err := json.Unmarshal(text, c); err != nil {
 		var wrong *json.UnmarshalTypeError
 		if errors.As(err, &wrong) {
-			return nil, fmt.Errorf("LB_CONFIG: key %q: a %s where a %s is due", wrong.Field, wrong.Value, wrong.Type)
+			return nil, &KeyError{wrong.Field, fmt.Sprintf("a %s where a %s is due", wrong.Value, wrong.Type), "mend its form"}
 		}
-		return nil, fmt.Errorf("LB_CONFIG: %s: %w", path, err)
+		return nil, &SourceError{Variable: "LB_CONFIG", Problem: path + " is no JSON", Fix: "write the whole file, and replace it at once", Err: err}
 	}
 	c.inFile = c.Discovery
 	for _, v := range []struct {
@@ -119,7 +119,7 @@
 	c.LogLevel = logrus.InfoLevel
 	if s := getenv("LB_LOG_LEVEL"); s != "" {
 		if c.LogLevel, err = logrus.ParseLevel(s); err != nil {
-			return nil, fmt.Errorf("LB_LOG_LEVEL: %w", err)
+			return nil, &SourceError{Variable: "LB_LOG_LEVEL", Problem: "is no level", Fix: "error, warning, info or debug", Err: err}
 		}
 	}
 	if err := c.check(); err != nil {
@@ -132,16 +132,16 @@
 }
 
 func (c *Config) check() error {
-	key := func(key string, format string, args ...any) error {
-		return fmt.Errorf("key %q: %s", key, fmt.Sprintf(format, args...))
+	key := func(key, fix, format string, args ...any) error {
+		return &KeyError{key, fmt.Sprintf(format, args...), fix}
 	}
 	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if _, port, err := net.SplitHostPort(a.addr); err != nil || port == "" {
-			return key(a.name, "%q is not host:port", a.addr)
+			return key(a.name, "write host:port", "%q is not host:port", a.addr)
 		}
 	}
 	if _, port, err := net.SplitHostPort(c.Console); c.Console != "" && (err != nil || port == "") {
-		return key("console", "%q is not host:port", c.Console)
+		return key("console", "write host:port, or leave it out", "%q is not host:port", c.Console)
 	}
 	l := &c.Limits
 	setDefault(&l.Cores, defaultCores)
@@ -149,14 +149,14 @@
 	setDefault(&l.Sockets, defaultSockets)
 	switch {
 	case l.Cores < 0:
-		return key("limits.cores", "%v is negative", l.Cores)
+		return key("limits.cores", "leave it out for 1", "%v is negative", l.Cores)
 	case l.MemoryMB < 0:
-		return key("limits.memory_mb", "%v is negative", l.MemoryMB)
+		return key("limits.memory_mb", "leave it out for 192", "%v is negative", l.MemoryMB)
 	case l.Sockets < minSockets:
-		return key("limits.sockets", "%d is under %d, which is too few to serve", l.Sockets, minSockets)
+		return key("limits.sockets", "allow more, or leave it out for 1,024", "%d is under %d, which is too few to serve", l.Sockets, minSockets)
 	}
 	if err := c.Known.Check(); err != nil {
-		return fmt.Errorf("key \"known\": %w", err)
+		return key("known", "leave the entry out", "%v", err)
 	}
 	var err error
 	if c.Seed, err = strconv.ParseUint(c.SeedText, 16, 64); err != nil {
@@ -165,10 +165,10 @@
 		c.Seed = h.Sum64()
 	}
 	if err := c.Settings.check(); err != nil {
-		return fmt.Errorf("key \"settings.%w", err)
+		return err
 	}
 	if c.Policy, err = c.Settings.Policy(); err != nil {
-		return fmt.Errorf("key \"settings\": %w", err)
+		return err
 	}
 	p := &c.Policy
 	setDefault(&p.Period, defaultPeriod)
--- /dev/null
+++ b/internal/config/errors.go
@@ -0,0 +1,35 @@
+package config
+
+import "fmt"
+
+// KeyError is a fault of the configuration file at one key.
+type KeyError struct {
+	Key     string // dotted path from the top of the file
+	Problem string
+	Fix     string // what an operator can do
+}
+
+func (e *KeyError) Error() string { return fmt.Sprintf("key %q: %s (%s)", e.Key, e.Problem, e.Fix) }
+
+// SourceError is a variable, or the file that LB_CONFIG names, that can't be used at all.
+type SourceError struct {
+	Variable string
+	Problem  string
+	Fix      string // what an operator can do
+	Err      error  // what the system or the parser said, if anything
+}
+
+func (e *SourceError) Error() string {
+	s := e.Variable + ": " + e.Problem
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s + " (" + e.Fix + ")"
+}
+
+func (e *SourceError) Unwrap() error { return e.Err }
+
+// setting is a KeyError within settings.
+func setting(key, fix, problem string, args ...any) *KeyError {
+	return &KeyError{Key: "settings." + key, Problem: fmt.Sprintf(problem, args...), Fix: fix}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -95,7 +95,7 @@
 		case "unsafe":
 			k.Semantics = policy.Unsafe
 		default:
-			return p, fmt.Errorf("classes[%d].semantics: unknown value %q", i, c.Semantics)
+			return p, setting(fmt.Sprintf("classes[%d].semantics", i), "safe, keyed or unsafe", "unknown value %q", c.Semantics)
 		}
 		switch c.KeyScope {
 		case "all":
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -165,6 +165,15 @@
 	Numbers []int
 }
 
+// ConfigError names the field that no member, or no codec, can work with.
+type ConfigError struct {
+	Field, Value, Want string
+}
+
+func (e *ConfigError) Error() string {
+	return fmt.Sprintf("fleet: %s: is %s, but %s", e.Field, e.Value, e.Want)
+}
+
 // Core is one member's side of the protocol.
 type Core struct {
 	cfg     Config
@@ -214,10 +223,10 @@
 // New returns a member that begins now. self needs Name, Addr and Life; a Life of Unix milliseconds serves.
 func New(cfg Config, self Record, now time.Duration) (*Core, error) {
 	if self.Name == "" || self.Addr == "" || self.Life == 0 {
-		return nil, fmt.Errorf("fleet: a member needs a name, an address and a life: %+v", self)
+		return nil, &ConfigError{"Self", fmt.Sprintf("%+v", self), "a member needs a name, an address and a life"}
 	}
 	if cfg.Interval <= 0 {
-		return nil, fmt.Errorf("fleet: interval %v is not over 0", cfg.Interval)
+		return nil, &ConfigError{"Interval", cfg.Interval.String(), "it has to be over 0"}
 	}
 	setDefault(&cfg.Forget, defaultForget)
 	setDefault(&cfg.MostMembers, defaultMembers)
--- a/internal/fleet/packet/packet.go
+++ b/internal/fleet/packet/packet.go
@@ -70,10 +70,10 @@
 // New returns the codec of the fleet of that name, whose members all have the same key.
 func New(name string, key []byte) (*Codec, error) {
 	if name == "" || len(name) > 64 {
-		return nil, fmt.Errorf("a fleet's name has 1 to 64 bytes, not %d", len(name))
+		return nil, &fleet.ConfigError{Field: "Name", Value: fmt.Sprintf("%d bytes long", len(name)), Want: "1 to 64 are allowed"}
 	}
 	if len(key) < 16 {
-		return nil, fmt.Errorf("a fleet's key has 16 bytes at least, not %d", len(key))
+		return nil, &fleet.ConfigError{Field: "Key", Value: fmt.Sprintf("%d bytes long", len(key)), Want: "16 at least are needed"}
 	}
 	enc, err := cbor.CoreDetEncOptions().EncMode()
 	if err != nil {
--- a/internal/fleet/udp/udp.go
+++ b/internal/fleet/udp/udp.go
@@ -81,6 +81,19 @@
 	seq  uint64
 }
 
+// SocketError is the fleet's socket, which can't be had or broke.
+type SocketError struct {
+	Addr string
+	Fix  string // what an operator can do
+	Err  error
+}
+
+func (e *SocketError) Error() string {
+	return fmt.Sprintf("fleet: socket %s: %v (%s)", e.Addr, e.Err, e.Fix)
+}
+
+func (e *SocketError) Unwrap() error { return e.Err }
+
 // New returns a node that does nothing until Run.
 func New(opt Options) *Node {
 	return &Node{opt: opt, dropped: map[string]int64{}, aims: map[string]netip.AddrPort{}}
@@ -128,7 +141,7 @@
 			return nil
 		case err := <-reading:
 			n.tell(Held{})
-			return fmt.Errorf("fleet: reading: %w", err)
+			return &SocketError{n.opt.Listen, "restart this dispatcher; it serves on, without any part of what is shared", err}
 		case e := <-events:
 			n.take(e)
 		case <-wake.C:
@@ -153,7 +166,7 @@
 			return pc.(*net.UDPConn), nil
 		}
 		if !errors.Is(err, syscall.EADDRINUSE) {
-			return nil, fmt.Errorf("fleet: listen: %w", err)
+			return nil, &SocketError{n.opt.Listen, "take an ip:port of this machine", err}
 		}
 		if !told {
 			n.opt.Log.WithField("addr", n.opt.Listen).Warn("fleet: another process has the address; waiting for it to end")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,8 +53,11 @@
 	Argument string // empty for a fault of the whole call
 	Problem  string
 	Fix      string // what an operator can do
+	Err      error  // what the system said, if anything
 }
 
+func (f *Fault) Unwrap() error { return f.Err }
+
 func (f *Fault) Error() string {
 	what := f.Call
 	if f.Argument != "" {
@@ -89,11 +92,11 @@
 	return errs
 }
 
-// Read reads and checks the file at path. Its error is Faults, or one of reading the file.
+// Read reads and checks the file at path. Its error is Faults.
 func Read(path string, me Me) (*Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, Faults{{At: path, Problem: "can't be read: " + err.Error(), Fix: "name a file that this user may read", Err: err}}
 	}
 	if len(text) > maxBytes {
 		return nil, Faults{{At: path, Problem: fmt.Sprintf("is %d bytes long", len(text)), Fix: fmt.Sprintf("at most %d are read", maxBytes)}}
