Gangs' decisions: a core without I/O, its table of steps, and an in-memory fleet to prove it

Late news found a member whose runner fell mute and came back under the same name and that nothing noticed: members now have to be heard of. Not wired into the program yet.

--- /dev/null
+++ b/internal/gang/gang_test.go
@@ -0,0 +1,171 @@
+package gang_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ospreypond/internal/gang"
+	"ospreypond/internal/gang/virtual"
+)
+
+var (
+	seed = flag.Uint64("seed", 0, "the seed of the one run of random faults to repeat; 0: all")
+	runs = flag.Int("runs", 1000, "runs of random faults")
+)
+
+var epoch = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+func options(s uint64) virtual.Options {
+	return virtual.Options{Seed: s, Step: 250 * time.Millisecond, Poll: time.Second, Latency: 100 * time.Millisecond, Start: 2 * time.Second,
+		Config: gang.Config{Start: 8 * time.Second, Silence: 15 * time.Second, Bandwidth: 50e6, Margin: 5 * time.Second, SaveLimit: 30 * time.Second, Backoff: 2 * time.Second,
+			BackoffMost: 20 * time.Second, Every: 40 * time.Second, Starve: 10 * time.Minute, AgeStep: 5 * time.Minute, Apart: 0.1,
+			MostGangs: 1000, MostMoves: 20}}
+}
+
+// world has dispatchers, and runners of four slots in zones a and b by turns.
+func world(t *testing.T, opt virtual.Options, dispatchers, runners int) *virtual.World {
+	w := virtual.New(epoch, opt)
+	for i := range dispatchers {
+		_, err := w.Add(fmt.Sprint("d", i))
+		require.NoError(t, err)
+	}
+	for i := range runners {
+		w.Runners = append(w.Runners, &virtual.Runner{Name: fmt.Sprint("r", i), Zone: string(rune('a' + i%2)), Kind: "k", Speed: 1, Slots: 4, Up: true})
+	}
+	return w
+}
+
+func submit(w *virtual.World, name string, members int, work time.Duration) {
+	r := gang.Record{Name: name, Due: w.Now.Add(3 * work)}
+	for range members {
+		r.Needs = append(r.Needs, gang.Need{Class: "mosaic", Slots: 1, Work: work, Saved: 10e6})
+	}
+	w.Submit(r)
+}
+
+func allDone(w *virtual.World) func() bool {
+	return func() bool {
+		for _, n := range w.Gangs() {
+			if _, ok := w.Ended(n); !ok {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Whatever fails, and when: no gang is lost, none is done twice, and no work of two generations is counted as one.
+func TestRandomFaults(t *testing.T) {
+	taken := map[gang.Step]int{}
+	for s := uint64(1); s <= uint64(*runs); s++ {
+		if *seed != 0 {
+			s = *seed
+		}
+		for step, n := range faults(t, s) {
+			taken[step] += n
+		}
+		if t.Failed() {
+			t.Fatalf("replay by: go test ./internal/gang -run RandomFaults -seed %d", s)
+		}
+		if *seed != 0 {
+			return
+		}
+	}
+	t.Log(taken)
+	for _, step := range gang.Table {
+		assert.Positive(t, taken[step], "%v was never taken", step)
+		delete(taken, step)
+	}
+	assert.Empty(t, taken, "steps that are not in the table")
+}
+
+func faults(t *testing.T, s uint64) map[gang.Step]int {
+	rng := rand.New(rand.NewPCG(s, 9))
+	opt := options(s)
+	opt.Jitter = 3 * time.Second
+	w := world(t, opt, 3, 6)
+	for i := range 3 {
+		submit(w, fmt.Sprint("g", i), 2+rng.IntN(4), time.Duration(20+rng.IntN(100))*time.Second)
+	}
+	calm := false
+	chance := func(p float64) func() bool { return func() bool { return !calm && rng.Float64() < p } }
+	w.Lose, w.Damage, w.Hang = chance(0.1), chance(0.05), chance(0.05)
+	for range 12 {
+		d, r := w.Dispatchers[rng.IntN(3)], w.Runners[rng.IntN(6)]
+		switch rng.IntN(9) {
+		case 0:
+			w.Kill(d)
+		case 1:
+			d.Stopped = !d.Stopped && d.Core != nil
+		case 2:
+			d.CutOff = !d.CutOff
+		case 3:
+			r.Up, r.Mute = !r.Up, rng.IntN(2) == 0
+		case 4: // retires at short notice, or is not to after all
+			if r.Announced, r.Retires = w.Now, w.Now.Add(time.Duration(10+rng.IntN(60))*time.Second); rng.IntN(3) == 0 {
+				r.Retires = time.Time{}
+			}
+		case 5:
+			w.Silent = !w.Silent
+		case 6: // a wrong view: two believe that they act
+			if d.Sees = nil; rng.IntN(2) == 0 {
+				d.Sees = func(*virtual.Dispatcher) bool { return false }
+			}
+		case 7:
+			r.FailStarts = rng.IntN(3)
+		case 8: // all at once
+			for _, all := range w.Dispatchers {
+				w.Kill(all)
+			}
+		}
+		w.For(time.Duration(1+rng.IntN(15)) * time.Second)
+		for _, all := range w.Dispatchers {
+			if all.Core == nil && rng.IntN(2) == 0 {
+				require.NoError(t, w.Start(all))
+			}
+		}
+		require.Empty(t, w.Broken(), "seed %d at %v", s, w.Now.Sub(epoch))
+	}
+	calm, w.Silent = true, false
+	for _, d := range w.Dispatchers {
+		if d.CutOff, d.Sees, d.Stopped = false, nil, false; d.Core == nil {
+			require.NoError(t, w.Start(d))
+		}
+	}
+	for _, r := range w.Runners {
+		r.Up, r.Retires, r.FailStarts = true, time.Time{}, 0
+	}
+	done := w.Until(30*time.Minute, allDone(w))
+	require.Empty(t, w.Broken(), "seed %d", s)
+	if !assert.True(t, done, "seed %d: a gang is not done", s) {
+		for _, n := range w.Gangs() {
+			t.Logf("%+v", w.Record(n))
+		}
+	}
+	return w.Steps
+}
+
+// A retirement that is announced in time costs no work but what the save and the start take.
+func TestMovedOffARetiringRunner(t *testing.T) {
+	w := world(t, options(1), 3, 4)
+	submit(w, "g", 4, 5*time.Minute)
+	w.For(time.Minute)
+	require.Equal(t, gang.Running, w.Record("g").Phase)
+	first := w.Record("g").Placement
+	for _, r := range w.Runners {
+		if r.Name == first[0] {
+			r.Announced, r.Retires = w.Now, w.Now.Add(time.Minute)
+		}
+	}
+	require.True(t, w.Until(time.Hour, allDone(w)))
+	assert.Equal(t, uint64(2), w.Record("g").Generation)
+	assert.Less(t, w.LostWS, 20.0, "runner-seconds")
+	assert.Less(t, w.Still("g"), 20*time.Second)
+	assert.Empty(t, w.Broken())
+}
--- /dev/null
+++ b/internal/gang/place.go
@@ -0,0 +1,217 @@
+package gang
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"ospreypond/policy"
+)
+
+// saveSlack is how much longer than its bytes and the bandwidth say a save is taken to last.
+const saveSlack = 1.25
+
+// plan returns when the state of each gang that has to leave its runners is to be saved at the latest. It follows from the
+// records and the retirements alone, so that all dispatchers come to the same without a word: backwards from the last
+// retirement, one save after another, as the register's bandwidth is the whole fleet's.
+func (c *Core) plan() map[string]time.Time {
+	type leaving struct {
+		name string
+		by   time.Time
+		size int64
+	}
+	var all []leaving
+	for name, g := range c.gangs {
+		if g.seen && (g.rec.Phase == Running || g.rec.Phase == Saving) && c.leaves(g) {
+			all = append(all, leaving{name, c.retires(g), g.rec.saved()})
+		}
+	}
+	slices.SortFunc(all, func(a, b leaving) int { return cmp.Or(b.by.Compare(a.by), cmp.Compare(a.name, b.name)) })
+	at := map[string]time.Time{}
+	var next time.Time
+	for _, l := range all {
+		switch c.cfg.Retire {
+		case Latest:
+			end := l.by.Add(-c.cfg.Margin)
+			if !next.IsZero() && next.Before(end) {
+				end = next
+			}
+			next = end.Add(-time.Duration(saveSlack * float64(l.size) / c.cfg.Bandwidth * float64(time.Second)))
+			at[l.name] = next
+		case AtOnce:
+			at[l.name] = time.Time{}
+		}
+	}
+	return at
+}
+
+// retires is when the first of a gang's runners retires; the zero time: none is known to.
+func (c *Core) retires(g *gang) (first time.Time) {
+	for _, p := range g.rec.Placement {
+		if r := c.runners[p].Retires; !r.IsZero() && (first.IsZero() || r.Before(first)) {
+			first = r
+		}
+	}
+	return first
+}
+
+// leaves tells whether a gang has to leave its runners before its end.
+func (c *Core) leaves(g *gang) bool {
+	by := c.retires(g)
+	return !by.IsZero() && c.now.Add(c.left(g, g.rec.Placement)).After(by.Add(-c.cfg.Margin))
+}
+
+// left is how long a gang still runs on these runners, as the slowest of them goes.
+func (c *Core) left(g *gang, on []string) time.Duration {
+	speed := math.Inf(1)
+	for _, p := range on {
+		speed = min(speed, c.runners[p].Speed)
+	}
+	share := g.rec.share()
+	if g.mine != 0 {
+		share = c.progress(g)
+	}
+	return time.Duration((1 - share) * float64(g.rec.work()) / max(speed, 1e-6))
+}
+
+// place starts the waiting gangs that there is room for, the most urgent first. All dispatchers go through all of them in the
+// same order with the same rule, and each writes for its own only, so that they seldom choose the same places.
+func (c *Core) place(moves int) {
+	if !c.any(func(name string, g *gang) bool {
+		return g.seen && g.rec.Phase == Waiting && g.writing == nil && !g.stale && c.holds(name, g)
+	}) {
+		return // nothing to write, so nothing to think about
+	}
+	free := map[string]float64{}
+	for n, r := range c.runners {
+		if r.Usable {
+			free[n] = r.Slots
+		}
+	}
+	var waiting []string
+	for _, name := range slices.Sorted(maps.Keys(c.gangs)) {
+		g := c.gangs[name]
+		switch {
+		case !g.seen:
+		case g.rec.Phase == Waiting:
+			waiting = append(waiting, name)
+		case !g.rec.Phase.Ended():
+			for i, p := range g.rec.Placement {
+				free[p] -= g.rec.Needs[i].Slots
+			}
+		}
+	}
+	slices.SortStableFunc(waiting, func(a, b string) int { return c.order(c.gangs[a], c.gangs[b]) })
+	for _, name := range waiting {
+		g := c.gangs[name]
+		if c.now.Before(g.rec.NotBefore) {
+			continue
+		}
+		on := c.match(g, free)
+		if on == nil {
+			if c.cfg.Starve > 0 && c.now.Sub(g.rec.Submitted) > c.cfg.Starve { // else smaller ones would always take its places
+				return
+			}
+			continue
+		}
+		for i, p := range on {
+			free[p] -= g.rec.Needs[i].Slots
+		}
+		if g.writing == nil && !g.stale && c.holds(name, g) && moves < c.cfg.MostMoves {
+			moves++
+			c.write(name, g, Placed, func(r *Record) { r.Generation, r.Placement = r.Generation+1, on })
+		}
+	}
+}
+
+func (c *Core) any(is func(name string, g *gang) bool) bool {
+	for name, g := range c.gangs {
+		if is(name, g) {
+			return true
+		}
+	}
+	return false
+}
+
+// order puts first what has the higher priority, which waiting raises, then what is due sooner, then what came sooner.
+func (c *Core) order(a, b *gang) int {
+	rank := func(g *gang) float64 {
+		if c.cfg.AgeStep <= 0 {
+			return float64(g.rec.Priority)
+		}
+		return float64(g.rec.Priority) + math.Floor(float64(c.now.Sub(g.rec.Submitted))/float64(c.cfg.AgeStep))
+	}
+	return cmp.Or(cmp.Compare(rank(b), rank(a)), a.rec.Due.Compare(b.rec.Due), a.rec.Submitted.Compare(b.rec.Submitted),
+		cmp.Compare(a.rec.Name, b.rec.Name))
+}
+
+// match returns a runner for each member, all of them or nil: none that retires before the gang's end, which the slowest of
+// them says.
+func (c *Core) match(g *gang, free map[string]float64) []string {
+	without := map[string]bool{}
+	for {
+		on := c.cheapest(g, free, without)
+		if on == nil {
+			return nil
+		}
+		end, leaves := c.now.Add(c.cfg.Start+c.cfg.Margin+c.left(g, on)), false
+		for _, p := range on {
+			if by := c.runners[p].Retires; !by.IsZero() && end.After(by) {
+				without[p], leaves = true, true
+			}
+		}
+		if !leaves {
+			return on
+		}
+	}
+}
+
+// cheapest returns a runner for each member at the least total time, near one another: each zone in turn is taken for theirs.
+func (c *Core) cheapest(g *gang, free map[string]float64, without map[string]bool) (best []string) {
+	most := 0.0
+	for _, n := range g.rec.Needs {
+		most = max(most, n.Slots)
+	}
+	var places []Runner
+	zones := map[string]bool{}
+	for _, name := range slices.Sorted(maps.Keys(free)) {
+		r := c.runners[name]
+		if n := min(int(free[name]/most+1e-9), len(g.rec.Needs)); !without[name] && n > 0 {
+			places = append(places, slices.Repeat([]Runner{r}, n)...)
+			zones[r.Zone] = true
+		}
+	}
+	least := math.Inf(1)
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		costs := make([][]float64, len(g.rec.Needs))
+		for i, n := range g.rec.Needs {
+			for _, p := range places {
+				x := 1 / max(p.Speed, 1e-6)
+				if p.Zone != zone {
+					x *= 1 + c.cfg.Apart
+				}
+				if n.Kind != "" && n.Kind != p.Kind {
+					x = math.Inf(1)
+				}
+				costs[i] = append(costs[i], min(x, impossible))
+			}
+		}
+		total, on := 0.0, make([]string, len(g.rec.Needs))
+		for i, p := range policy.Assign(costs, len(places)) {
+			if p < 0 || costs[i][p] >= impossible {
+				total = math.Inf(1)
+				break
+			}
+			total, on[i] = total+costs[i][p], places[p].Name
+		}
+		if total < least {
+			least, best = total, on
+		}
+	}
+	return best
+}
+
+// impossible is dearer than any time.
+const impossible = 1e8
--- /dev/null
+++ b/internal/gang/virtual/virtual.go
@@ -0,0 +1,505 @@
+// Package virtual runs gangs, the real cores, over an in-memory fleet in virtual time: a register, runners that retire and
+// die, dispatchers that crash, sleep and are cut off, answers that get lost. A run is a function of its seed.
+package virtual
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"ospreypond/internal/gang"
+)
+
+// Options describe a world.
+type Options struct {
+	Seed   uint64
+	Config gang.Config // Me is filled in
+	// Step is how finely time goes, Poll how often dispatchers list the register, Latency how long a call to it takes.
+	Step, Poll, Latency time.Duration
+	// Start is how long a member takes to start.
+	Start time.Duration
+	// Jitter is how late members' news may come.
+	Jitter time.Duration
+}
+
+// Runner is a runner. Its jobs end when it does.
+type Runner struct {
+	Name, Zone, Kind string
+	Speed, Slots     float64
+	Up               bool
+	Retires          time.Time // the zero time: never
+	Announced        time.Time // before then nobody knows
+	FailStarts       int       // so many jobs die while they start
+	Mute             bool      // when it ends, its connections stay open and quiet
+}
+
+// Dispatcher is a dispatcher's place; its process comes and goes.
+type Dispatcher struct {
+	Name    string
+	Core    *gang.Core
+	life    uint64
+	Stopped bool // as by SIGSTOP
+	CutOff  bool // from the register
+	// Sees tells whom it holds living; nil: those that are.
+	Sees   func(other *Dispatcher) bool
+	polled time.Time
+}
+
+// job is a member at a runner.
+type job struct {
+	gang       string
+	generation uint64
+	member     int
+	runner     *Runner
+	owner      *Dispatcher
+	life       uint64 // of its owner: the connection ends with it
+	begins     time.Time
+	from       *gang.Save
+	began      bool
+	over       bool
+	told       bool // that it finished
+	beat       time.Time
+}
+
+// run is one generation of a gang, in truth.
+type run struct {
+	share, base float64
+	members     []*job
+	saved       int // number of the save that its members last began
+}
+
+// World is a fleet with its register and runners.
+type World struct {
+	Now         time.Time
+	Runners     []*Runner
+	Dispatchers []*Dispatcher
+	Faults      []error
+	// Lose tells whether the next answer of the register gets lost; Damage whether the next part is damaged, and Hang whether it
+	// never ends. nil: no.
+	Lose, Damage, Hang func() bool
+	Silent             bool // the register answers nobody
+	// Steps counts the records' steps that took effect.
+	Steps map[gang.Step]int
+
+	opt    Options
+	rng    *rand.Rand
+	reg    *register
+	runs   map[string]*run // by gang and generation
+	later  []call
+	first  map[string]time.Time // first submitted
+	ended  map[string]time.Time
+	still  map[string]time.Duration // stood still after its first start
+	LostWS float64                  // runner-seconds of work that was done and is in no state
+	wrong  string
+}
+
+// beatEvery is how often a member tells of its progress.
+const beatEvery = 2 * time.Second
+
+// call is something on its way.
+type call struct {
+	at time.Time
+	do func()
+}
+
+// New returns a world without dispatchers and runners, at a moment.
+func New(now time.Time, opt Options) *World {
+	return &World{Now: now, opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 3)), reg: newRegister(opt.Config.Bandwidth),
+		runs: map[string]*run{}, first: map[string]time.Time{}, ended: map[string]time.Time{}, still: map[string]time.Duration{},
+		Steps: map[gang.Step]int{}}
+}
+
+// Add adds a dispatcher and starts it.
+func (w *World) Add(name string) (*Dispatcher, error) {
+	d := &Dispatcher{Name: name}
+	w.Dispatchers = append(w.Dispatchers, d)
+	return d, w.Start(d)
+}
+
+// Start begins a process at d's place.
+func (w *World) Start(d *Dispatcher) error {
+	cfg := w.opt.Config
+	d.life++
+	cfg.Me = gang.Holder{Name: d.Name, Life: d.life}
+	c, err := gang.New(cfg)
+	d.Core, d.polled, d.Stopped = c, w.Now.Add(-time.Duration(w.rng.Int64N(int64(w.opt.Poll)))), false
+	return err
+}
+
+// Kill ends a process; its connections end with it.
+func (w *World) Kill(d *Dispatcher) { d.Core = nil }
+
+// Submit writes a gang's record, as a submitter does.
+func (w *World) Submit(r gang.Record) {
+	r.Phase, r.Submitted = gang.Waiting, w.Now
+	w.first[r.Name] = w.Now
+	w.reg.put(r, w.reg.version(r.Name))
+}
+
+// Record returns a gang's record.
+func (w *World) Record(name string) gang.Record { return w.reg.entries[name].rec }
+
+// Gangs returns the names of all gangs submitted.
+func (w *World) Gangs() (names []string) {
+	for n := range w.first {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Ended returns when a gang was done; ok is false while it is not.
+func (w *World) Ended(name string) (at time.Time, ok bool) { at, ok = w.ended[name]; return at, ok }
+
+// Still returns how long a gang stood still between its first start and its end.
+func (w *World) Still(name string) time.Duration { return w.still[name] }
+
+// Bytes returns what the register took of states, and Writes how often a record was written.
+func (w *World) Bytes() float64 { return w.reg.Bytes }
+
+// Writes returns how often a record was written.
+func (w *World) Writes() int { return w.reg.Writes }
+
+// Broken says what of the promises was broken, if anything.
+func (w *World) Broken() string {
+	if w.reg.doneTwic != "" {
+		return w.reg.doneTwic + " was changed after it was done"
+	}
+	return w.wrong
+}
+
+// For lets time pass.
+func (w *World) For(d time.Duration) {
+	for end := w.Now.Add(d); w.Now.Before(end); {
+		w.step()
+	}
+}
+
+// Until lets time pass until ok, for most at the longest.
+func (w *World) Until(most time.Duration, ok func() bool) bool {
+	for end := w.Now.Add(most); w.Now.Before(end); {
+		if ok() {
+			return true
+		}
+		w.step()
+	}
+	return ok()
+}
+
+func (w *World) step() {
+	w.Now = w.Now.Add(w.opt.Step)
+	due := w.later
+	w.later = nil
+	for _, c := range due {
+		if c.at.After(w.Now) {
+			w.later = append(w.later, c)
+		} else {
+			c.do()
+		}
+	}
+	for _, r := range w.Runners {
+		if r.Up && !r.Retires.IsZero() && !w.Now.Before(r.Retires) {
+			r.Up = false
+		}
+	}
+	w.work()
+	w.reg.step(w.opt.Step.Seconds(), func() bool { return w.Damage != nil && w.Damage() })
+	for _, d := range w.Dispatchers {
+		if d.Core != nil && !d.Stopped {
+			w.drive(d)
+		}
+	}
+}
+
+// drive has a dispatcher look round and do what it decides.
+func (w *World) drive(d *Dispatcher) {
+	if w.Now.Sub(d.polled) >= w.opt.Poll {
+		var living []gang.Holder
+		for _, o := range w.Dispatchers {
+			if o == d || o.Core != nil && (d.Sees == nil && !o.Stopped || d.Sees != nil && d.Sees(o)) {
+				living = append(living, gang.Holder{Name: o.Name, Life: o.life})
+			}
+		}
+		d.Core.Fleet(w.Now, living, true)
+		d.polled = w.Now
+		var runners []gang.Runner
+		for _, r := range w.Runners {
+			if r.Up {
+				known := gang.Runner{Name: r.Name, Zone: r.Zone, Kind: r.Kind, Speed: r.Speed, Slots: r.Slots, Usable: true}
+				if !w.Now.Before(r.Announced) {
+					known.Retires = r.Retires
+				}
+				runners = append(runners, known)
+			}
+		}
+		d.Core.Runners(w.Now, runners)
+		w.ask(d, func() func() {
+			versions := map[string]gang.Version{}
+			for n := range w.reg.entries {
+				versions[n] = w.reg.version(n)
+			}
+			return func() { d.Core.Listed(w.Now, versions) }
+		}, nil)
+		d.Core.Tick(w.Now)
+	}
+	w.carry(d)
+}
+
+// ask calls the register: what happens there returns what the answer does. lost is for an answer that never comes.
+func (w *World) ask(d *Dispatcher, there func() func(), lost func()) {
+	life := d.life
+	back := func(f func()) {
+		w.after(w.opt.Latency/2, func() {
+			if f != nil && d.Core != nil && d.life == life {
+				if d.Stopped { // it reads it when it goes on
+					w.after(w.opt.Step, func() { w.ask(d, func() func() { return f }, nil) })
+					return
+				}
+				f()
+				w.carry(d)
+			}
+		})
+	}
+	w.after(w.opt.Latency/2, func() {
+		if w.Silent || d.CutOff {
+			back(lost)
+			return
+		}
+		answer := there()
+		if w.Lose != nil && w.Lose() {
+			answer = lost
+		}
+		back(answer)
+	})
+}
+
+func (w *World) after(d time.Duration, do func()) { w.later = append(w.later, call{w.Now.Add(d), do}) }
+
+// carry carries out what a core decided.
+func (w *World) carry(d *Dispatcher) {
+	if d.Core == nil || d.Stopped {
+		return
+	}
+	actions, faults := d.Core.Take()
+	w.Faults = append(w.Faults, faults...)
+	for _, a := range actions {
+		switch a.Kind {
+		case gang.Read:
+			w.ask(d, func() func() {
+				e := w.reg.entries[a.Gang]
+				if e == nil {
+					return nil
+				}
+				rec, version := e.rec, w.reg.version(a.Gang)
+				return func() { d.Core.Got(w.Now, a.Gang, version, rec) }
+			}, nil)
+		case gang.Write:
+			rec := *a.Record
+			w.ask(d, func() func() {
+				o, version := w.write(rec, a.If)
+				return func() { d.Core.Wrote(w.Now, a.Gang, o, version) }
+			}, func() { d.Core.Wrote(w.Now, a.Gang, gang.Unknown, "") })
+		case gang.Send:
+			w.start(d, a)
+		case gang.Stop:
+			for _, j := range w.jobs(a.Gang, a.Generation) {
+				if j.member == a.Member && j.owner == d {
+					j.over = true
+				}
+			}
+		case gang.Look:
+			w.ask(d, func() func() {
+				found := w.reg.digests(saveKey{a.Gang, a.Generation, a.Number}, len(w.Record(a.Gang).Needs))
+				return func() { d.Core.Parts(w.Now, a.Gang, a.Generation, a.Number, found) }
+			}, nil)
+		}
+	}
+}
+
+func key(name string, generation uint64) string { return fmt.Sprint(name, "/", generation) }
+
+func (w *World) jobs(name string, generation uint64) []*job {
+	if r := w.runs[key(name, generation)]; r != nil {
+		return r.members
+	}
+	return nil
+}
+
+// write has the register take a record, and checks what is promised of it.
+func (w *World) write(rec gang.Record, if_ gang.Version) (gang.Outcome, gang.Version) {
+	before := w.reg.entries[rec.Name].rec
+	o, version := w.reg.put(rec, if_)
+	if o != gang.Written {
+		return o, version
+	}
+	w.Steps[gang.Step{From: before.Phase, Cause: gang.Cause(rec.Why), To: rec.Phase}]++
+	r := w.runs[key(rec.Name, rec.Generation)]
+	switch {
+	case rec.Generation < before.Generation:
+		w.wrong = fmt.Sprintf("%s went back from generation %d to %d", rec.Name, before.Generation, rec.Generation)
+	case rec.Phase == gang.Done:
+		w.ended[rec.Name] = w.Now
+		if r == nil || r.share < 1 {
+			w.wrong = fmt.Sprintf("%s is done, but its generation %d did not do all of the work", rec.Name, rec.Generation)
+		}
+	}
+	if c := rec.Checkpoint; c != nil && !same(c, before.Checkpoint) && !same(c, before.Before) {
+		if slices.Contains(w.reg.digests(saveKey{rec.Name, c.Generation, c.Number}, len(rec.Needs)), "") {
+			w.wrong = fmt.Sprintf("%s has a checkpoint of which parts are missing", rec.Name)
+		}
+		if r != nil && c.Share > r.share+0.05 {
+			w.wrong = fmt.Sprintf("%s has a checkpoint of %.2f, but %.2f was done", rec.Name, c.Share, r.share)
+		}
+	}
+	if before.Phase != gang.Waiting && rec.Phase == gang.Waiting && r != nil { // what it did since its state is lost
+		kept := r.base
+		if c := rec.Checkpoint; c != nil {
+			kept = c.Share
+		}
+		w.LostWS += max(0, r.share-kept) * work(rec) * float64(len(rec.Needs))
+	}
+	return o, version
+}
+
+func same(a, b *gang.Save) bool {
+	return b != nil && a.Generation == b.Generation && a.Number == b.Number
+}
+
+func work(r gang.Record) (s float64) {
+	for _, n := range r.Needs {
+		s = max(s, n.Work.Seconds())
+	}
+	return s
+}
+
+// start has a member come to its runner.
+func (w *World) start(d *Dispatcher, a gang.Action) {
+	k := key(a.Gang, a.Generation)
+	if w.runs[k] == nil {
+		r := &run{}
+		if a.From != nil {
+			r.share, r.base = a.From.Share, a.From.Share
+		}
+		w.runs[k] = r
+	}
+	i := slices.IndexFunc(w.Runners, func(r *Runner) bool { return r.Name == a.Runner })
+	r := w.Runners[i]
+	j := &job{gang: a.Gang, generation: a.Generation, member: a.Member, runner: r, owner: d, life: d.life, from: a.From,
+		begins: w.Now.Add(w.opt.Start)}
+	need, used := w.Record(a.Gang).Needs[a.Member].Slots, 0.0
+	for _, other := range w.all() {
+		if other.runner == r && !other.over {
+			used += w.Record(other.gang).Needs[other.member].Slots
+		}
+	}
+	if w.runs[k].members = append(w.runs[k].members, j); !r.Up || used+need > r.Slots+1e-9 {
+		j.over = true
+		w.tell(j, gang.Broke)
+	}
+}
+
+func (w *World) all() (out []*job) {
+	for _, k := range slices.Sorted(maps.Keys(w.runs)) {
+		out = append(out, w.runs[k].members...)
+	}
+	return out
+}
+
+// tell brings news of a member to its dispatcher, if that still has the connection.
+func (w *World) tell(j *job, n gang.News) {
+	late := w.opt.Latency / 2
+	if w.opt.Jitter > 0 {
+		late += time.Duration(w.rng.Int64N(int64(w.opt.Jitter)))
+	}
+	w.after(late, func() {
+		if d := j.owner; d.Core != nil && d.life == j.life {
+			if d.Stopped {
+				w.tell(j, n)
+				return
+			}
+			d.Core.Member(w.Now, j.gang, j.generation, j.member, n)
+			w.carry(d)
+		}
+	})
+}
+
+// work lets members start, advance, save and end.
+func (w *World) work() {
+	for _, k := range slices.Sorted(maps.Keys(w.runs)) {
+		r := w.runs[k]
+		name := r.members[0].gang
+		rec := w.Record(name)
+		all, speed := len(r.members) == len(rec.Needs), 1e9
+		for _, j := range r.members {
+			if !j.over && !j.runner.Up {
+				if j.over = true; !j.runner.Mute {
+					w.tell(j, gang.Broke)
+				}
+			}
+			if d := j.owner; !j.over && (d.Core == nil || d.life != j.life) { // its connection is gone
+				j.over = true
+			}
+			if !j.over && !j.began && !w.Now.Before(j.begins) {
+				w.begin(j)
+			}
+			if j.began && !j.over && !w.Now.Before(j.beat) {
+				j.beat = w.Now.Add(beatEvery)
+				w.tell(j, gang.Goes)
+			}
+			all, speed = all && j.began && !j.over, min(speed, j.runner.Speed)
+		}
+		if live := slices.ContainsFunc(r.members, func(j *job) bool { return !j.over }); !live {
+			if rec.Generation != r.members[0].generation || rec.Phase == gang.Done {
+				delete(w.runs, k)
+			}
+			continue
+		}
+		saving := rec.Phase == gang.Saving && rec.Generation == r.members[0].generation
+		if all && saving && r.saved != rec.Number && !w.Silent {
+			r.saved = rec.Number
+			sk := saveKey{name, rec.Generation, rec.Number}
+			w.reg.saves[sk] = make([]part, len(rec.Needs))
+			for i, j := range r.members {
+				w.reg.uploads = append(w.reg.uploads, &upload{key: sk, member: j.member, left: float64(rec.Needs[i].Saved), job: j,
+					stuck: w.Hang != nil && w.Hang()})
+			}
+		}
+		if all && !saving {
+			r.share = min(1, r.share+speed*w.opt.Step.Seconds()/work(rec))
+		}
+		for _, j := range r.members {
+			if all && r.share >= 1 && !j.told {
+				j.told, j.over = true, true
+				w.tell(j, gang.Finished)
+			}
+		}
+	}
+	for name := range w.first {
+		rec := w.Record(name)
+		if rec.Generation > 0 && rec.Phase != gang.Done && rec.Phase != gang.Running {
+			w.still[name] += w.opt.Step
+		}
+	}
+}
+
+// begin has a member say that it started, from its part of the state if there is one.
+func (w *World) begin(j *job) {
+	if j.runner.FailStarts > 0 {
+		j.runner.FailStarts--
+		j.over = true
+		w.tell(j, gang.Broke)
+		return
+	}
+	if j.from != nil {
+		parts := w.reg.saves[saveKey{j.gang, j.from.Generation, j.from.Number}]
+		if j.member >= len(parts) || parts[j.member].damaged {
+			j.over = true
+			w.tell(j, gang.BadPart)
+			return
+		}
+	}
+	j.began = true
+	w.tell(j, gang.Began)
+}
