Stories of gangs, and a later takeover each time, which they showed to be needed

Seen by 'Two dispatchers believe that they act': where views are wrong for good, three dispatchers took one gang from each other 346 times in an hour and it never ended.

--- a/internal/gang/core.go
+++ b/internal/gang/core.go
@@ -152,6 +152,7 @@
 	mine    uint64 // the generation whose members this dispatcher sent; 0: none
 	members []member
 	began   time.Time // of the phase, as this dispatcher saw it
+	changed time.Time // of the record, likewise
 	savedAt time.Time // of the newest save, or of the start
 	looked  time.Time
 	first   Holder // that comes first for it in the view number firstAt
@@ -265,6 +266,9 @@
 	if g.rec.Phase != r.Phase || g.rec.Generation != r.Generation || !g.seen {
 		g.began = c.now
 	}
+	if g.version != version {
+		g.changed = c.now
+	}
 	g.rec, g.version, g.seen, g.stale = r, version, true, false
 	if g.mine != 0 && (r.Generation != g.mine || r.Holder != c.cfg.Me || r.Phase == Waiting || r.Phase.Ended()) {
 		c.abandon(name, g)
@@ -407,7 +411,7 @@
 	}
 	c.write(name, g, why, func(r *Record) {
 		r.Before, r.Checkpoint = r.Checkpoint, &Save{Generation: generation, Number: number, Share: g.share, Digests: digests}
-		r.Leave, r.Tries, r.NotBefore = false, 0, time.Time{}
+		r.Leave, r.Tries, r.Taken, r.NotBefore = false, 0, 0, time.Time{}
 	})
 	g.savedAt = c.now
 }
--- a/internal/gang/explore_test.go
+++ b/internal/gang/explore_test.go
@@ -114,7 +114,7 @@
 		fmt.Fprint(d, s.alone[i], c.marks)
 		for _, n := range slices.Sorted(maps.Keys(c.gangs)) {
 			g := c.gangs[n]
-			fmt.Fprint(d, n, g.rec.Mark, g.version, g.seen, g.stale, g.mine, g.members, s.now.Sub(g.began) > c.cfg.Start, s.now.Sub(g.savedAt) >= c.cfg.Every)
+			fmt.Fprint(d, n, g.rec.Mark, g.version, g.seen, g.stale, g.mine, g.members, s.now.Sub(g.began) > c.cfg.Start, s.now.Sub(g.changed) > c.cfg.Backoff, s.now.Sub(g.savedAt) >= c.cfg.Every)
 			if g.writing != nil {
 				fmt.Fprint(d, "w", g.writing.Mark)
 			}
--- a/internal/gang/record.go
+++ b/internal/gang/record.go
@@ -83,6 +83,7 @@
 	Leave      bool      `json:"leave"`            // the save is to move the gang: it waits for a place after it
 	Tries      int       `json:"tries"`            // starts that failed since one went well
 	NotBefore  time.Time `json:"not_before"`       // no start before
+	Taken      int       `json:"taken"`            // times that it was taken over since a state of it was saved
 	Why        string    `json:"why,omitempty"`    // of the last step
 	// Mark is of the write that made this version: its writer's life and count.
 	Mark string `json:"mark"`
--- a/internal/gang/tick.go
+++ b/internal/gang/tick.go
@@ -31,7 +31,10 @@
 			}
 		case !g.seen || g.rec.Phase.Ended() || g.rec.Phase == Waiting || !c.holds(name, g):
 		case g.mine == 0: // its members hung on a holder, or a life, that is gone
-			c.write(name, g, Orphaned, nil)
+			// Where views are wrong for good, each would take it from the other again and again: each time is later.
+			if c.now.Sub(g.changed) >= c.cfg.Backoff<<min(16, g.rec.Taken) {
+				c.write(name, g, Orphaned, func(r *Record) { r.Taken++ })
+			}
 		default:
 			c.drive(name, g, plan, &moves)
 		}
--- a/test/stories/stories_test.go
+++ b/test/stories/stories_test.go
@@ -54,6 +54,7 @@
 		}
 		return ctx, err
 	})
+	gangSteps(sc, s)
 	sc.Step(`^a fleet of (\d+) dispatchers( that share budgets)?$`, s.fleet)
 	sc.Step(`^a running fleet of (\d+) dispatchers( that share budgets)?$`, s.running)
 	sc.Step(`^(d\d+|d\d+ to d\d+|all) (?:is|are) (started|killed|stopped|continued)$`, s.each)
