Say it when a later process takes a dispatcher's name, and keep the load assumed of others at a stop

Seen on a second read: a superseded process said nothing in its log; one that leaves told the module that one dispatcher lives, which widens what it looks at for the last 3 s. The relays of test/fleet ended on any error's copy of a descriptor; now on a closed socket.

--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -163,6 +163,9 @@
 		if p.size == 0 {
 			h.Numbers, h.Sure = []int{p.own}, time.Duration(1<<62)
 		}
+		if h.Living == 0 { // it leaves; the others are there as before
+			h.Living = max(1, last.Living)
+		}
 		if told && slices.Equal(h.Numbers, last.Numbers) && h.Living == last.Living && (len(h.Numbers) < 2 || time.Until(until) > h.Sure/2) {
 			continue
 		}
--- a/internal/fleet/udp/udp.go
+++ b/internal/fleet/udp/udp.go
@@ -54,7 +54,7 @@
 // View is what others may ask.
 type View struct {
 	fleet.Snapshot
-	// Age is how long ago this was; At the clock that its Since and the members' are read off, at that moment.
+	// At is when this was, by the clock that its Since and the members' are read off.
 	At time.Duration
 	// Dropped counts datagrams by the reason why nothing came of them.
 	Dropped map[string]int64
@@ -69,9 +69,9 @@
 	dropped map[string]int64
 
 	// The rest belongs to Run's goroutine.
-	core *fleet.Core
-	told Held
-	aims map[string]netip.AddrPort
+	core  *fleet.Core
+	ended bool // superseded, which was logged
+	aims  map[string]netip.AddrPort
 }
 
 // event is something that came through the socket.
@@ -227,7 +227,12 @@
 
 // publish lets others see the view, and tells of the numbers.
 func (n *Node) publish() {
-	n.view.Store(&View{Snapshot: n.core.Snapshot(), At: now()})
+	v := &View{Snapshot: n.core.Snapshot(), At: now()}
+	n.view.Store(v)
+	if v.Superseded && !n.ended {
+		n.ended = true
+		n.opt.Log.WithField("life", v.Self.Life).Warn("fleet: a later process has this name; this one takes no part any more")
+	}
 	numbers, sure := n.core.Held(now())
 	n.tell(Held{Numbers: numbers, Sure: sure, Living: n.core.Living()})
 }
--- a/test/fleet/relay.go
+++ b/test/fleet/relay.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -71,10 +72,10 @@
 	for {
 		n, from, err := r.conns[to].ReadFromUDPAddrPort(buf)
 		if err != nil {
-			if _, local := r.conns[to].File(); local != nil { // closed
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			continue
+			continue // a refusal of something passed on
 		}
 		sender, known := r.real[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 		if !known {
