--- a/policy/api.go
+++ b/policy/api.go
@@ -204,6 +204,6 @@
 	Text       string
 }
 
-// Assign returns for each row of costs the column of a minimum-cost one-to-one assignment, or -1 where columns are short: the
-// module's own matching, for whoever places other things.
+// Assign returns for each row of costs the column of a minimum-cost one-to-one assignment, or -1 where
+// columns are short: the module's own matching, for whoever places other things.
 func Assign(costs [][]float64, cols int) []int { return assign(costs, cols) }
