--- a/internal/gang/tick.go
+++ b/internal/gang/tick.go
@@ -11,6 +11,10 @@
 // readAgain is how long a read or a write is waited for before the record is asked for again.
 const readAgain = 5 * time.Second
 
+// saveCrowd is how much the register may have to take in before another save by the clock begins. Gangs stand still while they
+// save: many at once take no longer in all, but each of them does.
+const saveCrowd = 10 * time.Second
+
 // lookEvery is how often the parts of a save are looked for.
 const lookEvery = 500 * time.Millisecond
 
@@ -100,13 +104,13 @@
 			return false
 		}
 	}
-	bytes := g.rec.saved()
+	bytes := int64(0)
 	for _, o := range c.gangs {
 		if o.rec.Phase == Saving {
 			bytes += o.rec.saved()
 		}
 	}
-	return float64(bytes)/c.cfg.Bandwidth < c.cfg.SaveLimit.Seconds()/2
+	return float64(bytes)/c.cfg.Bandwidth < saveCrowd.Seconds()
 }
 
 // progress is how much of a gang's work is done by now, as the slowest of its runners goes.
