--- a/policy/api.go
+++ b/policy/api.go
@@ -121,6 +121,9 @@
 	Moot
 )
 
+// NeverRan tells whether an outcome proves that the attempt never ran.
+func NeverRan(o Outcome) bool { return o == Full || o == ConnectFailed || o == Moot }
+
 func (o Outcome) String() string {
 	names := [...]string{"ok", "failed", "full", "timed out", "connect failed", "reset", "cancelled", "moot"}
 	return names[o]
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -181,11 +181,11 @@
 	j.aimBy = d.now + c.Aim + seconds(c.Stretch*j.size)
 	// The aim runs from the first try. A retry has less time left, and shows by that where none is marked.
 	d.longest[row] = max(d.longest[row], e.Left)
+	whole := d.longest[row]
 	if e.Retry {
-		j.aimBy -= max(0, c.Deadline-e.Left)
-	} else {
-		j.aimBy -= d.longest[row] - e.Left
+		whole = max(c.Deadline, e.Left)
 	}
+	j.aimBy -= whole - e.Left
 	if t, ok := d.tenants[e.Tenant]; ok {
 		b, rate := &d.buckets[t], d.set.Tenants[t].Allowance*d.share()
 		b.tokens, b.at = min(max(1, rate), b.tokens+rate*(d.now-b.at).Seconds()), d.now
@@ -227,15 +227,12 @@
 
 // mayRefuse decides whether j may be refused, which tells its client that a retry is harmless.
 func (d *Dispatcher) mayRefuse(j *job) bool {
-	for _, a := range j.attempts {
-		c := j.class
-		if !a.neverRan && c.Semantics != Safe && (c.Semantics != Keyed || c.Scope != ScopeAll) {
-			return false
-		}
-	}
-	return !j.ended && !j.streaming
+	harmless := j.class.Semantics == Safe || j.class.Semantics == Keyed && j.class.Scope == ScopeAll
+	return !j.ended && !j.streaming && (harmless || !slices.ContainsFunc(j.attempts, mayHaveRun))
 }
 
+func mayHaveRun(a *attempt) bool { return !a.neverRan }
+
 func sameGroup(s Scope, a, b *worker) bool {
 	return s == ScopeAll || s == ScopeZone && a.zone == b.zone || s == ScopeCell && a.cell == b.cell
 }
@@ -302,7 +299,7 @@
 		return
 	}
 	j, w := a.j, a.w
-	a.over, a.neverRan = true, e.Outcome == Full || e.Outcome == ConnectFailed || e.Outcome == Moot
+	a.over, a.neverRan = true, NeverRan(e.Outcome)
 	w.drop(a, d.now)
 	d.report(w, e.Report)
 	switch e.Outcome {
