End client connections in order under one lock, gate a hop's first byte, settle answers

- net/http's Shutdown and SetKeepAlivesEnabled close a connection that it holds to be idle while a request is being read from it, and Shutdown drops one that was just read without an answer (net/http server.go: closeIdleConns, and serve after readRequest).
Neither is used any more: the state of each connection changes under the crowd's lock, where reading and closing are decided against each other, and what is read after the decision to close is never sent on.
- Each close is a lingering close, in bounds of time, bytes and connections.
- net/http's watch for a client's leaving ends at one early byte: early bytes are held back and the watch goes on.
- Newcomers where every connection has a request were closed without an answer; they are told 503 with Retry-After.
- A hop's first byte asks the exchange too: not after the answer, the deadline, or the moment that the module gives (Action.By, the end of a keyed class's window); a hop without a byte on the wire is given up also where cancelling is not allowed.
- Ends of attempts other than a result are told once the answer was read to its end or its connection is closed; a line without the request's id, or done without a result, is no result; answers are bounded in bytes; a second answer on a kept connection is not taken for the next one's.
- What was not whole on the wire is moot, also where its time ran out.
- The list's terms stand in routetable/clock.go; watches are held 3.5 s at most, so that a silent one leaves a second for the next answer; a version that goes back asks for the whole list; where lists are pushed the gap between calls stays within a third of rules.drainGraceUs, and a start waits up to a second for the list.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -45,6 +45,10 @@
 	hups := make(chan os.Signal, 1)
 	signal.Notify(hups, syscall.SIGHUP)
 	defer signal.Stop(hups)
+	// A signal to stop that comes while the program starts is seen as soon as it could serve.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
 	cfg, err := config.Load(getenv)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -66,6 +70,7 @@
 		return err
 	}
 	watcher := routetable.NewWatcher(table, cfg.Discovery, cfg.Hold(), x.News, log)
+	watcher.Within(cfg.DrainGrace())
 	clients, targets := cfg.SocketBudget()
 	x.Attach(egress.New(table, cfg, targets, log), watcher)
 	var ran sync.WaitGroup
@@ -107,10 +112,6 @@
 		}()
 		log.WithField("addr", l.Addr()).Info("console listening")
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(signals)
-
 	working := life.Until(lifecycle.Stopped)
 	watcher.Keep(!cfg.Policy.AskList)
 	go watcher.Run(working)
@@ -118,6 +119,10 @@
 	peers.start()
 	defer peers.leave()
 	go reload(working, hups, cfg, getenv, watcher, retuner{x, server, peers}, files, log)
+	if !cfg.Policy.AskList {
+		// What was pushed before counts as told from the first moment, and the list of the configuration may be old.
+		awaitList(watcher.First(), signals)
+	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	life.Advance(lifecycle.Serving)
@@ -139,6 +144,20 @@
 	return nil
 }
 
+// listWithin is how long a start waits for the list where lists are pushed. What pushes them is near; where it is
+// silent, it has nothing to tell.
+const listWithin = time.Second
+
+// awaitList waits until a list came, a signal to stop, which is put back, or listWithin.
+func awaitList(first <-chan struct{}, signals chan os.Signal) {
+	select {
+	case <-first:
+	case s := <-signals:
+		signals <- s
+	case <-time.After(listWithin):
+	}
+}
+
 // reload takes up a new configuration at each signal: the whole file is read and checked, and a faulty one
 // changes nothing.
 func reload(ctx context.Context, signals <-chan os.Signal, cfg *config.Config, getenv func(string) string,
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -61,7 +61,7 @@
 		{"limits.connectTimeoutUs", s.Limits.ConnectTimeoutUs}, {"limits.maxRetryAfterUs", s.Limits.MaxRetryAfterUs},
 		{"limits.maxOpen", float64(s.Limits.MaxOpen)},
 		{"rules.answerSlackUs", s.Rules.AnswerSlackUs}, {"rules.askWithinUs", s.Rules.AskWithinUs},
-		{"rules.coldUs", s.Rules.ColdUs}, {"rules.coldFrom", s.Rules.ColdFrom},
+		{"rules.drainGraceUs", s.Rules.DrainGraceUs}, {"rules.coldUs", s.Rules.ColdUs}, {"rules.coldFrom", s.Rules.ColdFrom},
 		{"rules.fallMultiple", s.Rules.FallMultiple}, {"rules.tipAfterUs", s.Rules.TipAfterUs},
 		{"tariffs.crossZone", s.Tariffs.CrossZone}, {"tariffs.handshake", s.Tariffs.Handshake},
 		{"tariffs.probe", s.Tariffs.Probe},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -196,9 +196,12 @@
 // that say nothing be told from those. Hops need the most: second copies, and connections kept for the next.
 func (c *Config) SocketBudget() (clients, targets int) {
 	clients = c.Limits.Sockets * 3 / 8
-	return clients, c.Limits.Sockets - minSockets/2 - clients
+	return clients, c.Limits.Sockets - minSockets/2 - clients - LingerRoom(clients)
 }
 
+// LingerRoom is how many clients' connections may linger while they are closed, beside so many that are held.
+func LingerRoom(clients int) int { return max(2, clients/8) }
+
 // BodyBudget is how many bytes of clients' bodies may be in hand at once.
 func (c *Config) BodyBudget() int64 { return int64(c.Limits.MemoryMB) << 20 / 8 }
 
@@ -216,6 +219,11 @@
 	return min(hold, maxHold)
 }
 
+// DrainGrace is how long after it was told that a runner drains a dispatcher may still send it something; 0: not told.
+func (c *Config) DrainGrace() time.Duration {
+	return time.Duration(c.Settings.Rules.DrainGraceUs * float64(time.Microsecond))
+}
+
 // StopWithin is how long after the signal to stop open requests may still run: the longest deadline, as far
 // as the platform waits for it. The platform kills no sooner than 0.7 s later.
 func (c *Config) StopWithin() time.Duration {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -55,6 +55,7 @@
 		FallMultiple  float64 `json:"fallMultiple"`
 		TipAfterUs    float64 `json:"tipAfterUs"`
 		DrainCloseUs  float64 `json:"drainCloseUs"`
+		DrainGraceUs  float64 `json:"drainGraceUs"`
 	} `json:"rules"`
 	Tariffs struct {
 		CrossZone float64 `json:"crossZone"`
--- a/internal/egress/answer.go
+++ b/internal/egress/answer.go
@@ -30,10 +30,19 @@
 	return l.Result
 }
 
-// lines reads an answer line by line, as it comes.
-type lines struct{ r *bufio.Reader }
+// hasResult tells whether a runner put a result in.
+func (l *line) hasResult() bool { return len(l.Result) > 0 && string(l.Result) != "null" }
 
-func newLines(r io.Reader) *lines { return &lines{bufio.NewReader(r)} }
+// lines reads an answer line by line, as it comes, up to maxAnswer.
+type lines struct {
+	r    *bufio.Reader
+	left *io.LimitedReader
+}
+
+func newLines(r io.Reader) *lines {
+	left := &io.LimitedReader{R: r, N: maxAnswer}
+	return &lines{bufio.NewReader(left), left}
+}
 
 // next returns the next line. One that is not whole, because the connection broke in it, is an error.
 func (l *lines) next() (*line, error) {
@@ -64,6 +73,8 @@
 		switch {
 		case err == nil:
 			return all, nil
+		case err == io.EOF && l.left.N <= 0:
+			return nil, bufio.ErrTooLong
 		case err == io.EOF && len(all) > 0:
 			return all, nil // the last line may have no end of line; a broken one does not parse
 		case err != bufio.ErrBufferFull:
@@ -74,7 +85,11 @@
 	}
 }
 
-func (l *lines) discard() { _, _ = io.Copy(io.Discard, l.r) }
+// discard reads the rest, and tells whether it came to the answer's end.
+func (l *lines) discard() (whole bool) {
+	_, err := io.Copy(io.Discard, l.r)
+	return err == nil && l.left.N > 0
+}
 
 // textReport decodes a load report in the form "TEXT name=value, name=value". What it does not know, or what
 // is no number, it skips.
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -32,15 +32,22 @@
 	// idlePerTarget is more than one target's share of the hops at once: a connection closed only because too
 	// many are idle costs the runner a handshake when it is opened again.
 	idlePerTarget = 256
-	// drainLimit is how long the rest of an answer is read for after its last line, so that its connection
+	// drainLimit is how long the rest of an answer is read for after its result, so that its connection
 	// can be used again.
 	drainLimit = time.Second
+	// settleLimit is the same after any other end, which is told only then: another attempt may follow it. The rest
+	// usually came with the last line.
+	settleLimit = 20 * time.Millisecond
+	// quarantine is how long a connection is kept from the next request after a result: some runners send a second
+	// answer some milliseconds late, which would pass for the answer to that one.
+	quarantine = 25 * time.Millisecond
 	// maxDials is how many connections are tried for one request while each is refused, or breaks before it is
 	// written. Guards against a network that resets single connections, which would make runners look as if they
 	// were down. One that is down refuses all of them at once.
 	maxDials = 3
-	// maxLine bounds one line of an answer; no body exceeds 64 KiB.
-	maxLine = 128 << 10
+	// maxLine bounds one line of an answer and maxAnswer all of it; by the protocol no body exceeds 64 KiB.
+	maxLine   = 128 << 10
+	maxAnswer = 256 << 10
 )
 
 var (
@@ -161,6 +168,7 @@
 	e      *Egress
 	mu     sync.Mutex
 	conn   *conn
+	turn   int  // the request's number on conn
 	reused bool // conn served a request before this one
 	idle   time.Duration
 }
@@ -173,14 +181,14 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if own, ok := info.Conn.(*conn); ok {
 			tooOld := info.Reused && info.IdleTime > c.e.kept.limit(time.Now())
-			own.begin(func() error {
+			turn := own.begin(info.Reused, func() error {
 				if tooOld {
 					return errTooOld
 				}
 				return gate()
 			})
 			c.mu.Lock()
-			c.conn, c.reused, c.idle = own, info.Reused, info.IdleTime
+			c.conn, c.turn, c.reused, c.idle = own, turn, info.Reused, info.IdleTime
 			c.mu.Unlock()
 		}
 	}})
@@ -197,61 +205,91 @@
 		c.conn, c.reused = nil, false
 		c.mu.Unlock()
 		resp, err := c.e.transport(target).RoundTrip(req.WithContext(ctx))
-		if err == nil || ctx.Err() != nil {
-			return resp, err
-		}
 		c.mu.Lock()
 		own, reused, idle := c.conn, c.reused, c.idle
 		c.mu.Unlock()
+		if err == nil && own != nil && !own.answers() {
+			err = errStray
+			defer resp.Body.Close() // its connection is abandoned below
+		}
+		if err == nil || ctx.Err() != nil {
+			return resp, err
+		}
 		if own == nil { // no connection came up
 			if dials++; dials >= maxDials || !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
 				return nil, err
 			}
 			continue
 		}
-		unsent, no := own.abandon(), own.refusal()
+		unsent, no := c.abandon(), own.refusal()
 		switch {
 		case !reused:
 			dials++
-		case no == nil:
+		case no == nil && !errors.Is(err, errStray):
 			c.e.kept.broke(time.Now(), idle)
 		}
-		if !unsent || errors.Is(no, errNotOpen) || dials >= maxDials {
+		if !unsent || final(no) || dials >= maxDials {
 			return nil, err
 		}
 	}
 }
 
+// final tells whether the gate's word holds for every connection, not only for one that was kept for too long.
+func final(no error) bool {
+	return no != nil && !errors.Is(no, errTooOld) && !errors.Is(no, errStray)
+}
+
 // refusal returns why this side kept the request from its connection.
 func (c *call) refusal() error {
+	if own := c.own(); own != nil {
+		return own.refusal()
+	}
+	return nil
+}
+
+// own returns the connection that the request went to, or nil.
+func (c *call) own() *conn {
 	c.mu.Lock()
-	own := c.conn
+	defer c.mu.Unlock()
+	return c.conn
+}
+
+// abandon closes the call's connection, if it has one, and tells whether the request certainly was not written whole.
+func (c *call) abandon() (unsent bool) {
+	c.mu.Lock()
+	own, turn := c.conn, c.turn
 	c.mu.Unlock()
-	if own == nil {
-		return nil
-	}
-	return own.refusal()
+	return own == nil || own.abandon(turn)
 }
 
-// broken tells the outcome of a call that brought no usable answer.
-func (c *call) broken(ctx context.Context) policy.Outcome {
+// rest notes that the answer was read to its end.
+func (c *call) rest() {
 	c.mu.Lock()
-	own := c.conn
+	own, turn := c.conn, c.turn
 	c.mu.Unlock()
-	unsent := own == nil || own.abandon()
+	own.rest(turn)
+}
+
+// broken closes the connection of a call that brought no usable answer, if it has one, and tells the outcome. What
+// was never whole on the wire did not run, whatever ended it.
+func (c *call) broken(ctx context.Context) policy.Outcome {
+	unsent := c.abandon()
 	switch {
+	case unsent && (ctx.Err() != nil || final(c.refusal())):
+		return policy.Moot
+	case unsent:
+		return policy.ConnectFailed
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return policy.TimedOut
 	case ctx.Err() != nil:
 		return policy.Cancelled
-	case unsent:
-		return policy.ConnectFailed
 	}
 	return policy.Reset
 }
 
-// Hop makes one attempt. It returns as soon as the end is known and reads the rest of the answer behind the
-// caller's back.
+// Hop makes one attempt. It returns as soon as there is a result for the client, and reads the rest of the answer
+// behind the caller's back. Any other end is told once the attempt can have no effect any more on an open connection:
+// its answer was read to the end, or the connection is closed.
 func (e *Egress) Hop(outer context.Context, h *exchange.Hop) exchange.HopEnd {
 	// The caller ends its context when the hop has ended, but the connection is good for another hop only once
 	// the answer was read to its end. So the call has a context of its own.
@@ -264,13 +302,13 @@
 		if !e.table.Open(h.Target) {
 			return errNotOpen
 		}
-		return nil
+		return h.Begin(time.Now())
 	}
 	resp, err := c.do(ctx, h.Target, gate, func(base string) (*http.Request, error) {
 		return hopRequest(base, h)
 	})
 	if err != nil {
-		if end.Outcome = c.broken(ctx); errors.Is(err, errNoSockets) || errors.Is(c.refusal(), errNotOpen) {
+		if end.Outcome = c.broken(ctx); errors.Is(err, errNoSockets) {
 			end.Outcome = policy.Moot // not the target's fault
 		}
 		detach()
@@ -293,8 +331,14 @@
 				Warn("target answered with an unexpected status")
 		}
 	}
-	detach()
-	go drain(lines, resp.Body, cancel)
+	if detach(); end.Outcome == policy.OK {
+		go func() {
+			time.Sleep(quarantine)
+			drain(lines, resp.Body, &c, drainLimit, cancel)
+		}()
+	} else {
+		drain(lines, resp.Body, &c, settleLimit, cancel)
+	}
 	return end
 }
 
@@ -332,20 +376,24 @@
 	return policy.Failed
 }
 
-// follow reads an answer's lines up to the one that ends the hop.
+// follow reads an answer's lines up to the one that ends the hop. A line that names another request or none, or a
+// result that is not there, is no runner's word on this one: its connection is closed, and it may have run.
 func (e *Egress) follow(ctx context.Context, h *exchange.Hop, lines *lines, c *call, end *exchange.HopEnd) {
 	for {
 		l, err := lines.next()
 		if err != nil {
-			if end.Outcome = c.broken(ctx); end.Outcome == policy.ConnectFailed {
+			if end.Outcome = c.broken(ctx); policy.NeverRan(end.Outcome) {
 				end.Outcome = policy.Reset // it answered, so it has the request
 			}
 			return
 		}
-		if l.ID != "" && l.ID != h.Request.ID {
-			e.log.WithFields(logrus.Fields{"target": h.Target, "request": h.Request.ID, "got": l.ID}).
-				Error("target answered for another request")
+		if l.ID != h.Request.ID || l.State == "done" && !l.hasResult() {
+			if e.warned.due(time.Now()) {
+				e.log.WithFields(logrus.Fields{"target": h.Target, "request": h.Request.ID, "got": l.ID, "state": l.State}).
+					Error("target's answer is spoilt")
+			}
 			end.Outcome = policy.Failed
+			_ = c.broken(ctx)
 			return
 		}
 		if l.Load != nil {
@@ -372,10 +420,14 @@
 	}
 }
 
-// drain reads an answer to its end, so that its connection goes back to the pool, and closes it.
-func drain(lines *lines, body io.ReadCloser, cancel context.CancelCauseFunc) {
-	stop := time.AfterFunc(drainLimit, func() { cancel(nil) })
-	lines.discard()
+// drain reads an answer to its end within so much time, so that its connection goes back to the pool, or closes it.
+func drain(lines *lines, body io.ReadCloser, c *call, within time.Duration, cancel context.CancelCauseFunc) {
+	stop := time.AfterFunc(within, func() { c.abandon() })
+	if lines.discard() {
+		c.rest()
+	} else {
+		c.abandon()
+	}
 	stop.Stop()
 	_ = body.Close()
 	cancel(nil)
@@ -405,6 +457,7 @@
 	case err != nil:
 		end.Outcome = c.broken(ctx)
 	case resp.StatusCode == http.StatusOK:
+		c.rest()
 		end.Outcome, end.Report = policy.OK, textReport(e.settings, string(body))
 	case resp.StatusCode == http.StatusServiceUnavailable:
 		end.Outcome = policy.Full
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -54,7 +55,7 @@
 }
 
 func hop(ctx context.Context, e *Egress, body []byte) exchange.HopEnd {
-	return e.Hop(ctx, &exchange.Hop{Target: "w", Deadline: time.Now().Add(time.Minute), News: func(policy.EventKind) {},
+	return e.Hop(ctx, &exchange.Hop{Target: "w", Deadline: time.Now().Add(time.Minute), News: func(policy.EventKind) {}, Begin: func(time.Time) error { return nil },
 		Request: &exchange.Request{ID: "id", Method: "POST", Target: "/c", IdempotencyKey: "k", Body: body}})
 }
 
@@ -102,7 +103,7 @@
 // oneAnswer answers the first request on each connection and resets it under the second one.
 func oneAnswer(c net.Conn) {
 	if _, err := c.Read(make([]byte, 4096)); err == nil {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 29\r\n\r\n"+`{"state":"done","result":"r"}`)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 39\r\n\r\n"+`{"id":"id","state":"done","result":"r"}`)
 		_, _ = c.Read(make([]byte, 1))
 	}
 	_ = c.(*net.TCPConn).SetLinger(0)
@@ -200,7 +201,11 @@
 
 // A hop has one end also where its cancelling and its answer cross, and a result that came is not lost.
 func TestCancelRacesTheAnswer(t *testing.T) {
-	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	var arrived, mayHaveRun atomic.Int64
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err == nil {
+			arrived.Add(1)
+		}
 		_, _ = io.WriteString(w, `{"id":"id","state":"done","result":"r"}`+"\n")
 	})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -216,13 +221,19 @@
 			cancel()
 		})
 		end := hop(ctx, e, nil)
-		if end.Outcome == policy.OK {
+		switch end.Outcome {
+		case policy.OK:
 			assert.Equal(t, "r", string(end.Result))
-		} else {
-			assert.Equal(t, policy.Cancelled, end.Outcome)
+			mayHaveRun.Add(1)
+		case policy.Cancelled:
+			mayHaveRun.Add(1)
+		default:
+			assert.Equal(t, policy.Moot, end.Outcome)
 		}
 	}
 	wg.Wait()
+	require.NoError(t, s.Shutdown(context.Background()))
+	assert.LessOrEqual(t, arrived.Load(), mayHaveRun.Load(), "one that is said never to have run arrived")
 }
 
 func TestTimeOut(t *testing.T) {
@@ -237,7 +248,7 @@
 func TestAnswerDoesNotWaitForTheEnd(t *testing.T) {
 	release := make(chan struct{})
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, `{"state":"done","result":{"a":1},"load":{"x0":3}}`+"\n")
+		_, _ = io.WriteString(w, `{"id":"id","state":"done","result":{"a":1},"load":{"x0":3}}`+"\n")
 		_ = http.NewResponseController(w).Flush()
 		<-release
 	})}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -74,15 +74,6 @@
 	out      int // hops that have not ended
 }
 
-type hop struct {
-	cancel  context.CancelFunc
-	target  string
-	sent    time.Time
-	took    time.Duration
-	over    bool
-	outcome policy.Outcome
-}
-
 // New returns an exchange round a fresh decision module. Attach must be called before Run.
 func New(set policy.Settings, seed uint64, log logrus.FieldLogger) (*Exchange, error) {
 	d, err := policy.New(set, seed)
@@ -131,7 +122,14 @@
 // Submit takes a request and waits for its final answer, or for its client to leave, which ends ctx.
 func (x *Exchange) Submit(ctx context.Context, r *Request) Answer {
 	j := &job{r: r, answer: make(chan Answer, 1)}
-	x.do(func() { x.arrive(j) })
+	select {
+	case x.inbox <- func() { x.arrive(j) }:
+	case <-x.done:
+	case <-ctx.Done(): // it left while others were waited for
+		a := Answer{Kind: Left}
+		x.Turned(r, a)
+		return a
+	}
 	select {
 	case a := <-j.answer:
 		return a
@@ -378,6 +376,11 @@
 	}
 	j.answered, j.kind, j.at = true, a.Kind, time.Now()
 	j.net.Stop()
+	for _, h := range j.hops { // what has not begun must not, for nobody waits for it
+		if !h.over && h.start.revoke() {
+			h.cancel()
+		}
+	}
 	j.answer <- a
 	x.retire(j.r.ID)
 	x.forget(j)
@@ -449,7 +452,13 @@
 		}
 	}
 	ctx, cancel := context.WithDeadline(x.ctx, limit)
-	h := &hop{cancel: cancel, target: target, sent: time.Now()}
+	by := limit
+	if a.By != 0 {
+		if t := x.clock.time(a.By); t.Before(by) {
+			by = t
+		}
+	}
+	h := &hop{cancel: cancel, start: &start{by: by}, target: target, sent: time.Now()}
 	j.hops = append(j.hops, h)
 	j.out++
 	if j.answered || j.mod.set.MaxAttempts > 0 && n >= j.mod.set.MaxAttempts {
@@ -463,7 +472,7 @@
 			}
 		})
 	}
-	hop := &Hop{Target: target, Request: j.r, Deadline: limit, News: news}
+	hop := &Hop{Target: target, Request: j.r, Deadline: limit, News: news, Begin: h.start.begin}
 	go func() {
 		end := x.guard(func() HopEnd { return x.egress.Hop(ctx, hop) })
 		x.do(func() { x.hopEnded(j, n, target, end) })
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"ospreypond/policy"
@@ -56,8 +57,17 @@
 	Request  *Request
 	Deadline time.Time                // when the dispatcher stops waiting
 	News     func(k policy.EventKind) // told of policy.JobStarted and policy.JobProgress
+	// Begin is asked each time the hop's first byte is about to be written, under the lock of its connection. On an
+	// error, which is ErrRevoked or ErrTooLate, nothing may be written, now or later.
+	Begin func(now time.Time) error
 }
 
+// Why a hop may not begin any more. It never ran then.
+var (
+	ErrRevoked = errors.New("the request has its answer, or its client has left")
+	ErrTooLate = errors.New("the time by which the hop had to begin is over")
+)
+
 // HopEnd is how a hop or a probe ended.
 type HopEnd struct {
 	Outcome policy.Outcome
--- a/internal/ingress/framing.go
+++ b/internal/ingress/framing.go
@@ -3,7 +3,6 @@
 import (
 	"strconv"
 	"strings"
-	"sync"
 )
 
 // framing follows the requests on a connection byte by byte as they are read, for what net/http hides: it
@@ -11,10 +10,13 @@
 // and a request hidden in the body of another would then be passed on. For each head it keeps a verdict, in the
 // order of the requests, which the handler takes as its request comes.
 //
+// It also tells whether a request was read whole, and whether bytes of a next one were, which decides whether the
+// connection may be closed.
+//
 // It follows the framing as net/http does: chunked where Transfer-Encoding is there, else Content-Length. Where
 // the two disagree on a request, that request is refused and its connection closed, so nothing after it is read.
+// It is guarded by the connection's lock.
 type framing struct {
-	mu       sync.Mutex // Read and the handler run on different goroutines
 	state    int
 	line     []byte // the current line, in lower case, up to maxLine bytes
 	long     bool   // the current line was longer than that
@@ -25,6 +27,8 @@
 	left     int64  // bytes of a body or chunk still to come
 	verdicts []bool // of heads read and not yet taken: whether a chunked body of it is safe to read
 	lost     bool   // the bytes could not be followed; no verdict is safe from here on
+	ended    int    // requests read whole
+	answered int    // requests answered
 }
 
 const (
@@ -37,12 +41,13 @@
 	maxLine = 64 // enough for the lines that framing reads; longer ones are only counted
 )
 
-func newFraming() *framing { return &framing{length: -1} }
+// midway tells whether bytes after the last request that was answered have been read.
+func (f *framing) midway() bool {
+	return f.ended > f.answered || f.state != inHead || f.lines > 0 || len(f.line) > 0 || f.long || f.lost
+}
 
 // see follows p, the bytes read next.
 func (f *framing) see(p []byte) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	for len(p) > 0 && !f.lost {
 		if f.state == inBody || f.state == inChunk {
 			n := min(int64(len(p)), f.left)
@@ -50,6 +55,7 @@
 			p = p[n:]
 			if f.left == 0 && f.state == inBody {
 				f.state = inHead
+				f.ended++
 			} else if f.left == 0 {
 				f.state = inChunkEnd
 			}
@@ -87,6 +93,8 @@
 				f.state = inChunkSize
 			} else if f.length > 0 {
 				f.state, f.left = inBody, f.length
+			} else {
+				f.ended++
 			}
 			f.lines, f.length, f.lengths, f.chunked = 0, -1, 0, false
 		default:
@@ -111,6 +119,7 @@
 	case inTrailer:
 		if line == "" && !long {
 			f.state = inHead
+			f.ended++
 		}
 	}
 }
@@ -134,8 +143,6 @@
 
 // take returns the verdict on the next request's head: whether a chunked body may be read for it.
 func (f *framing) take() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	if len(f.verdicts) == 0 {
 		return false
 	}
--- a/internal/ingress/giveup_test.go
+++ b/internal/ingress/giveup_test.go
@@ -62,7 +62,7 @@
 	require.NoError(t, used.Close())
 	require.NoError(t, silent.Close())
 	c := s.crowd.Load()
-	require.Eventually(t, func() bool { c.mu.Lock(); defer c.mu.Unlock(); return c.open == 0 }, 5*time.Second,
+	require.Eventually(t, func() bool { return c.gone() }, 5*time.Second,
 		time.Millisecond, "both are closed and out of the books")
 	// A request cut off after them is counted by the same server, so nothing was missed for want of counting.
 	cut, _ := dial(t, addr, head)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -29,9 +29,9 @@
 	// answerLimit is for a client to take its answer.
 	answerLimit = 5 * time.Second
 	idleLimit   = 2 * time.Minute
-	// linger is how long connections are still accepted after the signal to stop: the front sends new ones
+	// acceptFor is how long connections are still accepted after the signal to stop: the front sends new ones
 	// for up to 0.4 s, and one that is in the kernel's backlog when the listener closes is lost.
-	linger = 700 * time.Millisecond
+	acceptFor = 700 * time.Millisecond
 	// crowded is the part of the clients' sockets from which on requests in hand are refused at once. The rest
 	// is there so that those beyond can still be told so.
 	crowded = 0.85
@@ -61,7 +61,9 @@
 	crowd   atomic.Pointer[crowd]
 	giveUps *GiveUps
 	drained atomic.Bool // asked by an operator to take nothing new, and reversible unlike the phase
-	log     *logrus.Logger
+	// stopping: Shutdown has closed the listener.
+	stopping atomic.Bool
+	log      *logrus.Logger
 }
 
 // New returns a server of the configured classes and tenants that holds at most so many sockets, and bodies of at
@@ -83,7 +85,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go s.giveUps.summarise(ctx)
-	if err := s.http.Serve(c); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(c); !s.stopping.Load() && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serving clients: %w", err)
 	}
 	return nil
@@ -118,29 +120,11 @@
 }
 
 func rested(c net.Conn, state http.ConnState) {
-	k, ok := c.(*client)
-	switch {
-	case ok && state == http.StateIdle:
+	if k, ok := c.(*client); ok && state == http.StateIdle {
 		k.rest()
-	case ok && state == http.StateActive:
-		k.speak()
 	}
 }
 
-// Shutdown goes on accepting for a while, as clients still come, then takes nothing new and returns when all
-// that was taken is answered or ctx ends. The phase must be Draining, so that answers close connections.
-func (s *Server) Shutdown(ctx context.Context) error {
-	select {
-	case <-time.After(linger):
-	case <-ctx.Done():
-	}
-	// A connection that never carried a request keeps net/http waiting to the end; nothing is lost with it.
-	if err := s.http.Shutdown(ctx); err != nil && s.inHand.Load() > 0 {
-		return fmt.Errorf("%d requests without an answer: %w", s.inHand.Load(), err)
-	}
-	return nil
-}
-
 // tooMany tells whether n requests in hand are so many that the last one is refused unseen.
 func (s *Server) tooMany(n int64) bool {
 	limit := crowded * float64(s.sockets)
@@ -166,9 +150,7 @@
 	defer s.inHand.Add(-1)
 	chunked := false // whether a chunked body may be read
 	if k, ok := r.Context().Value(clientKey{}).(*client); ok {
-		k.heard.Store(true) // from here on the handler counts what it gives up
-		k.end()
-		chunked = k.frames.take()
+		chunked = k.hear() // from here on the handler counts what it gives up
 	}
 	if s.closing() {
 		w.Header().Set("Connection", "close")
@@ -208,7 +190,7 @@
 	_ = control.SetReadDeadline(time.Now().Add(bodyWithin))
 	k, _ := r.Context().Value(clientKey{}).(*client)
 	if k != nil {
-		k.begin()
+		k.reads(true)
 	}
 	req, wait, fault := s.head(r, chunked)
 	if fault == nil {
@@ -218,9 +200,10 @@
 		}
 	}
 	if k != nil {
-		k.end()
+		k.reads(false)
 	}
-	if k != nil && fault == nil && !k.take() {
+	// Nothing is sent on that was read after the decision to close its connection.
+	if k != nil && !k.take() {
 		fault = &badRequest{http.StatusServiceUnavailable, "", "this connection had to make room", madeRoom}
 	}
 	if fault != nil {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -273,13 +273,13 @@
 	third, wait := c.admit(pipe(), now)
 	require.NotNil(t, third)
 	assert.Zero(t, wait)
-	assert.True(t, old.gone)
+	assert.Equal(t, stateClosing, old.state)
 	_, wait = c.admit(pipe(), now.Add(10*time.Millisecond))
 	assert.Equal(t, speakIn-10*time.Millisecond, wait)
-	assert.False(t, young.gone)
+	assert.Equal(t, stateNew, young.state)
 	_, wait = c.admit(pipe(), now.Add(speakIn))
 	assert.Zero(t, wait)
-	assert.True(t, young.gone)
+	assert.Equal(t, stateClosing, young.state)
 }
 
 // Guards against more requests than there are sockets for: the last ones are told so.
--- a/internal/routetable/routetable_test.go
+++ b/internal/routetable/routetable_test.go
@@ -71,7 +71,7 @@
 	news := make(chan policy.Event, 16)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	w := NewWatcher(New(), srv.Listener.Addr().String(), 7*time.Second, func(e policy.Event) { news <- e }, log)
+	w := NewWatcher(New(), srv.Listener.Addr().String(), 3*time.Second, func(e policy.Event) { news <- e }, log)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go w.Run(ctx)
@@ -83,7 +83,7 @@
 	w.Subscribe()
 	assert.Equal(t, "from=0&hold_ms=0", <-calls)
 	assert.Equal(t, policy.ListChanged, (<-news).Kind)
-	assert.Equal(t, "from=9&hold_ms=7000", <-calls, "the next call goes out at once and is held")
+	assert.Equal(t, "from=9&hold_ms=3000", <-calls, "the next call goes out at once and is held")
 }
 
 // Where lists are pushed nobody asks for them: the watch is opened from the first moment on, and anew when it fell silent or
--- a/internal/routetable/watch.go
+++ b/internal/routetable/watch.go
@@ -18,15 +18,13 @@
 	"ospreypond/policy"
 )
 
-// callGrace is how much longer than its hold a call to discovery may take. Discovery serves its callers one
-// after another and a call may wait its turn; a cut network is silent, so without this a call never ends.
-const callGrace = 1500 * time.Millisecond
-
-// A watch that the Watcher keeps up by itself is opened anew so soon after it ended, and after ever longer waits up to the
-// second while calls go on failing.
+// A watch that the Watcher keeps up by itself is opened anew so soon after it ended, and after ever longer waits while
+// calls go on failing.
 const (
 	againFirst = 50 * time.Millisecond
 	againMost  = time.Second
+	// steady is how long a watch was up for the next one to be opened soon again.
+	steady = time.Second
 )
 
 // maxList bounds what is read of one answer.
@@ -40,10 +38,13 @@
 	table  *Table
 	at     atomic.Pointer[place]
 	hold   time.Duration
+	most   time.Duration // the longest wait for a watch that it keeps
 	client *http.Client
 	news   func(policy.Event)
 	kick   chan struct{}
 	keep   atomic.Bool
+	clock  clock
+	first  chan struct{} // closed when a list came
 	log    logrus.FieldLogger
 }
 
@@ -62,10 +63,11 @@
 }
 
 // NewWatcher returns a Watcher on the discovery service at addr. Each call may be held for hold until there is
-// something to tell. What is learned goes into the table first and then to news.
+// something to tell, or for as long as the terms of silence allow, if that is less. What is learned goes into the table
+// first and then to news.
 func NewWatcher(t *Table, addr string, hold time.Duration, news func(policy.Event), log logrus.FieldLogger) *Watcher {
 	tr := &http.Transport{Proxy: nil, DisableCompression: true, MaxIdleConnsPerHost: 1}
-	w := &Watcher{table: t, hold: hold, news: news, client: &http.Client{Transport: tr}, kick: make(chan struct{}, 1),
+	w := &Watcher{table: t, hold: min(hold, mostHold), most: againMost, first: make(chan struct{}), news: news, client: &http.Client{Transport: tr}, kick: make(chan struct{}, 1),
 		log: log}
 	w.at.Store(newPlace(addr, false))
 	return w
@@ -89,6 +91,18 @@
 	}
 }
 
+// Within has a watch that the Watcher keeps up opened anew within a third of grace: where lists are pushed, what there
+// is to tell counts as told at once, also right after an outage, and grace is how long the settings give to heed it.
+// It must be called before Run.
+func (w *Watcher) Within(grace time.Duration) {
+	if grace > 0 {
+		w.most = min(againMost, max(againFirst, grace/3))
+	}
+}
+
+// First is closed once a list came.
+func (w *Watcher) First() <-chan struct{} { return w.first }
+
 // Keep says whether the Watcher keeps a watch open by itself, where lists are pushed: what there is to tell then counts as
 // told whether or not anybody asks. Else the module asks, by Subscribe.
 func (w *Watcher) Keep(on bool) {
@@ -100,7 +114,7 @@
 // Run watches until ctx ends. It starts when subscribed to; after a failed call it tells the module, which
 // decides when to subscribe again, or does so itself where it keeps the watch.
 func (w *Watcher) Run(ctx context.Context) {
-	again := backoff.ExponentialBackOff{InitialInterval: againFirst, MaxInterval: againMost, Multiplier: 2,
+	again := backoff.ExponentialBackOff{InitialInterval: min(againFirst, w.most), MaxInterval: w.most, Multiplier: 2,
 		RandomizationFactor: backoff.DefaultRandomizationFactor}
 	again.Reset()
 	for {
@@ -117,10 +131,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		w.log.WithError(err).Warn("discovery call failed; the route table stays as it is")
+		w.log.WithError(err).WithField("told_in", time.Until(w.clock.told()).Round(time.Millisecond)).
+			Warn("discovery call failed; the route table stays as it is")
 		w.news(policy.Event{Kind: policy.ListUnavailable})
 		if w.keep.Load() {
-			if time.Since(began) > againMost { // it was up for a while
+			if time.Since(began) > steady { // it was up for a while
 				again.Reset()
 			}
 			time.AfterFunc(again.NextBackOff(), w.Subscribe)
@@ -133,7 +148,7 @@
 	// The first call is not held: the module waits for an answer to its subscription and would wait for the
 	// whole hold where nothing changes.
 	var hold time.Duration
-	for first := true; ; first = false {
+	for answer := true; ; {
 		l, err := w.call(ctx, p, hold)
 		if p.left.Err() != nil { // whatever came is not news any more
 			w.client.CloseIdleConnections()
@@ -142,13 +157,21 @@
 		if err != nil {
 			return err
 		}
+		// Guards against a discovery that started over and tells changes to a list that nobody here has.
+		if !l.Whole && !p.whole && l.Seq < w.table.Seq() {
+			w.log.WithFields(logrus.Fields{"seq": l.Seq, "had": w.table.Seq()}).
+				Warn("discovery's version went back; the whole list is asked for")
+			p.whole, hold = true, 0
+			continue
+		}
 		p.whole = false
 		select { // the answer is also that to a subscription made meanwhile
 		case <-w.kick:
-			first = true
+			answer = true
 		default:
 		}
-		w.apply(l, first)
+		w.apply(l, answer)
+		answer = false
 		hold = w.hold
 	}
 }
@@ -167,11 +190,16 @@
 	if answer || l.Whole || len(l.Hosts) > 0 {
 		w.news(e)
 	}
+	select {
+	case <-w.first:
+	default:
+		close(w.first)
+	}
 }
 
 // call asks for what is newer than the table, or for the whole list.
 func (w *Watcher) call(ctx context.Context, p *place, hold time.Duration) (*List, error) {
-	ctx, cancel := context.WithTimeout(ctx, hold+callGrace)
+	ctx, cancel := context.WithDeadline(ctx, w.clock.call(time.Now(), hold))
 	defer cancel()
 	defer context.AfterFunc(p.left, cancel)()
 	target := "http://" + p.addr + "/registry/instances"
@@ -199,5 +227,6 @@
 	if err := json.Unmarshal(body, &l); err != nil {
 		return nil, fmt.Errorf("discovery's answer: %w", err)
 	}
+	w.clock.answer(time.Now())
 	return &l, nil
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -180,7 +180,7 @@
 
 // The actions.
 const (
-	Send      ActionKind = iota // ID, Worker, Timeout (0: until the client gives up)
+	Send      ActionKind = iota // ID, Worker, Timeout (0: until the client gives up), By
 	Cancel                      // ID, Attempt
 	Refuse                      // ID, RetryAfter: final, a retry is harmless
 	Fail                        // ID: final, nothing is promised
@@ -200,6 +200,7 @@
 	ID         uint32
 	Worker     string
 	Timeout    time.Duration
+	By         time.Duration // its first byte goes out before that moment or never; 0: no such bound
 	Attempt    int
 	RetryAfter time.Duration
 	At         time.Duration
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -943,7 +943,11 @@
 	}
 	j.check = min(j.check, j.due+d.set.AnswerSlack/2)
 	d.scanAt = min(d.scanAt, j.check)
-	d.out = append(d.out, Action{Kind: Send, ID: j.id, Worker: w.name})
+	by := time.Duration(0)
+	if first := j.attempts[slices.IndexFunc(j.attempts, mayHaveRun)]; first != a && j.class.Semantics == Keyed {
+		by = first.sent + j.class.Window
+	}
+	d.out = append(d.out, Action{Kind: Send, ID: j.id, Worker: w.name, By: by})
 }
 
 // assign returns for each row the column of a minimum-cost one-to-one assignment, or -1. It is the Hungarian
