--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -302,8 +302,8 @@
 	k.in.mu.Lock()
 	k.shut("")
 	words := ""
-	if k.why == headRoom && !k.wrote {
-		words = noRoom
+	if k.why == headRoom && !k.wrote && (k.begun || k.frames.answered == 0) {
+		words = noRoom // one that rests between requests asked for nothing
 	}
 	left, closed := k.broken, k.state == stateClosed
 	k.state = max(k.state, stateLingering)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -28,11 +28,21 @@
 
 func (f submitter) Submit(ctx context.Context, r *exchange.Request) exchange.Answer { return f(ctx, r) }
 
-func testServer(budget int, to submitter) (*Server, *lifecycle.Lifecycle) {
+func discard() *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	return log
+}
+
+func testServer(budget int, to submitter) (*Server, *lifecycle.Lifecycle) {
 	life := lifecycle.New(nil)
-	return New(to, life, &policy.Settings{Classes: []policy.Class{{Name: "c"}}}, budget, 1<<20, log), life
+	return New(to, life, &policy.Settings{Classes: []policy.Class{{Name: "c"}}}, budget, 1<<20, discard()), life
+}
+
+// addr waits until the server listens and tells where.
+func (s *Server) addr(t *testing.T) string {
+	require.Eventually(t, func() bool { return s.crowd.Load() != nil }, 20*time.Second, time.Millisecond)
+	return s.crowd.Load().Addr().String()
 }
 
 func job() *http.Request {
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -99,13 +99,15 @@
 	if full {
 		k.begun = true // it is counted: clients that connect have something to ask
 		k.shut(headRoom)
-		go func() { _ = k.Close() }()
+		go closeInOrder(k)
 		return nil, 0
 	}
 	k.move(&c.silent)
 	return k, 0
 }
 
+func closeInOrder(k *client) { _ = k.Close() }
+
 // boundLingering ends the lingering of those that began first where too many do. c.mu is held.
 func (c *crowd) boundLingering() {
 	for over := c.lingering.Len() - c.linger; over > 0; over-- {
