--- a/policy/policy.go
+++ b/policy/policy.go
@@ -67,8 +67,7 @@
 	}
 	d := &Dispatcher{set: s, rng: rand.New(rand.NewPCG(seed, uint64(s.Number))), minAim: never, born: never,
 		classes: map[string]int{}, tenants: map[string]int{}, jobs: map[uint32]*job{},
-		workers: map[string]*worker{}, kinds: map[string]*kind{},
-		keys: map[uint32]*key{}, crowd: 0.5,
+		workers: map[string]*worker{}, kinds: map[string]*kind{}, keys: map[uint32]*key{}, crowd: 0.5,
 		roundAt: never, scanAt: never, askAt: never, armedAt: never}
 	for i, c := range s.Classes {
 		_, twice := d.classes[c.Name]
@@ -174,7 +173,14 @@
 		d.largest = max(d.largest, j.size)
 	}
 	if e.Key != "" {
-		j.key = d.keyFor(hashOf(e.Key))
+		hash := hashOf(e.Key)
+		if d.keys[hash] == nil {
+			if len(d.keys) >= keysMost {
+				clear(d.keys)
+			}
+			d.keys[hash] = &key{hash: hash}
+		}
+		j.key = d.keys[hash]
 		j.key.work = j.key.demand(d.now) + j.size*j.slots
 		j.key.at = d.now
 	}
@@ -709,19 +715,6 @@
 	return fetchRuns * d.run * over / (over + 1)
 }
 
-// keyFor returns what is known of a key.
-func (d *Dispatcher) keyFor(hash uint32) *key {
-	k := d.keys[hash]
-	if k == nil {
-		if len(d.keys) >= keysMost {
-			clear(d.keys)
-		}
-		k = &key{hash: hash}
-		d.keys[hash] = k
-	}
-	return k
-}
-
 // demand returns the work that came with a key of late, seconds at speed 1; it fades with time.
 func (k *key) demand(now time.Duration) float64 {
 	return k.work * math.Exp(-float64(now-k.at)/float64(keyMemory))
@@ -761,11 +754,9 @@
 // wantRound has held jobs matched at the next moment of the round's grid. Schedulers' grids are shifted
 // against each other so that those in step do not all pick the same worker at once.
 func (d *Dispatcher) wantRound() {
-	if d.roundAt < never {
-		return
+	if shift := d.roundGap * time.Duration(d.set.Number) / time.Duration(d.set.Schedulers); d.roundAt == never {
+		d.roundAt = (d.now-shift)/d.roundGap*d.roundGap + d.roundGap + shift
 	}
-	shift := d.roundGap * time.Duration(d.set.Number) / time.Duration(d.set.Schedulers)
-	d.roundAt = (d.now-shift)/d.roundGap*d.roundGap + d.roundGap + shift
 }
 
 // round matches held jobs to places one-to-one at the least total cost and sends what fits, cheapest first.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1434,3 +1434,11 @@
 		}
 	}
 }
+
+// keyFor makes the record of a key as arrive does.
+func (d *Dispatcher) keyFor(hash uint32) *key {
+	if d.keys[hash] == nil {
+		d.keys[hash] = &key{hash: hash}
+	}
+	return d.keys[hash]
+}
