--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -12,6 +12,9 @@
 var errStray = errors.New("bytes on the kept connection that answer no request")
 
 const (
+	// quarantine is how long a connection is kept from the next request after bytes of a job's answer came: some
+	// runners send a second answer some milliseconds late, which would pass for the answer to that one.
+	quarantine = 25 * time.Millisecond
 	// quietWithin is how long the first write on a kept connection waits for its reader to wait for bytes, which
 	// shows that none are left over from the answer before. http.Transport starts that read right after it gives a
 	// connection back, so this is a matter of scheduling alone.
@@ -27,13 +30,16 @@
 	net.Conn
 	closed  func()
 	once    sync.Once
-	reading atomic.Bool // the transport waits for bytes
+	reading atomic.Bool  // the transport waits for bytes
+	came    atomic.Int64 // when the last ones came, Unix time in nanoseconds
 
 	mu     sync.Mutex
 	turn   int          // the number of the present request
 	gate   func() error // asked before the next request's first byte
 	no     error        // what it said against it
 	reused bool         // an answer came on it before
+	job    bool         // the present request is a job
+	after  bool         // the one before was
 	rests  bool         // the answer before was read to its end
 	stray  bool         // bytes came between that end and the present request's first byte
 	wrote  int          // bytes of the present request
@@ -41,10 +47,11 @@
 }
 
 // begin makes the connection count anew for a request that is about to be written, and returns the request's number.
-func (c *conn) begin(reused bool, gate func() error) (turn int) {
+func (c *conn) begin(reused, job bool, gate func() error) (turn int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.turn++
+	c.after, c.job = c.job, job
 	c.gate, c.no, c.wrote, c.short, c.reused, c.rests = gate, nil, 0, false, reused, false
 	return c.turn
 }
@@ -61,6 +68,7 @@
 	n, err := c.Conn.Read(b)
 	c.reading.Store(false)
 	if n > 0 {
+		c.came.Store(time.Now().UnixNano())
 		c.mu.Lock()
 		c.stray = c.stray || c.rests || c.reused && c.wrote == 0
 		c.mu.Unlock()
@@ -91,12 +99,19 @@
 	return n, err
 }
 
-// quiet tells whether nothing is left over on a kept connection as its next request is about to be written.
+// quiet waits for a kept connection's quarantine as its next request is about to be written, and tells whether nothing
+// is left over on it. What comes meanwhile is seen by Read.
 func (c *conn) quiet() bool {
 	c.mu.Lock()
-	first := c.gate != nil && c.reused
+	first, after := c.gate != nil && c.reused, c.after
 	c.mu.Unlock()
-	for until := time.Now().Add(quietWithin); first && !c.reading.Load(); time.Sleep(quietLook) {
+	if !first {
+		return true
+	}
+	if rest := quarantine - time.Since(time.Unix(0, c.came.Load())); after && rest > 0 {
+		time.Sleep(rest)
+	}
+	for until := time.Now().Add(quietWithin); !c.reading.Load(); time.Sleep(quietLook) {
 		if time.Now().After(until) {
 			return false
 		}
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -38,9 +38,6 @@
 	// settleLimit is the same after any other end, which is told only then: another attempt may follow it. The rest
 	// usually came with the last line.
 	settleLimit = 20 * time.Millisecond
-	// quarantine is how long a connection is kept from the next request after a result: some runners send a second
-	// answer some milliseconds late, which would pass for the answer to that one.
-	quarantine = 25 * time.Millisecond
 	// maxDials is how many connections are tried for one request while each is refused, or breaks before it is
 	// written. Guards against a network that resets single connections, which would make runners look as if they
 	// were down. One that is down refuses all of them at once.
@@ -166,6 +163,7 @@
 // call is one request to a target on its way.
 type call struct {
 	e      *Egress
+	job    bool // not a probe
 	mu     sync.Mutex
 	conn   *conn
 	turn   int  // the request's number on conn
@@ -181,7 +179,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if own, ok := info.Conn.(*conn); ok {
 			tooOld := info.Reused && info.IdleTime > c.e.kept.limit(time.Now())
-			turn := own.begin(info.Reused, func() error {
+			turn := own.begin(info.Reused, c.job, func() error {
 				if tooOld {
 					return errTooOld
 				}
@@ -297,7 +295,7 @@
 	detach := context.AfterFunc(outer, func() { cancel(context.Cause(outer)) })
 	end := exchange.HopEnd{Report: policy.NoReport}
 
-	c := call{e: e}
+	c := call{e: e, job: true}
 	gate := func() error {
 		if !e.table.Open(h.Target) {
 			return errNotOpen
@@ -332,10 +330,7 @@
 		}
 	}
 	if detach(); end.Outcome == policy.OK {
-		go func() {
-			time.Sleep(quarantine)
-			drain(lines, resp.Body, &c, drainLimit, cancel)
-		}()
+		go drain(lines, resp.Body, &c, drainLimit, cancel)
 	} else {
 		drain(lines, resp.Body, &c, settleLimit, cancel)
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -45,13 +45,19 @@
 }
 
 func run(t *testing.T, set policy.Settings) (*Exchange, *targets) {
+	t.Helper()
+	return runWith(t, set, func(e *targets) Egress { return e })
+}
+
+// runWith has an Egress of the test's own before the targets.
+func runWith(t *testing.T, set policy.Settings, before func(*targets) Egress) (*Exchange, *targets) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	x, err := New(set, 1, log)
 	require.NoError(t, err)
 	e := &targets{hops: make(chan *Hop, 16), ends: make(chan HopEnd, 16)}
-	x.Attach(e, e)
+	x.Attach(before(e), e)
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	x.News(policy.Event{Kind: policy.ListRestored, Members: []policy.Member{{Worker: "w", Kind: "k"}}})
--- /dev/null
+++ b/internal/routetable/clock_test.go
@@ -0,0 +1,137 @@
+package routetable
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"ospreypond/policy"
+)
+
+// When a silence counts as heard, by the last answer, the call under way and its wait.
+func TestWhenSilenceCountsAsTold(t *testing.T) {
+	at := func(s float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second))) }
+	for name, tt := range map[string]struct {
+		heard, call, hold float64 // call under 0: none under way
+		told              float64
+	}{
+		"no call under way":                  {1, -1, 0, 7},
+		"a call that may not wait":           {1, 1, 0, 7},
+		"a short wait":                       {1, 1, 2, 7},
+		"the longest wait of ours":           {1, 1, 3.5, 7},
+		"a wait as long as the term":         {1, 1, 4, 7},
+		"a longer wait: 2 s after its end":   {1, 1, 20, 23},
+		"a call some time after the answer":  {1, 4, 3.5, 9.5},
+		"a call that may not wait, and late": {1, 5, 0, 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var c clock
+			c.answer(at(tt.heard))
+			if tt.call >= 0 {
+				c.call(at(tt.call), time.Duration(tt.hold*float64(time.Second)))
+			}
+			assert.Equal(t, at(tt.told), c.told())
+		})
+	}
+	var c clock
+	c.call(at(3), 0)
+	assert.Equal(t, at(9), c.told(), "before the first answer it counts from the first call")
+}
+
+// However a watch falls silent, its call is broken off at least a second before what it missed counts as told.
+func TestSilentCallsLeaveTimeForAnother(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var c clock
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(1, 6).Draw(t, "calls") {
+			hold := min(mostHold, time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "hold")))
+			until := c.call(now, hold)
+			if spare := c.told().Sub(until); spare < time.Second {
+				t.Fatalf("a call held for %v leaves %v", hold, spare)
+			}
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(hold)).Draw(t, "answered after")))
+			c.answer(now)
+		}
+	})
+}
+
+func quiet() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// Guards against changes that are applied to a list they do not belong to: where discovery's version goes back, as when it
+// started over, the whole list is asked for at once.
+func TestVersionThatWentBackAsksForTheWholeList(t *testing.T) {
+	calls := make(chan string, 16)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- r.URL.RawQuery
+		switch {
+		case r.URL.RawQuery == "":
+			fmt.Fprint(w, `{"seq":3,"whole":true,"hosts":[{"host":"b","dial":"x:1","health":"SERVING"}]}`)
+		case r.URL.Query().Get("from") == "90":
+			fmt.Fprint(w, `{"seq":2,"whole":false,"hosts":[{"host":"c","dial":"x:2","health":"SERVING"}]}`)
+		default:
+			<-r.Context().Done()
+		}
+	}))
+	defer srv.Close()
+	table := New()
+	table.Apply(&List{Seq: 90, Whole: true, Hosts: []Host{{Host: "a", Dial: "x:0", Health: "SERVING"}}})
+	news := make(chan policy.Event, 16)
+	w := NewWatcher(table, srv.Listener.Addr().String(), time.Hour, func(e policy.Event) { news <- e }, quiet())
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go w.Run(ctx)
+	w.Subscribe()
+	assert.Equal(t, "from=90&hold_ms=0", <-calls)
+	assert.Empty(t, <-calls, "the whole list")
+	e := <-news
+	assert.Equal(t, policy.ListReplaced, e.Kind)
+	assert.Equal(t, "b", e.Members[0].Worker)
+	for _, gone := range []string{"a", "c"} {
+		_, ok := table.Lookup(gone)
+		assert.False(t, ok, gone)
+	}
+	assert.Equal(t, fmt.Sprintf("from=3&hold_ms=%d", mostHold.Milliseconds()), <-calls)
+}
+
+// Where lists are pushed what is told at discovery's return counts at once: while it is down a watch is tried often
+// enough that one is open within the time in which a drain must be heeded.
+func TestPushedListIsBackWithinTheDrainsGrace(t *testing.T) {
+	const grace = 300 * time.Millisecond
+	calls := make(chan time.Time, 1000)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls <- time.Now()
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer srv.Close()
+	w := NewWatcher(New(), srv.Listener.Addr().String(), time.Second, func(policy.Event) {}, quiet())
+	w.Within(grace)
+	assert.Equal(t, grace/3, w.most)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go w.Run(ctx)
+	w.Keep(true)
+	last := <-calls
+	for range 20 { // an outage of about 2 s, after which the waits would have grown to over a second
+		at := <-calls
+		require.Less(t, at.Sub(last), grace)
+		last = at
+	}
+	select {
+	case <-w.First():
+		t.Fatal("no list came")
+	default:
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,6 +26,9 @@
 	queueGuess    = 0.15            // queued jobs a slot at a full worker, where reports tell none
 	crowdMemory   = 0.05            // weight of the newest report in how full workers are of others' jobs
 	slowMemory    = 0.2             // weight of the newest runtime in a worker's own slowness
+	moveMemory    = 0.2             // weight of the newest moved attempt in whether moving helps
+	moveReturns   = 0.01            // the same of each other attempt that starts, so that moves are tried again
+	movesLeast    = 0.5             // share of moved attempts that start before their first look, or none is moved
 	firstLook     = 4               // parts of an aim after each of which an attempt is looked at
 	overdueRuns   = 3               // an attempt is overdue after this many predicted runtimes plus its aim
 	blockAims     = 4               // a failing worker is first left alone for this many of the shortest aims
@@ -67,7 +70,7 @@
 	}
 	d := &Dispatcher{set: s, rng: rand.New(rand.NewPCG(seed, uint64(s.Number))), minAim: never, born: never,
 		classes: map[string]int{}, tenants: map[string]int{}, jobs: map[uint32]*job{},
-		workers: map[string]*worker{}, kinds: map[string]*kind{}, keys: map[uint32]*key{}, crowd: 0.5,
+		workers: map[string]*worker{}, kinds: map[string]*kind{}, keys: map[uint32]*key{}, crowd: 0.5, moves: 1,
 		roundAt: never, scanAt: never, askAt: never, armedAt: never}
 	for i, c := range s.Classes {
 		_, twice := d.classes[c.Name]
@@ -286,6 +289,7 @@
 	a.w.alive = d.now
 	if !a.running {
 		a.running, a.started, a.w.turned = true, d.now, a.w.turned/2
+		d.moves += max(a.tells, moveReturns) * (1 - d.moves)
 		a.w.running += a.j.slots
 		a.w.most = max(a.w.most, a.w.running)
 		a.w.kind.seen = max(a.w.kind.seen, a.w.most)
@@ -378,6 +382,7 @@
 			d.finish(j)
 			return
 		}
+		d.moves, a.tells = d.moves*(1-a.tells), 0
 		// Guards against hung, paused and vanished workers: nothing was heard from it since the send.
 		// A worker that is only slow loses some sends until its next sign of life.
 		silent := a.w.alive < a.sent && d.now >= a.sent+j.class.Aim>>min(2, a.w.turned)
@@ -395,7 +400,7 @@
 func (d *Dispatcher) canMove(a *attempt) bool {
 	a.over = true
 	defer func() { a.over = false }()
-	again := d.set.Cancel && a.j.class.Semantics != Unsafe
+	again := d.set.Cancel && a.j.class.Semantics != Unsafe && d.moves >= movesLeast
 	return again && slices.ContainsFunc(d.near(), func(w *worker) bool {
 		return w != a.w && d.now <= w.othersAt+reportAge && d.fits(w, a.j) && d.maySend(a.j, w)
 	})
@@ -916,6 +921,9 @@
 func (d *Dispatcher) send(j *job, w *worker) {
 	a := &attempt{j: j, w: w, n: len(j.attempts), sent: d.now, wasCold: d.warmth(w) < 1}
 	a.predicted, a.fetch, a.slow = d.predict(w, j), d.fetch(w, j), d.slowness(w)
+	if a.n > 0 && j.attempts[a.n-1].withdraw {
+		a.tells = moveMemory
+	}
 	j.attempts = append(j.attempts, a)
 	j.held = false
 	w.out = append(w.out, a)
--- a/policy/state.go
+++ b/policy/state.go
@@ -42,6 +42,7 @@
 	run           float64   // the mean runtime, seconds
 	fetches       float64   // how many were seen, 40 at most
 	fetched       float64   // the mean time that fetches took, seconds
+	moves         float64   // share of moved attempts that start soon; it comes back slowly
 	out           []Action
 }
 
@@ -69,6 +70,7 @@
 	fetch                             float64 // seconds of them to fetch what the job needs
 	slow                              float64 // of its worker when it was sent
 	wasCold                           bool
+	tells                             float64 // weight with which it tells whether moving helps; 0: it does not
 }
 type bucket struct {
 	tokens float64
--- a/test/integration/world_test.go
+++ b/test/integration/world_test.go
@@ -152,6 +152,9 @@
 	log  []map[string]any // change n made version n+1
 	down bool
 	seen int // the highest version that the program asked to go on from
+	// held, where not nil, is told of each call, which waits until let is closed.
+	held chan struct{}
+	let  chan struct{}
 }
 
 func newDiscovery(t *testing.T) *discovery {
@@ -166,6 +169,14 @@
 }
 
 func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if d.held != nil {
+		d.held <- struct{}{}
+		select {
+		case <-d.let:
+		case <-r.Context().Done():
+			return
+		}
+	}
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
 	hold, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
 	over := time.Now().Add(time.Duration(hold) * time.Millisecond)
@@ -249,7 +260,14 @@
 
 // startAs has the settings of another deployment too.
 func startAs(t *testing.T, settings string, args []string, known ...*runner) *dispatcher {
-	p := &dispatcher{t: t, args: args, disc: newDiscovery(t), exit: make(chan error, 1)}
+	p := launch(t, newDiscovery(t), settings, args, known...)
+	p.ready()
+	return p
+}
+
+// launch runs the program, and waits for nothing.
+func launch(t *testing.T, disc *discovery, settings string, args []string, known ...*runner) *dispatcher {
+	p := &dispatcher{t: t, args: args, disc: disc, exit: make(chan error, 1)}
 	hosts := []any{}
 	for _, rn := range known {
 		hosts = append(hosts, rn.entry("SERVING"))
@@ -258,6 +276,12 @@
 		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"known":    map[string]any{"seq": 0, "whole": true, "hosts": hosts},
 		"settings": json.RawMessage(settings)})
+	return p
+}
+
+// ready waits until the program takes clients.
+func (p *dispatcher) ready() {
+	t := p.t
 	listening := regexp.MustCompile(`msg=listening addr="?([0-9.:]+)`)
 	require.Eventually(t, func() bool {
 		if m := listening.FindStringSubmatch(p.log()); m != nil {
@@ -269,7 +293,6 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 	_ = resp.Body.Close()
-	return p
 }
 
 func (p *dispatcher) run(config map[string]any) {
