--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -24,8 +24,9 @@
 
 const (
 	// earlyMost bounds the bytes kept that a client sends before it has the answer it waits for; those beyond are
-	// dropped, and the connection ends with the answer. No request is longer.
-	earlyMost = maxHead + maxBody
+	// dropped, and the connection ends with the answer. Clients send one request at a time, so there are hardly ever
+	// any, and what all connections may keep together must fit the smallest memory limit.
+	earlyMost = 2 * maxHead
 	// lingerWithin, lingerBytes bound a lingering close. A client that reads its answer closes at once; others are a
 	// nuisance, whose connections count against the crowd's own bound for them.
 	lingerWithin = 500 * time.Millisecond
