Take new settings where they end things: stops, dials, kept connections, list calls

Seen by reading, each shown by a test that fails without its mend:

- A stop let requests run by the deadlines of the start, not of the settings in force (app.Serve handed its first config to drain).
Settings taken at SIGHUP with longer deadlines: a job at its runner was ended with 502 after 0.55 s, as the start's longest deadline was 0.5 s (TestStopGoesByTheSettingsInForce).
- egress and the watch of the list kept connIdleUs, connectTimeoutUs, the meaning of report fields, askWithinUs and drainGraceUs of the start.
Both have Retune now, called with the exchange's and the ingress's (TestRetune).
- A runner's bytes on a fresh connection, read before the request was written, passed for its answer: with a 503 that says that it never ran, while the request goes out right after (egress conn.Read marked such bytes on kept connections only).
For a class that must not run twice that is a second run.
They are stray on every connection now, a test less in the code (TestAnswerBeforeTheRequestIsNone: 'full' before, 'connect failed' now, and nothing was written).

Ruled out: http.Transport's own watch for unasked bytes ends before the request is written, as it counts a request as sent when it is queued.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -69,10 +70,10 @@
 	if err != nil {
 		return err
 	}
-	watcher := routetable.NewWatcher(table, cfg.Discovery, cfg.Hold(), x.News, log)
-	watcher.Within(cfg.DrainGrace())
+	watcher := routetable.NewWatcher(table, cfg.Discovery, cfg.Hold(), cfg.DrainGrace(), x.News, log)
 	clients, targets := cfg.SocketBudget()
-	x.Attach(egress.New(table, cfg, targets, log), watcher)
+	runners := egress.New(table, cfg, targets, log)
+	x.Attach(runners, watcher)
 	var ran sync.WaitGroup
 	if opt.Record != "" {
 		rec, err := traffic.Open(opt.Record, opt.Keep, log)
@@ -118,7 +119,9 @@
 	ran.Go(func() { x.Run(working) })
 	peers.start()
 	defer peers.leave()
-	go reload(working, hups, cfg, getenv, watcher, retuner{x, server, peers}, files, log)
+	inForce := &atomic.Pointer[config.Config]{}
+	inForce.Store(cfg)
+	go reload(working, hups, inForce, getenv, watcher, retuner{x, runners, server, peers}, files, log)
 	if !cfg.Policy.AskList {
 		// What was pushed before counts as told from the first moment, and the list of the configuration may be old.
 		awaitList(watcher.First(), signals)
@@ -136,7 +139,7 @@
 	}
 	life.Advance(lifecycle.Draining)
 	peers.leave() // what it may use passes on; what it holds it still ends
-	err = drain(server, x, cfg.StopWithin())
+	err = drain(server, x, inForce.Load().StopWithin())
 	life.Advance(lifecycle.Stopped)
 	if err != nil {
 		log.WithError(err).Error("stopped with requests unanswered")
@@ -158,9 +161,9 @@
 	}
 }
 
-// reload takes up a new configuration at each signal: the whole file is read and checked, and a faulty one
-// changes nothing.
-func reload(ctx context.Context, signals <-chan os.Signal, cfg *config.Config, getenv func(string) string,
+// reload takes up a new configuration at each signal, in place of the one in force: the whole file is read and
+// checked, and a faulty one changes nothing.
+func reload(ctx context.Context, signals <-chan os.Signal, inForce *atomic.Pointer[config.Config], getenv func(string) string,
 	watcher *routetable.Watcher, tune retuner, files *reloads, log *logrus.Logger) {
 	for {
 		select {
@@ -168,6 +171,7 @@
 			return
 		case <-signals:
 		}
+		cfg := inForce.Load()
 		next, err := cfg.Reload(getenv)
 		if err != nil {
 			log.WithError(err).WithField("refused", files.refuse(err)).Error("new configuration is faulty; the old one stays")
@@ -178,6 +182,7 @@
 				log.WithError(err).WithField("refused", files.refuse(err)).Error("new settings are faulty; the old ones stay")
 				continue
 			}
+			watcher.Retune(next.Hold(), next.DrainGrace())
 			watcher.Keep(!next.Policy.AskList)
 			log.WithField("classes", len(next.Policy.Classes)).Info("settings changed; requests under way keep theirs")
 		}
@@ -187,15 +192,17 @@
 			entry = entry.WithField("needs_restart", keys)
 		}
 		entry.WithField("taken", files.take()).Info("configuration reloaded")
-		cfg = next
+		inForce.Store(next)
 	}
 }
 
-// retuner takes new settings: the exchange for the decisions, the ingress for the names that requests may use.
+// retuner takes new settings: the exchange for the decisions, the egress for connections and reports, the ingress for the
+// names that requests may use.
 type retuner struct {
-	x      *exchange.Exchange
-	server *ingress.Server
-	peers  *peers
+	x       *exchange.Exchange
+	runners *egress.Egress
+	server  *ingress.Server
+	peers   *peers
 }
 
 func (r retuner) retune(next *config.Config) error {
@@ -205,6 +212,7 @@
 	if err := r.x.Retune(next.Policy); err != nil {
 		return err
 	}
+	r.runners.Retune(next)
 	r.server.Retune(&next.Policy)
 	return nil
 }
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -70,7 +70,7 @@
 	if n > 0 {
 		c.came.Store(time.Now().UnixNano())
 		c.mu.Lock()
-		c.stray = c.stray || c.rests || c.reused && c.wrote == 0
+		c.stray = c.stray || c.rests || c.wrote == 0
 		c.mu.Unlock()
 	}
 	return n, err
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -54,25 +54,51 @@
 
 // Egress makes hops and probes. It is safe for use by several goroutines.
 type Egress struct {
-	table    *routetable.Table
-	settings *config.Settings
-	dialer   net.Dialer
-	idle     time.Duration
-	budget   int64 // connections at once
-	open     atomic.Int64
-	kept     keep
-	warned   rarely
-	log      logrus.FieldLogger
+	table  *routetable.Table
+	tuned  atomic.Pointer[tuning]
+	budget int64 // connections at once
+	open   atomic.Int64
+	kept   keep
+	warned rarely
+	log    logrus.FieldLogger
 
 	mu      sync.Mutex
 	targets map[string]*http.Transport
 }
 
+// tuning is what the settings in force say of connections and reports.
+type tuning struct {
+	settings *config.Settings
+	dialer   net.Dialer
+	idle     time.Duration // for which an idle connection is kept
+}
+
+func newTuning(c *config.Config) *tuning {
+	return &tuning{&c.Settings, net.Dialer{Timeout: c.Policy.ConnectTimeout}, time.Duration(idleShare * float64(c.Policy.ConnIdle))}
+}
+
 // New returns an Egress that opens at most budget connections.
 func New(t *routetable.Table, c *config.Config, budget int, log logrus.FieldLogger) *Egress {
-	idle := time.Duration(idleShare * float64(c.Policy.ConnIdle))
-	return &Egress{table: t, settings: &c.Settings, dialer: net.Dialer{Timeout: c.Policy.ConnectTimeout}, idle: idle,
-		kept: keep{most: idle, least: idle}, budget: int64(budget), log: log, targets: map[string]*http.Transport{}}
+	e := &Egress{table: t, budget: int64(budget), log: log, targets: map[string]*http.Transport{}}
+	e.tuned.Store(newTuning(c))
+	e.kept.allow(e.tuned.Load().idle)
+	return e
+}
+
+// Retune goes by c's settings from now on: by them reports are read, connections dialled, and idle ones kept. Hops under
+// way are not touched.
+func (e *Egress) Retune(c *config.Config) {
+	next := newTuning(c)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if next.idle != e.tuned.Load().idle { // a transport keeps to the limit that it was made with
+		for target, tr := range e.targets {
+			tr.CloseIdleConnections()
+			delete(e.targets, target)
+		}
+		e.kept.allow(next.idle)
+	}
+	e.tuned.Store(next)
 }
 
 // rarely lets one line through each second. Guards against a log that one client, or one runner, fills.
@@ -94,7 +120,7 @@
 			Proxy:                  nil,
 			DisableCompression:     true,
 			MaxIdleConnsPerHost:    idlePerTarget,
-			IdleConnTimeout:        e.idle,
+			IdleConnTimeout:        e.tuned.Load().idle,
 			MaxResponseHeaderBytes: 64 << 10,
 			Protocols:              new(http.Protocols),
 		}
@@ -117,7 +143,7 @@
 			return nil, errNoSockets
 		}
 	}
-	c, err := e.dialer.DialContext(ctx, network, addr)
+	c, err := e.tuned.Load().dialer.DialContext(ctx, network, addr)
 	if err != nil {
 		e.open.Add(-1)
 		return nil, err
@@ -315,7 +341,7 @@
 			"outcome": end.Outcome}).Debug("hop brought no answer")
 		return end
 	}
-	if report, ok := headerReport(e.settings, resp.Header); ok {
+	if report, ok := headerReport(e.tuned.Load().settings, resp.Header); ok {
 		end.Report = report
 	}
 	lines := newLines(resp.Body)
@@ -392,7 +418,7 @@
 			return
 		}
 		if l.Load != nil {
-			end.Report = lineReport(e.settings, l.Load)
+			end.Report = lineReport(e.tuned.Load().settings, l.Load)
 		}
 		switch l.State {
 		case "started":
@@ -453,7 +479,7 @@
 		end.Outcome = c.broken(ctx)
 	case resp.StatusCode == http.StatusOK:
 		c.rest()
-		end.Outcome, end.Report = policy.OK, textReport(e.settings, string(body))
+		end.Outcome, end.Report = policy.OK, textReport(e.tuned.Load().settings, string(body))
 	case resp.StatusCode == http.StatusServiceUnavailable:
 		end.Outcome = policy.Full
 	default:
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -154,7 +154,7 @@
 			e, _ := testEgress(t, addr)
 			dials := 0
 			e.transport("w").DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
-				c, err := e.dialer.DialContext(ctx, network, addr)
+				c, err := e.tuned.Load().dialer.DialContext(ctx, network, addr)
 				if dials++; err == nil && dials <= times {
 					c, err = bad(c)
 				}
--- a/internal/egress/endings_test.go
+++ b/internal/egress/endings_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"ospreypond/internal/config"
 	"ospreypond/internal/exchange"
 	"ospreypond/policy"
 )
@@ -199,6 +201,65 @@
 	}
 }
 
+// What a runner says on a fresh connection before it was asked is no answer: least of all one by which the request, which
+// goes out right after it, never ran.
+func TestAnswerBeforeTheRequestIsNone(t *testing.T) {
+	var took atomic.Int64
+	speak := make(chan struct{}, 9)
+	e, _ := testEgress(t, serve(t, func(c net.Conn) {
+		defer c.Close()
+		<-speak
+		_, _ = io.WriteString(c, "HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
+		if taken(bufio.NewReader(c)) {
+			took.Add(1)
+		}
+	}))
+	var present *conn
+	dial := e.transport("w").DialContext
+	e.transport("w").DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		present, _ = c.(*conn)
+		return c, err
+	}
+	// The transport waits for an answer by then, and has not written a byte.
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{WroteHeaders: func() {
+		speak <- struct{}{}
+		assert.Eventually(t, func() bool { return present.came.Load() != 0 }, time.Minute, time.Millisecond)
+		time.Sleep(10 * time.Millisecond) // for what the reader makes of them
+	}})
+	assert.Equal(t, policy.ConnectFailed, hop(ctx, e, []byte("x")).Outcome, "nothing was written")
+	assert.Zero(t, took.Load())
+}
+
+// Settings that are taken while the program runs hold for the next hop: reports are read and kept connections used by them.
+func TestRetune(t *testing.T) {
+	var conns atomic.Int64
+	e, _ := testEgress(t, serve(t, func(c net.Conn) {
+		defer c.Close()
+		conns.Add(1)
+		for from := bufio.NewReader(c); taken(from); {
+			_, _ = io.WriteString(c, chunked(true, `{"id":"id","state":"done","result":"r","load":{"x0":3}}`))
+		}
+	}))
+	for range 9 {
+		end := hop(context.Background(), e, nil)
+		require.Equal(t, policy.OK, end.Outcome)
+		require.Equal(t, 3.0, end.Report.FreeSlots)
+	}
+	kept := conns.Load()
+	assert.Less(t, kept, int64(9), "connections are kept")
+	next := &config.Config{Policy: policy.Settings{ConnectTimeout: time.Second, ConnIdle: 1}}
+	next.Settings.FamilyInfo.ReportX1 = "free slots"
+	e.Retune(next)
+	for range 9 {
+		end := hop(context.Background(), e, nil)
+		require.Equal(t, policy.OK, end.Outcome)
+		require.Equal(t, policy.NoReport, end.Report, "x0 means nothing now")
+	}
+	assert.Equal(t, kept+9, conns.Load(), "no connection is kept for so short a time")
+	assert.Equal(t, time.Second, e.tuned.Load().dialer.Timeout)
+}
+
 // The first write on a kept connection waits until its reader waits for bytes, as only that shows that none are left
 // over; where it never does, or bytes came, the request goes elsewhere.
 func TestKeptConnectionMustBeQuiet(t *testing.T) {
--- a/internal/egress/keep.go
+++ b/internal/egress/keep.go
@@ -22,13 +22,19 @@
 // lost, and may have run. Where they break at any age a new one is dialled for nearly every request, which
 // costs a handshake and is the lesser harm.
 type keep struct {
-	most time.Duration // by the settings
-
 	mu    sync.Mutex
+	most  time.Duration // by the settings
 	least time.Duration // by what broke last
 	at    time.Time
 }
 
+// allow takes the settings' own limit, and forgets what was learnt under another.
+func (k *keep) allow(most time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.most, k.least = most, most
+}
+
 // limit returns the longest idle time after which a connection is used.
 func (k *keep) limit(now time.Time) time.Duration {
 	k.mu.Lock()
--- a/internal/routetable/watch.go
+++ b/internal/routetable/watch.go
@@ -37,8 +37,7 @@
 type Watcher struct {
 	table  *Table
 	at     atomic.Pointer[place]
-	hold   time.Duration
-	most   time.Duration // the longest wait for a watch that it keeps
+	pace   atomic.Pointer[pace]
 	client *http.Client
 	news   func(policy.Event)
 	kick   chan struct{}
@@ -48,6 +47,12 @@
 	log    logrus.FieldLogger
 }
 
+// pace is what the settings in force say of the times of calls.
+type pace struct {
+	hold time.Duration // for which a call may be held
+	most time.Duration // the longest wait for a watch that the Watcher keeps
+}
+
 // place is an address of discovery while it is in force.
 type place struct {
 	addr  string
@@ -62,14 +67,14 @@
 	return p
 }
 
-// NewWatcher returns a Watcher on the discovery service at addr. Each call may be held for hold until there is
-// something to tell, or for as long as the terms of silence allow, if that is less. What is learned goes into the table
-// first and then to news.
-func NewWatcher(t *Table, addr string, hold time.Duration, news func(policy.Event), log logrus.FieldLogger) *Watcher {
+// NewWatcher returns a Watcher on the discovery service at addr, paced by hold and grace, see Retune. What is learned goes
+// into the table first and then to news.
+func NewWatcher(t *Table, addr string, hold, grace time.Duration, news func(policy.Event), log logrus.FieldLogger) *Watcher {
 	tr := &http.Transport{Proxy: nil, DisableCompression: true, MaxIdleConnsPerHost: 1}
-	w := &Watcher{table: t, hold: min(hold, mostHold), most: againMost, first: make(chan struct{}), news: news, client: &http.Client{Transport: tr}, kick: make(chan struct{}, 1),
-		log: log}
+	w := &Watcher{table: t, first: make(chan struct{}), news: news, client: &http.Client{Transport: tr},
+		kick: make(chan struct{}, 1), log: log}
 	w.at.Store(newPlace(addr, false))
+	w.Retune(hold, grace)
 	return w
 }
 
@@ -91,13 +96,16 @@
 	}
 }
 
-// Within has a watch that the Watcher keeps up opened anew within a third of grace: where lists are pushed, what there
-// is to tell counts as told at once, also right after an outage, and grace is how long the settings give to heed it.
-// It must be called before Run.
-func (w *Watcher) Within(grace time.Duration) {
+// Retune has each call from the next one on held for hold until there is something to tell, or for as long as the terms of
+// silence allow, if that is less. A watch that the Watcher keeps up is opened anew within a third of grace: where lists
+// are pushed, what there is to tell counts as told at once, also right after an outage, and grace is how long the settings
+// give to heed it; 0: they do not say.
+func (w *Watcher) Retune(hold, grace time.Duration) {
+	p := &pace{hold: min(hold, mostHold), most: againMost}
 	if grace > 0 {
-		w.most = min(againMost, max(againFirst, grace/3))
+		p.most = min(againMost, max(againFirst, grace/3))
 	}
+	w.pace.Store(p)
 }
 
 // First is closed once a list came.
@@ -114,7 +122,7 @@
 // Run watches until ctx ends. It starts when subscribed to; after a failed call it tells the module, which
 // decides when to subscribe again, or does so itself where it keeps the watch.
 func (w *Watcher) Run(ctx context.Context) {
-	again := backoff.ExponentialBackOff{InitialInterval: min(againFirst, w.most), MaxInterval: w.most, Multiplier: 2,
+	again := backoff.ExponentialBackOff{InitialInterval: againFirst, Multiplier: 2,
 		RandomizationFactor: backoff.DefaultRandomizationFactor}
 	again.Reset()
 	for {
@@ -138,6 +146,7 @@
 			if time.Since(began) > steady { // it was up for a while
 				again.Reset()
 			}
+			again.MaxInterval = w.pace.Load().most
 			time.AfterFunc(again.NextBackOff(), w.Subscribe)
 		}
 	}
@@ -172,7 +181,7 @@
 		}
 		w.apply(l, answer)
 		answer = false
-		hold = w.hold
+		hold = w.pace.Load().hold
 	}
 }
 
--- a/test/integration/rare_test.go
+++ b/test/integration/rare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -121,3 +122,28 @@
 	assert.NoError(t, <-p.exit, "exit status")
 	assert.Contains(t, p.log(), "faulty; the old one stays")
 }
+
+// How long a stop lets requests run follows the settings in force, not those of the start: one taken under longer deadlines
+// is left to its runner, and not ended at the old ones.
+func TestStopGoesByTheSettingsInForce(t *testing.T) {
+	let := make(chan struct{})
+	rn := newRunner(t, "r1", "z", func(w http.ResponseWriter, r *http.Request) {
+		<-let
+		done(w, r)
+	})
+	p := startAs(t, strings.ReplaceAll(settings, `"deadlineUs":25000000`, `"deadlineUs":500000`), nil, rn)
+	p.configure("settings", json.RawMessage(settings))
+	eventually(t, "the settings are not taken", func() bool { return strings.Contains(p.log(), "configuration reloaded") })
+	answer := p.later(background, "/unsafe", "id", 9*time.Second)
+	eventually(t, "the job does not reach its runner", func() bool { return rn.count("id") == 1 })
+	p.stop()
+	eventually(t, "the signal is not seen", func() bool { return strings.Contains(p.log(), "to=draining") })
+	select {
+	case a := <-answer:
+		t.Fatalf("ended with %d by the deadlines of the start", a.status)
+	case <-time.After(time.Second):
+	}
+	close(let)
+	assert.Equal(t, http.StatusOK, (<-answer).status)
+	assert.NoError(t, <-p.exit, "exit status")
+}
--- a/test/integration/world_test.go
+++ b/test/integration/world_test.go
@@ -369,8 +369,11 @@
 }
 
 // reload names another discovery in the configuration file and tells the program so.
-func (p *dispatcher) reload(addr string) {
-	p.conf["discovery"] = addr
+func (p *dispatcher) reload(addr string) { p.configure("discovery", addr) }
+
+// configure changes a key of the configuration file and tells the program so.
+func (p *dispatcher) configure(key string, value any) {
+	p.conf[key] = value
 	text, err := json.Marshal(p.conf)
 	require.NoError(p.t, err)
 	require.NoError(p.t, os.WriteFile(p.file, text, 0o600))
