--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1017,12 +1017,8 @@
 // probe asks workers near by for reports, those that were asked longest ago first. It is tied to requests, as
 // its price is: each brings a few, which come back before the round that places it.
 func (d *Dispatcher) probe() {
-	if d.toAsk < 1 || !d.set.Probes || !d.set.Reports {
-		return
-	}
-	near := d.near()
-	for d.toAsk >= 1 {
-		next, price := d.toProbe(near)
+	for d.toAsk >= 1 && d.set.Probes && d.set.Reports {
+		next, price := d.toProbe(d.near())
 		if next == nil || price > d.toAsk {
 			d.toAsk = min(d.toAsk, surveyPrice)
 			return
