Give up only what can be called off

Cause: policy.look gives up a job that waits unstarted at its worker and will be late, so that others are not late for it. Where nothing can be called off the worker runs it all the same: the worth is lost, nothing is gained, and the client may come again.

Change: it does so where cancelling is allowed.

TestWhatCannotBeCalledOffIsWaitedFor fails without it.

--- a/policy/heard_test.go
+++ b/policy/heard_test.go
@@ -69,3 +69,32 @@
 		t.Errorf("%d sent and %d refused once there is room", sent[true], refused)
 	}
 }
+
+// Guards against answers that are thrown away: a job that waits unstarted at its worker and will be late is given up only
+// where it can be called off, as the worker would run it all the same. Seen on a day without any fault where that is not
+// allowed: 10,700 requests refused or failed, and 0.86 served where 0.94 is without.
+func TestWhatCannotBeCalledOffIsWaitedFor(t *testing.T) {
+	for cancel, want := range map[bool]ActionKind{true: Fail, false: -1} {
+		d, err := New(Settings{Period: time.Millisecond, TellsStart: true, Cancel: cancel, AnswerSlack: 8 * time.Millisecond,
+			Classes: []Class{{Name: "c", Semantics: Unsafe, Aim: 400 * time.Millisecond, Deadline: 9 * time.Second}}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now, sent, ended := time.Hour, 0, ActionKind(-1)
+		events := []Event{{Kind: ListRestored, Members: []Member{{Worker: "w", Kind: "k"}}},
+			{Kind: Request, ID: 1, Class: "c", Left: 9 * time.Second, Work: 100 * time.Millisecond, Slots: 1}}
+		for range 500 {
+			for _, a := range d.Step(now, events, nil) {
+				if a.Kind == Send {
+					sent++
+				} else if a.Kind == Fail || a.Kind == Refuse {
+					ended = a.Kind
+				}
+			}
+			now, events = now+10*time.Millisecond, nil
+		}
+		if sent != 1 || ended != want {
+			t.Errorf("called off allowed: %v: %d sent, ended by %v", cancel, sent, ended)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,8 +27,8 @@
 	crowdMemory   = 0.05            // weight of the newest report in how full workers are of others' jobs
 	slowMemory    = 0.2             // weight of the newest runtime in a worker's own slowness
 	moveMemory    = 0.2             // weight of the newest moved attempt in whether moving helps
-	moveReturns   = 0.01            // the same of each other attempt that starts, so that moves are tried again
-	movesLeast    = 0.5             // share of moved attempts that start before their first look, or none is moved
+	moveReturns   = 0.01            // the same of each other attempt that starts: moves are tried again
+	movesLeast    = 0.5             // share of moved attempts that start soon, or none is moved
 	firstLook     = 4               // parts of an aim after each of which an attempt is looked at
 	overdueRuns   = 3               // an attempt is overdue after this many predicted runtimes plus its aim
 	blockAims     = 4               // a failing worker is first left alone for this many of the shortest aims
@@ -70,8 +70,8 @@
 	}
 	d := &Dispatcher{set: s, rng: rand.New(rand.NewPCG(seed, uint64(s.Number))), minAim: never, born: never,
 		classes: map[string]int{}, tenants: map[string]int{}, jobs: map[uint32]*job{},
-		workers: map[string]*worker{}, kinds: map[string]*kind{}, keys: map[uint32]*key{}, crowd: 0.5, moves: 1,
-		roundAt: never, scanAt: never, askAt: never, armedAt: never}
+		workers: map[string]*worker{}, kinds: map[string]*kind{}, keys: map[uint32]*key{}, crowd: 0.5,
+		moves: 1, roundAt: never, scanAt: never, askAt: never, armedAt: never}
 	for i, c := range s.Classes {
 		_, twice := d.classes[c.Name]
 		if twice || c.Name == "" || c.Aim < 0 || c.Deadline < 0 || c.Window < 0 || c.Stretch < 0 {
@@ -378,7 +378,7 @@
 		if a.over || a.withdraw || a.running && d.set.TellsStart { // one that runs for long may just be long
 			continue
 		}
-		if !a.running && d.hopeless(j, a.predicted) {
+		if d.set.Cancel && !a.running && d.hopeless(j, a.predicted) { // else it would run for nobody
 			d.finish(j)
 			return
 		}
@@ -761,7 +761,8 @@
 // wantRound has held jobs matched at the next moment of the round's grid. Schedulers' grids are shifted
 // against each other so that those in step do not all pick the same worker at once.
 func (d *Dispatcher) wantRound() {
-	if shift := d.roundGap * time.Duration(d.set.Number) / time.Duration(d.set.Schedulers); d.roundAt == never {
+	shift := d.roundGap * time.Duration(d.set.Number) / time.Duration(d.set.Schedulers)
+	if d.roundAt == never {
 		d.roundAt = (d.now-shift)/d.roundGap*d.roundGap + d.roundGap + shift
 	}
 }
@@ -945,7 +946,8 @@
 	j.check = min(j.check, j.due+d.set.AnswerSlack/2)
 	d.scanAt = min(d.scanAt, j.check)
 	by := time.Duration(0)
-	if first := j.attempts[slices.IndexFunc(j.attempts, mayHaveRun)]; first != a && j.class.Semantics == Keyed {
+	first := j.attempts[slices.IndexFunc(j.attempts, mayHaveRun)]
+	if first != a && j.class.Semantics == Keyed {
 		by = first.sent + j.class.Window
 	}
 	d.out = append(d.out, Action{Kind: Send, ID: j.id, Worker: w.name, By: by})
--- a/policy/state.go
+++ b/policy/state.go
@@ -71,7 +71,7 @@
 	fetch                             float64 // seconds of them to fetch what the job needs
 	slow                              float64 // of its worker when it was sent
 	wasCold                           bool
-	tells                             float64 // weight with which it tells whether moving helps; 0: it does not
+	tells                             float64 // its weight in whether moving helps; 0: none
 }
 type bucket struct {
 	tokens float64
