Tell clients refused unheard no more of Retry-After than the settings allow

Change: the shorter of the two, and nothing where the settings allow none, from the settings in force (Server.Retune). TestNewcomersAreToldThatThereIsNoRoom goes over five settings now and fails without it for three of them; it held before that something was told, which is no weaker.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -39,13 +39,20 @@
 		"Content-Length: " + strconv.Itoa(len(line)+1) + "\r\n\r\n" + line + "\n"
 }
 
-var (
-	// headLate is written on a connection whose head stopped coming, as net/http would close it without a word.
-	headLate = plainAnswer("408 Request Timeout", "", "the request's head stopped coming")
-	// noRoom is written on one that has to go before its request was read.
-	noRoom = plainAnswer("503 Service Unavailable", "Retry-After: "+strconv.FormatFloat(refusedRetry.Seconds(), 'f', 3, 64)+"\r\n",
-		"this connection had to make room; a retry is harmless")
-)
+// headLate is written on a connection whose head stopped coming, as net/http would close it without a word.
+var headLate = plainAnswer("408 Request Timeout", "", "the request's head stopped coming")
+
+// noRoom is what a connection is told that has to go before its request was read.
+func noRoom(retryAfter time.Duration) string {
+	more := ""
+	if retryAfter > 0 {
+		more = "Retry-After: " + retryText(retryAfter) + "\r\n"
+	}
+	return plainAnswer("503 Service Unavailable", more, "this connection had to make room; a retry is harmless")
+}
+
+// retryText is the value of a Retry-After: seconds with a fraction.
+func retryText(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
 
 // client is a client's connection. It closes in order, whoever closes it (a lingering close): the sending side is
 // shut first, then what still comes is dropped until the client has closed too, so that no answer is destroyed by
@@ -304,7 +311,7 @@
 	k.shut("")
 	words := ""
 	if k.why == headRoom && !k.wrote && (k.begun || k.frames.answered == 0) {
-		words = noRoom // one that rests between requests asked for nothing
+		words = noRoom(k.in.retryAfter()) // one that rests between requests asked for nothing
 	}
 	left, closed := k.broken, k.state == stateClosed
 	k.state = max(k.state, stateLingering)
--- a/internal/ingress/closing_test.go
+++ b/internal/ingress/closing_test.go
@@ -17,6 +17,7 @@
 
 	"ospreypond/internal/exchange"
 	"ospreypond/internal/lifecycle"
+	"ospreypond/policy"
 )
 
 // whole is a request that is read whole with its head.
@@ -286,17 +287,24 @@
 	s.crowd.Load().mu.Lock()
 	s.crowd.Load().most = 1
 	s.crowd.Load().mu.Unlock()
-	for range 5 { // more than may linger
+	for n, told := range []struct {
+		allowed time.Duration
+		want    string
+	}{{2 * time.Second, "1.000"}, {300 * time.Millisecond, "0.300"}, {0, ""}, {0, ""}, {time.Minute, "1.000"}} { // more than may linger
+		s.Retune(&policy.Settings{Classes: []policy.Class{{Name: "c"}}, MaxRetryAfter: told.allowed})
 		_, from := dial(t, addr, whole)
 		resp := response(t, from)
 		assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
-		assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+		assert.Equal(t, told.want, resp.Header.Get("Retry-After"), "by the settings in force, newcomer %d", n)
 	}
 	assert.EqualValues(t, 5, s.GiveUps().Counts()[headRoom])
 	release <- true
 	assert.Equal(t, http.StatusOK, response(t, one).StatusCode)
 }
 
+// untold is the Retry-After of settings that allow none.
+func untold() time.Duration { return 0 }
+
 // Clients that never close their side hold a connection for no longer than it may linger, and no more of them at once
 // than may; a usual client is served all the while.
 func TestLingeringIsBounded(t *testing.T) {
@@ -350,7 +358,7 @@
 // hold what the states say.
 func TestAllOrdersOfReadingAndClosing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newCrowd(nil, rapid.IntRange(1, 3).Draw(t, "most"), newGiveUps(discard()), discard())
+		c := newCrowd(nil, rapid.IntRange(1, 3).Draw(t, "most"), untold, newGiveUps(discard()), discard())
 		var all []*client
 		now := time.Now()
 		pick := func(what string, ok func(k *client) bool) *client {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -35,7 +35,7 @@
 	// crowded is the part of the clients' sockets from which on requests in hand are refused at once. The rest
 	// is there so that those beyond can still be told so.
 	crowded = 0.85
-	// refusedRetry is when the client of such a request may come back.
+	// refusedRetry is when the client of such a request may come back, within what the settings allow to tell.
 	refusedRetry = time.Second
 )
 
@@ -80,7 +80,7 @@
 
 // Serve takes requests from l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	c := newCrowd(l, s.sockets, s.giveUps, s.log)
+	c := newCrowd(l, s.sockets, s.retryAfter, s.giveUps, s.log)
 	s.crowd.Store(c)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -96,14 +96,18 @@
 
 // names are the classes and tenants that requests may name.
 type names struct {
-	classes map[string]bool
-	tenants map[string]bool // empty: there are none to tell
+	classes    map[string]bool
+	tenants    map[string]bool // empty: there are none to tell
+	retryAfter time.Duration   // that clients refused here are told; 0: nothing
 }
 
-// Retune takes the classes and tenants of new settings: requests that come from now on are checked against
-// them.
+// retryAfter is what a client refused here is told by the settings in force; 0: nothing.
+func (s *Server) retryAfter() time.Duration { return s.names.Load().retryAfter }
+
+// Retune takes the classes, the tenants and the longest Retry-After of new settings: requests that come from now on
+// are checked against them and refused by them.
 func (s *Server) Retune(set *policy.Settings) {
-	n := &names{classes: map[string]bool{}, tenants: map[string]bool{}}
+	n := &names{classes: map[string]bool{}, tenants: map[string]bool{}, retryAfter: min(refusedRetry, set.MaxRetryAfter)}
 	for _, c := range set.Classes {
 		n.classes[c.Name] = true
 	}
@@ -214,8 +218,8 @@
 			s.log.WithError(fault).Debug("bad request")
 		}
 		w.Header().Set("Connection", "close")
-		if fault.status == http.StatusServiceUnavailable {
-			w.Header().Set("Retry-After", strconv.FormatFloat(refusedRetry.Seconds(), 'f', 3, 64))
+		if after := s.retryAfter(); fault.status == http.StatusServiceUnavailable && after > 0 {
+			w.Header().Set("Retry-After", retryText(after))
 		}
 		s.text(w, fault.status, fault.Error())
 		return
@@ -223,7 +227,7 @@
 	_ = control.SetReadDeadline(time.Time{})
 	req.Arrived = time.Now()
 	req.Deadline = req.Arrived.Add(wait)
-	a := exchange.Answer{Kind: exchange.Shed, RetryAfter: refusedRetry}
+	a := exchange.Answer{Kind: exchange.Shed, RetryAfter: s.retryAfter()}
 	n := s.taken.Add(1)
 	defer s.taken.Add(-1)
 	if !s.tooMany(n) {
@@ -310,7 +314,7 @@
 		_, _ = w.Write(a.Result)
 	case exchange.Shed:
 		if a.RetryAfter > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
+			w.Header().Set("Retry-After", retryText(a.RetryAfter))
 		}
 		s.text(w, http.StatusServiceUnavailable, "refused; a retry is harmless")
 	case exchange.Failed:
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -36,7 +36,7 @@
 
 func testServer(budget int, to submitter) (*Server, *lifecycle.Lifecycle) {
 	life := lifecycle.New(nil)
-	return New(to, life, &policy.Settings{Classes: []policy.Class{{Name: "c"}}}, budget, 1<<20, discard()), life
+	return New(to, life, &policy.Settings{Classes: []policy.Class{{Name: "c"}}, MaxRetryAfter: 2 * time.Second}, budget, 1<<20, discard()), life
 }
 
 // addr waits until the server listens and tells where.
@@ -276,7 +276,7 @@
 
 // Guards against a burst that pushes out connections before their first bytes are read.
 func TestYoungConnectionsAreNotPushedOut(t *testing.T) {
-	c, now := newCrowd(nil, 2, nil, nil), time.Now()
+	c, now := newCrowd(nil, 2, untold, nil, nil), time.Now()
 	pipe := func() net.Conn { a, _ := net.Pipe(); return a }
 	old, _ := c.admit(pipe(), now.Add(-time.Second))
 	young, _ := c.admit(pipe(), now)
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -28,10 +28,11 @@
 // Its lock is the one under which each connection's state changes, see client.
 type crowd struct {
 	net.Listener
-	most    int
-	linger  int // connections that may linger beside those
-	giveUps *GiveUps
-	log     logrus.FieldLogger
+	most       int
+	linger     int                  // connections that may linger beside those
+	retryAfter func() time.Duration // that one turned away is told; 0: nothing
+	giveUps    *GiveUps
+	log        logrus.FieldLogger
 
 	mu        sync.Mutex
 	silent    list.List // of *client without a request that was read whole, the longest silent first
@@ -42,8 +43,8 @@
 	draining  bool      // what rests is closed, now and later
 }
 
-func newCrowd(l net.Listener, most int, giveUps *GiveUps, log logrus.FieldLogger) *crowd {
-	return &crowd{Listener: l, most: most, linger: config.LingerRoom(most), giveUps: giveUps, log: log}
+func newCrowd(l net.Listener, most int, retryAfter func() time.Duration, giveUps *GiveUps, log logrus.FieldLogger) *crowd {
+	return &crowd{Listener: l, most: most, linger: config.LingerRoom(most), retryAfter: retryAfter, giveUps: giveUps, log: log}
 }
 
 // open is how many connections are held, without those that linger. c.mu is held.
