--- a/policy/heard_test.go
+++ b/policy/heard_test.go
@@ -98,3 +98,32 @@
 		}
 	}
 }
+
+// Guards against all dispatchers sending to the workers that look best by reports that are old by then: a worker with one
+// free slot of four is passed over for an empty one that is a quarter slower, and not for one that is three times slower.
+func TestEmptyWorkersAreWorthSomeSpeed(t *testing.T) {
+	for slow, want := range map[float64]string{1: "empty", 1.25: "empty", 3: "full"} {
+		d, err := New(Settings{Period: time.Millisecond, Reports: true, Probes: true, AnswerSlack: 8 * time.Millisecond,
+			Classes: []Class{{Name: "c", Aim: 400 * time.Millisecond, LateWorth: 1, Deadline: 9 * time.Second}}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now, to := time.Hour, ""
+		events := []Event{{Kind: ListRestored, Members: []Member{{Worker: "full", Kind: "k"}, {Worker: "empty", Kind: "k"}}},
+			{Kind: ProbeEnded, Worker: "empty", Outcome: OK, Report: Report{4, -1, 0, 0, 0}},
+			{Kind: ProbeEnded, Worker: "full", Outcome: OK, Report: Report{1, -1, 0, 3, 0.7}},
+			{Kind: Request, ID: 1, Class: "c", Left: 9 * time.Second, Work: 100 * time.Millisecond, Slots: 1}}
+		for range 100 {
+			for _, a := range d.Step(now, events, nil) {
+				if a.Kind == Send {
+					to = a.Worker
+				}
+			}
+			d.workers["empty"].slow = slow
+			now, events = now+time.Millisecond, nil
+		}
+		if to != want {
+			t.Errorf("the empty one is slower by %v: sent to %q", slow, to)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,7 +38,7 @@
 	warmsWithin   = 0.7             // part of the longest time within which most workers are warm
 	startsAbove   = 0.15            // part of the way from the coldest start to the full at which most start
 	coldTurns     = 4               // turns in the window of that budget, each with other schedulers in front
-	spread        = 0.2             // how much a full worker is dearer than an empty one, at equal runtimes
+	spread        = 0.6             // how much a full worker is dearer than an empty one, at equal runtimes
 	nearWorkers   = 12              // workers looked at first, at least
 	nearWidest    = 4               // times as many at most
 	nearOverlap   = 8               // or this many times a scheduler's even share of the workers, if more
