--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -16,7 +16,7 @@
 )
 
 // Version is the release.
-const Version = "0.11.0"
+const Version = "0.12.0"
 
 // Exit statuses.
 const (
--- a/policy/heard_test.go
+++ b/policy/heard_test.go
@@ -127,3 +127,38 @@
 		}
 	}
 }
+
+// Guards against a fresh dispatcher that refuses what it knows nothing of: where neither hints nor answers tell how long a
+// job runs, one that waited for its round is not held to be late already.
+func TestJobsOfUnknownLengthAreNotLateAtOnce(t *testing.T) {
+	d, err := New(Settings{Period: time.Millisecond, AnswerSlack: 8 * time.Millisecond,
+		Classes: []Class{{Name: "c", Aim: 3 * time.Second, Deadline: 6 * time.Second}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now, kind := time.Hour, ActionKind(-1)
+	events := []Event{{Kind: ListRestored, Members: []Member{{Worker: "w", Kind: "k", State: Draining}}},
+		{Kind: Request, ID: 1, Class: "c", Left: 6 * time.Second, Slots: 1}}
+	for n := range 600 {
+		for _, a := range d.Step(now, events, nil) {
+			if a.Kind == Send || a.Kind == Refuse || a.Kind == Fail {
+				kind = a.Kind
+			}
+		}
+		now, events = now+time.Millisecond, nil
+		if n == 500 { // its worker is back
+			events = []Event{{Kind: ListChanged, Members: []Member{{Worker: "w", Kind: "k"}}}}
+		}
+	}
+	for range 400 {
+		for _, a := range d.Step(now, nil, nil) {
+			if a.Kind == Send || a.Kind == Refuse || a.Kind == Fail {
+				kind = a.Kind
+			}
+		}
+		now += time.Millisecond
+	}
+	if kind != Send {
+		t.Errorf("ended by %v, want sent", kind)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -77,7 +77,7 @@
 		if twice || c.Name == "" || c.Aim < 0 || c.Deadline < 0 || c.Window < 0 || c.Stretch < 0 {
 			return nil, fmt.Errorf("policy: Classes[%d] %q: name not unique or a figure negative", i, c.Name)
 		}
-		d.classes[c.Name], d.means = i, append(d.means, c.Aim.Seconds())
+		d.classes[c.Name], d.means = i, append(d.means, c.Aim.Seconds()/2) // until runtimes are seen
 		d.longest = append(d.longest, 0)
 		if first := cmp.Or(c.Aim, c.Deadline); first > 0 {
 			d.minAim = min(d.minAim, first)
