--- a/internal/egress/endings_test.go
+++ b/internal/egress/endings_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -213,36 +212,19 @@
 }
 
 // What a runner says on a fresh connection before it was asked is no answer: least of all one by which the request, which
-// goes out right after it, never ran.
+// would go out right after it, never ran. So that is not written there.
 func TestAnswerBeforeTheRequestIsNone(t *testing.T) {
-	var took atomic.Int64
-	speak := make(chan struct{}, 9)
-	e, _ := testEgress(t, serve(t, func(c net.Conn) {
-		defer c.Close()
-		<-speak
-		_, _ = io.WriteString(c, "HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
-		if taken(bufio.NewReader(c)) {
-			took.Add(1)
-		}
-	}))
-	var present *conn
-	dial := e.transport("w").DialContext
-	e.transport("w").DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := dial(ctx, network, addr)
-		present, _ = c.(*conn)
-		return c, err
-	}
-	// The transport waits for an answer by then, and has not written a byte.
-	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{WroteHeaders: func() {
-		speak <- struct{}{}
-		assert.Eventually(t, func() bool {
-			present.mu.Lock()
-			defer present.mu.Unlock()
-			return present.stray
-		}, 9*time.Second, time.Millisecond, "bytes before the request are noticed")
-	}})
-	assert.Equal(t, policy.ConnectFailed, hop(ctx, e, []byte("x")).Outcome, "nothing was written")
-	assert.Zero(t, took.Load())
+	mine, theirs := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, theirs) }()
+	c := &conn{Conn: mine, closed: func() {}}
+	turn := c.begin(false, true, func() error { return nil })
+	go func() { _, _ = io.WriteString(theirs, "HTTP/1.1 503 No\r\n") }()
+	_, err := c.Read(make([]byte, 99))
+	require.NoError(t, err)
+	_, err = c.Write([]byte("x"))
+	assert.ErrorIs(t, err, errStray)
+	assert.False(t, c.answers())
+	assert.True(t, c.abandon(turn), "it was never written")
 }
 
 // Settings that are taken while the program runs hold for the next hop: reports are read and kept connections used by them.
