Hold a refusal to be doubtful only after a job's answer on its connection

By its log the hop ended full and the request failed at once: its connection had brought a probe's answer, which egress took for an answer before. Second answers are known of jobs alone, which is why the quarantine goes by jobs too. Change: a connection remembers whether it had a job (conn.hadJob). TestOutcomes fails without it, as does TestRefusalOnAKeptConnectionIsDoubtful, which asks a probe first now.

--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -40,6 +40,7 @@
 	reused bool         // an answer came on it before
 	job    bool         // the present request is a job
 	after  bool         // the one before was
+	worked bool         // any before was
 	rests  bool         // the answer before was read to its end
 	stray  bool         // bytes came between that end and the present request's first byte
 	wrote  int          // bytes of the present request
@@ -52,6 +53,7 @@
 	defer c.mu.Unlock()
 	c.turn++
 	c.after, c.job = c.job, job
+	c.worked = c.worked || c.after
 	c.gate, c.no, c.wrote, c.short, c.reused, c.rests = gate, nil, 0, false, reused, false
 	return c.turn
 }
@@ -147,6 +149,13 @@
 	return c.wrote > 0 && !c.short && !c.stray
 }
 
+// hadJob tells whether a job was on the connection before the present request.
+func (c *conn) hadJob() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.worked
+}
+
 // refusal returns what the gate said against the present request.
 func (c *conn) refusal() error {
 	c.mu.Lock()
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -350,7 +350,7 @@
 	} else {
 		end.Outcome = refused(resp)
 		end.Rejected = end.Outcome == policy.Cancelled
-		end.Doubtful = end.Outcome == policy.Full && c.reused
+		end.Doubtful = end.Outcome == policy.Full && c.own().hadJob()
 		if resp.StatusCode != http.StatusInternalServerError && end.Outcome != policy.Full && e.warned.due(time.Now()) {
 			e.log.WithFields(logrus.Fields{"target": h.Target, "request": h.Request.ID, "status": resp.StatusCode}).
 				Warn("target answered with an unexpected status")
--- a/internal/egress/endings_test.go
+++ b/internal/egress/endings_test.go
@@ -292,7 +292,8 @@
 	assert.True(t, final(errNotOpen) && final(errors.Join(exchange.ErrRevoked)))
 }
 
-// A refusal that names no request is doubtful where its connection brought answers before, and certain where it did not.
+// A refusal that names no request is doubtful where its connection brought a job's answer before, and certain where it
+// did not, though it brought a probe's.
 func TestRefusalOnAKeptConnectionIsDoubtful(t *testing.T) {
 	e, _ := testEgress(t, serve(t, func(c net.Conn) {
 		defer c.Close()
@@ -300,6 +301,7 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
 		}
 	}))
+	assert.Equal(t, policy.Full, e.Probe(context.Background(), "w").Outcome)
 	fresh := hop(context.Background(), e, nil)
 	assert.Equal(t, policy.Full, fresh.Outcome)
 	assert.False(t, fresh.Doubtful)
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -75,7 +75,7 @@
 	// policy.Cancelled.
 	Rejected bool
 	// Doubtful: the outcome says that the attempt never ran, by a word that names no request, on a connection that
-	// brought answers before. A second answer to one of those may pass for it, however late.
+	// brought jobs' answers before. A second answer to one of those may pass for it, however late.
 	Doubtful bool
 	Result   []byte // with policy.OK of a hop
 	Report   policy.Report
