--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -9,7 +9,7 @@
 )
 
 // errStray keeps a request from a connection on which something came that answers none.
-var errStray = errors.New("bytes on the kept connection that answer no request")
+var errStray = errors.New("bytes on the connection that answer no request")
 
 const (
 	// quarantine is how long a connection is kept from the next request after bytes of a job's answer came: some
