--- /dev/null
+++ b/internal/consensus/types.go
@@ -0,0 +1,119 @@
+// Package consensus is one replica group's log: election with pre-vote, replication in batches, confirmed
+// leadership, membership changes one at a time, learners, and snapshots. It is pure: inputs and the steady time go in;
+// messages, entries to write and committed entries come out. It has no clock, no disk, no goroutine.
+package consensus
+
+import "time"
+
+// MemberID is a member's identity. It is drawn at random when a member's disk is empty and lasts as long as that disk.
+type MemberID uint64
+
+// None is no member.
+const None MemberID = 0
+
+// Member is a member as the membership of a group holds it.
+type Member struct {
+	ID      MemberID
+	Node    string // machine's name
+	Zone    string
+	Address string // internal address
+	Learner bool   // gets the log, neither votes nor counts
+}
+
+// EntryKind tells what an entry's data is.
+type EntryKind uint8
+
+// The kinds of entries.
+const (
+	EntryCommand    EntryKind = iota // for the state machine
+	EntryEmpty                       // a new leader's first
+	EntryMembership                  // the whole new membership, gob
+)
+
+// Entry is one entry of the log.
+type Entry struct {
+	Term  uint64
+	Index uint64
+	Kind  EntryKind
+	Data  []byte
+}
+
+// HardState must be on disk before a message that depends on it leaves.
+type HardState struct {
+	Term   uint64
+	Vote   MemberID
+	Commit uint64
+}
+
+// Snapshot replaces the log up to and including Index.
+type Snapshot struct {
+	Index   uint64
+	Term    uint64
+	Members []Member
+	Data    []byte // the state machine's
+}
+
+// MessageKind is what a message is for.
+type MessageKind uint8
+
+// The kinds of messages.
+const (
+	MessagePreVote MessageKind = iota
+	MessagePreVoteResponse
+	MessageVote
+	MessageVoteResponse
+	MessageAppend
+	MessageAppendResponse
+	MessageHeartbeat
+	MessageHeartbeatResponse
+	MessageSnapshot
+	MessageSnapshotResponse
+	MessageTimeoutNow // stand for election now: leadership is given away
+)
+
+// Message is what members of a group send each other.
+type Message struct {
+	Group    uint32
+	Kind     MessageKind
+	From, To MemberID
+	Term     uint64
+	Index    uint64 // Append: index before the entries; Vote: last index; responses: last matching index
+	LogTerm  uint64 // term at Index
+	Commit   uint64
+	Entries  []Entry
+	Reject   bool
+	Hint     uint64        // rejected Append: where to try next
+	SentAt   time.Duration // the leader's steady time; echoed by responses, for confirmed leadership
+	Snapshot *Snapshot     // one piece: Data holds Offset.. of the whole
+	Offset   uint64
+	Last     bool // the snapshot's last piece
+	Forced   bool // a vote asked for by MessageTimeoutNow: not held off by a living leader
+}
+
+// Output is what a Node wants done, in this order: Snapshot and HardState and Entries to disk; then, once on disk,
+// Persisted is called; Messages marked by the kinds that promise something (vote and append responses) leave only after
+// that, all others may leave at once; Committed is applied in order (it may be applied before it is on this disk, since a
+// quorum has it).
+type Output struct {
+	HardState *HardState // nil: unchanged
+	Snapshot  *Snapshot  // to install: replaces log and state machine
+	Entries   []Entry    // to append, replacing what stands at the same or higher indexes
+	Immediate []Message  // may leave at once
+	Deferred  []Message  // only after what stands above is on disk
+	Committed []Entry    // to apply
+}
+
+// Status is what a member knows of its group.
+type Status struct {
+	ID          MemberID
+	Term        uint64
+	Leader      MemberID // None: not known
+	IsLeader    bool
+	Ready       bool // leader, and an entry of its own term is committed and handed out
+	Commit      uint64
+	LastIndex   uint64
+	FirstIndex  uint64
+	ConfirmedAt time.Duration // steady time at which a quorum's confirmation was asked for, of the newest confirmed
+	Members     []Member
+	Transferee  MemberID
+}
--- /dev/null
+++ b/internal/jobs/types.go
@@ -0,0 +1,91 @@
+// Package jobs is the replicated state machine of one shard of jobs: what clients handed in, every run that may
+// exist, and how runs ended. It is pure and deterministic: the same commands in the same order give the same state on
+// each replica. What is only a guess (which runner has room, what is predicted) is the owner's, in package scheduler.
+package jobs
+
+import "ospreypond/internal/protocol"
+
+// TaskID names a task: its text form is JOB.K.STEP.INDEX.
+type TaskID struct {
+	Job   string
+	Time  int // K, counted from 0; 0 without repetitions
+	Step  int
+	Index int
+}
+
+// Command is one entry of the shard's log: everything that the owner decided in one round.
+type Command struct {
+	TimeOfDayMs int64 // owner's estimate, ms since 1970; the shard's clock never goes back
+	Submits     []Submit
+	Cancels     []string // jobs
+	Fences      []string // jobs that this shard will never take
+	Ends        []End
+	Losses      []Loss
+	Starts      []Start
+}
+
+// Submit hands a job in.
+type Submit struct {
+	ID    string
+	Queue protocol.Queue
+	Job   protocol.JobSpec
+}
+
+// End is an end that a runner listed.
+type End struct {
+	Runner string // instance id
+	N      uint64
+	Task   TaskID
+	Run    uint64
+	How    string // one of the protocol's ends
+	Saved  string
+}
+
+// Loss says that a run certainly runs nowhere and has no end that counts: it never reached its runner, or its
+// runner's incarnation or hold is over.
+type Loss struct {
+	Runner string
+	Task   TaskID
+	Run    uint64
+	Saved  string // newest checkpoint seen of it, or empty
+}
+
+// Start says that a run may exist from now on. Run must be the task's Run + 1. All members of a gang come in one
+// command with the same Run.
+type Start struct {
+	Task   TaskID
+	Run    uint64
+	Runner string
+}
+
+// Phase is where a task stands.
+type Phase uint8
+
+// The phases.
+const (
+	Waiting Phase = iota // for earlier steps or for its time
+	Held                 // its turn has come; it may be started
+	Running              // a run may exist
+	Done
+	Failed    // failed as often as allowed
+	Cancelled // its job was cancelled or has failed, and no run of it exists
+)
+
+// Effects tells what a command did, in the order of its parts.
+type Effects struct {
+	Submits []SubmitEffect
+	Cancels []bool  // whether the job is known here
+	Fences  []bool  // whether the shard has the job (then it was not fenced)
+	Held    []*Task // tasks whose turn came by this command
+	Ended   []*Task // tasks whose run is no longer (their fields show the state after)
+}
+
+// SubmitEffect is what became of a Submit.
+type SubmitEffect uint8
+
+// What becomes of a Submit.
+const (
+	Taken  SubmitEffect = iota
+	Known               // taken before
+	Fenced              // this shard has promised never to take it
+)
