--- /dev/null
+++ b/internal/simulation/network.go
@@ -0,0 +1,155 @@
+package simulation
+
+import "time"
+
+// Delays of links, one way.
+const (
+	LoopbackDelay = 50 * time.Microsecond
+	InZoneDelay   = 200 * time.Microsecond
+	ZoneDelay     = 1400 * time.Microsecond
+	ClientDelay   = 3 * time.Millisecond
+)
+
+type link struct{ from, to *Machine }
+
+type linkState struct {
+	cut  int // cuts in force
+	slow time.Duration
+	held []func() // what a cut holds up and may let go at its end
+}
+
+// Network carries what machines send each other. What two machines say one way arrives in order, or not at all.
+type Network struct {
+	World *World
+	Loss  float64 // share of messages that vanish
+	links map[link]*linkState
+	last  map[link]time.Duration
+}
+
+// NewNetwork returns a sound network.
+func NewNetwork(world *World) *Network {
+	return &Network{World: world, links: map[link]*linkState{}, last: map[link]time.Duration{}}
+}
+
+func (n *Network) state(from, to *Machine) *linkState {
+	key := link{from, to}
+	state := n.links[key]
+	if state == nil {
+		state = &linkState{}
+		n.links[key] = state
+	}
+	return state
+}
+
+// Cut cuts the way from one machine to another; Join undoes one Cut.
+func (n *Network) Cut(from, to *Machine) { n.state(from, to).cut++ }
+
+// CutBoth cuts both ways.
+func (n *Network) CutBoth(a, b *Machine) { n.Cut(a, b); n.Cut(b, a) }
+
+// Join undoes one cut. Bytes that the cut held up either arrive now or are lost.
+func (n *Network) Join(from, to *Machine) {
+	state := n.state(from, to)
+	if state.cut == 0 {
+		return
+	}
+	state.cut--
+	if state.cut > 0 {
+		return
+	}
+	held := state.held
+	state.held = nil
+	if n.World.Chance(0.5) {
+		return
+	}
+	for _, f := range held {
+		f()
+	}
+}
+
+// JoinBoth undoes one cut of both ways.
+func (n *Network) JoinBoth(a, b *Machine) { n.Join(a, b); n.Join(b, a) }
+
+// Slow adds a delay to the way from one machine to another; 0 ends it.
+func (n *Network) Slow(from, to *Machine, by time.Duration) { n.state(from, to).slow = by }
+
+// Connected tells whether the way from one machine to another is open.
+func (n *Network) Connected(from, to *Machine) bool {
+	state := n.links[link{from, to}]
+	return state == nil || state.cut == 0
+}
+
+func baseDelay(from, to *Machine) time.Duration {
+	switch {
+	case from == to:
+		return LoopbackDelay
+	case from.Zone == to.Zone:
+		return InZoneDelay
+	}
+	return ZoneDelay
+}
+
+// Send calls f in the present life of the machine `to`, after the link's delay. It is lost with the life of either end,
+// and a cut loses it or holds it up.
+func (n *Network) Send(from, to *Machine, f func()) {
+	life, sender := to.life, from.life
+	if from == to {
+		n.World.After(LoopbackDelay, func() { to.inLife(life, f) })
+		return
+	}
+	if n.World.Chance(n.Loss) {
+		return
+	}
+	deliver := func() { n.arrive(from, to, life, f) }
+	if state := n.links[link{from, to}]; state != nil && state.cut > 0 {
+		const mostHeld = 64
+		if len(state.held) < mostHeld {
+			state.held = append(state.held, func() {
+				if from.life == sender && from.up {
+					deliver()
+				}
+			})
+		}
+		return
+	}
+	deliver()
+}
+
+// arrive schedules a delivery no earlier than that of what was sent before on the same link.
+func (n *Network) arrive(from, to *Machine, life int, f func()) {
+	key := link{from, to}
+	delay := baseDelay(from, to)
+	delay += n.World.Between(0, delay/4)
+	if state := n.links[key]; state != nil {
+		delay += state.slow
+	}
+	if to.Lag > 0 {
+		delay += n.World.Between(0, to.Lag)
+	}
+	at := max(n.World.now+delay, n.last[key])
+	n.last[key] = at
+	n.World.At(at, func() {
+		if !n.Connected(from, to) {
+			return
+		}
+		to.inLife(life, f)
+	})
+}
+
+// Call carries a request to a machine and its answer back. The handler gets a function to answer with; of its calls only
+// the first counts. done is called at most once, in the life of the caller that asked; without an answer it never is.
+func Call[Response any](n *Network, from, to *Machine, handle func(reply func(Response)), done func(Response)) {
+	if !to.up {
+		return
+	}
+	n.Send(from, to, func() {
+		answered := false
+		handle(func(response Response) {
+			if answered {
+				return
+			}
+			answered = true
+			n.Send(to, from, func() { done(response) })
+		})
+	})
+}
--- /dev/null
+++ b/internal/simulation/runner_beat.go
@@ -0,0 +1,187 @@
+package simulation
+
+import (
+	"time"
+
+	"ospreypond/internal/protocol"
+)
+
+const (
+	answerTime   = time.Second           // an answer that comes later is dropped
+	afterAnEnd   = 50 * time.Millisecond // to the next heartbeat
+	mostFinished = 500                   // ends in one heartbeat
+)
+
+// beatIn sets the time of the next heartbeat.
+func (r *Runner) beatIn(d time.Duration) {
+	r.beatTimer.Stop()
+	life := r.instance
+	r.beatTimer = r.world.After(d, func() {
+		if r.instance == life && life != nil {
+			r.beat()
+		}
+	})
+}
+
+// beatSoon brings the next heartbeat forward because something ended.
+func (r *Runner) beatSoon() {
+	if r.out {
+		r.early = true
+		return
+	}
+	if !r.beatTimer.Pending() || r.beatTimer.at > r.world.now+afterAnEnd {
+		r.beatIn(afterAnEnd)
+	}
+}
+
+// beat sends a heartbeat.
+func (r *Runner) beat() {
+	life, sent := r.instance, r.world.now
+	r.sequence++
+	r.out = true
+	settled := false
+	settle := func(next time.Duration) {
+		if settled || r.instance != life {
+			return
+		}
+		settled = true
+		r.out = false
+		r.giveUp.Stop()
+		if r.early {
+			r.early = false
+			next = min(next, afterAnEnd)
+		}
+		r.beatIn(next)
+	}
+	wait := time.Duration(float64(answerTime) / r.ClockRate)
+	r.giveUp = r.world.After(wait, func() { settle(r.retryPause()) })
+	report := r.report()
+	agent := r.Agent()
+	if agent == nil {
+		r.world.After(time.Millisecond, func() { settle(r.retryPause()) })
+		return
+	}
+	machine, agentLife := r.Machine, r.Machine.life
+	r.world.After(LoopbackDelay, func() {
+		machine.inLife(agentLife, func() {
+			agent.Heartbeat(report, func(orders *protocol.Orders, err error) {
+				r.world.After(LoopbackDelay, func() {
+					if settled || r.instance != life {
+						return
+					}
+					if err != nil {
+						settle(r.retryPause())
+						return
+					}
+					next := r.Interval
+					if orders.RetryDelayMs > 0 {
+						next = time.Duration(orders.RetryDelayMs) * time.Millisecond
+					}
+					r.obey(orders, sent, report.State)
+					settle(next)
+				})
+			})
+		})
+	})
+}
+
+// retryPause is the pause after a heartbeat that failed.
+func (r *Runner) retryPause() time.Duration {
+	return r.world.Between(50*time.Millisecond, 300*time.Millisecond)
+}
+
+// report is the runner's heartbeat as of now.
+func (r *Runner) report() *protocol.Heartbeat {
+	beat := &protocol.Heartbeat{
+		Instance: r.instance.Instance, Service: r.Service, Address: r.Address, Zone: r.Zone, Version: "v1", Slots: 8,
+		State: protocol.Ready, Capacity: r.Capacity, Labels: []string{r.Kind, r.Rack}, Sequence: r.sequence,
+		ClockMs: time.Duration(float64(r.world.now-r.instance.Up) * r.ClockRate).Milliseconds(),
+	}
+	if r.draining {
+		beat.State = protocol.Draining
+		beat.RemainingMs = max(0, r.leaves-r.world.now).Milliseconds()
+	}
+	for _, e := range r.active {
+		e.refreshSaved(r.world.now)
+		beat.Active = append(beat.Active, protocol.ActiveRun{
+			Task: e.record.Text, Run: e.record.Run, Saved: e.saved, Percent: e.percent(r.world.now)})
+	}
+	for i := range min(len(r.finished), mostFinished) {
+		beat.Finished = append(beat.Finished, r.finished[i].row)
+	}
+	return beat
+}
+
+// obey carries out the answer to a heartbeat that was sent at a time.
+func (r *Runner) obey(orders *protocol.Orders, sent time.Duration, state string) {
+	life := r.instance
+	life.Heartbeat++
+	if state == protocol.Draining && life.DrainAck == Never {
+		life.DrainAck = r.world.now
+	}
+	if orders.FenceToken < r.fence {
+		return
+	}
+	r.fence = orders.FenceToken
+	r.note(orders.LastSeen)
+	if orders.HoldMs > 0 {
+		r.hold(sent, time.Duration(orders.HoldMs)*time.Millisecond)
+	}
+	if r.startFirst {
+		r.startAll(orders, sent)
+	}
+	for _, order := range orders.Stop {
+		r.stop(order)
+	}
+	if !r.startFirst {
+		r.startAll(orders, sent)
+	}
+}
+
+func (r *Runner) startAll(orders *protocol.Orders, sent time.Duration) {
+	if orders.HoldMs <= 0 {
+		return
+	}
+	for i := range orders.Start {
+		r.start(&orders.Start[i], sent)
+	}
+}
+
+// note forgets the ends up to lastSeen.
+func (r *Runner) note(lastSeen uint64) {
+	kept := 0
+	for kept < len(r.finished) && r.finished[kept].row.N <= lastSeen {
+		end := &r.finished[kept]
+		if end.record != nil {
+			end.record.Noted = r.world.now
+			end.record.NoteLost = len(r.instance.Lapses) > end.lapses
+		}
+		kept++
+	}
+	r.finished = r.finished[kept:]
+}
+
+// hold holds everything for a time on the runner's own clock, counted from when the heartbeat was sent.
+func (r *Runner) hold(sent, hold time.Duration) {
+	hold = min(hold, r.plant.Ledger.Bounds.HoldMax)
+	until := sent + time.Duration(float64(hold)/r.ClockRate)
+	if until <= r.heldUntil {
+		return
+	}
+	r.heldUntil = until
+	r.lapse.Stop()
+	life := r.instance
+	r.lapse = r.world.At(until, func() {
+		if r.instance == life {
+			r.lapseNow()
+		}
+	})
+}
+
+// lapseNow kills everything: the hold is over.
+func (r *Runner) lapseNow() {
+	r.instance.Lapses = append(r.instance.Lapses, r.world.now)
+	for len(r.active) > 0 {
+		r.end(r.active[0], protocol.EndLapsed)
+	}
+}
--- /dev/null
+++ b/internal/simulation/truth.go
@@ -0,0 +1,155 @@
+package simulation
+
+import (
+	"time"
+
+	"ospreypond/internal/protocol"
+)
+
+// jobTruth is what a job's tasks really take: the clients know it, the scheduler doesn't.
+type jobTruth struct {
+	record   *JobRecord
+	due      []time.Duration // by time K: when it falls due
+	groups   map[groupName]*groupTruth
+	poisoned bool // its tasks fail whenever they are tried
+	left     int  // tasks not done
+	lastDone time.Duration
+}
+
+// groupTruth is one step at one time.
+type groupTruth struct {
+	job     *jobTruth
+	name    groupName
+	step    *protocol.Step
+	tasks   []taskTruth
+	left    int
+	members map[uint64][]*execution // gang: those present, by run
+}
+
+// taskTruth is one task.
+type taskTruth struct {
+	name    TaskName
+	workMs  float64 // on a runner of speed 1
+	faults  int     // of its first starts that fail by their own fault
+	started int
+	done    bool
+}
+
+// Plant is the reality behind the runners: which tasks there are, what they take, and which members of gangs are there.
+type Plant struct {
+	World  *World
+	Ledger *Ledger
+	jobs   map[string]*jobTruth
+}
+
+// NewPlant returns a plant without jobs.
+func NewPlant(world *World, ledger *Ledger) *Plant {
+	return &Plant{World: world, Ledger: ledger, jobs: map[string]*jobTruth{}}
+}
+
+// Work says what a job's tasks take.
+type Work struct {
+	MeanMs   float64
+	Uneven   float64 // share by which tasks differ
+	Faults   float64 // share of tasks whose first start fails
+	Poisoned bool
+}
+
+// AddJob makes a job's tasks known to the runners.
+func (p *Plant) AddJob(record *JobRecord, work Work) {
+	job := &jobTruth{record: record, groups: map[groupName]*groupTruth{}, poisoned: work.Poisoned, lastDone: Never}
+	times := max(1, record.Spec.Repetitions)
+	for k := range times {
+		job.due = append(job.due, dueAt(&record.Spec, k))
+		for s := range record.Spec.Steps {
+			job.addGroup(p.World, groupName{record.ID, k, s}, work)
+		}
+	}
+	p.jobs[record.ID] = job
+}
+
+// dueAt returns the true time at which time K of a job falls due; 0 without repetitions.
+func dueAt(spec *protocol.JobSpec, k int) time.Duration {
+	if spec.Repetitions == 0 {
+		return 0
+	}
+	return time.Duration(spec.FirstRunMs+int64(k)*spec.IntervalMs-EpochMs) * time.Millisecond
+}
+
+func (j *jobTruth) addGroup(w *World, name groupName, work Work) {
+	step := &j.record.Spec.Steps[name.Step]
+	group := &groupTruth{job: j, name: name, step: step, left: step.Count, tasks: make([]taskTruth, step.Count)}
+	if step.Gang {
+		group.members = map[uint64][]*execution{}
+	}
+	shared := work.MeanMs * (1 + work.Uneven*(2*w.Random.Float64()-1))
+	for i := range group.tasks {
+		task := &group.tasks[i]
+		task.name = TaskName{name.Job, name.Time, name.Step, i}
+		task.workMs = shared
+		if !step.Gang {
+			task.workMs = work.MeanMs * (1 + work.Uneven*(2*w.Random.Float64()-1))
+		}
+		if w.Chance(work.Faults) {
+			task.faults = 1
+		}
+	}
+	j.groups[name] = group
+	j.left += step.Count
+}
+
+// find returns a task and its group, or nil if no client sent it.
+func (p *Plant) find(name TaskName) (*groupTruth, *taskTruth) {
+	job := p.jobs[name.Job]
+	if job == nil {
+		return nil, nil
+	}
+	group := job.groups[name.group()]
+	if group == nil || name.Index >= len(group.tasks) {
+		return nil, nil
+	}
+	return group, &group.tasks[name.Index]
+}
+
+// Finished tells whether every task of a job has ended done, and since when.
+func (p *Plant) Finished(id string) (bool, time.Duration) {
+	job := p.jobs[id]
+	if job == nil || job.left > 0 {
+		return false, Never
+	}
+	return true, job.lastDone
+}
+
+// markDone notes that a task has ended done; for a gang, all of it.
+func (p *Plant) markDone(group *groupTruth, task *taskTruth) {
+	if !group.step.Gang {
+		p.markOne(group, task)
+		return
+	}
+	for i := range group.tasks {
+		p.markOne(group, &group.tasks[i])
+	}
+}
+
+func (p *Plant) markOne(group *groupTruth, task *taskTruth) {
+	if task.done || group.step.LongRunning {
+		return
+	}
+	task.done = true
+	group.left--
+	group.job.left--
+	group.job.lastDone = p.World.now
+}
+
+// ready tells whether the turn of a group has come by now.
+func (g *groupTruth) ready(now time.Duration) bool {
+	if now < g.job.due[g.name.Time] {
+		return false
+	}
+	for _, s := range g.step.DependsOn {
+		if before := g.job.groups[groupName{g.name.Job, g.name.Time, s}]; before == nil || before.left > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/simulation/world.go
@@ -0,0 +1,108 @@
+package simulation
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+)
+
+// EpochMs is the true time of day at which every world begins, in ms since 1970.
+const EpochMs int64 = 1_700_000_000_000
+
+// World is virtual time: events in the order of their times, and one seeded source of luck. Nothing in it runs at the
+// same time as anything else.
+type World struct {
+	Random *rand.Rand
+	now    time.Duration
+	queue  eventQueue
+	order  uint64
+}
+
+// NewWorld returns a world at time 0. Worlds of the same seed that are given the same calls run the same.
+func NewWorld(seed uint64) *World {
+	const stream = 0x6f73707265790001
+	return &World{Random: rand.New(rand.NewPCG(seed, stream))}
+}
+
+// Now returns the true time since the world began.
+func (w *World) Now() time.Duration { return w.now }
+
+// TimeOfDayMs returns the true time of day in ms since 1970.
+func (w *World) TimeOfDayMs() int64 { return EpochMs + w.now.Milliseconds() }
+
+// Timer is an event that can be called off.
+type Timer struct {
+	at    time.Duration
+	order uint64
+	call  func()
+}
+
+// Stop calls the event off. A nil timer, or one that has fired, is left as it is.
+func (t *Timer) Stop() {
+	if t != nil {
+		t.call = nil
+	}
+}
+
+// Pending tells whether the event is still to come.
+func (t *Timer) Pending() bool { return t != nil && t.call != nil }
+
+// At calls f at a time; one that has passed means now, after what was asked for earlier.
+func (w *World) At(at time.Duration, f func()) *Timer {
+	w.order++
+	timer := &Timer{at: max(at, w.now), order: w.order, call: f}
+	heap.Push(&w.queue, timer)
+	return timer
+}
+
+// After calls f once d has passed.
+func (w *World) After(d time.Duration, f func()) *Timer { return w.At(w.now+d, f) }
+
+// Run plays all events up to a time and stops there.
+func (w *World) Run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		timer := heap.Pop(&w.queue).(*Timer)
+		w.now = timer.at
+		if call := timer.call; call != nil {
+			timer.call = nil
+			call()
+		}
+	}
+	w.now = max(w.now, until)
+}
+
+// Between returns a time drawn evenly from [low, high).
+func (w *World) Between(low, high time.Duration) time.Duration {
+	if high <= low {
+		return low
+	}
+	return low + time.Duration(w.Random.Int64N(int64(high-low)))
+}
+
+// Chance is true with probability p.
+func (w *World) Chance(p float64) bool { return p > 0 && w.Random.Float64() < p }
+
+// Exponential returns a time drawn with the given mean, at most eight times as long.
+func (w *World) Exponential(mean time.Duration) time.Duration {
+	const longest = 8
+	return min(time.Duration(w.Random.ExpFloat64()*float64(mean)), longest*mean)
+}
+
+// Pick returns one of the values, drawn evenly.
+func Pick[T any](w *World, values []T) T { return values[w.Random.IntN(len(values))] }
+
+type eventQueue []*Timer
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(*Timer)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*q = old[:len(old)-1]
+	return last
+}
