--- /dev/null
+++ b/internal/frontend/handin.go
@@ -0,0 +1,132 @@
+package frontend
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/protocol"
+)
+
+var acceptedBody = []byte("{}")
+
+// serveHandIn takes a job.
+func (s *Service) serveHandIn(w http.ResponseWriter, r *http.Request, arrived time.Time, target target) {
+	body, err := readBody(w, r, target.view.Limits.orDefaults().MaxBodyBytes)
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	spec, err := parseSpec(body)
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	ctx, cancel := s.within(r, arrived, target, handInTry)
+	defer cancel()
+	if err := s.handIn(ctx, arrived, r, spec); err != nil {
+		answerError(w, err)
+		return
+	}
+	answer(w, http.StatusOK, acceptedBody)
+}
+
+// readBody returns a request's body of at most limit bytes.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	tooLarge := failure.Newf(failure.TooLarge, "a body may have at most %d bytes", limit)
+	if r.ContentLength > limit {
+		w.Header()["Connection"] = closeOnce // what is still to come is not read
+		return nil, tooLarge
+	}
+	reader := http.MaxBytesReader(w, r.Body, limit)
+	body, err := readAll(reader, r.ContentLength)
+	if err == nil {
+		return body, nil
+	}
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return nil, tooLarge
+	}
+	return nil, failure.Newf(failure.Invalid, "the body can't be read: %v", err)
+}
+
+// readAll is io.ReadAll with one allocation where the size is known.
+func readAll(reader io.Reader, size int64) ([]byte, error) {
+	if size <= 0 {
+		return io.ReadAll(reader)
+	}
+	body := make([]byte, size)
+	n, err := io.ReadFull(reader, body)
+	return body[:n], err
+}
+
+// handIn brings a job to the owner of its queue's shard. Where the owner knows a newer configuration than this
+// process, it starts again as soon as that has come.
+func (s *Service) handIn(ctx context.Context, arrived time.Time, r *http.Request, spec *protocol.JobSpec) error {
+	if err := s.confirmForHandIn(ctx); err != nil {
+		return err
+	}
+	for {
+		found, err := s.find(ctx, arrived, r)
+		if err != nil {
+			return err
+		}
+		err = s.handInto(ctx, found, spec)
+		switch failure.KindOf(err) {
+		case failure.Stale, failure.Moved:
+			s.Directory.Refresh()
+			if !s.Views.newerThan(ctx, found.view.Version) {
+				return err
+			}
+		default:
+			return err
+		}
+	}
+}
+
+// confirmForHandIn refuses a job only if the configuration is so old that its queue may long have been dropped; the
+// owner checks the rest by the version that travels with the job.
+func (s *Service) confirmForHandIn(ctx context.Context) error {
+	if s.confirm(ctx, s.usual) || s.Directory.Fresh(s.oldest) {
+		return nil
+	}
+	return failure.New(failure.Unavailable, "the configuration held here may be out of date")
+}
+
+// handInto hands the job to the owner of the target's shard, after all shards that may have taken it earlier have
+// either said that they have it or promised never to take it.
+func (s *Service) handInto(ctx context.Context, to target, spec *protocol.JobSpec) error {
+	for _, earlier := range to.route.Shards[1:] {
+		response, err := s.Owners.Fence(ctx, &protocol.FenceRequest{Shard: earlier, ID: to.id})
+		if err != nil {
+			return certainlyNotTaken(err)
+		}
+		if response.HasJob {
+			return nil
+		}
+	}
+	if ctx.Err() != nil {
+		return failure.New(failure.Unavailable, "the time for this request is over")
+	}
+	_, err := s.Owners.Submit(ctx, &protocol.SubmitRequest{
+		Shard:                to.route.Shards[0],
+		ID:                   to.id,
+		Queue:                to.route.Queue,
+		Job:                  *spec,
+		ConfigurationVersion: to.view.Version,
+	})
+	return err
+}
+
+// certainlyNotTaken is the error of a hand-in that ended at a fence: whether or not the fence was set, the job was
+// taken by nobody.
+func certainlyNotTaken(err error) error {
+	if failure.KindOf(err) == failure.UnknownOutcome {
+		return failure.Newf(failure.Unavailable, "an earlier shard of the queue doesn't answer: %v", err)
+	}
+	return err
+}
