--- /dev/null
+++ b/internal/jobs/codec.go
@@ -0,0 +1,203 @@
+package jobs
+
+import (
+	"github.com/pkg/errors"
+
+	"ospreypond/internal/protocol"
+)
+
+// commandVersion is the first byte of an encoded command.
+const commandVersion = 1
+
+// endNames are the ways a run ends that have a number of their own, counted from 1; any other is written out.
+var endNames = [...]string{
+	protocol.EndDone,
+	protocol.EndFailed,
+	protocol.EndStopped,
+	protocol.EndLapsed,
+	protocol.EndBroken,
+	protocol.EndAlone,
+	protocol.EndRefused,
+}
+
+// column holds the last texts written or read of those that repeat from item to item.
+type column struct{ job, runner string }
+
+// Encode returns the command as an entry of the shard's log.
+func Encode(c *Command) ([]byte, error) {
+	w := &writer{data: make([]byte, 0, sizeHint(c))}
+	last := &column{}
+	w.byte(commandVersion)
+	w.signed(c.TimeOfDayMs)
+	w.count(len(c.Submits))
+	for i := range c.Submits {
+		w.text(c.Submits[i].ID)
+		w.queue(&c.Submits[i].Queue)
+		w.spec(&c.Submits[i].Job)
+	}
+	w.texts(c.Cancels)
+	w.texts(c.Fences)
+	w.count(len(c.Ends))
+	for i := range c.Ends {
+		w.end(&c.Ends[i], last)
+	}
+	w.count(len(c.Losses))
+	for i := range c.Losses {
+		w.loss(&c.Losses[i], last)
+	}
+	w.count(len(c.Starts))
+	for i := range c.Starts {
+		w.start(&c.Starts[i], last)
+	}
+	return w.data, nil
+}
+
+// sizeHint guesses the size of the encoded command, so that its bytes seldom have to be moved.
+func sizeHint(c *Command) int {
+	const head, item, perSubmit, perStep = 32, 64, 128, 48
+	size := head + item*(len(c.Cancels)+len(c.Fences)+len(c.Ends)+len(c.Losses)+len(c.Starts))
+	for i := range c.Submits {
+		size += perSubmit + len(c.Submits[i].Job.Spec) + perStep*len(c.Submits[i].Job.Steps)
+	}
+	return size
+}
+
+// Decode reads an entry of the shard's log. The texts of the command share memory: what is kept must be copied.
+func Decode(data []byte) (*Command, error) {
+	r := newReader(data)
+	if version := r.byte(); version != commandVersion {
+		return nil, errors.Errorf("command of version %d, %d is known", version, commandVersion)
+	}
+	last := &column{}
+	c := &Command{TimeOfDayMs: r.signed()}
+	c.Submits = items[Submit](r)
+	for i := range c.Submits {
+		c.Submits[i].ID = r.text()
+		c.Submits[i].Queue = r.queue()
+		r.spec(&c.Submits[i].Job)
+	}
+	c.Cancels = r.texts()
+	c.Fences = r.texts()
+	c.Ends = items[End](r)
+	for i := range c.Ends {
+		r.end(&c.Ends[i], last)
+	}
+	c.Losses = items[Loss](r)
+	for i := range c.Losses {
+		r.loss(&c.Losses[i], last)
+	}
+	c.Starts = items[Start](r)
+	for i := range c.Starts {
+		r.start(&c.Starts[i], last)
+	}
+	if err := r.done(); err != nil {
+		return nil, errors.Wrap(err, "command")
+	}
+	return c, nil
+}
+
+// items makes room for as many items as are to come, or returns nil for none.
+func items[T any](r *reader) []T {
+	count := r.count()
+	if count == 0 {
+		return nil
+	}
+	return make([]T, count)
+}
+
+func (w *writer) texts(texts []string) {
+	w.count(len(texts))
+	for _, text := range texts {
+		w.text(text)
+	}
+}
+
+func (r *reader) texts() []string {
+	texts := items[string](r)
+	for i := range texts {
+		texts[i] = r.text()
+	}
+	return texts
+}
+
+func (w *writer) task(id *TaskID, last *column) {
+	w.repeated(id.Job, &last.job)
+	w.signed(int64(id.Time))
+	w.signed(int64(id.Step))
+	w.signed(int64(id.Index))
+}
+
+func (r *reader) task(last *column) (id TaskID) {
+	id.Job = r.repeated(&last.job)
+	id.Time = r.integer()
+	id.Step = r.integer()
+	id.Index = r.integer()
+	return id
+}
+
+func (w *writer) how(how string) {
+	for i, name := range endNames {
+		if name == how {
+			w.byte(byte(i + 1))
+			return
+		}
+	}
+	w.byte(0)
+	w.text(how)
+}
+
+func (r *reader) how() string {
+	number := int(r.byte())
+	if number == 0 {
+		return r.text()
+	}
+	if number > len(endNames) {
+		r.fail()
+		return ""
+	}
+	return endNames[number-1]
+}
+
+func (w *writer) end(end *End, last *column) {
+	w.repeated(end.Runner, &last.runner)
+	w.unsigned(end.N)
+	w.task(&end.Task, last)
+	w.unsigned(end.Run)
+	w.how(end.How)
+	w.text(end.Saved)
+}
+
+func (r *reader) end(end *End, last *column) {
+	end.Runner = r.repeated(&last.runner)
+	end.N = r.unsigned()
+	end.Task = r.task(last)
+	end.Run = r.unsigned()
+	end.How = r.how()
+	end.Saved = r.text()
+}
+
+func (w *writer) loss(loss *Loss, last *column) {
+	w.repeated(loss.Runner, &last.runner)
+	w.task(&loss.Task, last)
+	w.unsigned(loss.Run)
+	w.text(loss.Saved)
+}
+
+func (r *reader) loss(loss *Loss, last *column) {
+	loss.Runner = r.repeated(&last.runner)
+	loss.Task = r.task(last)
+	loss.Run = r.unsigned()
+	loss.Saved = r.text()
+}
+
+func (w *writer) start(start *Start, last *column) {
+	w.task(&start.Task, last)
+	w.unsigned(start.Run)
+	w.repeated(start.Runner, &last.runner)
+}
+
+func (r *reader) start(start *Start, last *column) {
+	start.Task = r.task(last)
+	start.Run = r.unsigned()
+	start.Runner = r.repeated(&last.runner)
+}
--- /dev/null
+++ b/internal/jobs/name.go
@@ -0,0 +1,59 @@
+package jobs
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// errTaskName is the one error of ParseTaskID, made once since runners may list anything in each heartbeat.
+var errTaskName = errors.New("task is not of the form JOB.K.STEP.INDEX")
+
+// String returns the text form JOB.K.STEP.INDEX.
+func (id TaskID) String() string {
+	const numbers = 3 * len(".1234567")
+	text := make([]byte, 0, len(id.Job)+numbers)
+	text = append(text, id.Job...)
+	for _, number := range [...]int{id.Time, id.Step, id.Index} {
+		text = append(text, '.')
+		text = strconv.AppendInt(text, int64(number), 10)
+	}
+	return string(text)
+}
+
+// ParseTaskID reads the text form that String gives, and nothing else: no signs, no leading zeros.
+func ParseTaskID(text string) (TaskID, error) {
+	var numbers [3]int
+	rest := text
+	for i := len(numbers) - 1; i >= 0; i-- {
+		dot := strings.LastIndexByte(rest, '.')
+		if dot < 0 {
+			return TaskID{}, errTaskName
+		}
+		number, ok := parseNumber(rest[dot+1:])
+		if !ok {
+			return TaskID{}, errTaskName
+		}
+		numbers[i], rest = number, rest[:dot]
+	}
+	if rest == "" {
+		return TaskID{}, errTaskName
+	}
+	return TaskID{Job: rest, Time: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
+
+func parseNumber(digits string) (int, bool) {
+	const most = 9 // digits that surely fit
+	if digits == "" || len(digits) > most || (digits[0] == '0' && len(digits) > 1) {
+		return 0, false
+	}
+	number := 0
+	for i := range len(digits) {
+		if digits[i] < '0' || digits[i] > '9' {
+			return 0, false
+		}
+		number = number*10 + int(digits[i]-'0')
+	}
+	return number, true
+}
--- a/internal/jobs/types.go
+++ b/internal/jobs/types.go
@@ -19,7 +19,7 @@
 	Submits     []Submit
 	Cancels     []string // jobs
 	Fences      []string // jobs that this shard will never take
-	Ends        []End
+	Ends        []End    // those of one runner with rising N
 	Losses      []Loss
 	Starts      []Start
 }
@@ -69,6 +69,7 @@
 	Done
 	Failed    // failed as often as allowed
 	Cancelled // its job was cancelled or has failed, and no run of it exists
+	Pending   // gang: its run is over, and the same run of another member may still exist
 )
 
 // Effects tells what a command did, in the order of its parts.
@@ -76,8 +77,27 @@
 	Submits []SubmitEffect
 	Cancels []bool  // whether the job is known here
 	Fences  []bool  // whether the shard has the job (then it was not fenced)
+	Ends    []bool  // whether it ended the task's present run
+	Losses  []bool  // whether it ended the task's present run
+	Starts  []bool  // whether the run may exist from now on
 	Held    []*Task // tasks whose turn came by this command
-	Ended   []*Task // tasks whose run is no longer (their fields show the state after)
+	Ended   []*Task // tasks whose run is no longer, or is Done (their fields show the state after)
+	Freed   []Freed // lingering runs that are no longer
+	Over    []*Job  // jobs that became completed, failed or cancelled by this command, with their specs
+}
+
+// Freed is a lingering run that is no longer.
+type Freed struct {
+	Runner string
+	Lingering
+}
+
+// Lingering is a run of a gang's member that is Done by another member's end, while its own end has not been seen:
+// until then it takes room on its runner.
+type Lingering struct {
+	Task  TaskID
+	Run   uint64
+	Needs protocol.Resources
 }
 
 // SubmitEffect is what became of a Submit.
@@ -85,7 +105,8 @@
 
 // What becomes of a Submit.
 const (
-	Taken  SubmitEffect = iota
-	Known               // taken before
-	Fenced              // this shard has promised never to take it
+	Taken    SubmitEffect = iota
+	Known                 // taken before
+	Fenced                // this shard has promised never to take it
+	Rejected              // nonsense that Validate would have refused
 )
--- /dev/null
+++ b/internal/jobs/validate.go
@@ -0,0 +1,81 @@
+package jobs
+
+import (
+	"math"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/protocol"
+)
+
+// Bounds of what a job may be.
+const (
+	MaxSpecBytes   = 4000
+	maxSteps       = 256
+	maxTasks       = 100_000 // of one time, and of a step
+	maxRepetitions = 1_000_000
+	maxOfAll       = 10_000_000        // tasks of all times
+	maxAmount      = int64(1) << 40    // of a resource
+	maxTimeMs      = int64(1) << 50    // of day; some 35,000 years
+	maxIntervalMs  = int64(1000) << 30 // some 35 years
+)
+
+// Validate returns an error of kind failure.Invalid if the job can never be done as it is, or is beyond all bounds.
+func (s *State) Validate(spec *protocol.JobSpec) error {
+	switch {
+	case len(spec.Spec) > MaxSpecBytes:
+		return failure.Newf(failure.Invalid, "spec has %d bytes, %d are allowed", len(spec.Spec), MaxSpecBytes)
+	case len(spec.Steps) == 0:
+		return failure.New(failure.Invalid, "no steps")
+	case len(spec.Steps) > maxSteps:
+		return failure.Newf(failure.Invalid, "%d steps, %d are allowed", len(spec.Steps), maxSteps)
+	}
+	tasks := 0
+	for i := range spec.Steps {
+		if what := nonsense(&spec.Steps[i], i); what != "" {
+			return failure.Newf(failure.Invalid, "step %d: %s", i, what)
+		}
+		tasks += spec.Steps[i].Count
+	}
+	if tasks > maxTasks {
+		return failure.Newf(failure.Invalid, "%d tasks, %d are allowed", tasks, maxTasks)
+	}
+	return validateTimes(spec, tasks)
+}
+
+func validateTimes(spec *protocol.JobSpec, tasks int) error {
+	switch {
+	case spec.Repetitions < 0 || spec.Repetitions > maxRepetitions:
+		return failure.Newf(failure.Invalid, "%d repetitions", spec.Repetitions)
+	case spec.Repetitions*tasks > maxOfAll:
+		return failure.Newf(failure.Invalid, "%d times %d tasks are too many", spec.Repetitions, tasks)
+	case spec.FirstRunMs < 0 || spec.FirstRunMs > maxTimeMs:
+		return failure.Newf(failure.Invalid, "firstRunMs %d", spec.FirstRunMs)
+	case spec.IntervalMs < 0 || spec.IntervalMs > maxIntervalMs:
+		return failure.Newf(failure.Invalid, "intervalMs %d", spec.IntervalMs)
+	}
+	return nil
+}
+
+// nonsense names what is wrong with the step at the place given, or returns "".
+func nonsense(step *protocol.Step, place int) string {
+	switch {
+	case step.Count <= 0 || step.Count > maxTasks:
+		return "count is out of bounds"
+	case !amount(step.CPU) || !amount(step.MemoryMB) || !amount(step.GPU):
+		return "a resource is out of bounds"
+	case !(step.EstimatedMs >= 0) || math.IsInf(step.EstimatedMs, 0):
+		return "estimatedMs is out of bounds"
+	case step.AntiAffinity < 0:
+		return "antiAffinity is negative"
+	case len(step.DependsOn) > maxSteps:
+		return "dependsOn is too long"
+	}
+	for _, earlier := range step.DependsOn {
+		if earlier < 0 || earlier >= place {
+			return "dependsOn names a step that is not an earlier one"
+		}
+	}
+	return ""
+}
+
+func amount(value int64) bool { return value >= 0 && value <= maxAmount }
