--- /dev/null
+++ b/internal/configuration/faults.go
@@ -0,0 +1,8 @@
+package configuration
+
+import "ospreypond/internal/failure"
+
+// invalidf says what makes an order impossible to accept, whatever is in force.
+func invalidf(format string, args ...any) error {
+	return failure.Newf(failure.Invalid, format, args...)
+}
--- a/internal/protocol/internal.go
+++ b/internal/protocol/internal.go
@@ -93,6 +93,7 @@
 	Owners  uint64 // the revision of owners that the caller has
 	WaitMs  int64
 	Node    string
+	Changes bool // the caller can take changes from Version on (configuration.Advance) in place of a snapshot
 }
 
 // Member is one control process.
@@ -106,7 +107,7 @@
 // WatchResponse is the snapshot or what changed. The sender's leadership was confirmed after the request came.
 type WatchResponse struct {
 	Version       uint64 // newest version in force; 0: none yet
-	Configuration []byte // JSON as configuration.Document encodes it; empty if Version is what the caller has
+	Configuration []byte // as configuration.Advance reads it; empty if Version is what the caller has
 	OwnersAt      uint64 // revision of Members and Owners
 	Members       []Member
 	Owners        map[ShardID]string // internal address of each shard's owner as far as known
