--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,187 @@
+package consensus
+
+import "time"
+
+// ballot is what a candidate has gathered.
+type ballot struct {
+	granted  []MemberID // voters that said yes, this member included once its vote is on disk
+	forced   bool       // stands because the leader told it to
+	repeatAt time.Duration
+}
+
+// grant counts a voter once and returns how many there are.
+func (b *ballot) grant(id MemberID) int {
+	for _, known := range b.granted {
+		if known == id {
+			return len(b.granted)
+		}
+	}
+	b.granted = append(b.granted, id)
+	return len(b.granted)
+}
+
+// mayStand tells whether this member may be elected.
+func (n *Node) mayStand() bool {
+	return n.campaignAllowed && isVoter(n.memberships.current(), n.config.ID)
+}
+
+// stand begins an election, or waits on where this member may not be elected.
+func (n *Node) stand() {
+	n.becomeFollower(n.term, None)
+	n.resetElectionDeadline()
+	if !n.mayStand() {
+		return
+	}
+	if countVoters(n.memberships.current()) == 1 {
+		n.campaign(false)
+		return
+	}
+	n.role = rolePreCandidate
+	n.ballot.grant(n.config.ID)
+	n.requestVotes()
+}
+
+// campaign stands for election in a new term.
+func (n *Node) campaign(forced bool) {
+	n.becomeFollower(n.term+1, None)
+	n.resetElectionDeadline()
+	n.role = roleCandidate
+	n.vote = n.config.ID
+	n.ballot.forced = forced
+	n.requestVotes()
+}
+
+// requestVotes asks every voter that has not said yes. A request for a vote leaves only once this member's own term and
+// vote are on disk: otherwise it could come back and be elected twice in one term.
+func (n *Node) requestVotes() {
+	n.ballot.repeatAt = n.now + n.config.HeartbeatInterval
+	request := Message{Kind: MessagePreVote, Term: n.term + 1, Index: n.log.last(), LogTerm: n.log.lastTerm()}
+	if n.role == roleCandidate {
+		request.Kind = MessageVote
+		request.Term = n.term
+		request.Forced = n.ballot.forced
+	}
+	for _, member := range n.memberships.current() {
+		if member.Learner || member.ID == n.config.ID || n.ballot.has(member.ID) {
+			continue
+		}
+		request.To = member.ID
+		if n.role == roleCandidate {
+			n.sendDeferred(request)
+		} else {
+			n.send(request)
+		}
+	}
+}
+
+// has tells whether a voter has said yes.
+func (b *ballot) has(id MemberID) bool {
+	for _, known := range b.granted {
+		if known == id {
+			return true
+		}
+	}
+	return false
+}
+
+// repeatRequests asks again those that have not answered.
+func (n *Node) repeatRequests() {
+	if n.role == roleFollower || n.now < n.ballot.repeatAt {
+		return
+	}
+	n.requestVotes()
+}
+
+// upToDate tells whether a candidate's log is at least as new as this member's.
+func (n *Node) upToDate(message *Message) bool {
+	if message.LogTerm != n.log.lastTerm() {
+		return message.LogTerm > n.log.lastTerm()
+	}
+	return message.Index >= n.log.last()
+}
+
+// answerPreVote says whether this member would vote for another, without promising anything.
+func (n *Node) answerPreVote(message *Message) {
+	if n.hearsLeader() {
+		return
+	}
+	response := Message{Kind: MessagePreVoteResponse, To: message.From}
+	if message.Term > n.term && n.upToDate(message) {
+		response.Term = message.Term
+	} else {
+		response.Reject = true
+	}
+	n.send(response)
+}
+
+// answerVote votes for a candidate of this term, or says no.
+func (n *Node) answerVote(message *Message) {
+	if n.hearsLeader() && !message.Forced {
+		return
+	}
+	granted := n.mayVoteFor(message.From) && n.upToDate(message)
+	if granted {
+		n.giveVote(message.From)
+	}
+	n.sendDeferred(Message{Kind: MessageVoteResponse, To: message.From, Reject: !granted})
+}
+
+// mayVoteFor tells whether the vote of this term is free, or has gone to that candidate already.
+func (n *Node) mayVoteFor(candidate MemberID) bool {
+	if n.role == roleLeader || n.leader != None {
+		return false
+	}
+	return n.vote == None || n.vote == candidate
+}
+
+// giveVote votes for a candidate.
+func (n *Node) giveVote(candidate MemberID) {
+	n.becomeFollower(n.term, None)
+	n.resetElectionDeadline()
+	if n.vote == None {
+		n.vote = candidate
+		n.pending.hardState = true
+	}
+}
+
+// countPreVote counts an encouragement for the next term.
+func (n *Node) countPreVote(message *Message) {
+	if n.role != rolePreCandidate || message.Term != n.term+1 {
+		return
+	}
+	members := n.memberships.current()
+	if !isVoter(members, message.From) {
+		return
+	}
+	if n.ballot.grant(message.From) >= quorumOf(countVoters(members)) {
+		n.campaign(false)
+	}
+}
+
+// countVote counts a vote. That it came shows that the request has left, and so that this member's own vote is on disk.
+func (n *Node) countVote(message *Message) {
+	if n.role != roleCandidate || message.Reject || !isVoter(n.memberships.current(), message.From) {
+		return
+	}
+	n.ballot.grant(message.From)
+	n.countOwnVote()
+}
+
+// countOwnVote counts this member's own vote, which is on disk, and takes the leadership if that decides.
+func (n *Node) countOwnVote() {
+	if n.pending.hardState {
+		return
+	}
+	members := n.memberships.current()
+	if n.ballot.grant(n.config.ID) >= quorumOf(countVoters(members)) {
+		n.becomeLeader()
+	}
+}
+
+// takeTimeoutNow stands at once, as the leader asks.
+func (n *Node) takeTimeoutNow() {
+	if n.role == roleLeader || !n.mayStand() {
+		return
+	}
+	n.campaign(true)
+}
--- /dev/null
+++ b/internal/consensus/leader.go
@@ -0,0 +1,218 @@
+package consensus
+
+import "time"
+
+// leadership is what only a leader has.
+type leadership struct {
+	peers      []*progress // all other members
+	firstIndex uint64      // the first entry of this term
+	ownMatch   uint64      // last index on this member's own disk
+	appendsDue bool        // entries were added since appends were last sent
+	graceUntil time.Duration
+
+	roundAt     time.Duration // newest round of heartbeats to voters
+	heartbeatAt time.Duration // when the next regular heartbeats are due
+	roundWanted bool          // a confirmation was asked for after the newest round
+	confirmedAt time.Duration
+
+	transferee    MemberID
+	transferUntil time.Duration
+}
+
+// becomeLeader takes the leadership that a quorum has given.
+func (n *Node) becomeLeader() {
+	n.role = roleLeader
+	n.leader = n.config.ID
+	n.ballot = ballot{}
+	n.incoming = nil
+	// The requests for votes left after everything handed out before them was on disk, and nothing was added since.
+	n.leadership = leadership{ownMatch: n.log.last(), firstIndex: n.log.last() + 1}
+	n.adoptMembers()
+	n.appendOwn(EntryEmpty, nil)
+	n.sendRound(true)
+}
+
+// adoptMembers makes the tracked members those of the membership in force.
+func (n *Node) adoptMembers() {
+	members := n.memberships.current()
+	peers := make([]*progress, 0, len(members))
+	for _, member := range members {
+		if member.ID == n.config.ID {
+			continue
+		}
+		peer := n.peer(member.ID)
+		if peer == nil {
+			peer = &progress{id: member.ID, next: n.log.last() + 1, heardAt: n.now, ackAskedAt: n.now}
+		}
+		peer.voter = !member.Learner
+		peers = append(peers, peer)
+	}
+	n.leadership.peers = peers
+}
+
+// peer finds the progress of a member.
+func (n *Node) peer(id MemberID) *progress {
+	for _, peer := range n.leadership.peers {
+		if peer.id == id {
+			return peer
+		}
+	}
+	return nil
+}
+
+// appendOwn adds an entry to the leader's log.
+func (n *Node) appendOwn(kind EntryKind, data []byte) Entry {
+	entry := Entry{Term: n.term, Index: n.log.last() + 1, Kind: kind, Data: data}
+	n.log.add(entry)
+	n.leadership.appendsDue = true
+	return entry
+}
+
+// ready tells whether this member leads and an entry of its term was handed out to be applied.
+func (n *Node) ready() bool {
+	return n.role == roleLeader && n.applied >= n.leadership.firstIndex
+}
+
+// Propose adds a command to the log. It is done only once it comes out in Committed with this index and term.
+func (n *Node) Propose(now time.Duration, data []byte) (index, term uint64, err error) {
+	n.advance(now)
+	if n.role != roleLeader || n.leadership.transferee != None {
+		return 0, 0, ErrNotLeader
+	}
+	entry := n.appendOwn(EntryCommand, data)
+	return entry.Index, entry.Term, nil
+}
+
+// ProposeMembers adds a new membership to the log, which is in force at once. It differs from the present one in one
+// member.
+func (n *Node) ProposeMembers(now time.Duration, members []Member) error {
+	n.advance(now)
+	if n.role != roleLeader || n.leadership.transferee != None {
+		return ErrNotLeader
+	}
+	if n.memberships.newest() > n.commit {
+		return ErrChangePending
+	}
+	if !n.ready() {
+		return ErrNotReady
+	}
+	if err := checkChange(n.memberships.current(), members); err != nil {
+		return err
+	}
+	data, err := EncodeMembers(members)
+	if err != nil {
+		return err
+	}
+	n.changeMembers(members, data)
+	return nil
+}
+
+// changeMembers puts a membership in force and sends it out, last of all to a member it removes.
+func (n *Node) changeMembers(members []Member, data []byte) {
+	entry := n.appendOwn(EntryMembership, data)
+	held := append([]Member(nil), members...)
+	n.memberships = append(n.memberships, membership{index: entry.Index, members: held})
+	n.sendDueAppends()
+	n.adoptMembers()
+	n.leadership.appendsDue = true
+	n.advanceCommit()
+}
+
+// advanceCommit commits what a quorum holds, of this term.
+func (n *Node) advanceCommit() {
+	index := n.quorumIndex()
+	if index <= n.commit || !n.log.matches(index, n.term) {
+		return
+	}
+	n.commit = index
+	n.verified = max(n.verified, index)
+	if !isVoter(n.memberships.current(), n.config.ID) && n.memberships.newest() <= n.commit {
+		n.retire()
+	}
+}
+
+// quorumIndex is the last index that a quorum has on disk.
+func (n *Node) quorumIndex() uint64 {
+	var held [maxScratch]uint64
+	values := held[:0]
+	if isVoter(n.memberships.current(), n.config.ID) {
+		values = append(values, n.leadership.ownMatch)
+	}
+	for _, peer := range n.leadership.peers {
+		if peer.voter {
+			values = append(values, peer.match)
+		}
+	}
+	return reachedByQuorum(values)
+}
+
+// retire ends the leadership of a member that the group no longer counts, and asks the furthest other to stand.
+func (n *Node) retire() {
+	n.sendRound(true)
+	var heir *progress
+	for _, peer := range n.leadership.peers {
+		if peer.voter && (heir == nil || peer.match > heir.match) {
+			heir = peer
+		}
+	}
+	if heir != nil {
+		n.send(Message{Kind: MessageTimeoutNow, To: heir.id})
+	}
+	n.becomeFollower(n.term, None)
+}
+
+// tickLeader does what is due at a leader.
+func (n *Node) tickLeader() {
+	leadership := &n.leadership
+	if leadership.transferee != None && n.now >= leadership.transferUntil {
+		leadership.transferee = None
+	}
+	if n.lostQuorum() {
+		n.becomeFollower(n.term, None)
+		return
+	}
+	if n.now >= leadership.heartbeatAt {
+		n.sendRound(true)
+		n.dropSilentTransfers()
+		return
+	}
+	n.sendWantedRound()
+}
+
+// lostQuorum tells whether a quorum has been silent for an election timeout.
+func (n *Node) lostQuorum() bool {
+	if n.now < n.leadership.graceUntil {
+		return false
+	}
+	return n.now-n.quorumTime(func(peer *progress) time.Duration { return peer.heardAt }) >= n.config.ElectionTimeout
+}
+
+// graceAfterStall asks anew who is there and waits for answers, since those to earlier heartbeats may be unread.
+func (n *Node) graceAfterStall() {
+	n.leadership.graceUntil = n.now + 2*n.config.HeartbeatInterval
+	n.leadership.heartbeatAt = n.now
+}
+
+// leaderDeadline is when the leader has something to do next.
+func (n *Node) leaderDeadline() time.Duration {
+	deadline := n.leadership.heartbeatAt
+	if n.leadership.roundWanted {
+		deadline = min(deadline, n.nextRoundAt())
+	}
+	return deadline
+}
+
+// Lagging tells a leader how many entries a member lacks and when it was last heard.
+func (n *Node) Lagging(id MemberID) (behind uint64, lastHeard time.Duration, known bool) {
+	if n.role != roleLeader {
+		return 0, 0, false
+	}
+	if id == n.config.ID {
+		return n.log.last() - n.leadership.ownMatch, n.now, true
+	}
+	peer := n.peer(id)
+	if peer == nil {
+		return 0, 0, false
+	}
+	return n.log.last() - peer.match, peer.heardAt, true
+}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -86,13 +86,14 @@
 	SentAt   time.Duration // the leader's steady time; echoed by responses, for confirmed leadership
 	Snapshot *Snapshot     // one piece: Data holds Offset.. of the whole
 	Offset   uint64
-	Last     bool // the snapshot's last piece
-	Forced   bool // a vote asked for by MessageTimeoutNow: not held off by a living leader
+	Total    uint64 // bytes of the whole snapshot, so that room is made once; 0: not told
+	Last     bool   // the snapshot's last piece
+	Forced   bool   // a vote asked for by MessageTimeoutNow: not held off by a living leader
 }
 
 // Output is what a Node wants done, in this order: Snapshot and HardState and Entries to disk; then, once on disk,
-// Persisted is called; Messages marked by the kinds that promise something (vote and append responses) leave only after
-// that, all others may leave at once; Committed is applied in order (it may be applied before it is on this disk, since a
+// Persisted is called; Deferred messages, which promise something, leave only after that and after everything that earlier
+// Outputs held is on disk as well, all others may leave at once; Committed is applied in order (it may be applied before it is on this disk, since a
 // quorum has it).
 type Output struct {
 	HardState *HardState // nil: unchanged
