Know for frontends and agents where owners are and what is in force

One watch at the owner of the configuration brings versions, members and owners; calls go to a shard's owner, follow hints, and end with an error that tells whether something may have been done.

--- /dev/null
+++ b/internal/directory/watch.go
@@ -0,0 +1,189 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/protocol"
+)
+
+const (
+	watchWait       = time.Second            // how long the owner may hold a watch back
+	watchSlack      = 600 * time.Millisecond // on top of that until it counts as silent
+	leastWatchPause = 50 * time.Millisecond
+	mostWatchPause  = 400 * time.Millisecond
+	leastWatchSpan  = 50 * time.Millisecond  // between two watches that brought nothing
+	leastRefresh    = 200 * time.Millisecond // a watch younger than this is not broken off
+)
+
+// watch is the state of the one watch that a Directory keeps going.
+type watch struct {
+	target   string
+	failures int  // in a row
+	hints    int  // followed in a row
+	whole    bool // ask for a snapshot
+	short    bool // ask for an answer at once
+}
+
+// Run keeps a watch going at the owner of the configuration until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	w := &watch{target: d.first(protocol.ConfigurationShard)}
+	for ctx.Err() == nil {
+		d.round(ctx, w)
+	}
+}
+
+// round makes one watch, and waits as long as is due before the next.
+func (d *Directory) round(ctx context.Context, w *watch) {
+	sentAt := d.options.Clock.Now()
+	answer, refreshed, err := d.ask(ctx, w)
+	switch {
+	case ctx.Err() != nil:
+	case err == nil:
+		w.failures, w.hints = 0, 0
+		w.short = false
+		d.accept(ctx, w, answer, sentAt)
+	case refreshed:
+		w.short = true
+	default:
+		d.fail(ctx, w, err)
+	}
+}
+
+// ask sends one watch. refreshed: it was broken off by a Refresh.
+func (d *Directory) ask(ctx context.Context, w *watch) (answer *protocol.WatchResponse, refreshed bool, err error) {
+	if w.target == "" {
+		return nil, false, failure.New(failure.Unavailable, "no control process is known")
+	}
+	request := d.request(w)
+	held := time.Duration(request.WaitMs) * time.Millisecond
+	bounded, cancel := clockwork.WithTimeout(ctx, d.options.Clock, held+watchSlack)
+	defer cancel()
+	if !w.short {
+		d.setBreakOff(cancel)
+	}
+	answer = &protocol.WatchResponse{}
+	err = d.options.Client.DoLong(bounded, w.target, request, answer)
+	refreshed = d.endBreakOff()
+	return answer, refreshed && err != nil, err
+}
+
+// setBreakOff lets Refresh break the present watch off.
+func (d *Directory) setBreakOff(cancel context.CancelFunc) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.breakOff = cancel
+	d.watchedAt = d.options.Clock.Now()
+}
+
+// endBreakOff tells whether Refresh broke the watch off.
+func (d *Directory) endBreakOff() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	refreshed := d.refreshed
+	d.breakOff, d.refreshed = nil, false
+	return refreshed
+}
+
+func (d *Directory) request(w *watch) *protocol.WatchRequest {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	request := &protocol.WatchRequest{
+		Version: d.view.version,
+		Owners:  d.view.ownersAt,
+		WaitMs:  watchWait.Milliseconds(),
+		Node:    d.options.Node,
+	}
+	if w.whole {
+		request.Version = 0
+	}
+	if w.short {
+		request.WaitMs = 0
+	}
+	return request
+}
+
+// accept takes over what an answer brought.
+func (d *Directory) accept(ctx context.Context, w *watch, answer *protocol.WatchResponse, sentAt time.Time) {
+	brought := d.judge(answer)
+	if brought.stale {
+		_ = level.Warn(d.options.Logger).Log("message", "older configuration passed over", "peer", w.target,
+			"version", answer.Version, "held", d.Version())
+		d.fail(ctx, w, errors.New("an older configuration"))
+		return
+	}
+	w.whole = brought.incomplete
+	if brought.incomplete {
+		d.pace(ctx, sentAt, leastWatchSpan)
+		return
+	}
+	if brought.configuration != nil && d.options.OnConfiguration != nil {
+		d.options.OnConfiguration(answer.Version, brought.configuration)
+	}
+	d.confirm(w.target, answer.Version, sentAt)
+	if brought.configuration == nil && !brought.owners {
+		d.pace(ctx, sentAt, leastWatchSpan)
+	}
+}
+
+func (d *Directory) judge(answer *protocol.WatchResponse) news {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	brought := d.view.judge(answer)
+	if brought.owners {
+		d.announce()
+	}
+	return brought
+}
+
+func (d *Directory) confirm(from string, version uint64, sentAt time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.view.adopt(version)
+	d.view.confirm(sentAt)
+	d.view.learn(protocol.ConfigurationShard, from)
+}
+
+// fail picks whom to ask after a failure, and waits.
+func (d *Directory) fail(ctx context.Context, w *watch, err error) {
+	leader := failure.LeaderOf(err)
+	if leader != "" && leader != w.target && w.hints < mostHints {
+		w.hints++
+		w.target = leader
+		return
+	}
+	w.hints = 0
+	w.failures++
+	if leader != "" {
+		w.target = leader
+	} else {
+		d.forgetOwner(protocol.ConfigurationShard, w.target)
+		w.target = d.next(w.target)
+	}
+	silent := failure.KindOf(err) == failure.UnknownOutcome
+	if silent && w.failures == 1 {
+		return
+	}
+	d.pause(ctx, watchPause(w.failures))
+}
+
+// watchPause returns how long to wait after so many failures in a row.
+func watchPause(failures int) time.Duration {
+	return min(leastWatchPause<<min(failures-1, 3), mostWatchPause)
+}
+
+// pace waits until a span has passed since a moment.
+func (d *Directory) pace(ctx context.Context, since time.Time, span time.Duration) {
+	if left := span - d.options.Clock.Since(since); left > 0 {
+		d.pause(ctx, left)
+	}
+}
+
+func (d *Directory) pause(ctx context.Context, span time.Duration) {
+	d.wait(ctx, span, nil)
+}
--- a/internal/transport/handle.go
+++ b/internal/transport/handle.go
@@ -11,6 +11,9 @@
 	"ospreypond/internal/failure"
 )
 
+// longestWaitMs bounds what a caller may say it waits.
+const longestWaitMs = 3600 * 1000
+
 // handler is what a server does with one type. Its functions read the frame's value from the session; an error of
 // theirs ends the session.
 type handler struct {
@@ -71,7 +74,8 @@
 	ctx := s.ctx
 	if a.remainingMs > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(a.remainingMs)*time.Millisecond)
+		remaining := time.Duration(min(a.remainingMs, longestWaitMs)) * time.Millisecond
+		ctx, cancel = context.WithTimeout(ctx, remaining)
 		defer cancel()
 	}
 	response, err := f(ctx, a.session.from, request)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -40,7 +40,8 @@
 	return s
 }
 
-// Serve takes connections until ctx ends or the server is closed, which ends the listener; then it returns nil.
+// Serve takes connections until ctx ends or the server is closed. Then it ends the listener and the connections, as
+// Close does, and returns nil.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	if !s.addListener(listener) {
 		_ = listener.Close()
@@ -54,6 +55,7 @@
 		case err == nil:
 			s.add(conn)
 		case s.isClosed():
+			s.waiting.Wait()
 			return nil
 		case !isShortage(err):
 			return errors.Wrap(err, "taking connections")
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -27,6 +27,7 @@
 	options := &server.options
 	s.out = newOutbox(options.MaxFrameBytes, options.MaxQueueBytes, options.WriteTimeout, "", s.over)
 	s.in = newInbox(conn, options.MaxFrameBytes)
+	s.out.attach(conn)
 	return s
 }
 
@@ -35,7 +36,6 @@
 
 // run greets, and handles frames until the connection ends.
 func (s *session) run() {
-	s.out.attach(s.conn)
 	err := s.greet()
 	for err == nil {
 		var h header
