--- /dev/null
+++ b/internal/simulation/audit_runs.go
@@ -0,0 +1,221 @@
+package simulation
+
+import (
+	"slices"
+	"time"
+
+	"ospreypond/internal/protocol"
+)
+
+// checkLimit: a runner that does not guard its capacity is not brought over it.
+func (a *auditor) checkLimit(run *Run, step *protocol.Step) {
+	runner := run.Runner
+	if runner.Guards {
+		return
+	}
+	sum := step.Needs()
+	for _, other := range a.besides(run) {
+		if _, its := a.stepOf(other.Task); its != nil {
+			sum.CPU += its.CPU
+			sum.MemoryMB += its.MemoryMB
+			sum.GPU += its.GPU
+		}
+	}
+	room := runner.Capacity
+	if sum.CPU > room.CPU || sum.MemoryMB > room.MemoryMB || sum.GPU > room.GPU {
+		a.breaks(RuleLimit, run.Started, "%s run %d brings %s to %+v of %+v", run.Text, run.Run, runner.Instance, sum, room)
+	}
+}
+
+// besides are the runs that were on the same runner when a run started there.
+func (a *auditor) besides(run *Run) []*Run {
+	var others []*Run
+	for _, other := range a.byRunner[run.Runner] {
+		if other == run {
+			break
+		}
+		if !other.Over(run.Started) {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
+// takenDone tells whether a run ended done before a time, and that end was, then or later, taken note of.
+func takenDone(run *Run, before time.Duration) bool {
+	return run.How == protocol.EndDone && run.Ended <= before && run.Noted != Never && !run.NoteLost
+}
+
+// checkTwice: no two runs of a task at one time, and none after its end.
+func (a *auditor) checkTwice(run *Run, job *JobRecord, step *protocol.Step) {
+	if !step.AtMostOnce {
+		for _, other := range a.byTask[run.Task] {
+			if other == run {
+				break
+			}
+			if !other.Over(run.Started) {
+				a.breaks(RuleTwice, run.Started, "%s run %d on %s while run %d is on %s", run.Text, run.Run,
+					run.Runner.Instance, other.Run, other.Runner.Instance)
+			}
+		}
+	}
+	if step.LongRunning {
+		return
+	}
+	for _, other := range a.sameEnd(run, step) {
+		if !step.AtMostOnce && takenDone(other, run.Started) && other != run {
+			a.breaks(RuleTwice, run.Started, "%s run %d started, run %d ended done at %v", run.Text, run.Run, other.Run, other.Ended)
+			return
+		}
+	}
+	a.checkStartedLate(run, job, step)
+}
+
+// sameEnd are the runs whose end done ends the task: for a gang, those of all members.
+func (a *auditor) sameEnd(run *Run, step *protocol.Step) []*Run {
+	if step.Gang {
+		return a.byGroup[run.Task.group()]
+	}
+	return a.byTask[run.Task]
+}
+
+// checkStartedLate: a machine in touch starts nothing over a second after its end was taken note of or shown.
+func (a *auditor) checkStartedLate(run *Run, job *JobRecord, step *protocol.Step) {
+	if !a.inTouch(run.Runner.Machine, run.Started) {
+		return
+	}
+	since := run.Started - time.Second
+	for _, other := range a.sameEnd(run, step) {
+		if other.How == protocol.EndDone && other.Noted != Never && other.Noted < since {
+			a.breaks(RuleTwice, run.Started, "%s run %d started, the end of run %d was taken note of at %v",
+				run.Text, run.Run, other.Run, other.Noted)
+			return
+		}
+	}
+	for _, ask := range job.Asks {
+		if ask.Answered != Never && ask.State == protocol.JobCompleted && ask.Answered < since {
+			a.breaks(RuleTwice, run.Started, "%s run %d started, the job was shown as completed at %v", run.Text, run.Run, ask.Answered)
+			return
+		}
+	}
+}
+
+// doneBy tells whether a task had ended done by a time.
+func (a *auditor) doneBy(task TaskName, step *protocol.Step, at time.Duration) bool {
+	runs := a.byTask[task]
+	if step.Gang {
+		runs = a.byGroup[task.group()]
+	}
+	return slices.ContainsFunc(runs, func(r *Run) bool { return r.How == protocol.EndDone && r.Ended <= at })
+}
+
+// checkOrder: not before the steps it depends on, nor before its time.
+func (a *auditor) checkOrder(run *Run, job *JobRecord, step *protocol.Step) {
+	for _, before := range step.DependsOn {
+		earlier := &job.Spec.Steps[before]
+		for i := range earlier.Count {
+			task := TaskName{run.Task.Job, run.Task.Time, before, i}
+			if !a.doneBy(task, earlier, run.Started) {
+				a.breaks(RuleOrder, run.Started, "%s run %d started before %s ended done", run.Text, run.Run, task)
+				return
+			}
+		}
+	}
+	if job.Spec.Repetitions == 0 {
+		return
+	}
+	slack := a.Bounds.Early
+	if a.clocks {
+		slack += 5 * time.Second
+	}
+	if due := dueAt(&job.Spec, run.Task.Time); run.Started < due-slack {
+		a.breaks(RuleOrder, run.Started, "%s run %d started, it falls due at %v", run.Text, run.Run, due)
+	}
+}
+
+// checkRoute: only on runners of the queue's service with the label, and within antiAffinity.
+func (a *auditor) checkRoute(run *Run, job *JobRecord, step *protocol.Step) {
+	sent := slices.ContainsFunc(a.Configuration, func(c *ConfigurationRecord) bool {
+		return c.Routes[job.Queue].Service == run.Runner.Service
+	})
+	if !sent {
+		a.breaks(RuleRoute, run.Started, "%s run %d on a runner of %s", run.Text, run.Run, run.Runner.Service)
+	}
+	if step.Requirements != "" && !slices.Contains(run.Runner.Labels, step.Requirements) {
+		a.breaks(RuleRoute, run.Started, "%s run %d on %s without label %q", run.Text, run.Run, run.Runner.Instance, step.Requirements)
+	}
+	if step.AntiAffinity == 0 {
+		return
+	}
+	count := 1
+	for _, other := range a.besides(run) {
+		if other.Task.group() == run.Task.group() {
+			count++
+		}
+	}
+	if count > step.AntiAffinity {
+		a.breaks(RuleRoute, run.Started, "%s run %d is one of %d on %s, %d may be", run.Text, run.Run, count,
+			run.Runner.Instance, step.AntiAffinity)
+	}
+}
+
+// checkBudget: no start once as many runs as allowed have ended failed.
+func (a *auditor) checkBudget(run *Run, job *JobRecord, step *protocol.Step) {
+	most, _ := a.attempts(job.Queue)
+	if most == 0 || step.LongRunning {
+		return
+	}
+	failed := map[uint64]bool{}
+	last := Never
+	for _, other := range a.sameEnd(run, step) {
+		if other.How == protocol.EndFailed && other.Noted != Never && other.Ended <= run.Started {
+			failed[other.Run] = true
+			last = max(last, other.Noted)
+		}
+	}
+	if len(failed) < most {
+		return
+	}
+	if step.AtMostOnce && (!a.inTouch(run.Runner.Machine, run.Started) || run.Started <= last+time.Second) {
+		return
+	}
+	a.breaks(RuleBudget, run.Started, "%s run %d started after %d ends failed, %d are allowed", run.Text, run.Run, len(failed), most)
+}
+
+// checkGang: in a calm, no member is left alone; and all bring the same checkpoint.
+func (a *auditor) checkGang(run *Run, job *JobRecord, step *protocol.Step) {
+	if !step.Gang {
+		return
+	}
+	for _, other := range a.byGroup[run.Task.group()] {
+		if other == run {
+			break
+		}
+		if other.Run == run.Run && other.Saved != run.Saved {
+			a.breaks(RuleGang, run.Started, "%s run %d brings %q, another member %q", run.Text, run.Run, run.Saved, other.Saved)
+			break
+		}
+	}
+	if run.How != protocol.EndAlone {
+		return
+	}
+	cancelled := job.CancelSent()
+	if cancelled != Never && cancelled <= run.Ended {
+		return
+	}
+	if a.inTouch(run.Runner.Machine, run.Started) && a.calm(run.Started, run.Ended, planned) {
+		a.breaks(RuleGang, run.Ended, "%s run %d on %s ended alone", run.Text, run.Run, run.Runner.Instance)
+	}
+}
+
+// checkDrain: nothing starts on a runner long after its draining was acknowledged.
+func (a *auditor) checkDrain(run *Run) {
+	acknowledged := run.Runner.DrainAck
+	if acknowledged == Never || run.Started <= acknowledged+a.Bounds.Drain {
+		return
+	}
+	if a.inTouch(run.Runner.Machine, run.Started) && a.inTouch(run.Runner.Machine, acknowledged) {
+		a.breaks(RuleDrain, run.Started, "%s run %d started on %s, draining since %v", run.Text, run.Run,
+			run.Runner.Instance, acknowledged)
+	}
+}
--- a/internal/simulation/ledger.go
+++ b/internal/simulation/ledger.go
@@ -74,6 +74,7 @@
 	Answered time.Duration // Never: silence, or a cut
 	Status   int
 	State    string // of a GET
+	Lost     bool   // the answer was sent, and lost on its way
 }
 
 // rejected tells whether the answer says that nothing was taken.
@@ -160,8 +161,8 @@
 	Troubles      []Trouble
 	TrafficEnds   time.Duration
 	Ends          time.Duration
-	ReadBack      string // whole configuration as read at the end, canonical JSON; empty: none came
-	ReadVersion   int64
+	ReadBack      string // whole configuration as last read at the end, canonical JSON; empty: none came
+	Reads         []Read
 	FinalFault    time.Duration   // Never: none
 	Returned      time.Duration   // when the machines were back from it
 	Idle          []IdleJob       // jobs that had nothing running though they could, as sampled at the end
@@ -174,6 +175,12 @@
 	From, To time.Duration
 }
 
+// Read is a configuration as the operator read it, in canonical JSON.
+type Read struct {
+	At   time.Duration
+	Body string
+}
+
 // NewLedger returns an empty ledger.
 func NewLedger(bounds Bounds) *Ledger {
 	return &Ledger{Bounds: bounds, Jobs: map[string]*JobRecord{}, FinalFault: Never, Returned: Never,
