--- /dev/null
+++ b/internal/boot/load_test.go
@@ -0,0 +1,208 @@
+package boot_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/boot"
+	"ospreypond/internal/failure"
+)
+
+// complete returns the settings of a machine, as a JSON object that a test may change.
+func complete() map[string]any {
+	return map[string]any{
+		"nodeName":            "core-sur-2",
+		"role":                "control",
+		"machineClass":        "core",
+		"serves":              []any{"control_plane"},
+		"ip":                  "10.3.0.7",
+		"zone":                "sur",
+		"region":              "south",
+		"zones":               map[string]any{"sur": "south", "norte": "south"},
+		"listen":              map[string]any{"control": "10.3.0.7:9001"},
+		"internalPorts":       []any{7400, 7410},
+		"seeds":               []any{"10.1.0.2:9001", "10.2.0.2:9001"},
+		"bootstrap":           true,
+		"countsForQuorum":     true,
+		"limits":              map[string]any{"cpuShare": 0.8, "cores": 1, "memoryMb": 200, "fileDescriptors": 4096, "linkMbps": 1000.0, "diskMb": 128},
+		"dataDir":             "/data/control",
+		"discovery":           "local",
+		"entry":               "virtual_ip",
+		"heartbeatIntervalMs": 1500,
+		"contracts":           []any{"base", "sched"},
+		"faultTolerance":      map[string]any{"machines": 1, "zones": 0, "regions": 0},
+		"bounds":              map[string]any{"contactMs": 2500, "graceS": 7, "gang_ms": 1200, "status_s": 90, "far_x": 1.75, "restore_ms": 100, "save_s": 0.5},
+		"commands":            "heartbeat",
+	}
+}
+
+func parse(settings map[string]any) (*boot.Settings, error) {
+	data, err := json.Marshal(settings)
+	Expect(err).NotTo(HaveOccurred())
+	return boot.Parse(data)
+}
+
+var _ = Describe("Reading settings", func() {
+	It("takes every field", func() {
+		settings, err := parse(complete())
+		Expect(err).NotTo(HaveOccurred())
+		bounds := boot.StandardBounds()
+		bounds.Contact = 2500 * time.Millisecond
+		bounds.Grace = 7 * time.Second
+		bounds.Gang = 1200 * time.Millisecond
+		bounds.Status = 90 * time.Second
+		bounds.Far = 1.75
+		bounds.Restore = 100 * time.Millisecond
+		bounds.Save = 500 * time.Millisecond
+		Expect(settings).To(Equal(&boot.Settings{
+			NodeName: "core-sur-2", Role: "control", MachineClass: "core", Serves: []string{"control_plane"},
+			IP: "10.3.0.7", Zone: "sur", Region: "south",
+			Zones:         map[string]string{"sur": "south", "norte": "south"},
+			Listen:        map[string]string{"control": "10.3.0.7:9001"},
+			InternalPorts: [2]int{7400, 7410},
+			Seeds:         []string{"10.1.0.2:9001", "10.2.0.2:9001"},
+			Bootstrap:     true, CountsForQuorum: true,
+			Limits:  boot.Limits{CPUShare: 0.8, Cores: 1, MemoryMB: 200, FileDescriptors: 4096, LinkMbps: 1000, DiskMB: 128},
+			DataDir: "/data/control", Discovery: "local", Entry: "virtual_ip",
+			HeartbeatInterval: 1500 * time.Millisecond,
+			Contracts:         []string{"base", "sched"},
+			FaultTolerance:    boot.FaultTolerance{Machines: 1},
+			Bounds:            bounds,
+			Commands:          "heartbeat",
+		}))
+	})
+
+	It("tells the internal addresses", func() {
+		settings, err := parse(complete())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.InternalAddress()).To(Equal("10.3.0.7:7400"))
+		Expect(settings.SeedInternalAddresses()).To(Equal([]string{"10.1.0.2:7400", "10.2.0.2:7400"}))
+		Expect(settings.ServesRole(boot.ServesControl)).To(BeTrue())
+		Expect(settings.ServesRole(boot.ServesSide)).To(BeFalse())
+	})
+
+	It("reads a runner's machine", func() {
+		changed := complete()
+		changed["serves"] = []any{"side"}
+		changed["dataDir"] = nil
+		changed["app"] = "10.3.0.7:9002"
+		changed["service"] = "prices"
+		settings, err := parse(changed)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.DataDir).To(BeEmpty())
+		Expect(settings.App).To(Equal("10.3.0.7:9002"))
+		Expect(settings.Service).To(Equal("prices"))
+	})
+
+	DescribeTable("does without",
+		func(key string) {
+			changed := complete()
+			delete(changed, key)
+			_, err := parse(changed)
+			Expect(err).NotTo(HaveOccurred())
+			changed[key] = nil
+			_, err = parse(changed)
+			Expect(err).NotTo(HaveOccurred())
+		},
+		Entry(nil, "machineClass"), Entry(nil, "region"), Entry(nil, "zones"), Entry(nil, "bootstrap"),
+		Entry(nil, "countsForQuorum"), Entry(nil, "limits"), Entry(nil, "dataDir"), Entry(nil, "discovery"),
+		Entry(nil, "entry"), Entry(nil, "heartbeatIntervalMs"), Entry(nil, "contracts"), Entry(nil, "faultTolerance"),
+		Entry(nil, "bounds"), Entry(nil, "commands"),
+	)
+
+	It("passes over keys it does not know", func() {
+		changed := complete()
+		changed["tomorrow"] = map[string]any{"a": []any{1, "b"}}
+		changed["bounds"].(map[string]any)["later_ms"] = "soon"
+		_, err := parse(changed)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	DescribeTable("names the key of each fault",
+		func(change func(map[string]any), keys ...string) {
+			changed := complete()
+			change(changed)
+			_, err := parse(changed)
+			Expect(failure.KindOf(err)).To(Equal(failure.Invalid))
+			for _, key := range keys {
+				Expect(err.Error()).To(ContainSubstring(key + ": "))
+			}
+		},
+		Entry("no name", func(s map[string]any) { delete(s, "nodeName") }, "nodeName"),
+		Entry("an empty name", func(s map[string]any) { s["nodeName"] = "" }, "nodeName"),
+		Entry("a number for a name", func(s map[string]any) { s["role"] = 7 }, "role"),
+		Entry("no zone", func(s map[string]any) { delete(s, "zone") }, "zone"),
+		Entry("no address", func(s map[string]any) { s["ip"] = nil }, "ip"),
+		Entry("a name for an address", func(s map[string]any) { s["ip"] = "localhost" }, "ip"),
+		Entry("a text for a list", func(s map[string]any) { s["serves"] = "side" }, "serves"),
+		Entry("a list for an object", func(s map[string]any) { s["zones"] = []any{"sur"} }, "zones"),
+		Entry("an object of numbers", func(s map[string]any) { s["listen"] = map[string]any{"control": 9001} }, "listen"),
+		Entry("a port too high", func(s map[string]any) { s["listen"] = map[string]any{"control": "10.3.0.7:99999"} }, "listen.control"),
+		Entry("nothing to listen at", func(s map[string]any) { s["serves"] = []any{"frontend"} }, "listen.frontend", "listen.readiness"),
+		Entry("no ports", func(s map[string]any) { delete(s, "internalPorts") }, "internalPorts"),
+		Entry("one port", func(s map[string]any) { s["internalPorts"] = []any{7400} }, "internalPorts"),
+		Entry("ports the wrong way round", func(s map[string]any) { s["internalPorts"] = []any{7410, 7400} }, "internalPorts"),
+		Entry("half a port", func(s map[string]any) { s["internalPorts"] = []any{7400.5, 7410} }, "internalPorts"),
+		Entry("no seeds", func(s map[string]any) { delete(s, "seeds") }, "seeds"),
+		Entry("a seed without port", func(s map[string]any) { s["seeds"] = []any{"10.1.0.2:9001", "10.2.0.2"} }, "seeds[1]"),
+		Entry("a text for a truth", func(s map[string]any) { s["bootstrap"] = "yes" }, "bootstrap"),
+		Entry("no memory", func(s map[string]any) { s["limits"] = map[string]any{"memoryMb": 0} }, "limits.memoryMb"),
+		Entry("half a core", func(s map[string]any) { s["limits"] = map[string]any{"cores": 1.5} }, "limits.cores"),
+		Entry("less than no share", func(s map[string]any) { s["limits"] = map[string]any{"cpuShare": -1} }, "limits.cpuShare"),
+		Entry("limits that are a number", func(s map[string]any) { s["limits"] = 3 }, "limits"),
+		Entry("less than no loss", func(s map[string]any) { s["faultTolerance"] = map[string]any{"zones": -1} }, "faultTolerance.zones"),
+		Entry("no time between heartbeats", func(s map[string]any) { s["heartbeatIntervalMs"] = 0 }, "heartbeatIntervalMs"),
+		Entry("a time in words", func(s map[string]any) { s["bounds"] = map[string]any{"graceS": "6s"} }, "bounds.graceS"),
+		Entry("less than no time", func(s map[string]any) { s["bounds"] = map[string]any{"gang_ms": -5} }, "bounds.gang_ms"),
+		Entry("a time of years", func(s map[string]any) { s["bounds"] = map[string]any{"status_s": 1e12} }, "bounds.status_s"),
+		Entry("data that is faster far away", func(s map[string]any) { s["bounds"] = map[string]any{"far_x": 0.5} }, "bounds.far_x"),
+		Entry("unknown commands", func(s map[string]any) { s["commands"] = "shouting" }, "commands"),
+		Entry("a runner at no address", func(s map[string]any) { s["app"] = "here" }, "app"),
+		Entry("several at once", func(s map[string]any) {
+			delete(s, "zone")
+			s["seeds"] = []any{"?"}
+			s["bounds"] = map[string]any{"stop_ms": "x"}
+		}, "zone", "seeds[0]", "bounds.stop_ms"),
+	)
+
+	DescribeTable("refuses a file that is no object",
+		func(content string) {
+			path := filepath.Join(GinkgoT().TempDir(), "boot.json")
+			Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+			_, err := boot.Load(path)
+			Expect(failure.KindOf(err)).To(Equal(failure.Invalid))
+		},
+		Entry("nothing", ""), Entry("a list", "[]"), Entry("half of it", `{"nodeName":`), Entry("null", "null"),
+	)
+
+	It("names the file that is not there", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "none.json")
+		_, err := boot.Load(path)
+		Expect(failure.KindOf(err)).To(Equal(failure.Invalid))
+		Expect(err.Error()).To(ContainSubstring(path))
+		Expect(err.Error()).To(ContainSubstring(boot.Variable))
+	})
+})
+
+var _ = Describe("Limits of the process", func() {
+	It("stay below what the machine allows", func() {
+		processors, limit, percent := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1), debug.SetGCPercent(100)
+		DeferCleanup(func() {
+			runtime.GOMAXPROCS(processors)
+			debug.SetMemoryLimit(limit)
+			debug.SetGCPercent(percent)
+		})
+		limits := boot.Limits{MemoryMB: 200}
+		Expect(limits.MemoryLimit()).To(Equal(int64(120 << 20)))
+		limits.Apply()
+		Expect(runtime.GOMAXPROCS(0)).To(Equal(1))
+		Expect(debug.SetMemoryLimit(-1)).To(Equal(int64(120 << 20)))
+	})
+})
