--- /dev/null
+++ b/internal/configuration/cost_test.go
@@ -0,0 +1,70 @@
+package configuration
+
+import (
+	"fmt"
+	"testing"
+
+	"ospreypond/internal/failure"
+)
+
+func bigState(b *testing.B, routes int) *State {
+	state := NewState()
+	if result := state.Execute(replace(0, whole(1, manyRoutes(routes)...))); result.Kind != failure.None {
+		b.Fatal(result.Message)
+	}
+	return state
+}
+
+func BenchmarkUpdateOneRoute(b *testing.B) {
+	for _, routes := range []int{400, 20000} {
+		b.Run(fmt.Sprint(routes), func(b *testing.B) {
+			state := bigState(b, routes)
+			version := uint64(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				route := aRoute("r-00005", "moved.example", fmt.Sprintf("/v%d/", version), "a")
+				body := fmt.Sprintf(`{"version":%d,"upsert":{"routes":[%s]}}`, version+1, route)
+				if result := state.Execute(update(version, body)); result.Kind != failure.None {
+					b.Fatal(result.Message)
+				}
+				version++
+			}
+		})
+	}
+}
+
+func BenchmarkReplace(b *testing.B) {
+	for _, routes := range []int{400, 20000} {
+		b.Run(fmt.Sprint(routes), func(b *testing.B) {
+			body := whole(1, manyRoutes(routes)...)
+			b.ReportAllocs()
+			for b.Loop() {
+				NewState().Execute(replace(0, body))
+			}
+		})
+	}
+}
+
+func BenchmarkReplaceOneOfMany(b *testing.B) {
+	state := bigState(b, 400)
+	version := uint64(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		routes := manyRoutes(400)
+		routes[7] = aRoute("r-00007", "h", fmt.Sprintf("/v%d/", version), "a")
+		if result := state.Execute(replace(version, whole(int(version+1), routes...))); result.Kind != failure.None {
+			b.Fatal(result.Message)
+		}
+		version++
+	}
+}
+
+func BenchmarkLookup(b *testing.B) {
+	table := bigState(b, 20000).Document().Table()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, ok := table.Lookup("host4.example:80", "/p11/5c0e7a21d94b36f8"); !ok {
+			b.Fatal("not found")
+		}
+	}
+}
--- /dev/null
+++ b/internal/configuration/history_test.go
@@ -0,0 +1,70 @@
+package configuration
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/failure"
+)
+
+var _ = DescribeTable("a queue's earlier services",
+	func(want []string, services ...string) { // "": no route
+		const key = "one.example/one/"
+		for _, replacing := range []bool{true, false} {
+			state := stateWith(replace(0, whole(1, routeTwo)))
+			follower := state.Document()
+			for i, service := range services {
+				version := i + 1
+				command := update(uint64(version), fmt.Sprintf(`{"version":%d,"remove":{"routes":["r-1","r-9"]}}`, version+1))
+				route := aRoute([]string{"r-1", "r-9"}[i%2], "ONE.example", "/one/", service)
+				switch {
+				case replacing && service == "":
+					command = replace(uint64(version), whole(version+1, routeTwo))
+				case replacing:
+					command = replace(uint64(version), whole(version+1, route, routeTwo))
+				case service != "":
+					body := fmt.Sprintf(`{"version":%d,"remove":{"routes":["r-1","r-9"]},"upsert":{"routes":[%s]}}`, version+1, route)
+					command = update(uint64(version), body)
+				}
+				Expect(state.Execute(command).Kind).To(Equal(failure.None))
+				feed, err := state.Since(follower.Version(), i%3 != 0)
+				Expect(err).NotTo(HaveOccurred())
+				follower, err = Advance(follower, feed)
+				Expect(err).NotTo(HaveOccurred())
+			}
+			Expect(state.Document().EarlierServices(key)).To(Equal(want), "replacing: %t", replacing)
+			Expect(follower.EarlierServices(key)).To(Equal(want), "follower, replacing: %t", replacing)
+		}
+	},
+	Entry("never there", nil),
+	Entry("one", nil, "a"),
+	Entry("the same", nil, "a", "a", "a"),
+	Entry("moved", []string{"a"}, "a", "b"),
+	Entry("moved and back", []string{"b"}, "a", "b", "a"),
+	Entry("dropped", []string{"a"}, "a", ""),
+	Entry("dropped for long", []string{"a"}, "a", "", "", ""),
+	Entry("dropped and back", nil, "a", "", "a"),
+	Entry("dropped and back elsewhere", []string{"a"}, "a", "", "b"),
+	Entry("moved and dropped", []string{"a", "b"}, "a", "b", ""),
+	Entry("moved, dropped and back", []string{"b"}, "a", "b", "", "a"),
+)
+
+var _ = Describe("queues that were dropped", func() {
+	It("are forgotten, the longest dropped first, once there are too many", func() {
+		document := &Document{version: 9, limits: &Limits{}}
+		for i := range droppedQueues {
+			member := &item{place: place{host: "h", prefix: fmt.Sprintf("/%05d/", i)}, earlier: []string{"a"}, dropped: uint64(droppedQueues - i)}
+			document.dropped = append(document.dropped, member)
+		}
+		route := &Route{Host: "h", PathPrefix: "/x/", Service: "a"}
+		left := &item{route: route, place: place{host: "h", prefix: "/x/"}}
+		next := &Document{version: droppedQueues + 1}
+		next.follow(document, []*item{left}, nil)
+		Expect(len(next.dropped)).To(BeNumerically("~", droppedQueues*3/4, 1))
+		Expect(next.EarlierServices("h/x/")).To(Equal([]string{"a"}))
+		Expect(next.EarlierServices("h/00000/")).To(Equal([]string{"a"}))
+		Expect(next.EarlierServices(fmt.Sprintf("h/%05d/", droppedQueues-1))).To(BeNil())
+	})
+})
