--- a/internal/jobs/apply.go
+++ b/internal/jobs/apply.go
@@ -103,6 +103,10 @@
 func ownSpec(spec *protocol.JobSpec) protocol.JobSpec {
 	own := *spec
 	own.Spec = strings.Clone(spec.Spec)
+	own.Steps = nil
+	if len(spec.Steps) == 0 {
+		return own
+	}
 	own.Steps = make([]protocol.Step, len(spec.Steps))
 	for i, step := range spec.Steps {
 		step.Requirements = strings.Clone(step.Requirements)
--- /dev/null
+++ b/internal/jobs/gang_test.go
@@ -0,0 +1,185 @@
+package jobs_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/jobs"
+	"ospreypond/internal/protocol"
+)
+
+var _ = Describe("gangs", func() {
+	var (
+		s       *shard
+		a, b, c = id(jobA, 0), id(jobA, 1), id(jobA, 2)
+	)
+	BeforeEach(func() {
+		s = newShard()
+		s.submit(jobA, 2, step(3, gang, checkpoints), step(1, after(0)))
+	})
+
+	startAll := func(run uint64) {
+		GinkgoHelper()
+		Expect(s.startOn(run, "r1", a, "r2", b, "r3", c)).To(Equal([]bool{true, true, true}))
+	}
+
+	DescribeTable("start all or none",
+		func(starts []jobs.Start, want []bool) {
+			Expect(s.do(&jobs.Command{Starts: starts}).Starts).To(Equal(want))
+			Expect(s.Counters().Running).To(Equal(count(want)))
+			startsAfter := s.Task(a).Run
+			Expect(startsAfter == 1).To(Equal(count(want) > 0))
+		},
+		Entry("all", []jobs.Start{{Task: a, Run: 1}, {Task: c, Run: 1}, {Task: b, Run: 1}}, []bool{true, true, true}),
+		Entry("one missing", []jobs.Start{{Task: a, Run: 1}, {Task: b, Run: 1}}, []bool{false, false}),
+		Entry("one twice instead of another",
+			[]jobs.Start{{Task: a, Run: 1}, {Task: b, Run: 1}, {Task: b, Run: 1}}, []bool{false, false, false}),
+		Entry("one twice besides all",
+			[]jobs.Start{{Task: a, Run: 1}, {Task: b, Run: 1}, {Task: c, Run: 1}, {Task: c, Run: 1}},
+			[]bool{false, false, false, false}),
+		Entry("one with another run",
+			[]jobs.Start{{Task: a, Run: 1}, {Task: b, Run: 2}, {Task: c, Run: 1}}, []bool{false, false, false}),
+	)
+
+	It("lets one gang's fault not touch the next", func() {
+		s.submit(jobB, 2, step(2, gang))
+		starts := []jobs.Start{
+			{Task: a, Run: 1, Runner: "r1"}, {Task: id(jobB, 0), Run: 1, Runner: "r1"},
+			{Task: b, Run: 1, Runner: "r1"}, {Task: id(jobB, 1), Run: 1, Runner: "r2"},
+		}
+		Expect(s.do(&jobs.Command{Starts: starts}).Starts).To(Equal([]bool{false, true, false, true}))
+		startAll(1)
+	})
+
+	It("is done as one with the first end `done`; the other runs linger until their own ends", func() {
+		startAll(1)
+		effects := s.end("r2", b, 1, protocol.EndDone, "")
+		Expect(effects.Ended).To(HaveLen(3))
+		Expect(s.phase(a) + s.phase(b) + s.phase(c)).To(Equal("donedonedone"))
+		Expect(s.phase(id(jobA, 1, 0))).To(Equal("held"))
+		Expect(s.Runners()).To(Equal([]string{"r1", "r3"}))
+		Expect(s.runsOn("r1")).To(BeEmpty())
+		needs := protocol.Resources{CPU: 500, MemoryMB: 64}
+		Expect(s.LingeringOn("r1")).To(Equal([]jobs.Lingering{{Task: a, Run: 1, Needs: needs}}))
+
+		effects = s.end("r1", a, 1, protocol.EndDone, "")
+		Expect(effects.Ends).To(Equal([]bool{false}))
+		Expect(effects.Freed).To(Equal([]jobs.Freed{{Runner: "r1", Lingering: jobs.Lingering{Task: a, Run: 1, Needs: needs}}}))
+		Expect(s.LingeringOn("r1")).To(BeEmpty())
+		Expect(s.lose("r3", c, 1, "").Freed).To(HaveLen(1))
+		Expect(s.Runners()).To(BeEmpty())
+		Expect(s.phase(a) + s.phase(b) + s.phase(c)).To(Equal("donedonedone"))
+	})
+
+	It("keeps lingering runs of a job that is completed and dropped", func() {
+		s.submit(jobB, 2, step(2, gang))
+		s.startOn(1, "r1", id(jobB, 0), "r1", id(jobB, 1))
+		s.end("r1", id(jobB, 0), 1, protocol.EndDone, "")
+		Expect(s.stateOf(jobB)).To(Equal(protocol.JobCompleted))
+		Expect(s.LingeringOn("r1")).To(HaveLen(1))
+		s.end("r1", id(jobB, 1), 1, protocol.EndDone, "")
+		Expect(s.LingeringOn("r1")).To(BeEmpty())
+		Expect(s.Counters().Lingering).To(Equal(0))
+	})
+
+	It("waits until no run of it may exist before it is held again, with one run for all", func() {
+		startAll(1)
+		s.end("r1", a, 1, protocol.EndBroken, "one")
+		s.lose("r2", b, 1, "")
+		Expect(s.phase(a) + s.phase(b) + s.phase(c)).To(Equal("pendingpendingrunning"))
+		Expect(s.held()).To(BeEmpty())
+		Expect(s.startOn(2, "r1", a, "r2", b, "r3", c)).To(Equal([]bool{false, false, false}))
+		effects := s.end("r3", c, 1, protocol.EndAlone, "")
+		Expect(effects.Held).To(HaveLen(3))
+		Expect(s.held()).To(Equal([]string{a.String(), b.String(), c.String()}))
+		for _, member := range []jobs.TaskID{a, b, c} {
+			Expect(s.Task(member).Saved).To(Equal("one"))
+		}
+		Expect(s.Task(a).Group.Attempts).To(Equal(0))
+		startAll(2)
+		Expect(s.Task(a).Group.Run).To(Equal(uint64(2)))
+	})
+
+	It("is done also when a member's run was over before", func() {
+		startAll(1)
+		s.lose("r1", a, 1, "")
+		s.end("r2", b, 1, protocol.EndDone, "")
+		Expect(s.phase(a) + s.phase(b) + s.phase(c)).To(Equal("donedonedone"))
+		Expect(s.Runners()).To(Equal([]string{"r3"}))
+	})
+
+	It("counts a failed run once, however many members end so", func() {
+		startAll(1)
+		s.end("r1", a, 1, protocol.EndFailed, "")
+		s.end("r2", b, 1, protocol.EndFailed, "")
+		s.end("r3", c, 1, protocol.EndBroken, "")
+		Expect(s.Task(a).AttemptsOf()).To(Equal(1))
+		Expect(s.stateOf(jobA)).To(Equal(protocol.JobRunning))
+		startAll(2)
+		member := s.Task(c)
+		s.end("r2", b, 2, protocol.EndFailed, "")
+		Expect(s.stateOf(jobA)).To(Equal(protocol.JobFailed))
+		Expect(s.phase(b)).To(Equal("failed"))
+		Expect(s.phase(c)).To(Equal("running"))
+		s.end("r1", a, 2, protocol.EndBroken, "")
+		s.end("r3", c, 2, protocol.EndBroken, "")
+		Expect(phaseName(member.Phase)).To(Equal("cancelled"))
+		Expect(s.Job(jobA).Groups).To(BeEmpty())
+	})
+
+	It("is cancelled: what is pending at once, what runs with its end", func() {
+		startAll(1)
+		s.end("r1", a, 1, protocol.EndBroken, "")
+		s.cancel(jobA)
+		Expect(s.phase(a) + s.phase(b) + s.phase(c)).To(Equal("cancelledrunningrunning"))
+		s.end("r2", b, 1, protocol.EndDone, "")
+		s.end("r3", c, 1, protocol.EndStopped, "")
+		Expect(s.stateOf(jobA)).To(Equal(protocol.JobCancelled))
+		Expect(s.Runners()).To(BeEmpty())
+		Expect(s.held()).To(BeEmpty())
+	})
+
+	It("prefers what an end saved to what was seen earlier of a lost run", func() {
+		startAll(1)
+		s.lose("r1", a, 1, "seen")
+		s.end("r2", b, 1, protocol.EndBroken, "ended")
+		s.lose("r3", c, 1, "seen too")
+		Expect(s.Task(a).Saved).To(Equal("ended"))
+		startAll(2)
+		s.lose("r1", a, 2, "later")
+		s.lose("r2", b, 2, "")
+		s.lose("r3", c, 2, "")
+		Expect(s.Task(b).Saved).To(Equal("later"))
+	})
+
+	It("that lasts is held again however it ends, also done", func() {
+		s.submit(jobB, 1, step(2, gang, longRunning))
+		for run := uint64(1); run <= 3; run++ {
+			s.startOn(run, "r1", id(jobB, 0), "r2", id(jobB, 1))
+			s.end("r1", id(jobB, 0), run, protocol.EndDone, "")
+			Expect(s.phase(id(jobB, 0))).To(Equal("pending"))
+			s.end("r2", id(jobB, 1), run, protocol.EndFailed, "")
+			Expect(s.phase(id(jobB, 0))).To(Equal("held"))
+		}
+		Expect(s.stateOf(jobB)).To(Equal(protocol.JobRunning))
+	})
+})
+
+// startOn starts pairs of runner and task in one command.
+func (s *shard) startOn(run uint64, pairs ...any) []bool {
+	command := &jobs.Command{}
+	for i := 0; i < len(pairs); i += 2 {
+		start := jobs.Start{Runner: pairs[i].(string), Task: pairs[i+1].(jobs.TaskID), Run: run}
+		command.Starts = append(command.Starts, start)
+	}
+	return s.do(command).Starts
+}
+
+func count(flags []bool) (set int) {
+	for _, flag := range flags {
+		if flag {
+			set++
+		}
+	}
+	return set
+}
--- /dev/null
+++ b/internal/jobs/handin_test.go
@@ -0,0 +1,201 @@
+package jobs_test
+
+import (
+	"math"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/jobs"
+	"ospreypond/internal/protocol"
+)
+
+var _ = Describe("handing in", func() {
+	var s *shard
+	BeforeEach(func() { s = newShard() })
+
+	It("takes an id once, whatever comes with it later", func() {
+		Expect(s.submit(jobA, 2, step(2)).Submits[0]).To(Equal(jobs.Taken))
+		Expect(s.submit(jobA, 2, step(5)).Submits[0]).To(Equal(jobs.Known))
+		Expect(s.HeldCount()).To(Equal(2))
+		Expect(s.Pending("host/path/")).To(Equal(1))
+	})
+
+	It("takes one of two hand-ins of an id in one command", func() {
+		submit := jobs.Submit{ID: jobA, Queue: queue(1), Job: protocol.JobSpec{Steps: []protocol.Step{step(1)}}}
+		effects := s.do(&jobs.Command{Submits: []jobs.Submit{submit, submit}})
+		Expect(effects.Submits).To(Equal([]jobs.SubmitEffect{jobs.Taken, jobs.Known}))
+		Expect(s.Counters().Jobs).To(Equal(1))
+	})
+
+	It("never takes a fenced id, and says that it hasn't got it", func() {
+		Expect(s.fence(jobA)).To(BeFalse())
+		Expect(s.fence(jobA)).To(BeFalse())
+		Expect(s.submit(jobA, 2, step(1)).Submits[0]).To(Equal(jobs.Fenced))
+		Expect(s.stateOf(jobA)).To(Equal("unknown"))
+		Expect(s.cancel(jobA)).To(BeFalse())
+	})
+
+	It("doesn't fence a job it has, or had", func() {
+		s.submit(jobA, 2, step(1))
+		Expect(s.fence(jobA)).To(BeTrue())
+		s.cancel(jobA)
+		Expect(s.fence(jobA)).To(BeTrue())
+		for range 100 {
+			s.pass(5000)
+		}
+		Expect(s.stateOf(jobA)).To(Equal("unknown"))
+		Expect(s.fence(jobA)).To(BeTrue())
+		Expect(s.submit(jobA, 2, step(1)).Submits[0]).To(Equal(jobs.Known))
+	})
+
+	It("refuses nonsense that was committed anyway, without a trace", func() {
+		Expect(s.submit(jobA, 2).Submits[0]).To(Equal(jobs.Rejected))
+		Expect(s.stateOf(jobA)).To(Equal("unknown"))
+		Expect(s.submit(jobA, 2, step(1)).Submits[0]).To(Equal(jobs.Taken))
+	})
+
+	It("keeps nothing of the memory that a command came in", func() {
+		steps := []protocol.Step{step(1), step(1, after(0))}
+		s.submit(jobA, 2, steps...)
+		steps[1].DependsOn[0] = 7
+		steps[0].Count = 9
+		Expect(s.Job(jobA).Spec.Steps[1].DependsOn).To(Equal([]int{0}))
+		Expect(s.Job(jobA).Spec.Steps[0].Count).To(Equal(1))
+	})
+
+	It("keeps the state of an ended job for half as long again as asked, then only its id", func() {
+		s.submit(jobA, 2, step(1))
+		s.cancel(jobA)
+		s.passInSteps(180 * time.Second)
+		Expect(s.stateOf(jobA)).To(Equal(protocol.JobCancelled))
+		s.pass(1)
+		Expect(s.stateOf(jobA)).To(Equal("unknown"))
+		Expect(s.Counters().Forgotten).To(Equal(1))
+		s.passInSteps(20 * time.Minute)
+		Expect(s.Counters().Forgotten).To(Equal(1))
+		s.pass(1)
+		Expect(s.Counters().Forgotten).To(Equal(0))
+	})
+
+	It("forgets nothing because the time of day jumps", func() {
+		s.submit(jobA, 2, step(1))
+		s.cancel(jobA)
+		s.fence(jobB)
+		s.pass(3_600_000)
+		Expect(s.stateOf(jobA)).To(Equal(protocol.JobCancelled))
+		Expect(s.submit(jobB, 2, step(1)).Submits[0]).To(Equal(jobs.Fenced))
+	})
+
+	It("keeps its clock when the time of day goes back", func() {
+		s.pass(1000)
+		s.pass(-5000)
+		Expect(s.ClockMs()).To(Equal(startMs + 1000))
+	})
+
+	It("keeps a cancelled job while a run of it may exist", func() {
+		s.submit(jobA, 2, step(1))
+		s.start("r1", 1, id(jobA, 0))
+		s.cancel(jobA)
+		s.passInSteps(10 * time.Minute)
+		Expect(s.stateOf(jobA)).To(Equal(protocol.JobCancelled))
+		Expect(s.runsOn("r1")).To(HaveLen(1))
+		s.end("r1", id(jobA, 0), 1, protocol.EndStopped, "")
+		s.passInSteps(10 * time.Minute)
+		Expect(s.stateOf(jobA)).To(Equal("unknown"))
+	})
+
+	It("drops the bulky parts of an ended job, and leaves those that are held elsewhere as they are", func() {
+		effects := s.submit(jobA, 2, step(1))
+		task := effects.Held[0]
+		s.start("r1", 1, task.ID)
+		effects = s.end("r1", task.ID, 1, protocol.EndDone, "")
+		Expect(effects.Ended).To(Equal([]*jobs.Task{task}))
+		Expect(effects.Over).To(HaveLen(1))
+		Expect(effects.Over[0].Spec.Steps).To(HaveLen(1))
+		Expect(task.Group.Spec().Count).To(Equal(1))
+		Expect(s.Job(jobA).Groups).To(BeNil())
+		Expect(s.Job(jobA).Spec).To(Equal(protocol.JobSpec{}))
+		Expect(s.stateOf(jobA)).To(Equal(protocol.JobCompleted))
+		Expect(s.Pending("host/path/")).To(Equal(0))
+	})
+})
+
+func (s *shard) passInSteps(span time.Duration) {
+	for ms := span.Milliseconds(); ms > 0; ms -= 5000 {
+		s.pass(min(ms, 5000))
+	}
+}
+
+var _ = DescribeTable("specs that are checked",
+	func(change func(*protocol.JobSpec), valid bool) {
+		spec := protocol.JobSpec{Spec: "text", Steps: []protocol.Step{step(2), step(3, after(0))}}
+		change(&spec)
+		err := jobs.New(jobs.Options{}).Validate(&spec)
+		if valid {
+			Expect(err).NotTo(HaveOccurred())
+		} else {
+			Expect(failure.KindOf(err)).To(Equal(failure.Invalid))
+		}
+	},
+	Entry("as it is", func(*protocol.JobSpec) {}, true),
+	Entry("no text", func(j *protocol.JobSpec) { j.Spec = "" }, true),
+	Entry("the longest text", func(j *protocol.JobSpec) { j.Spec = strings.Repeat("x", 4000) }, true),
+	Entry("a longer text", func(j *protocol.JobSpec) { j.Spec = strings.Repeat("x", 4001) }, false),
+	Entry("no steps", func(j *protocol.JobSpec) { j.Steps = nil }, false),
+	Entry("very many steps", func(j *protocol.JobSpec) { j.Steps = make([]protocol.Step, 1000) }, false),
+	Entry("count 0", func(j *protocol.JobSpec) { j.Steps[0].Count = 0 }, false),
+	Entry("count below 0", func(j *protocol.JobSpec) { j.Steps[0].Count = -1 }, false),
+	Entry("a huge count", func(j *protocol.JobSpec) { j.Steps[0].Count = math.MaxInt }, false),
+	Entry("a huge sum of counts", func(j *protocol.JobSpec) { j.Steps[0].Count, j.Steps[1].Count = 90_000, 90_000 }, false),
+	Entry("no resources at all", func(j *protocol.JobSpec) { j.Steps[0].CPU, j.Steps[0].MemoryMB = 0, 0 }, true),
+	Entry("CPU below 0", func(j *protocol.JobSpec) { j.Steps[0].CPU = -1 }, false),
+	Entry("memory below 0", func(j *protocol.JobSpec) { j.Steps[0].MemoryMB = -1 }, false),
+	Entry("GPU below 0", func(j *protocol.JobSpec) { j.Steps[0].GPU = -1 }, false),
+	Entry("CPU that overflows", func(j *protocol.JobSpec) { j.Steps[0].CPU = math.MaxInt64 }, false),
+	Entry("an estimate below 0", func(j *protocol.JobSpec) { j.Steps[0].EstimatedMs = -1 }, false),
+	Entry("an estimate that is no number", func(j *protocol.JobSpec) { j.Steps[0].EstimatedMs = math.NaN() }, false),
+	Entry("an endless estimate", func(j *protocol.JobSpec) { j.Steps[0].EstimatedMs = math.Inf(1) }, false),
+	Entry("antiAffinity below 0", func(j *protocol.JobSpec) { j.Steps[0].AntiAffinity = -1 }, false),
+	Entry("a step that depends on itself", func(j *protocol.JobSpec) { j.Steps[1].DependsOn = []int{1} }, false),
+	Entry("a step that depends on a later one", func(j *protocol.JobSpec) { j.Steps[0].DependsOn = []int{1} }, false),
+	Entry("a step that depends on none there is", func(j *protocol.JobSpec) { j.Steps[1].DependsOn = []int{2} }, false),
+	Entry("a step that depends on one below 0", func(j *protocol.JobSpec) { j.Steps[1].DependsOn = []int{-1} }, false),
+	Entry("a step that depends on one twice", func(j *protocol.JobSpec) { j.Steps[1].DependsOn = []int{0, 0} }, true),
+	Entry("repetitions", func(j *protocol.JobSpec) { j.Repetitions, j.FirstRunMs, j.IntervalMs = 3, startMs, 1000 }, true),
+	Entry("repetitions below 0", func(j *protocol.JobSpec) { j.Repetitions = -1 }, false),
+	Entry("very many repetitions", func(j *protocol.JobSpec) { j.Repetitions = math.MaxInt }, false),
+	Entry("very many tasks in all", func(j *protocol.JobSpec) { j.Repetitions, j.Steps[0].Count = 1_000_000, 1000 }, false),
+	Entry("an interval below 0", func(j *protocol.JobSpec) { j.Repetitions, j.IntervalMs = 2, -1 }, false),
+	Entry("an interval that overflows", func(j *protocol.JobSpec) { j.Repetitions, j.IntervalMs = 2, math.MaxInt64 }, false),
+	Entry("a first time below 0", func(j *protocol.JobSpec) { j.Repetitions, j.FirstRunMs = 2, -1 }, false),
+	Entry("a first time that overflows", func(j *protocol.JobSpec) { j.Repetitions, j.FirstRunMs = 2, math.MaxInt64 }, false),
+)
+
+var _ = DescribeTable("names of tasks",
+	func(text string, want jobs.TaskID, valid bool) {
+		got, err := jobs.ParseTaskID(text)
+		Expect(err == nil).To(Equal(valid))
+		Expect(got).To(Equal(want))
+		if valid {
+			Expect(got.String()).To(Equal(text))
+		}
+	},
+	Entry("plain", "5c0e7a21d94b36f8.0.1.17", jobs.TaskID{Job: "5c0e7a21d94b36f8", Step: 1, Index: 17}, true),
+	Entry("with a time", "ab.3.0.0", jobs.TaskID{Job: "ab", Time: 3}, true),
+	Entry("a job with dots", "a.b.3.0.0", jobs.TaskID{Job: "a.b", Time: 3}, true),
+	Entry("the largest numbers", "a.999999999.999999999.999999999",
+		jobs.TaskID{Job: "a", Time: 999999999, Step: 999999999, Index: 999999999}, true),
+	Entry("empty", "", jobs.TaskID{}, false),
+	Entry("no job", ".0.0.0", jobs.TaskID{}, false),
+	Entry("too few parts", "a.0.0", jobs.TaskID{}, false),
+	Entry("an empty part", "a.0..0", jobs.TaskID{}, false),
+	Entry("a sign", "a.0.0.-1", jobs.TaskID{}, false),
+	Entry("a plus", "a.0.+1.0", jobs.TaskID{}, false),
+	Entry("a leading zero", "a.0.01.0", jobs.TaskID{}, false),
+	Entry("a letter", "a.0.x.0", jobs.TaskID{}, false),
+	Entry("too large", "a.0.0.99999999999999999999", jobs.TaskID{}, false),
+)
--- /dev/null
+++ b/internal/jobs/jobs_suite_test.go
@@ -0,0 +1,151 @@
+package jobs_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/jobs"
+	"ospreypond/internal/protocol"
+)
+
+func TestJobs(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Jobs")
+}
+
+const (
+	jobA = "00000000000000aa"
+	jobB = "00000000000000bb"
+	jobC = "00000000000000cc"
+
+	startMs = int64(1_700_000_000_000) // time of day at which each shard of the tests begins
+)
+
+// shard is a State with helpers that keep the tests short.
+type shard struct {
+	*jobs.State
+	nowMs int64
+	n     map[string]uint64 // newest N of each runner
+}
+
+func newShard() *shard {
+	s := &shard{State: jobs.New(jobs.Options{}), nowMs: startMs, n: map[string]uint64{}}
+	s.do(&jobs.Command{})
+	return s
+}
+
+// do applies a command at the shard's present time.
+func (s *shard) do(c *jobs.Command) *jobs.Effects {
+	GinkgoHelper()
+	c.TimeOfDayMs = s.nowMs
+	return s.Apply(c)
+}
+
+func (s *shard) pass(ms int64) *jobs.Effects {
+	s.nowMs += ms
+	return s.do(&jobs.Command{})
+}
+
+func queue(maxAttempts int) protocol.Queue {
+	return protocol.Queue{Key: "host/path/", Service: "service", Priority: 1, MaxAttempts: maxAttempts, Extension: 1.5}
+}
+
+func (s *shard) submit(id string, maxAttempts int, steps ...protocol.Step) *jobs.Effects {
+	return s.submitSpec(id, maxAttempts, protocol.JobSpec{Spec: "text of " + id, Steps: steps})
+}
+
+func (s *shard) submitSpec(id string, maxAttempts int, spec protocol.JobSpec) *jobs.Effects {
+	GinkgoHelper()
+	effects := s.do(&jobs.Command{Submits: []jobs.Submit{{ID: id, Queue: queue(maxAttempts), Job: spec}}})
+	Expect(effects.Submits).To(HaveLen(1))
+	return effects
+}
+
+func (s *shard) start(runner string, run uint64, ids ...jobs.TaskID) []bool {
+	c := &jobs.Command{}
+	for _, id := range ids {
+		c.Starts = append(c.Starts, jobs.Start{Task: id, Run: run, Runner: runner})
+	}
+	return s.do(c).Starts
+}
+
+func (s *shard) end(runner string, id jobs.TaskID, run uint64, how, saved string) *jobs.Effects {
+	s.n[runner]++
+	return s.do(&jobs.Command{Ends: []jobs.End{
+		{Runner: runner, N: s.n[runner], Task: id, Run: run, How: how, Saved: saved},
+	}})
+}
+
+func (s *shard) lose(runner string, id jobs.TaskID, run uint64, saved string) *jobs.Effects {
+	return s.do(&jobs.Command{Losses: []jobs.Loss{{Runner: runner, Task: id, Run: run, Saved: saved}}})
+}
+
+func (s *shard) cancel(id string) bool {
+	return s.do(&jobs.Command{Cancels: []string{id}}).Cancels[0]
+}
+
+func (s *shard) fence(id string) bool {
+	return s.do(&jobs.Command{Fences: []string{id}}).Fences[0]
+}
+
+func (s *shard) stateOf(id string) string {
+	state, known := s.StateOf(id)
+	if !known {
+		return "unknown"
+	}
+	return state
+}
+
+func (s *shard) phase(id jobs.TaskID) string {
+	task := s.Task(id)
+	if task == nil {
+		return "none"
+	}
+	return phaseName(task.Phase)
+}
+
+func phaseName(phase jobs.Phase) string {
+	names := []string{"waiting", "held", "running", "done", "failed", "cancelled", "pending"}
+	return names[phase]
+}
+
+// held returns the held tasks in their order.
+func (s *shard) held() (ids []string) {
+	s.EachHeld(func(task *jobs.Task) bool {
+		ids = append(ids, task.ID.String())
+		return true
+	})
+	return ids
+}
+
+func (s *shard) runsOn(runner string) (ids []string) {
+	for _, task := range s.RunsOn(runner) {
+		ids = append(ids, fmt.Sprintf("%s/%d", task.ID, task.Run))
+	}
+	return ids
+}
+
+func id(job string, numbers ...int) jobs.TaskID {
+	full := [3]int{}
+	copy(full[3-len(numbers):], numbers)
+	return jobs.TaskID{Job: job, Time: full[0], Step: full[1], Index: full[2]}
+}
+
+func step(count int, change ...func(*protocol.Step)) protocol.Step {
+	s := protocol.Step{Count: count, CPU: 500, MemoryMB: 64, EstimatedMs: 900}
+	for _, f := range change {
+		f(&s)
+	}
+	return s
+}
+
+func gang(s *protocol.Step)        { s.Gang = true }
+func longRunning(s *protocol.Step) { s.LongRunning = true }
+func checkpoints(s *protocol.Step) { s.Checkpoints = true }
+
+func after(earlier ...int) func(*protocol.Step) {
+	return func(s *protocol.Step) { s.DependsOn = earlier }
+}
--- a/internal/jobs/machine.go
+++ b/internal/jobs/machine.go
@@ -41,6 +41,8 @@
 
 	counters Counters
 	effects  *Effects // of the command being applied
+
+	snapshotHint int // bytes that the next snapshot will probably take
 }
 
 // Counters count what a State holds, and what has become of jobs since the shard began.
--- /dev/null
+++ b/internal/jobs/model_test.go
@@ -0,0 +1,476 @@
+package jobs_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	"pgregory.net/rapid"
+
+	"ospreypond/internal/jobs"
+	"ospreypond/internal/protocol"
+)
+
+// aliveRun is a run that may exist, as the ledger of a model knows it.
+type aliveRun struct {
+	task   jobs.TaskID
+	run    uint64
+	runner string
+}
+
+// model is an independent ledger of what a shard was told, kept only from commands and effects.
+type model struct {
+	state *jobs.State
+	nowMs int64
+
+	specs     map[string]protocol.JobSpec
+	queues    map[string]protocol.Queue
+	alive     map[aliveRun]bool
+	done      map[jobs.TaskID]bool
+	fails     map[jobs.TaskID]int // ends `failed` of present runs; those of a gang under its index 0
+	failedRun map[jobs.TaskID]uint64
+	newest    map[jobs.TaskID]uint64
+	lastSeen  map[string]uint64
+	fenced    map[string]bool
+	ended     map[string]string
+}
+
+func newModel() *model {
+	return &model{
+		state:     jobs.New(jobs.Options{}),
+		nowMs:     startMs,
+		specs:     map[string]protocol.JobSpec{},
+		queues:    map[string]protocol.Queue{},
+		alive:     map[aliveRun]bool{},
+		done:      map[jobs.TaskID]bool{},
+		fails:     map[jobs.TaskID]int{},
+		failedRun: map[jobs.TaskID]uint64{},
+		newest:    map[jobs.TaskID]uint64{},
+		lastSeen:  map[string]uint64{},
+		fenced:    map[string]bool{},
+		ended:     map[string]string{},
+	}
+}
+
+var modelRunners = []string{"r1", "r2", "r3"}
+
+func drawID(t *rapid.T) string { return fmt.Sprintf("%016x", rapid.IntRange(1, 8).Draw(t, "job")) }
+
+func drawSpec(t *rapid.T) protocol.JobSpec {
+	spec := protocol.JobSpec{Spec: rapid.StringN(0, 10, 40).Draw(t, "spec")}
+	for i := range rapid.IntRange(1, 3).Draw(t, "steps") {
+		s := step(rapid.IntRange(1, 3).Draw(t, "count"))
+		s.Gang = rapid.Bool().Draw(t, "gang")
+		s.LongRunning = rapid.IntRange(0, 7).Draw(t, "lasting") == 0
+		s.Checkpoints = rapid.Bool().Draw(t, "checkpoints")
+		s.AtMostOnce = rapid.Bool().Draw(t, "atMostOnce")
+		s.GPU = int64(rapid.IntRange(0, 1).Draw(t, "gpu"))
+		s.AntiAffinity = rapid.IntRange(0, 1).Draw(t, "antiAffinity")
+		s.Affinity = rapid.SampledFrom([]string{"", "rack"}).Draw(t, "affinity")
+		if i > 0 && rapid.Bool().Draw(t, "depends") {
+			s.DependsOn = []int{rapid.IntRange(0, i-1).Draw(t, "earlier")}
+		}
+		spec.Steps = append(spec.Steps, s)
+	}
+	if rapid.IntRange(0, 3).Draw(t, "repeated") == 0 {
+		spec.Repetitions = rapid.IntRange(1, 3).Draw(t, "repetitions")
+		spec.FirstRunMs = startMs + int64(rapid.IntRange(-100, 400).Draw(t, "first"))
+		spec.IntervalMs = int64(rapid.IntRange(0, 300).Draw(t, "interval"))
+	}
+	return spec
+}
+
+// drawCommand draws a command that fits the state in most of its parts.
+func (m *model) drawCommand(t *rapid.T) *jobs.Command {
+	m.nowMs += int64(rapid.SampledFrom([]int{0, 0, 10, 50, 200, 6000, -300}).Draw(t, "pass"))
+	c := &jobs.Command{TimeOfDayMs: m.nowMs}
+	switch rapid.IntRange(0, 11).Draw(t, "kind") {
+	case 0, 1:
+		c.Submits = append(c.Submits, jobs.Submit{
+			ID:    drawID(t),
+			Queue: protocol.Queue{Key: "q", Priority: rapid.IntRange(0, 2).Draw(t, "priority"), MaxAttempts: rapid.IntRange(0, 2).Draw(t, "attempts")},
+			Job:   drawSpec(t),
+		})
+	case 2:
+		c.Cancels = append(c.Cancels, drawID(t))
+	case 3:
+		c.Fences = append(c.Fences, drawID(t))
+	case 4, 5, 6, 7:
+		m.drawStarts(t, c)
+	default:
+		m.drawEnds(t, c)
+	}
+	return c
+}
+
+func (m *model) drawStarts(t *rapid.T, c *jobs.Command) {
+	var held []*jobs.Task
+	m.state.EachHeld(func(task *jobs.Task) bool {
+		held = append(held, task)
+		return true
+	})
+	for _, task := range held {
+		if rapid.IntRange(0, 3).Draw(t, "skip") == 0 && len(c.Starts) > 0 {
+			continue
+		}
+		run := task.Run + 1
+		if rapid.IntRange(0, 19).Draw(t, "wrong run") == 0 {
+			run = uint64(rapid.IntRange(0, 3).Draw(t, "run"))
+		}
+		runner := rapid.SampledFrom(modelRunners).Draw(t, "runner")
+		c.Starts = append(c.Starts, jobs.Start{Task: task.ID, Run: run, Runner: runner})
+	}
+	if len(c.Starts) > 0 && rapid.IntRange(0, 9).Draw(t, "again") == 0 {
+		c.Starts = append(c.Starts, rapid.SampledFrom(c.Starts).Draw(t, "double"))
+	}
+}
+
+func (m *model) drawEnds(t *rapid.T, c *jobs.Command) {
+	alive := m.sortedAlive()
+	for range rapid.IntRange(0, 3).Draw(t, "ends") {
+		if len(alive) == 0 {
+			return
+		}
+		run := rapid.SampledFrom(alive).Draw(t, "alive")
+		if rapid.IntRange(0, 9).Draw(t, "stale") == 0 {
+			run.run = uint64(rapid.IntRange(0, 4).Draw(t, "stale run"))
+		}
+		saved := rapid.SampledFrom([]string{"", "s1", "s2"}).Draw(t, "saved")
+		if rapid.IntRange(0, 3).Draw(t, "loss") == 0 {
+			c.Losses = append(c.Losses, jobs.Loss{Runner: run.runner, Task: run.task, Run: run.run, Saved: saved})
+			continue
+		}
+		how := rapid.SampledFrom([]string{
+			protocol.EndDone, protocol.EndDone, protocol.EndDone, protocol.EndFailed,
+			protocol.EndStopped, protocol.EndLapsed, protocol.EndBroken, protocol.EndAlone, protocol.EndRefused, "other",
+		}).Draw(t, "how")
+		n := m.lastSeen[run.runner] + uint64(len(c.Ends)) + 1
+		if rapid.IntRange(0, 9).Draw(t, "old") == 0 {
+			n = m.lastSeen[run.runner]
+		}
+		c.Ends = append(c.Ends, jobs.End{Runner: run.runner, N: n, Task: run.task, Run: run.run, How: how, Saved: saved})
+	}
+}
+
+func (m *model) sortedAlive() []aliveRun {
+	return slices.SortedFunc(maps.Keys(m.alive), func(a, b aliveRun) int {
+		return slices.Compare([]string{a.task.String(), a.runner}, []string{b.task.String(), b.runner})
+	})
+}
+
+func (m *model) step(id jobs.TaskID) *protocol.Step {
+	spec := m.specs[id.Job]
+	return &spec.Steps[id.Step]
+}
+
+func (m *model) gangOf(id jobs.TaskID) jobs.TaskID {
+	id.Index = 0
+	return id
+}
+
+// observe enters a command and its effects in the ledger, and fails where they break a rule.
+func (m *model) observe(t *rapid.T, c *jobs.Command, effects *jobs.Effects) {
+	for i, submit := range c.Submits {
+		m.observeSubmit(t, submit, effects.Submits[i])
+	}
+	for i, id := range c.Fences {
+		_, has := m.specs[id]
+		if effects.Fences[i] != has {
+			t.Fatalf("fence of %s says %v", id, effects.Fences[i])
+		}
+		m.fenced[id] = m.fenced[id] || !has
+	}
+	for i, end := range c.Ends {
+		m.observeEnd(t, end, effects.Ends[i])
+	}
+	for i, loss := range c.Losses {
+		run := aliveRun{loss.Task, loss.Run, loss.Runner}
+		if effects.Losses[i] && !m.alive[run] {
+			t.Fatalf("loss of %v counts, which isn't alive", run)
+		}
+		delete(m.alive, run)
+	}
+	m.observeStarts(t, c.Starts, effects.Starts)
+	for _, job := range effects.Over {
+		if before := m.ended[job.ID]; before != "" {
+			t.Fatalf("job %s ended twice, %s and %s", job.ID, before, job.State)
+		}
+		m.ended[job.ID] = job.State
+	}
+}
+
+func (m *model) observeSubmit(t *rapid.T, submit jobs.Submit, effect jobs.SubmitEffect) {
+	_, has := m.specs[submit.ID]
+	want := jobs.Taken
+	switch {
+	case has:
+		want = jobs.Known
+	case m.fenced[submit.ID]:
+		want = jobs.Fenced
+	}
+	if effect != want {
+		t.Fatalf("hand-in of %s: %d, want %d", submit.ID, effect, want)
+	}
+	if effect == jobs.Taken {
+		m.specs[submit.ID] = submit.Job
+		m.queues[submit.ID] = submit.Queue
+	}
+}
+
+func (m *model) observeEnd(t *rapid.T, end jobs.End, counts bool) {
+	run := aliveRun{end.Task, end.Run, end.Runner}
+	fresh := end.N > m.lastSeen[end.Runner]
+	if counts && (!fresh || !m.alive[run] || m.done[end.Task]) {
+		t.Fatalf("end of %v counts", run)
+	}
+	if !fresh {
+		return
+	}
+	m.lastSeen[end.Runner] = end.N
+	if !m.alive[run] {
+		return
+	}
+	delete(m.alive, run)
+	if !counts || m.ended[end.Task.Job] != "" || m.step(end.Task).LongRunning {
+		return
+	}
+	spec := m.specs[end.Task.Job]
+	gang := m.step(end.Task).Gang
+	switch {
+	case end.How == protocol.EndDone && gang:
+		for index := range spec.Steps[end.Task.Step].Count {
+			member := end.Task
+			member.Index = index
+			m.done[member] = true
+		}
+	case end.How == protocol.EndDone:
+		m.done[end.Task] = true
+	case end.How == protocol.EndFailed && gang:
+		if m.failedRun[m.gangOf(end.Task)] < end.Run {
+			m.failedRun[m.gangOf(end.Task)] = end.Run
+			m.fails[m.gangOf(end.Task)]++
+		}
+	case end.How == protocol.EndFailed:
+		m.fails[end.Task]++
+	}
+}
+
+func (m *model) observeStarts(t *rapid.T, starts []jobs.Start, applied []bool) {
+	gangs := map[jobs.TaskID]int{}
+	for i, start := range starts {
+		if !applied[i] {
+			continue
+		}
+		m.checkStart(t, start)
+		if m.step(start.Task).Gang {
+			gangs[m.gangOf(start.Task)]++
+		}
+	}
+	for gang, members := range gangs {
+		if members != m.step(gang).Count {
+			t.Fatalf("%d members of %v were started", members, gang)
+		}
+	}
+	for i, start := range starts {
+		if applied[i] {
+			m.alive[aliveRun{start.Task, start.Run, start.Runner}] = true
+			m.newest[start.Task] = start.Run
+		}
+	}
+}
+
+func (m *model) checkStart(t *rapid.T, start jobs.Start) {
+	for run := range m.alive {
+		sameGang := m.step(start.Task).Gang && m.gangOf(run.task) == m.gangOf(start.Task)
+		if run.task == start.Task || sameGang {
+			t.Fatalf("start of %v while %v may exist", start, run)
+		}
+	}
+	spec := m.specs[start.Task.Job]
+	counted := start.Task
+	if m.step(counted).Gang {
+		counted = m.gangOf(counted)
+	}
+	most := m.queues[start.Task.Job].MaxAttempts
+	switch {
+	case m.done[start.Task]:
+		t.Fatalf("start of %v, which is done", start)
+	case m.ended[start.Task.Job] != "":
+		t.Fatalf("start of %v, whose job is over", start)
+	case start.Run != m.newest[start.Task]+1:
+		t.Fatalf("start of %v after run %d", start, m.newest[start.Task])
+	case most > 0 && m.fails[counted] >= most:
+		t.Fatalf("start of %v after %d failures", start, m.fails[counted])
+	case spec.Repetitions > 0 && spec.FirstRunMs+int64(start.Task.Time)*spec.IntervalMs > m.state.ClockMs():
+		t.Fatalf("start of %v before its time", start)
+	}
+	for _, earlier := range m.step(start.Task).DependsOn {
+		if !m.allDone(start.Task.Job, start.Task.Time, earlier) {
+			t.Fatalf("start of %v before step %d is done", start, earlier)
+		}
+	}
+}
+
+func (m *model) allDone(job string, time, step int) bool {
+	for index := range m.specs[job].Steps[step].Count {
+		if !m.done[jobs.TaskID{Job: job, Time: time, Step: step, Index: index}] {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *model) allTimesDone(job string) bool {
+	spec := m.specs[job]
+	for time := range max(1, spec.Repetitions) {
+		for step := range spec.Steps {
+			if !m.allDone(job, time, step) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// check compares what the state shows with the ledger.
+func (m *model) check(t *rapid.T) {
+	m.checkRuns(t)
+	held := map[jobs.TaskID]bool{}
+	m.state.EachHeld(func(task *jobs.Task) bool {
+		held[task.ID] = true
+		if task.Phase != jobs.Held || m.state.Task(task.ID) != task {
+			t.Fatalf("%v is listed as held", task.ID)
+		}
+		return true
+	})
+	if len(held) != m.state.HeldCount() {
+		t.Fatalf("%d held, %d counted", len(held), m.state.HeldCount())
+	}
+	pending := 0
+	for job := range m.queues {
+		state, known := m.state.StateOf(job)
+		if !known {
+			continue
+		}
+		completed := state == protocol.JobCompleted
+		if completed != (m.allTimesDone(job) && m.ended[job] != protocol.JobCancelled) && m.ended[job] != protocol.JobFailed {
+			t.Fatalf("job %s is %s, all done %v", job, state, m.allTimesDone(job))
+		}
+		if m.ended[job] != "" && state != m.ended[job] {
+			t.Fatalf("job %s is %s after %s", job, state, m.ended[job])
+		}
+		if m.ended[job] == "" {
+			pending++
+		}
+	}
+	if pending != m.state.Pending("q") {
+		t.Fatalf("%d pending, %d counted", pending, m.state.Pending("q"))
+	}
+}
+
+// checkRuns compares the runs that take room, runner by runner.
+func (m *model) checkRuns(t *rapid.T) {
+	var shown []aliveRun
+	for _, runner := range m.state.Runners() {
+		for _, task := range m.state.RunsOn(runner) {
+			shown = append(shown, aliveRun{task.ID, task.Run, runner})
+		}
+		for _, lingering := range m.state.LingeringOn(runner) {
+			shown = append(shown, aliveRun{lingering.Task, lingering.Run, runner})
+		}
+	}
+	if len(shown) != len(m.alive) {
+		t.Fatalf("%d runs shown, %d alive: %v, %v", len(shown), len(m.alive), shown, m.sortedAlive())
+	}
+	for _, run := range shown {
+		if !m.alive[run] {
+			t.Fatalf("%v is shown, and not alive", run)
+		}
+	}
+}
+
+// twin is another replica: it gets each command in its encoded form, and is at times replaced by its own snapshot.
+type twin struct{ state *jobs.State }
+
+func (w *twin) follow(t *rapid.T, c *jobs.Command, want *jobs.Effects) {
+	data, err := jobs.Encode(c)
+	if err != nil {
+		t.Fatalf("encode: %v", err)
+	}
+	decoded, err := jobs.Decode(data)
+	if err != nil {
+		t.Fatalf("decode: %v", err)
+	}
+	got := w.state.Apply(decoded)
+	if a, b := describe(got), describe(want); a != b {
+		t.Fatalf("replicas differ:\n%s\n%s", a, b)
+	}
+	if rapid.IntRange(0, 4).Draw(t, "restore") == 0 {
+		fresh := jobs.New(jobs.Options{})
+		if err := fresh.Restore(snapshotOf(t, w.state)); err != nil {
+			t.Fatalf("restore: %v", err)
+		}
+		w.state = fresh
+	}
+}
+
+func snapshotOf(t *rapid.T, state *jobs.State) []byte {
+	data, err := state.Snapshot()
+	if err != nil {
+		t.Fatalf("snapshot: %v", err)
+	}
+	return data
+}
+
+// describe writes effects out, in their order.
+func describe(e *jobs.Effects) string {
+	text := fmt.Sprint(e.Submits, e.Cancels, e.Fences, e.Ends, e.Losses, e.Starts, e.Freed)
+	for _, task := range slices.Concat(e.Held, e.Ended) {
+		text += fmt.Sprint("\n", task.ID, task.Phase, task.Run, task.Runner, task.Saved, task.Attempts, task.HeldAtMs,
+			task.Group.Left, task.Group.Run, task.Group.Attempts, task.Group.Alive, task.Group.Saved)
+	}
+	for _, job := range e.Over {
+		text += fmt.Sprint("\n", job.ID, job.State, job.EndedMs)
+	}
+	return text
+}
+
+// view writes out all that the state shows in order.
+func view(s *jobs.State) string {
+	text := fmt.Sprint(s.ClockMs(), s.Counters(), s.Runners())
+	text += fmt.Sprint(s.NextDueMs())
+	s.EachHeld(func(task *jobs.Task) bool {
+		text += fmt.Sprint("\n", task.ID, task.Run, task.Saved, task.HeldAtMs, task.AttemptsOf())
+		return true
+	})
+	for _, runner := range modelRunners {
+		text += fmt.Sprint("\n", runner, s.LastSeen(runner), s.LingeringOn(runner))
+		for _, task := range s.RunsOn(runner) {
+			text += fmt.Sprint(" ", task.ID, task.Run, task.Runner, task.Saved)
+		}
+	}
+	return text
+}
+
+var _ = Describe("any commands", func() {
+	It("break no rule, and leave replicas equal", func() {
+		rapid.Check(GinkgoTB(), func(t *rapid.T) {
+			m := newModel()
+			other := &twin{state: jobs.New(jobs.Options{})}
+			for range rapid.IntRange(1, 60).Draw(t, "commands") {
+				c := m.drawCommand(t)
+				effects := m.state.Apply(c)
+				m.observe(t, c, effects)
+				m.check(t)
+				other.follow(t, c, effects)
+				if a, b := view(m.state), view(other.state); a != b {
+					t.Fatalf("replicas show:\n%s\n%s", a, b)
+				}
+			}
+			if string(snapshotOf(t, m.state)) != string(snapshotOf(t, other.state)) {
+				t.Fatalf("snapshots differ")
+			}
+		})
+	})
+})
--- /dev/null
+++ b/internal/jobs/order_test.go
@@ -0,0 +1,118 @@
+package jobs_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/protocol"
+)
+
+var _ = Describe("the order of steps", func() {
+	var s *shard
+	BeforeEach(func() { s = newShard() })
+
+	finish := func(job string, k, step, index int) {
+		GinkgoHelper()
+		task := id(job, k, step, index)
+		run := s.Task(task).Run + 1
+		Expect(s.start("r1", run, task)).To(Equal([]bool{true}))
+		Expect(s.end("r1", task, run, protocol.EndDone, "").Ends).To(Equal([]bool{true}))
+	}
+
+	It("holds a step once every task of all that it depends on is done", func() {
+		s.submit(jobA, 2, step(2), step(1), step(1, after(0, 1)), step(1, after(2)))
+		Expect(s.HeldCount()).To(Equal(3))
+		finish(jobA, 0, 0, 0)
+		finish(jobA, 0, 0, 1)
+		Expect(s.phase(id(jobA, 2, 0))).To(Equal("waiting"))
+		finish(jobA, 0, 1, 0)
+		Expect(s.phase(id(jobA, 2, 0))).To(Equal("held"))
+		Expect(s.phase(id(jobA, 3, 0))).To(Equal("waiting"))
+		finish(jobA, 0, 2, 0)
+		finish(jobA, 0, 3, 0)
+		Expect(s.stateOf(jobA)).To(Equal(protocol.JobCompleted))
+	})
+
+	repeated := func(times int, firstMs, intervalMs int64, steps ...protocol.Step) protocol.JobSpec {
+		return protocol.JobSpec{Steps: steps, Repetitions: times, FirstRunMs: firstMs, IntervalMs: intervalMs}
+	}
+
+	It("holds a time when it falls due, not before", func() {
+		s.submitSpec(jobA, 2, repeated(2, startMs+1000, 500, step(1), step(1, after(0))))
+		Expect(s.stateOf(jobA)).To(Equal(protocol.JobQueued))
+		due, waits := s.NextDueMs()
+		Expect(due).To(Equal(startMs + 1000))
+		Expect(waits).To(BeTrue())
+		s.pass(999)
+		Expect(s.held()).To(BeEmpty())
+		Expect(s.pass(1).Held).To(HaveLen(1))
+		Expect(s.held()).To(Equal([]string{jobA + ".0.0.0"}))
+		due, _ = s.NextDueMs()
+		Expect(due).To(Equal(startMs + 1500))
+		s.pass(500)
+		Expect(s.held()).To(Equal([]string{jobA + ".0.0.0", jobA + ".1.0.0"}))
+		_, waits = s.NextDueMs()
+		Expect(waits).To(BeFalse())
+	})
+
+	It("keeps times apart and completes with the last of them", func() {
+		s.submitSpec(jobA, 2, repeated(3, startMs, 500, step(1), step(1, after(0))))
+		finish(jobA, 0, 0, 0)
+		s.pass(500)
+		Expect(s.phase(id(jobA, 0, 1, 0))).To(Equal("held"))
+		Expect(s.phase(id(jobA, 1, 1, 0))).To(Equal("waiting"))
+		finish(jobA, 1, 0, 0)
+		finish(jobA, 1, 1, 0)
+		Expect(s.phase(id(jobA, 1, 1, 0))).To(Equal("none"), "a time that is done is dropped")
+		Expect(s.phase(id(jobA, 0, 1, 0))).To(Equal("held"))
+		finish(jobA, 0, 1, 0)
+		Expect(s.stateOf(jobA)).To(Equal(protocol.JobRunning))
+		Expect(s.Job(jobA).Groups).To(BeEmpty())
+		s.pass(500)
+		finish(jobA, 2, 0, 0)
+		Expect(s.stateOf(jobA)).To(Equal(protocol.JobRunning))
+		finish(jobA, 2, 1, 0)
+		Expect(s.stateOf(jobA)).To(Equal(protocol.JobCompleted))
+	})
+
+	It("makes all times that are past at once", func() {
+		s.submitSpec(jobA, 2, repeated(4, startMs-1000, 500, step(1)))
+		Expect(s.HeldCount()).To(Equal(3))
+		s.pass(10_000)
+		Expect(s.HeldCount()).To(Equal(4))
+	})
+
+	It("makes no more times once the job is over", func() {
+		s.submitSpec(jobA, 1, repeated(4, startMs, 500, step(1)))
+		s.submitSpec(jobB, 1, repeated(4, startMs, 700, step(1)))
+		s.cancel(jobA)
+		due, _ := s.NextDueMs()
+		Expect(due).To(Equal(startMs + 700))
+		s.start("r1", 1, id(jobB, 0))
+		s.end("r1", id(jobB, 0), 1, protocol.EndFailed, "")
+		_, waits := s.NextDueMs()
+		Expect(waits).To(BeFalse())
+		s.pass(10_000)
+		Expect(s.HeldCount()).To(Equal(0))
+	})
+
+	It("bounds the times that are open at once, and goes on as they are done", func() {
+		s.submitSpec(jobA, 1, repeated(5, startMs, 0, step(8000)))
+		Expect(s.HeldCount()).To(Equal(16_000))
+		_, waits := s.NextDueMs()
+		Expect(waits).To(BeFalse())
+		for index := range 8000 {
+			finish(jobA, 0, 0, index)
+		}
+		Expect(s.HeldCount()).To(Equal(16_000))
+		Expect(s.phase(id(jobA, 2, 0, 0))).To(Equal("held"))
+		Expect(s.stateOf(jobA)).To(Equal(protocol.JobRunning))
+	})
+
+	It("orders times that fall due together by job", func() {
+		s.submitSpec(jobB, 1, repeated(2, startMs+100, 1000, step(1)))
+		s.submitSpec(jobA, 1, repeated(2, startMs+100, 1000, step(1)))
+		s.pass(100)
+		Expect(s.held()).To(Equal([]string{jobA + ".0.0.0", jobB + ".0.0.0"}))
+	})
+})
--- a/internal/jobs/retention.go
+++ b/internal/jobs/retention.go
@@ -16,9 +16,9 @@
 
 func (q *expiryQueue) push(id string, ms int64) { q.entries = append(q.entries, keptUntil{id, ms}) }
 
-// pop takes the first id off if it has expired by now.
+// pop takes the first id off if its time is before now.
 func (q *expiryQueue) pop(now int64) (id string, ok bool) {
-	if q.head == len(q.entries) || q.entries[q.head].ms > now {
+	if q.head == len(q.entries) || q.entries[q.head].ms >= now {
 		return "", false
 	}
 	id = q.entries[q.head].id
--- a/internal/jobs/wire.go
+++ b/internal/jobs/wire.go
@@ -114,15 +114,15 @@
 }
 
 func (r *reader) repeated(previous *string) string {
-	length := r.count()
+	length := r.unsigned()
 	if length == 0 {
 		return *previous
 	}
-	if length-1 > len(r.data)-r.at {
+	if length-1 > uint64(len(r.data)-r.at) {
 		r.fail()
 		return ""
 	}
-	*previous = r.take(length - 1)
+	*previous = r.take(int(length - 1))
 	return *previous
 }
 
