Run replica groups on one disk, one loop and one sync for all that wait

The pure log needs a disk, timers and links. Machines with an empty disk join as learners and take the place of members that were lost; a sick disk gives leaderships away.

--- /dev/null
+++ b/internal/replica/cluster_test.go
@@ -0,0 +1,449 @@
+package replica
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/consensus"
+	"ospreypond/internal/store/vfs/vfstest"
+)
+
+func TestReplica(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "replica")
+}
+
+// ledger is a state machine that keeps all that was applied.
+type ledger struct {
+	Lines    []string
+	Last     uint64
+	leading  uint64
+	began    int
+	ended    int
+	restored int
+}
+
+func (l *ledger) Apply(index, term uint64, data []byte) any {
+	Expect(index).To(BeNumerically(">", l.Last), "entries are applied in order")
+	l.Last = index
+	l.Lines = append(l.Lines, string(data))
+	return len(l.Lines)
+}
+
+func (l *ledger) Snapshot() ([]byte, error) {
+	var buffer bytes.Buffer
+	err := gob.NewEncoder(&buffer).Encode(l)
+	return buffer.Bytes(), err
+}
+
+func (l *ledger) Restore(data []byte) error {
+	l.restored++
+	l.Lines, l.Last = nil, 0
+	return gob.NewDecoder(bytes.NewReader(data)).Decode(l)
+}
+
+func (l *ledger) Leading(term uint64) {
+	Expect(l.leading).To(BeZero(), "Leading comes once")
+	l.leading = term
+	l.began++
+}
+
+func (l *ledger) Following() {
+	Expect(l.leading).NotTo(BeZero(), "Following comes after Leading")
+	l.leading = 0
+	l.ended++
+}
+
+// machine is a control machine in virtual time.
+type machine struct {
+	cluster   *cluster
+	name      string
+	address   string
+	files     *vfstest.Mem
+	engine    *Engine
+	ledgers   map[GroupID]*ledger
+	up        bool
+	frozen    bool
+	isolated  bool
+	diskDelay time.Duration
+	wakeAt    time.Duration
+	life      int
+}
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+// cluster runs machines, links and disks in virtual time, in one goroutine.
+type cluster struct {
+	clock    *clockwork.FakeClock
+	started  time.Time
+	random   *rand.Rand
+	machines []*machine
+	events   []event
+	groups   int
+	seeds    []string
+	loss     float64
+	disk     int64
+	logger   log.Logger
+	acked    map[GroupID][]string
+	nextLine int
+}
+
+const (
+	linkDelay = 1500 * time.Microsecond
+	syncDelay = 8 * time.Millisecond
+)
+
+func newCluster(seed uint64, groups int) *cluster {
+	clock := clockwork.NewFakeClock()
+	return &cluster{
+		clock:   clock,
+		started: clock.Now(),
+		random:  rand.New(rand.NewPCG(seed, 7)),
+		groups:  groups,
+		disk:    32 << 20,
+		logger:  log.NewLogfmtLogger(GinkgoWriter),
+		acked:   map[GroupID][]string{},
+	}
+}
+
+// startFirst starts so many machines for the first time, the first three (or fewer) being the seeds.
+func (c *cluster) startFirst(count int) {
+	for i := range count {
+		address := fmt.Sprintf("10.0.0.%d:7380", i+1)
+		m := c.add(fmt.Sprintf("core-%d", i+1), address)
+		if i < 3 {
+			c.seeds = append(c.seeds, m.address)
+		}
+	}
+	for _, m := range c.machines {
+		m.start(c.seeds)
+	}
+}
+
+func (c *cluster) add(name, address string) *machine {
+	m := &machine{cluster: c, name: name, address: address, files: &vfstest.Mem{}, diskDelay: syncDelay}
+	c.machines = append(c.machines, m)
+	return m
+}
+
+func (c *cluster) now() time.Duration { return c.clock.Since(c.started) }
+
+func (c *cluster) at(delay time.Duration, run func()) {
+	c.events = append(c.events, event{at: c.now() + delay, run: run})
+}
+
+// start starts the machine's process on what its disk holds.
+func (m *machine) start(bootstrap []string) {
+	Expect(m.tryStart(bootstrap)).To(Succeed())
+}
+
+func (m *machine) tryStart(bootstrap []string) error {
+	m.ledgers = map[GroupID]*ledger{}
+	machines := map[GroupID]StateMachine{}
+	for id := range GroupID(m.cluster.groups) {
+		m.ledgers[id] = &ledger{}
+		machines[id] = m.ledgers[id]
+	}
+	engine, err := Open(Options{
+		FileSystem: m.files,
+		Dir:        "data",
+		Groups:     machines,
+		Self:       consensus.Member{Node: m.name, Zone: "zone", Address: m.address},
+		Bootstrap:  bootstrap,
+		Peers:      m.cluster.seeds,
+		DiskBytes:  m.cluster.disk,
+		Sender:     m,
+		Clock:      m.cluster.clock,
+		Logger:     log.With(m.cluster.logger, "at", log.Valuer(func() any { return m.cluster.now() }), "node", m.name),
+		Seed:       m.cluster.random.Uint64(),
+	})
+	if err != nil {
+		return err
+	}
+	m.engine = engine
+	m.life++
+	m.up, m.frozen = true, false
+	m.wakeAt = m.cluster.now()
+	engine.writer.perform = m.perform
+	engine.background = m.background
+	return nil
+}
+
+// perform is the disk: the work is done when its time has passed, unless the machine is gone by then.
+func (m *machine) perform(w *work) {
+	engine, life := m.engine, m.life
+	m.cluster.at(m.diskDelay, func() {
+		if !m.up || m.life != life {
+			return
+		}
+		figures, err := engine.writer.write(w)
+		m.wake()
+		engine.Do(func() { engine.writer.finish(w, figures, err) })
+	})
+}
+
+func (m *machine) background(job func() func()) {
+	engine, life := m.engine, m.life
+	m.cluster.at(3*m.diskDelay, func() {
+		if m.up && m.life == life {
+			engine.Do(job())
+			m.wake()
+		}
+	})
+}
+
+func (m *machine) wake() { m.wakeAt = m.cluster.now() }
+
+// Send is the link.
+func (m *machine) Send(address string, envelope *Envelope) {
+	if m.cluster.random.Float64() < m.cluster.loss || m.isolated {
+		return
+	}
+	m.cluster.at(linkDelay, func() {
+		for _, to := range m.cluster.machines {
+			if to.address == address && to.up && !to.isolated && !m.isolated {
+				to.engine.Receive(envelope)
+				to.wake()
+			}
+		}
+	})
+}
+
+// kill ends the process; its disk stays as it is.
+func (m *machine) kill() {
+	m.up = false
+	m.engine.abandonAll()
+	_ = m.engine.lock.Close()
+}
+
+func (e *Engine) abandonAll() {
+	for _, g := range e.groups {
+		g.proposals, g.confirms = nil, nil
+	}
+}
+
+// losePower ends the process, and the disk forgets what was not synced, perhaps in the middle of a write.
+func (m *machine) losePower() {
+	m.kill()
+	w := m.engine.writer
+	if w.inflight != nil && m.cluster.random.IntN(2) == 0 {
+		cutAt := m.files.Calls() + 1 + m.cluster.random.IntN(6)
+		m.files.SetOnCall(func(call vfstest.Call) vfstest.Fault { return vfstest.Fault{Off: call.N == cutAt} })
+		_, _ = w.write(w.inflight)
+	}
+	m.files = m.files.Crash(m.cluster.random)
+}
+
+func (m *machine) wipe() {
+	m.kill()
+	m.files = &vfstest.Mem{}
+}
+
+// run lets time pass.
+func (c *cluster) run(span time.Duration) {
+	c.until(span, func() bool { return false })
+}
+
+// until lets time pass until the condition holds, which is looked at after each step, or the span is over.
+func (c *cluster) until(span time.Duration, condition func() bool) bool {
+	end := c.now() + span
+	for !condition() {
+		next := c.nextTime()
+		if next > end {
+			c.clock.Advance(end - c.now())
+			return condition()
+		}
+		if next > c.now() {
+			c.clock.Advance(next - c.now())
+		}
+		c.step()
+	}
+	return true
+}
+
+func (c *cluster) nextTime() time.Duration {
+	next := never
+	for _, e := range c.events {
+		next = min(next, e.at)
+	}
+	for _, m := range c.machines {
+		if m.up && !m.frozen {
+			next = min(next, m.wakeAt)
+		}
+	}
+	return next
+}
+
+// step does all that is due now.
+func (c *cluster) step() {
+	now := c.now()
+	var due []event
+	c.events = slices.DeleteFunc(c.events, func(e event) bool {
+		if e.at <= now {
+			due = append(due, e)
+		}
+		return e.at <= now
+	})
+	for _, e := range due {
+		e.run()
+	}
+	for _, m := range c.machines {
+		if m.up && !m.frozen && m.wakeAt <= now {
+			m.engine.turn()
+			Expect(m.engine.failed).NotTo(HaveOccurred())
+			m.wakeAt = now + m.engine.pause()
+		}
+	}
+}
+
+// leader is the machine that leads a group; of several the one of the newest term.
+func (c *cluster) leader(id GroupID) *machine {
+	var newest *machine
+	term := uint64(0)
+	for _, m := range c.machines {
+		if m.up && !m.frozen && m.ledgers[id].leading > term {
+			newest, term = m, m.ledgers[id].leading
+		}
+	}
+	return newest
+}
+
+func (c *cluster) allLed() bool {
+	for id := range GroupID(c.groups) {
+		if c.leader(id) == nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *cluster) awaitLeaders() {
+	GinkgoHelper()
+	Expect(c.until(10*time.Second, c.allLed)).To(BeTrue(), "every group has a leader")
+}
+
+// propose proposes a line at the leader; the outcome comes later.
+func (c *cluster) propose(id GroupID, size int, done func(error)) {
+	m := c.leader(id)
+	if m == nil {
+		return
+	}
+	c.nextLine++
+	line := fmt.Sprintf("line %d %s", c.nextLine, bytes.Repeat([]byte("x"), size))
+	m.engine.Do(func() {
+		m.engine.Propose(id, []byte(line), func(_ any, err error) {
+			if err == nil {
+				c.acked[id] = append(c.acked[id], line)
+			}
+			if done != nil {
+				done(err)
+			}
+		})
+	})
+	m.wake()
+}
+
+// commit proposes lines, one after the other, and waits for each.
+func (c *cluster) commit(id GroupID, lines, size int) {
+	GinkgoHelper()
+	for range lines {
+		done := false
+		for attempt := 0; !done; attempt++ {
+			Expect(attempt).To(BeNumerically("<", 100), "a proposal is committed")
+			c.awaitLeaders()
+			settled := false
+			c.propose(id, size, func(err error) { settled, done = true, err == nil })
+			c.until(3*time.Second, func() bool { return settled })
+		}
+	}
+}
+
+// converge waits until all machines that are up have the same ledgers, with all that was acknowledged.
+func (c *cluster) converge() {
+	GinkgoHelper()
+	Expect(c.until(20*time.Second, c.converged)).To(BeTrue(), "all ledgers become equal")
+	c.check()
+}
+
+func (c *cluster) converged() bool {
+	for id := range GroupID(c.groups) {
+		leader := c.leader(id)
+		if leader == nil {
+			return false
+		}
+		for _, m := range c.machines {
+			if m.up && m.ledgers[id].Last != leader.ledgers[id].Last {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// check compares all ledgers, and looks for all that was acknowledged.
+func (c *cluster) check() {
+	GinkgoHelper()
+	for id := range GroupID(c.groups) {
+		var longest []string
+		for _, m := range c.machines {
+			if m.up && len(m.ledgers[id].Lines) > len(longest) {
+				longest = m.ledgers[id].Lines
+			}
+		}
+		for _, m := range c.machines {
+			if m.up {
+				lines := m.ledgers[id].Lines
+				Expect(slices.Equal(lines, longest[:len(lines)])).To(BeTrue(), "ledgers are prefixes of each other")
+			}
+		}
+		for _, line := range c.acked[id] {
+			Expect(longest).To(ContainElement(line), "what was acknowledged is there")
+		}
+	}
+}
+
+func (c *cluster) voters(id GroupID) []string {
+	leader := c.leader(id)
+	if leader == nil {
+		return nil
+	}
+	var names []string
+	for _, member := range leader.engine.Members(id) {
+		if !member.Learner {
+			names = append(names, member.Node)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// settled tells whether exactly these machines vote in all groups.
+func (c *cluster) settled(names ...string) func() bool {
+	return func() bool {
+		for id := range GroupID(c.groups) {
+			if !slices.Equal(c.voters(id), names) || len(c.leader(id).engine.Members(id)) != len(names) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (c *cluster) awaitVoters(names ...string) {
+	GinkgoHelper()
+	Expect(c.until(20*time.Second, c.settled(names...))).To(BeTrue(), "these vote: %v", names)
+}
--- /dev/null
+++ b/internal/replica/shifts.go
@@ -0,0 +1,151 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"ospreypond/internal/consensus"
+)
+
+const (
+	steadyEnough   = 5 * time.Second         // for how long a preferred leader must have been heard
+	groupShift     = 10 * time.Second        // between two moves of one group's leadership for spread
+	engineShift    = time.Second             // between two moves for spread of any group
+	handOverPeriod = 1500 * time.Millisecond // between two tries to give a leadership away for good
+	resignPatience = 1500 * time.Millisecond // how long Resign waits
+)
+
+// shifts is how leaderships move by plan.
+type shifts struct {
+	resigning   bool
+	resignUntil time.Duration
+	resigned    []func()
+	spreadAt    time.Duration // when a leadership was last moved for spread
+}
+
+// Resign gives away all leaderships, each to the voter that lacks least, and never stands again. done is called on the
+// loop once this process leads nothing, or after about 1.5 s.
+func (e *Engine) Resign(done func()) {
+	if !e.shifts.resigning {
+		e.shifts.resigning = true
+		e.shifts.resignUntil = e.now + resignPatience
+		e.setCampaigns()
+	}
+	e.shifts.resigned = append(e.shifts.resigned, done)
+	e.manage = e.now
+}
+
+// reluctant tells whether this process does not want to lead.
+func (e *Engine) reluctant() bool { return e.shifts.resigning || e.writer.health.sick }
+
+// handOver moves leaderships to other members where that is due.
+func (e *Engine) handOver() {
+	led := 0
+	for _, g := range e.groups {
+		if g.node.Status().IsLeader {
+			led++
+		}
+	}
+	if e.reluctant() {
+		for _, g := range e.groups {
+			g.giveAway()
+		}
+	} else {
+		e.spread(led)
+	}
+	e.finishResigning(led)
+}
+
+func (e *Engine) finishResigning(led int) {
+	if !e.shifts.resigning || led > 0 && e.now < e.shifts.resignUntil {
+		return
+	}
+	waiting := e.shifts.resigned
+	e.shifts.resigned = nil
+	for _, done := range waiting {
+		done()
+	}
+}
+
+// giveAway offers the group's leadership to the voter that lacks least.
+func (g *group) giveAway() {
+	now := g.engine.now
+	status := g.node.Status()
+	tried := g.handedOverAt > 0 && now-g.handedOverAt < handOverPeriod
+	if !status.IsLeader || status.Transferee != consensus.None || tried {
+		return
+	}
+	heir := g.heir(status.Members)
+	if heir == consensus.None {
+		return
+	}
+	g.handedOverAt = now
+	_ = g.node.Transfer(now, heir)
+}
+
+// heir is the voter that is alive and willing and lacks least; None if there is none.
+func (g *group) heir(members []consensus.Member) consensus.MemberID {
+	heir, least := consensus.None, uint64(unknownLag)
+	for _, member := range members {
+		if member.Learner || member.ID == g.engine.self.ID {
+			continue
+		}
+		behind, heardAt, known := g.node.Lagging(member.ID)
+		alive := known && g.engine.now-heardAt < aliveSilence && g.engine.peers.willing(member.ID, g.engine.now)
+		if alive && behind < least {
+			heir, least = member.ID, behind
+		}
+	}
+	return heir
+}
+
+// spread moves one leadership to its group's preferred leader if this process leads more than its share.
+func (e *Engine) spread(led int) {
+	if e.now-e.shifts.spreadAt < engineShift {
+		return
+	}
+	for _, g := range e.groups {
+		if preferred := g.dueMove(led); preferred != consensus.None {
+			e.shifts.spreadAt = e.now
+			g.handedOverAt = e.now
+			_ = level.Info(e.options.Logger).Log("msg", "leadership moves to its preferred member", "group", g.id)
+			_ = g.node.Transfer(e.now, preferred)
+			return
+		}
+	}
+}
+
+// dueMove is the member that should lead the group instead of this process, and can; or None.
+func (g *group) dueMove(led int) consensus.MemberID {
+	e := g.engine
+	status := g.node.Status()
+	recent := g.handedOverAt > 0 && e.now-g.handedOverAt < groupShift
+	if g.leadingTerm == 0 || status.Transferee != consensus.None || recent {
+		return consensus.None
+	}
+	voters := sortedVoters(status.Members)
+	if len(voters) == 0 || led <= (len(e.groups)+len(voters)-1)/len(voters) {
+		return consensus.None
+	}
+	preferred := voters[int(g.id)%len(voters)]
+	behind, heardAt, known := g.node.Lagging(preferred)
+	ready := known && behind <= caughtUpLag && e.now-heardAt < aliveSilence
+	steady := e.peers.steady(preferred, e.now) >= steadyEnough && e.peers.willing(preferred, e.now)
+	if preferred == e.self.ID || !ready || !steady {
+		return consensus.None
+	}
+	return preferred
+}
+
+func sortedVoters(members []consensus.Member) []consensus.MemberID {
+	var voters []consensus.MemberID
+	for _, member := range members {
+		if !member.Learner {
+			voters = append(voters, member.ID)
+		}
+	}
+	slices.Sort(voters)
+	return voters
+}
