--- a/internal/directory/call.go
+++ b/internal/directory/call.go
@@ -23,7 +23,7 @@
 	state := attempts{mayRepeat: mayRepeat}
 	target := d.first(shard)
 	for {
-		if ctx.Err() != nil {
+		if isOver(ctx) {
 			return nil, state.end(nil)
 		}
 		response := new(Resp)
@@ -91,3 +91,12 @@
 		return true
 	}
 }
+
+func isOver(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -33,7 +33,7 @@
 // Run keeps a watch going at the owner of the configuration until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
 	w := &watch{target: d.first(protocol.ConfigurationShard)}
-	for ctx.Err() == nil {
+	for !isOver(ctx) {
 		d.round(ctx, w)
 	}
 }
@@ -43,7 +43,7 @@
 	sentAt := d.options.Clock.Now()
 	answer, refreshed, err := d.ask(ctx, w)
 	switch {
-	case ctx.Err() != nil:
+	case isOver(ctx):
 	case err == nil:
 		w.failures, w.hints = 0, 0
 		w.short = false
--- /dev/null
+++ b/internal/transport/calls_test.go
@@ -0,0 +1,231 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"ospreypond/internal/failure"
+)
+
+var _ = Describe("Calls", func() {
+	ctx := context.Background()
+
+	It("are answered, with the caller's name and time known to the handler", func() {
+		server := NewServer(Options{})
+		Handle(server, func(ctx context.Context, from string, q *question) (*reply, error) {
+			_, bounded := ctx.Deadline()
+			return &reply{Text: fmt.Sprintf("%s %s %v", from, q.Text, bounded), Inner: inner{Values: []int{q.Number}}}, nil
+		})
+		address := serve(server)
+		client := newTestClient(ClientOptions{Name: "sur-1"})
+		for i := range 3 {
+			answer, err := Call[question, reply](ctx, client, address, &question{Text: "hello", Number: i})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer).To(Equal(&reply{Text: "sur-1 hello false", Inner: inner{Values: []int{i}}}))
+		}
+		bounded, cancel := context.WithTimeout(ctx, time.Hour)
+		defer cancel()
+		answer, err := Call[question, reply](bounded, client, address, &question{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Text).To(Equal("sur-1  true"))
+	})
+
+	It("are answered out of order", func() {
+		server := NewServer(Options{})
+		replies := map[int]func(*reply, error){}
+		HandleAsync(server, func(_ string, q *question, answer func(*reply, error)) {
+			replies[q.Number] = answer
+			if len(replies) < 3 {
+				return
+			}
+			for _, number := range []int{2, 0, 1} {
+				replies[number](&reply{Text: fmt.Sprint(number)}, nil)
+				replies[number](&reply{Text: "again"}, nil) // only the first counts
+			}
+		})
+		address := serve(server)
+		client := newTestClient(ClientOptions{})
+		var group sync.WaitGroup
+		for number := range 3 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				answer, err := Call[question, reply](ctx, client, address, &question{Number: number})
+				Expect(err).NotTo(HaveOccurred())
+				Expect(answer.Text).To(Equal(fmt.Sprint(number)))
+			})
+		}
+		group.Wait()
+	})
+
+	It("may carry nothing either way", func() {
+		server := NewServer(Options{})
+		Handle(server, func(context.Context, string, *nothing) (*nothing, error) { return nil, nil })
+		Handle(server, func(context.Context, string, *question) (*nothing, error) { return &nothing{}, nil })
+		address := serve(server)
+		client := newTestClient(ClientOptions{})
+		_, err := Call[nothing, nothing](ctx, client, address, &nothing{})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = Call[question, nothing](ctx, client, address, &question{Text: "x"})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	DescribeTable("bring the error's kind, message and leader",
+		func(given error, kind failure.Kind, message, leader string) {
+			server := NewServer(Options{})
+			Handle(server, func(context.Context, string, *question) (*reply, error) { return nil, given })
+			address := serve(server)
+			_, err := Call[question, reply](ctx, newTestClient(ClientOptions{}), address, &question{})
+			var got *failure.Error
+			Expect(errors.As(err, &got)).To(BeTrue())
+			Expect(*got).To(Equal(failure.Error{Kind: kind, Message: message, Leader: leader}))
+		},
+		Entry("gone", failure.New(failure.Gone, "no such job"), failure.Gone, "no such job", ""),
+		Entry("a leader", &failure.Error{Kind: failure.NotLeader, Message: "not here", Leader: "10.0.0.1:7400"},
+			failure.NotLeader, "not here", "10.0.0.1:7400"),
+		Entry("wrapped", errors.Wrap(failure.New(failure.Stale, "old"), "while"), failure.Stale, "old", ""),
+		Entry("of no kind", errors.New("disk on fire"), failure.UnknownOutcome, "disk on fire", ""),
+	)
+
+	It("to what nobody handles are Invalid, and spoil nothing for the next", func() {
+		server := NewServer(Options{})
+		Handle(server, func(_ context.Context, _ string, q *question) (*reply, error) { return &reply{Text: q.Text}, nil })
+		address := serve(server)
+		client := newTestClient(ClientOptions{})
+		_, err := Call[notice, reply](ctx, client, address, &notice{Text: "x", Inner: inner{Values: []int{1}}})
+		Expect(failure.KindOf(err)).To(Equal(failure.Invalid))
+		Expect(err.Error()).To(ContainSubstring("transport.notice"))
+		answer, err := Call[question, reply](ctx, client, address, &question{Text: "next"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Text).To(Equal("next"))
+	})
+
+	It("that are answered by another type have an unknown outcome, and spoil nothing for the next", func() {
+		server := NewServer(Options{})
+		Handle(server, func(context.Context, string, *question) (*notice, error) { return &notice{Text: "x"}, nil })
+		Handle(server, func(context.Context, string, *nothing) (*reply, error) { return &reply{Text: "fine"}, nil })
+		address := serve(server)
+		client := newTestClient(ClientOptions{})
+		_, err := Call[question, reply](ctx, client, address, &question{})
+		Expect(failure.KindOf(err)).To(Equal(failure.UnknownOutcome))
+		answer, err := Call[nothing, reply](ctx, client, address, &nothing{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Text).To(Equal("fine"))
+	})
+
+	It("that are too large are refused without harm to the connection", func() {
+		server := NewServer(Options{MaxFrameBytes: 2000})
+		Handle(server, func(_ context.Context, _ string, q *question) (*reply, error) {
+			return &reply{Text: strings.Repeat("x", q.Number)}, nil
+		})
+		address := serve(server)
+		dialed := 0
+		client := newTestClient(ClientOptions{MaxFrameBytes: 2000, Dial: func(ctx context.Context, a string) (net.Conn, error) {
+			dialed++
+			return dial(ctx, a)
+		}})
+		_, err := Call[question, reply](ctx, client, address, &question{Text: strings.Repeat("y", 3000)})
+		Expect(failure.KindOf(err)).To(Equal(failure.TooLarge))
+		_, err = Call[question, reply](ctx, client, address, &question{Number: 3000})
+		Expect(failure.KindOf(err)).To(Equal(failure.UnknownOutcome))
+		answer, err := Call[question, reply](ctx, client, address, &question{Number: 10})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Text).To(HaveLen(10))
+		Expect(dialed).To(Equal(1))
+	})
+
+	It("that gob cannot carry are refused without harm to the connection", func() {
+		type holed struct{ Inner []*inner }
+		server := NewServer(Options{})
+		Handle(server, func(_ context.Context, _ string, h *holed) (*reply, error) {
+			return &reply{Inner: inner{Values: []int{len(h.Inner)}}}, nil
+		})
+		address := serve(server)
+		client := newTestClient(ClientOptions{})
+		_, err := Call[holed, reply](ctx, client, address, &holed{Inner: []*inner{nil}})
+		Expect(failure.KindOf(err)).To(Equal(failure.Invalid))
+		answer, err := Call[holed, reply](ctx, client, address, &holed{Inner: []*inner{{Values: []int{1}}}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Inner.Values).To(Equal([]int{1}))
+	})
+
+	It("beyond the limit of goroutines are Overloaded", func() {
+		server := NewServer(Options{MaxHandlers: 1})
+		entered, leave := make(chan struct{}), make(chan struct{})
+		Handle(server, func(context.Context, string, *question) (*reply, error) {
+			close(entered)
+			<-leave
+			return &reply{}, nil
+		})
+		address := serve(server)
+		client := newTestClient(ClientOptions{})
+		first := make(chan error, 1)
+		go func() {
+			_, err := Call[question, reply](ctx, client, address, &question{})
+			first <- err
+		}()
+		Eventually(entered).WithTimeout(soon).Should(BeClosed())
+		_, err := Call[question, reply](ctx, client, address, &question{})
+		Expect(failure.KindOf(err)).To(Equal(failure.Overloaded))
+		close(leave)
+		Eventually(first).WithTimeout(soon).Should(Receive(BeNil()))
+	})
+
+	It("beyond the limit of open calls are Overloaded", func() {
+		server := NewServer(Options{MaxOutstanding: 1})
+		held := make(chan func(*reply, error), 2)
+		HandleAsync(server, func(_ string, _ *question, answer func(*reply, error)) { held <- answer })
+		address := serve(server)
+		client := newTestClient(ClientOptions{})
+		first := make(chan error, 1)
+		go func() {
+			_, err := Call[question, reply](ctx, client, address, &question{})
+			first <- err
+		}()
+		var answer func(*reply, error)
+		Eventually(held).WithTimeout(soon).Should(Receive(&answer))
+		_, err := Call[question, reply](ctx, client, address, &question{})
+		Expect(failure.KindOf(err)).To(Equal(failure.Overloaded))
+		answer(&reply{}, nil)
+		Eventually(first).WithTimeout(soon).Should(Receive(BeNil()))
+	})
+})
+
+var _ = Describe("Messages", func() {
+	It("arrive in order, beside calls", func() {
+		server := NewServer(Options{})
+		texts := make(chan string, 10)
+		HandleOneWay(server, func(from string, n *notice) { texts <- from + " " + n.Text })
+		Handle(server, func(context.Context, string, *notice) (*reply, error) { return &reply{Text: "called"}, nil })
+		address := serve(server)
+		client := newTestClient(ClientOptions{Name: "norte-1"})
+		Send(client, address, &notice{Text: "a"})
+		Send(client, address, &question{Text: "nobody wants this"})
+		Send(client, address, &notice{Text: "b"})
+		answer, err := Call[notice, reply](context.Background(), client, address, &notice{Text: "c"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Text).To(Equal("called"))
+		Expect(texts).To(HaveLen(2))
+		Expect(<-texts).To(Equal("norte-1 a"))
+		Expect(<-texts).To(Equal("norte-1 b"))
+	})
+})
+
+var _ = Describe("Registering", func() {
+	It("one type twice panics", func() {
+		server := NewServer(Options{})
+		HandleOneWay(server, func(string, *notice) {})
+		Expect(func() { HandleOneWay(server, func(string, *notice) {}) }).To(Panic())
+		Handle(server, func(context.Context, string, *notice) (*reply, error) { return nil, nil })
+		Expect(func() {
+			HandleAsync(server, func(string, *notice, func(*reply, error)) {})
+		}).To(Panic())
+	})
+})
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -92,8 +92,10 @@
 }
 
 func (c *Client) do(ctx context.Context, address string, request, response any, long bool) error {
-	if ctx.Err() != nil {
+	select {
+	case <-ctx.Done():
 		return failure.Newf(failure.Unavailable, "%s: not asked: %v", address, ctx.Err())
+	default:
 	}
 	connection, err := c.connection(address)
 	if err != nil {
--- a/internal/transport/inbox.go
+++ b/internal/transport/inbox.go
@@ -16,6 +16,9 @@
 	mostTypes  = 1024 // described on one connection
 )
 
+// errShortFrame says that a frame ends before what it should hold.
+var errShortFrame = errors.New("a frame is too short for what it holds")
+
 // inbox is the incoming half of a connection. It reads frame by frame; while a frame is read it ends where the frame
 // ends.
 type inbox struct {
@@ -53,7 +56,7 @@
 
 func (r *frameReader) Read(buffer []byte) (int, error) {
 	if r.left == 0 {
-		return 0, io.ErrUnexpectedEOF
+		return 0, errShortFrame
 	}
 	count, err := r.reader.Read(buffer[:min(len(buffer), r.left)])
 	r.left -= count
@@ -62,7 +65,7 @@
 
 func (r *frameReader) ReadByte() (byte, error) {
 	if r.left == 0 {
-		return 0, io.ErrUnexpectedEOF
+		return 0, errShortFrame
 	}
 	value, err := r.reader.ReadByte()
 	if err == nil {
