--- a/policy/api.go
+++ b/policy/api.go
@@ -4,7 +4,11 @@
 // carries out. All decisions are in policy.go.
 package policy
 
-import "time"
+import (
+	"time"
+
+	"ospreypond/internal/assignment"
+)
 
 // Semantics says whether a request may be run more than once.
 type Semantics int
@@ -211,4 +215,4 @@
 
 // Assign returns for each row of costs the column of a minimum-cost one-to-one assignment, or -1 where
 // columns are short: the module's own matching, for whoever places other things.
-func Assign(costs [][]float64, cols int) []int { return assign(costs, cols) }
+func Assign(costs [][]float64, cols int) []int { return assignment.Solve(costs, cols) }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -12,6 +12,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"ospreypond/internal/assignment"
 )
 
 const (
@@ -811,7 +813,7 @@
 	if !d.set.Reports && d.full < calm { // such guesses may be wrong, and there is room
 		dearest *= 10
 	}
-	for i, p := range assign(costs, len(places)) {
+	for i, p := range assignment.Solve(costs, len(places)) {
 		if p >= 0 && costs[i][p] < dearest {
 			pairs = append(pairs, pair{jobs[i], places[p], costs[i][p]})
 		}
@@ -953,60 +955,6 @@
 	d.out = append(d.out, Action{Kind: Send, ID: j.id, Worker: w.name, By: by})
 }
 
-// assign returns for each row the column of a minimum-cost one-to-one assignment, or -1. It is the Hungarian
-// method with potentials; where columns are short, dear ones that stand for "none" are added.
-func assign(costs [][]float64, cols int) []int {
-	const none = 1e9
-	rows := len(costs)
-	m := max(rows, cols)
-	u, v, p, way := make([]float64, rows+1), make([]float64, m+1), make([]int, m+1), make([]int, m+1)
-	least, used := make([]float64, m+1), make([]bool, m+1)
-	for i := 1; i <= rows; i++ {
-		p[0] = i
-		for c := range least {
-			least[c], used[c] = math.Inf(1), false
-		}
-		c0 := 0
-		for p[c0] != 0 {
-			used[c0] = true
-			r, delta, next := p[c0], math.Inf(1), 0
-			for c := 1; c <= m; c++ {
-				if used[c] {
-					continue
-				}
-				x := none - u[r] - v[c]
-				if c <= cols {
-					x = costs[r-1][c-1] - u[r] - v[c]
-				}
-				if x < least[c] {
-					least[c], way[c] = x, c0
-				}
-				if least[c] < delta {
-					delta, next = least[c], c
-				}
-			}
-			for c := range p {
-				if used[c] {
-					u[p[c]], v[c] = u[p[c]]+delta, v[c]-delta
-				} else {
-					least[c] -= delta
-				}
-			}
-			c0 = next
-		}
-		for c0 != 0 {
-			p[c0], c0 = p[way[c0]], way[c0]
-		}
-	}
-	res := slices.Repeat([]int{-1}, rows)
-	for c := 1; c <= cols; c++ {
-		if p[c] > 0 {
-			res[p[c]-1] = c - 1
-		}
-	}
-	return res
-}
-
 // outside sends what goes to others than workers' job queues: list calls and probes.
 func (d *Dispatcher) outside() {
 	if !d.set.AskList {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -9,6 +9,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"ospreypond/internal/assignment"
 )
 
 const ms = time.Millisecond
@@ -108,7 +110,7 @@
 			return b
 		}
 		sum, matched, seen := 0.0, 0, map[int]bool{}
-		for r, k := range assign(c, cols) {
+		for r, k := range assignment.Solve(c, cols) {
 			if k < 0 {
 				continue
 			}
