--- a/internal/consensus/confirm.go
+++ b/internal/consensus/confirm.go
@@ -102,7 +102,7 @@
 		n.repeatPiece(peer)
 	case message.Index < peer.sent && peer.appendSentAt < message.SentAt:
 		n.resumeAfterLoss(peer, message.Index)
-	case peer.match < peer.sent && n.now-peer.ackAskedAt >= 2*n.config.HeartbeatInterval:
+	case n.ackOverdue(peer):
 		n.askForAck(peer)
 	default:
 		n.sendAppends(peer)
@@ -110,6 +110,12 @@
 	n.handOver()
 }
 
+// ackOverdue tells whether a member has long owed an acknowledgement of something.
+func (n *Node) ackOverdue(peer *progress) bool {
+	owed := peer.waiting || peer.match < peer.sent
+	return owed && n.now-peer.ackAskedAt >= 2*n.config.HeartbeatInterval
+}
+
 // heardFrom notes an answer and what it confirms.
 func (n *Node) heardFrom(peer *progress, message *Message) {
 	peer.heard(n.now, message.SentAt)
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -33,7 +33,7 @@
 		return
 	}
 	if countVoters(n.memberships.current()) == 1 {
-		n.campaign(false)
+		n.leadAlone()
 		return
 	}
 	n.role = rolePreCandidate
@@ -41,6 +41,16 @@
 	n.requestVotes()
 }
 
+// leadAlone takes the leadership of a group whose only voter this is. Nothing says yet that the vote or the log is on
+// disk, so nothing counts, or is sent to learners, before the first entry of the term is.
+func (n *Node) leadAlone() {
+	n.becomeFollower(n.term+1, None)
+	n.vote = n.config.ID
+	n.becomeLeader()
+	n.leadership.ownMatch = 0
+	n.leadership.holdAppends = true
+}
+
 // campaign stands for election in a new term.
 func (n *Node) campaign(forced bool) {
 	n.becomeFollower(n.term+1, None)
@@ -163,17 +173,8 @@
 	if n.role != roleCandidate || message.Reject || !isVoter(n.memberships.current(), message.From) {
 		return
 	}
-	n.ballot.grant(message.From)
-	n.countOwnVote()
-}
-
-// countOwnVote counts this member's own vote, which is on disk, and takes the leadership if that decides.
-func (n *Node) countOwnVote() {
-	if n.pending.hardState {
-		return
-	}
-	members := n.memberships.current()
-	if n.ballot.grant(n.config.ID) >= quorumOf(countVoters(members)) {
+	n.ballot.grant(n.config.ID)
+	if n.ballot.grant(message.From) >= quorumOf(countVoters(n.memberships.current())) {
 		n.becomeLeader()
 	}
 }
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -8,7 +8,9 @@
 	firstIndex uint64      // the first entry of this term
 	ownMatch   uint64      // last index on this member's own disk
 	appendsDue bool        // entries were added since appends were last sent
-	graceUntil time.Duration
+	// holdAppends: nothing leaves before the first entry of this term is on disk
+	holdAppends bool
+	graceUntil  time.Duration
 
 	roundAt     time.Duration // newest round of heartbeats to voters
 	heartbeatAt time.Duration // when the next regular heartbeats are due
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -234,19 +234,19 @@
 	n.electionDeadline = n.now + n.config.ElectionTimeout + extra
 }
 
-// Persisted tells that the log up to an entry, and every HardState handed out before, are on disk. It is also called
-// when a HardState alone was written; index and term are then those of the newest entry on disk, or zero.
+// Persisted tells that the log up to an entry, and all that was handed out to be written before it, are on disk. Outputs
+// handed out later may still wait to be written.
 func (n *Node) Persisted(now time.Duration, index, term uint64) {
 	n.advance(now)
-	switch n.role {
-	case roleCandidate:
-		n.countOwnVote()
-	case roleLeader:
-		if index > n.leadership.ownMatch && n.log.matches(index, term) {
-			n.leadership.ownMatch = index
-			n.advanceCommit()
-		}
+	if n.role != roleLeader || index <= n.leadership.ownMatch || !n.log.matches(index, term) {
+		return
+	}
+	n.leadership.ownMatch = index
+	if n.leadership.holdAppends && index >= n.leadership.firstIndex {
+		n.leadership.holdAppends = false
+		n.leadership.appendsDue = true
 	}
+	n.advanceCommit()
 }
 
 // Compact drops the entries up to an index that was handed out to be applied.
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -13,6 +13,9 @@
 
 // sendAppends sends a member what it lacks, as far as its window allows.
 func (n *Node) sendAppends(peer *progress) {
+	if n.leadership.holdAppends {
+		return
+	}
 	for peer.next <= n.log.last() && peer.mayAppend(n.config.MaxInflight) {
 		if !n.sendAppend(peer) {
 			return
@@ -58,6 +61,7 @@
 	before := peer.next - 1
 	beforeTerm, known := n.log.term(before)
 	if !known {
+		peer.needSnapshot()
 		return
 	}
 	peer.ackAskedAt = n.now
