Decide as the owner of a shard, and wire the control role

Starts, ends and losses are entries before anything that rests on them leaves; holds are bounded by the newest confirmation of leadership; a silent runner's work waits for the end of the last possible hold.

--- /dev/null
+++ b/internal/control/configuration_shard.go
@@ -0,0 +1,226 @@
+package control
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"ospreypond/internal/configuration"
+	"ospreypond/internal/failure"
+	"ospreypond/internal/protocol"
+	"ospreypond/internal/replica"
+)
+
+// configurationShard is this process's replica of the configuration's shard, and the feed while it leads. All of it
+// runs on the engine's loop.
+type configurationShard struct {
+	engine  *replica.Engine
+	state   *configuration.State
+	feed    *Feed
+	leading bool
+	logger  log.Logger
+	wake    func()
+	queues  map[string]string // service of each queue in the newest document
+	queued  uint64            // version that queues were made of
+}
+
+var _ replica.StateMachine = (*configurationShard)(nil)
+var _ replica.LeadershipObserver = (*configurationShard)(nil)
+
+func newConfigurationShard(logger log.Logger) *configurationShard {
+	s := &configurationShard{state: configuration.NewState(), logger: log.With(logger, "shard", "configuration")}
+	s.feed = NewFeed(s)
+	return s
+}
+
+func (s *configurationShard) attach(engine *replica.Engine, wake func()) {
+	s.engine = engine
+	s.wake = wake
+}
+
+// Version is the newest version applied here.
+func (s *configurationShard) Version() uint64 { return s.state.Document().Version() }
+
+// Since returns what brings a follower from a version to the newest.
+func (s *configurationShard) Since(version uint64, canTakeChanges bool) ([]byte, error) {
+	return s.state.Since(version, canTakeChanges)
+}
+
+// Apply carries out one committed order.
+func (s *configurationShard) Apply(index, term uint64, data []byte) any {
+	before := s.Version()
+	result := s.state.Apply(index, term, data)
+	if s.Version() != before {
+		s.wake()
+	}
+	return result
+}
+
+// Snapshot returns the whole state.
+func (s *configurationShard) Snapshot() ([]byte, error) { return s.state.Snapshot() }
+
+// Restore replaces the whole state.
+func (s *configurationShard) Restore(data []byte) error { return s.state.Restore(data) }
+
+// Leading begins ownership.
+func (s *configurationShard) Leading(term uint64) {
+	level.Info(s.logger).Log("msg", "this process owns the shard", "term", term)
+	s.leading = true
+	s.feed.Lead()
+	s.wake()
+}
+
+// Following ends ownership.
+func (s *configurationShard) Following() {
+	if s.leading {
+		level.Info(s.logger).Log("msg", "this process no longer owns the shard")
+	}
+	s.leading = false
+	s.feed.Lost(s.leader())
+}
+
+func (s *configurationShard) group() replica.GroupID { return uint32(protocol.ConfigurationShard) }
+
+func (s *configurationShard) leader() string {
+	if s.engine == nil {
+		return ""
+	}
+	return s.engine.LeaderAddress(s.group())
+}
+
+// serviceOf returns the service that the newest document here gives a queue.
+func (s *configurationShard) serviceOf(queue string) (service string, ok, known bool) {
+	document := s.state.Document()
+	if document.Version() == 0 {
+		return "", false, false
+	}
+	if s.queued != document.Version() {
+		s.queues = map[string]string{}
+		for route := range document.Routes() {
+			s.queues[configuration.QueueKey(route)] = route.GetService()
+		}
+		s.queued = document.Version()
+	}
+	service, ok = s.queues[queue]
+	return service, ok, true
+}
+
+// tick answers the watches that are due.
+func (s *configurationShard) tick(c *Control) {
+	if !s.leading {
+		return
+	}
+	c.tellOwners()
+	s.confirmFeed()
+}
+
+func (s *configurationShard) confirmFeed() {
+	if !s.feed.AskConfirmation(s.engine.Now()) {
+		return
+	}
+	s.engine.Confirm(s.group(), func(err error) {
+		if err != nil {
+			s.feed.Unconfirmed(s.leader())
+			return
+		}
+		s.feed.Confirmed(s.engine.Now())
+	})
+}
+
+func (s *configurationShard) deadline(now time.Duration) time.Duration {
+	at, ok := s.feed.Deadline()
+	if !s.leading || !ok {
+		return now + tickMost
+	}
+	return at
+}
+
+// propose commits an operator's order.
+func (s *configurationShard) propose(command configuration.Command, reply func(*protocol.ConfigureResponse, error)) {
+	data, err := configuration.EncodeCommand(command)
+	if err != nil {
+		reply(nil, failure.New(failure.Invalid, err.Error()))
+		return
+	}
+	s.engine.Propose(s.group(), data, func(result any, err error) {
+		if err != nil {
+			reply(nil, err)
+			return
+		}
+		outcome, ok := result.(configuration.Result)
+		if !ok {
+			reply(nil, failure.New(failure.UnknownOutcome, "the order could not be applied"))
+			return
+		}
+		if err := outcome.Err(); err != nil {
+			reply(nil, err)
+			return
+		}
+		reply(&protocol.ConfigureResponse{Version: outcome.Version}, nil)
+	})
+}
+
+// tellOwners gives the feed the members and owners as known here.
+func (c *Control) tellOwners() {
+	owners := map[protocol.ShardID]string{protocol.ConfigurationShard: c.settings.InternalAddress()}
+	for id := range c.shards {
+		if address := c.engine.LeaderAddress(uint32(id)); address != "" {
+			owners[id] = address
+		}
+	}
+	var members []protocol.Member
+	for _, m := range c.engine.Members(c.configuration.group()) {
+		members = append(members, protocol.Member{ID: uint64(m.ID), Node: m.Node, Zone: m.Zone, Address: m.Address})
+	}
+	c.configuration.feed.OwnersChanged(members, owners)
+}
+
+func (c *Control) watch(_ string, request *protocol.WatchRequest, reply func(*protocol.WatchResponse, error)) {
+	c.engine.Do(func() {
+		if !c.configuration.leading {
+			reply(nil, c.notConfigurationOwner())
+			return
+		}
+		c.tellOwners()
+		c.configuration.feed.Watch(c.engine.Now(), request, reply)
+		c.configuration.confirmFeed()
+		c.ticker.wake()
+	})
+}
+
+func (c *Control) notConfigurationOwner() error {
+	return &failure.Error{
+		Kind:    failure.NotLeader,
+		Message: "this process does not own the configuration",
+		Leader:  c.leaderHint(c.configuration.group()),
+	}
+}
+
+func (c *Control) configure(_ string, request *protocol.ConfigureRequest, reply func(*protocol.ConfigureResponse, error)) {
+	c.engine.Do(func() {
+		if !c.configuration.leading {
+			reply(nil, c.notConfigurationOwner())
+			return
+		}
+		command := configuration.Command{Kind: request.Kind, Base: request.Base, Body: request.Body}
+		c.configuration.propose(command, reply)
+	})
+}
+
+func (c *Control) readConfiguration(_ string, _ *protocol.ReadConfigurationRequest, reply func(*protocol.ReadConfigurationResponse, error)) {
+	c.engine.Do(func() {
+		if !c.configuration.leading {
+			reply(nil, c.notConfigurationOwner())
+			return
+		}
+		c.engine.Confirm(c.configuration.group(), func(err error) {
+			if err != nil {
+				reply(nil, err)
+				return
+			}
+			document := c.configuration.state.Document()
+			reply(&protocol.ReadConfigurationResponse{Version: document.Version(), Body: document.JSON()}, nil)
+		})
+	})
+}
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -141,13 +141,17 @@
 	f.refuse(func(w *feedWatch) bool { return w.round < f.round })
 }
 
-// Deadline returns when AskConfirmation must be tried again at the latest, if anything waits.
+// Deadline returns when AskConfirmation must be tried again at the latest: at once where there is news for a watch, else
+// when the first wait is over. While a round is out, and where nothing waits, there is no deadline.
 func (f *Feed) Deadline() (time.Duration, bool) {
-	if len(f.watches) == 0 {
+	if len(f.watches) == 0 || f.asked {
 		return 0, false
 	}
 	deadline := f.watches[0].due
-	for _, watch := range f.watches[1:] {
+	for _, watch := range f.watches {
+		if f.news(watch) {
+			return 0, true
+		}
 		deadline = min(deadline, watch.due)
 	}
 	return deadline, true
--- /dev/null
+++ b/internal/control/handlers.go
@@ -0,0 +1,112 @@
+package control
+
+import (
+	"time"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/jobs"
+	"ospreypond/internal/protocol"
+	"ospreypond/internal/replica"
+	"ospreypond/internal/transport"
+)
+
+// handle registers what frontends, agents and other control processes may ask.
+func (c *Control) handle() {
+	transport.HandleOneWay(c.server, func(_ string, envelope *replica.Envelope) { c.engine.Receive(envelope) })
+	transport.HandleAsync(c.server, c.heartbeat)
+	transport.HandleAsync(c.server, c.deregister)
+	transport.HandleAsync(c.server, c.submit)
+	transport.HandleAsync(c.server, c.status)
+	transport.HandleAsync(c.server, c.cancel)
+	transport.HandleAsync(c.server, c.fence)
+	transport.HandleAsync(c.server, c.pending)
+	transport.HandleAsync(c.server, c.watch)
+	transport.HandleAsync(c.server, c.configure)
+	transport.HandleAsync(c.server, c.readConfiguration)
+}
+
+// on runs an input of a shard's owner on the loop; wrong tells of a shard that this process does not own.
+func (c *Control) on(id protocol.ShardID, input func(s *jobShard, now time.Duration), wrong func(err error)) {
+	c.engine.Do(func() {
+		shard := c.shards[id]
+		if shard == nil {
+			wrong(failure.Newf(failure.Invalid, "no shard %d", id))
+			return
+		}
+		if !shard.owner.Leading() {
+			wrong(&failure.Error{
+				Kind:    failure.NotLeader,
+				Message: "this process does not own the shard",
+				Leader:  c.leaderHint(uint32(id)),
+			})
+			return
+		}
+		shard.do(func(now time.Duration) { input(shard, now) })
+	})
+}
+
+// leaderHint is where a group's leader is thought to be, if that is not this process.
+func (c *Control) leaderHint(group replica.GroupID) string {
+	address := c.engine.LeaderAddress(group)
+	if address == c.settings.InternalAddress() {
+		return ""
+	}
+	return address
+}
+
+func (c *Control) heartbeat(_ string, request *protocol.HeartbeatRequest, reply func(*protocol.HeartbeatResponse, error)) {
+	c.on(request.Shard, func(s *jobShard, now time.Duration) {
+		s.owner.Heartbeat(now, &request.Heartbeat, func(orders *protocol.Orders, err error) {
+			if err != nil {
+				reply(nil, err)
+				return
+			}
+			reply(&protocol.HeartbeatResponse{Orders: *orders}, nil)
+		})
+	}, func(err error) { reply(nil, err) })
+}
+
+func (c *Control) deregister(_ string, request *protocol.DeregisterRequest, reply func(*protocol.DeregisterResponse, error)) {
+	c.on(request.Shard, func(s *jobShard, now time.Duration) {
+		s.owner.Deregister(now, request.Instance, func(err error) { reply(&protocol.DeregisterResponse{}, err) })
+	}, func(err error) { reply(nil, err) })
+}
+
+func (c *Control) submit(_ string, request *protocol.SubmitRequest, reply func(*protocol.SubmitResponse, error)) {
+	c.on(request.Shard, func(s *jobShard, now time.Duration) {
+		submit := jobs.Submit{ID: request.ID, Queue: request.Queue, Job: request.Job}
+		s.owner.Submit(now, submit, func(known bool, err error) {
+			reply(&protocol.SubmitResponse{AlreadyKnown: known}, err)
+		})
+	}, func(err error) { reply(nil, err) })
+}
+
+func (c *Control) status(_ string, request *protocol.StatusRequest, reply func(*protocol.StatusResponse, error)) {
+	c.on(request.Shard, func(s *jobShard, now time.Duration) {
+		s.owner.Status(now, request.ID, func(state string, err error) {
+			reply(&protocol.StatusResponse{State: state}, err)
+		})
+	}, func(err error) { reply(nil, err) })
+}
+
+func (c *Control) cancel(_ string, request *protocol.CancelRequest, reply func(*protocol.CancelResponse, error)) {
+	c.on(request.Shard, func(s *jobShard, now time.Duration) {
+		s.owner.Cancel(now, request.ID, func(err error) { reply(&protocol.CancelResponse{}, err) })
+	}, func(err error) { reply(nil, err) })
+}
+
+func (c *Control) fence(_ string, request *protocol.FenceRequest, reply func(*protocol.FenceResponse, error)) {
+	c.on(request.Shard, func(s *jobShard, now time.Duration) {
+		s.owner.Fence(now, request.ID, func(hasJob bool, err error) {
+			reply(&protocol.FenceResponse{HasJob: hasJob}, err)
+		})
+	}, func(err error) { reply(nil, err) })
+}
+
+func (c *Control) pending(_ string, request *protocol.PendingRequest, reply func(*protocol.PendingResponse, error)) {
+	c.on(request.Shard, func(s *jobShard, now time.Duration) {
+		s.owner.Pending(now, request.Queue, func(pending int, err error) {
+			reply(&protocol.PendingResponse{Pending: pending}, err)
+		})
+	}, func(err error) { reply(nil, err) })
+}
--- /dev/null
+++ b/internal/control/shard.go
@@ -0,0 +1,138 @@
+package control
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/jobs"
+	"ospreypond/internal/protocol"
+	"ospreypond/internal/replica"
+	"ospreypond/internal/scheduler"
+)
+
+// jobShard is this process's replica of one shard of jobs, and the owner's decisions while it leads. All of it runs on
+// the engine's loop.
+type jobShard struct {
+	id     protocol.ShardID
+	engine *replica.Engine
+	state  *jobs.State
+	owner  *scheduler.Owner
+	clock  timeOfDay
+	logger log.Logger
+	wake   func() // asks for tick soon
+}
+
+// timeOfDay tells the time of day in ms since 1970.
+type timeOfDay func() int64
+
+var _ replica.StateMachine = (*jobShard)(nil)
+var _ replica.LeadershipObserver = (*jobShard)(nil)
+
+func newJobShard(id protocol.ShardID, options scheduler.Options, jobOptions jobs.Options, clock timeOfDay, logger log.Logger) *jobShard {
+	state := jobs.New(jobOptions)
+	return &jobShard{
+		id:     id,
+		state:  state,
+		owner:  scheduler.New(options, state),
+		clock:  clock,
+		logger: log.With(logger, "shard", id),
+	}
+}
+
+// Apply carries out one committed command.
+func (s *jobShard) Apply(index, term uint64, data []byte) any {
+	command, err := jobs.Decode(data)
+	if err != nil {
+		level.Error(s.logger).Log("msg", "an entry of the log cannot be read", "index", index, "err", err)
+		return nil
+	}
+	return s.state.Apply(command)
+}
+
+// Snapshot returns the whole state.
+func (s *jobShard) Snapshot() ([]byte, error) { return s.state.Snapshot() }
+
+// Restore replaces the whole state.
+func (s *jobShard) Restore(data []byte) error { return s.state.Restore(data) }
+
+// Leading begins ownership.
+func (s *jobShard) Leading(term uint64) {
+	level.Info(s.logger).Log("msg", "this process owns the shard", "term", term)
+	s.owner.Lead(s.engine.Now(), s.clock(), term)
+	s.wake()
+}
+
+// Following ends ownership.
+func (s *jobShard) Following() {
+	if s.owner.Leading() {
+		level.Info(s.logger).Log("msg", "this process no longer owns the shard")
+	}
+	s.owner.Follow()
+}
+
+// pump proposes what the owner wants, and lets replies go that are due.
+func (s *jobShard) pump() {
+	now := s.engine.Now()
+	if command := s.owner.Take(now); command != nil {
+		s.propose(command)
+	}
+	s.owner.Flush(now)
+}
+
+func (s *jobShard) propose(command *jobs.Command) {
+	data, err := jobs.Encode(command)
+	if err != nil {
+		level.Error(s.logger).Log("msg", "a command cannot be encoded", "err", err)
+		s.owner.Failed(s.engine.Now(), command, failure.New(failure.Unavailable, err.Error()))
+		return
+	}
+	s.engine.Propose(uint32(s.id), data, func(result any, err error) {
+		s.settled(command, result, err)
+		s.pump()
+	})
+}
+
+func (s *jobShard) settled(command *jobs.Command, result any, err error) {
+	effects, ok := result.(*jobs.Effects)
+	if err == nil && !ok {
+		err = failure.New(failure.UnknownOutcome, "the entry could not be applied")
+	}
+	if err != nil {
+		s.owner.Failed(s.engine.Now(), command, err)
+		return
+	}
+	s.owner.Applied(s.engine.Now(), command, effects, true)
+}
+
+// tick lets time pass.
+func (s *jobShard) tick() {
+	if !s.owner.Leading() {
+		return
+	}
+	now := s.engine.Now()
+	s.owner.Tick(now, s.clock(), s.engine.Status(uint32(s.id)).ConfirmedAt)
+	if s.owner.WantsConfirmation() {
+		s.engine.Confirm(uint32(s.id), func(err error) {
+			if err == nil {
+				s.owner.Tick(s.engine.Now(), 0, s.engine.Status(uint32(s.id)).ConfirmedAt)
+				s.owner.Flush(s.engine.Now())
+			}
+		})
+	}
+	s.pump()
+}
+
+// deadline is when tick is to be called next.
+func (s *jobShard) deadline(now time.Duration) time.Duration { return s.owner.NextDeadline(now) }
+
+// do runs an input of the owner.
+func (s *jobShard) do(input func(now time.Duration)) {
+	now := s.engine.Now()
+	s.owner.Tick(now, 0, s.engine.Status(uint32(s.id)).ConfirmedAt)
+	input(now)
+	s.pump()
+	s.wake()
+}
--- /dev/null
+++ b/internal/scheduler/clients.go
@@ -0,0 +1,198 @@
+package scheduler
+
+import (
+	"time"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/jobs"
+)
+
+// waitingReplies are the replies owed once a command is applied, in the order of its parts.
+type waitingReplies struct {
+	submits []func(known bool, err error)
+	cancels []func(err error)
+	fences  []func(hasJob bool, err error)
+}
+
+func (w *waitingReplies) succeed(effects *jobs.Effects) {
+	for i, reply := range w.submits {
+		replySubmit(reply, effects.Submits[i])
+	}
+	for i, reply := range w.cancels {
+		if effects.Cancels[i] {
+			reply(nil)
+			continue
+		}
+		reply(errGone)
+	}
+	for i, reply := range w.fences {
+		reply(effects.Fences[i], nil)
+	}
+}
+
+func replySubmit(reply func(bool, error), effect jobs.SubmitEffect) {
+	switch effect {
+	case jobs.Fenced:
+		reply(false, failure.New(failure.Moved, "the queue belongs to another shard now"))
+	case jobs.Known:
+		reply(true, nil)
+	case jobs.Rejected:
+		reply(false, failure.New(failure.Invalid, "the job cannot be carried out as it is"))
+	default:
+		reply(false, nil)
+	}
+}
+
+func (w *waitingReplies) fail(err error) {
+	for _, reply := range w.submits {
+		reply(false, err)
+	}
+	for _, reply := range w.cancels {
+		reply(err)
+	}
+	for _, reply := range w.fences {
+		reply(false, err)
+	}
+}
+
+var (
+	errGone      = failure.New(failure.Gone, "no such job")
+	errNotLeader = failure.New(failure.NotLeader, "this process does not own the shard")
+)
+
+// read is a question whose answer needs leadership confirmed after it came.
+type read struct {
+	asked time.Duration
+	until time.Duration
+	reply func(err error)
+}
+
+// Submit hands a job in. The reply comes once it is committed; known tells that it was before.
+func (o *Owner) Submit(now time.Duration, submit jobs.Submit, reply func(known bool, err error)) {
+	if !o.leading {
+		reply(false, errNotLeader)
+		return
+	}
+	if _, known := o.state.StateOf(submit.ID); known {
+		reply(true, nil)
+		return
+	}
+	if err := o.acceptable(&submit); err != nil {
+		reply(false, err)
+		return
+	}
+	o.next.Submits = append(o.next.Submits, submit)
+	o.waiting.submits = append(o.waiting.submits, reply)
+}
+
+func (o *Owner) acceptable(submit *jobs.Submit) error {
+	if err := o.state.Validate(&submit.Job); err != nil {
+		return err
+	}
+	service, ok, known := o.options.ServiceOf(submit.Queue.Key)
+	if known && (!ok || service != submit.Queue.Service) {
+		o.counters.Stale++
+		return failure.New(failure.Stale, "a newer configuration gives the queue another service")
+	}
+	if o.state.Counters().Jobs >= o.options.MaxPending {
+		o.counters.Refused++
+		return failure.New(failure.Overloaded, "too many jobs have not ended")
+	}
+	return nil
+}
+
+// Cancel cancels a job. The reply comes once that is committed; an unknown job is Gone, confirmed.
+func (o *Owner) Cancel(now time.Duration, id string, reply func(err error)) {
+	if !o.leading {
+		reply(errNotLeader)
+		return
+	}
+	o.next.Cancels = append(o.next.Cancels, id)
+	o.waiting.cancels = append(o.waiting.cancels, reply)
+}
+
+// Fence asks whether the shard has a job, and makes it promise never to take it if it has not.
+func (o *Owner) Fence(now time.Duration, id string, reply func(hasJob bool, err error)) {
+	if !o.leading {
+		reply(false, errNotLeader)
+		return
+	}
+	if _, known := o.state.StateOf(id); known {
+		reply(true, nil)
+		return
+	}
+	o.next.Fences = append(o.next.Fences, id)
+	o.waiting.fences = append(o.waiting.fences, reply)
+}
+
+// Status asks for a job's state. A known job is answered at once from what is committed; that a job is unknown is
+// only told by an owner whose leadership was confirmed after the question.
+func (o *Owner) Status(now time.Duration, id string, reply func(state string, err error)) {
+	if !o.leading {
+		reply("", errNotLeader)
+		return
+	}
+	if state, known := o.state.StateOf(id); known && o.recentlyConfirmed(now) {
+		reply(state, nil)
+		return
+	}
+	o.readLater(now, func(err error) {
+		if err != nil {
+			reply("", err)
+			return
+		}
+		state, known := o.state.StateOf(id)
+		if !known {
+			reply("", errGone)
+			return
+		}
+		reply(state, nil)
+	})
+}
+
+// Pending asks how many jobs of a queue have not ended.
+func (o *Owner) Pending(now time.Duration, queue string, reply func(pending int, err error)) {
+	if !o.leading {
+		reply(0, errNotLeader)
+		return
+	}
+	if o.recentlyConfirmed(now) {
+		reply(o.state.Pending(queue), nil)
+		return
+	}
+	o.readLater(now, func(err error) {
+		if err != nil {
+			reply(0, err)
+			return
+		}
+		reply(o.state.Pending(queue), nil)
+	})
+}
+
+func (o *Owner) recentlyConfirmed(now time.Duration) bool { return now-o.confirmedAt < confirmationAge }
+
+func (o *Owner) readLater(now time.Duration, reply func(err error)) {
+	o.reads = append(o.reads, read{asked: now, until: now + readWait, reply: reply})
+}
+
+// endReads answers the reads that a confirmation covers, and gives up those that waited too long.
+func (o *Owner) endReads(now time.Duration) {
+	var left, done, late []read
+	for _, r := range o.reads {
+		switch {
+		case o.confirmedAt > r.asked:
+			done = append(done, r)
+		case now >= r.until:
+			late = append(late, r)
+		default:
+			left = append(left, r)
+		}
+	}
+	o.reads = left
+	for _, r := range done {
+		r.reply(nil)
+	}
+	for _, r := range late {
+		r.reply(failure.New(failure.NotLeader, "leadership could not be confirmed"))
+	}
+}
--- /dev/null
+++ b/internal/scheduler/orders.go
@@ -0,0 +1,82 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/jobs"
+	"ospreypond/internal/protocol"
+)
+
+// answer sends the orders for a runner's newest heartbeat.
+func (o *Owner) answer(now time.Duration, r *runner) {
+	if !o.recentlyConfirmed(now) {
+		r.answer(nil, failure.New(failure.NotLeader, "leadership could not be confirmed"))
+		return
+	}
+	orders := &protocol.Orders{
+		LastSeen:     o.state.LastSeen(r.instance),
+		FenceToken:   o.term,
+		RetryDelayMs: o.pollDelay(r).Milliseconds(),
+	}
+	o.grantHold(now, r, orders)
+	if orders.HoldMs > 0 {
+		orders.Start = o.startOrders(r)
+	}
+	orders.Stop = stopOrders(r)
+	r.answer(orders, nil)
+}
+
+// grantHold gives a hold that ends no later than HoldMax after the moment at which leadership was last confirmed.
+func (o *Owner) grantHold(now time.Duration, r *runner, orders *protocol.Orders) {
+	if r.ended {
+		return
+	}
+	hold := o.options.HoldMax - (now - o.confirmedAt)
+	if hold < time.Millisecond {
+		return
+	}
+	orders.HoldMs = hold.Milliseconds()
+	r.holdEnd = max(r.holdEnd, now+time.Duration(float64(hold)*clockSlack))
+}
+
+// startOrders are all starts that the shard holds for the runner and that it does not list. One that an earlier answer
+// carried is sent again: that answer is void.
+func (o *Owner) startOrders(r *runner) []protocol.StartOrder {
+	var starts []protocol.StartOrder
+	for _, task := range o.state.RunsOn(r.instance) {
+		key := runKey{task.ID, task.Run}
+		if task.Phase != jobs.Running || o.ending[key] || over(task.Group.Job.State) || r.draining {
+			continue
+		}
+		if _, there := r.listed[key]; there {
+			continue
+		}
+		if _, stopping := r.stops[key]; stopping {
+			continue
+		}
+		starts = append(starts, protocol.StartOrder{
+			Task: task.ID.String(), Run: task.Run, Spec: task.Group.Job.Spec.Spec, Saved: task.Saved,
+		})
+	}
+	return starts
+}
+
+func stopOrders(r *runner) []protocol.StopOrder {
+	stops := make([]protocol.StopOrder, 0, len(r.stops))
+	for key := range r.stops {
+		if _, there := r.listed[key]; there {
+			stops = append(stops, protocol.StopOrder{Task: key.task.String(), Run: key.run})
+		}
+	}
+	sort.Slice(stops, func(i, j int) bool { return stops[i].Task < stops[j].Task })
+	return stops
+}
+
+func (o *Owner) pollDelay(r *runner) time.Duration {
+	if len(r.listed) > 0 || len(r.stops) > 0 || o.state.HeldCount() > 0 || len(o.state.RunsOn(r.instance)) > 0 {
+		return o.options.PollBusy
+	}
+	return o.options.PollIdle
+}
--- /dev/null
+++ b/internal/scheduler/watch.go
@@ -0,0 +1,153 @@
+package scheduler
+
+import (
+	"time"
+
+	"ospreypond/internal/jobs"
+	"ospreypond/internal/protocol"
+)
+
+// outcomes is a runner's record of late: what share of what it began it failed or let stand still.
+type outcomes struct {
+	good, bad float64
+}
+
+const (
+	outcomeFade   = 0.8  // how much of the record each new outcome leaves
+	doubtfulFault = 0.25 // what a failure counts if the same job fails elsewhere too
+	distrustFrom  = 0.9  // weight of failures from which a runner is distrusted at all
+)
+
+func (c *outcomes) add(good, bad float64) {
+	c.good = c.good*outcomeFade + good
+	c.bad = c.bad*outcomeFade + bad
+}
+
+// distrust is 0 for a runner without a record of failures, up to 1 for one that fails all that it begins.
+func (c *outcomes) distrust() float64 {
+	if c.bad < distrustFrom {
+		return 0
+	}
+	return c.bad / (c.good + c.bad + 0.5)
+}
+
+// learn takes what an end tells of runtimes and of the runner.
+func (o *Owner) learn(now time.Duration, r *runner, key runKey, finished *protocol.FinishedRun) {
+	task := o.state.Task(key.task)
+	if task == nil || task.Run != key.run || o.ending[key] {
+		return
+	}
+	switch finished.How {
+	case protocol.EndDone:
+		r.record.add(1, 0)
+		o.learnTime(now, r, key, task)
+	case protocol.EndFailed:
+		o.blame(r, task)
+	}
+}
+
+func (o *Owner) learnTime(now time.Duration, r *runner, key runKey, task *jobs.Task) {
+	entry := r.listed[key]
+	step := task.Group.Spec()
+	if entry == nil || !entry.observed || task.Saved != "" || step.LongRunning {
+		return
+	}
+	far := step.Affinity != "" && step.Affinity != r.rack()
+	took := now - entry.since
+	o.planner.Predictor().Observe(task.Group.Job.Queue.Key, r.kind(), step.EstimatedMs, took, far)
+}
+
+// blame weighs a failure between the runner and the job: a job that fails on several runners is at fault itself.
+func (o *Owner) blame(r *runner, task *jobs.Task) {
+	id := task.ID.Job
+	places := o.failedOn[id]
+	if places == nil {
+		places = map[string]bool{}
+		o.failedOn[id] = places
+	}
+	places[r.instance] = true
+	weight := 1.0
+	if len(places) > 1 {
+		weight = doubtfulFault
+	}
+	r.record.add(0, weight)
+}
+
+const (
+	stallLeast = 2500 * time.Millisecond // least time without progress that makes a run a stalled one
+	stallShare = 0.3                     // the same as a share of the predicted runtime
+)
+
+// watch stops runs that make no progress, and those that will not end before a draining runner leaves.
+func (o *Owner) watch(now time.Duration, r *runner) {
+	for _, task := range o.state.RunsOn(r.instance) {
+		key := runKey{task.ID, task.Run}
+		entry := r.listed[key]
+		if entry == nil || task.Phase != jobs.Running || o.ending[key] {
+			continue
+		}
+		if o.stalled(now, r, task, entry) {
+			o.counters.Stalled++
+			r.record.add(0, 1)
+			o.stop(now, r, key)
+			continue
+		}
+		if r.draining && o.mustMove(now, r, task, entry) {
+			o.stop(now, r, key)
+		}
+	}
+}
+
+func (o *Owner) stalled(now time.Duration, r *runner, task *jobs.Task, entry *listing) bool {
+	step := task.Group.Spec()
+	if step.LongRunning || step.Gang {
+		return false
+	}
+	if _, stopping := r.stops[runKey{task.ID, task.Run}]; stopping {
+		return false
+	}
+	limit := max(stallLeast, time.Duration(stallShare*float64(o.predict(r, task))))
+	return now-entry.movedAt > limit
+}
+
+func (o *Owner) predict(r *runner, task *jobs.Task) time.Duration {
+	return o.planner.Predictor().Predict(task.Group.Job.Queue.Key, r.kind(), task.Group.Spec().EstimatedMs)
+}
+
+// mustMove tells that a run on a draining runner is to be stopped now so that it can go on elsewhere. What lasts moves
+// at once; what saves is stopped as late as its checkpoint can still be written; the rest at once if it can't end in time.
+func (o *Owner) mustMove(now time.Duration, r *runner, task *jobs.Task, entry *listing) bool {
+	step := task.Group.Spec()
+	if step.LongRunning {
+		return true
+	}
+	left := r.leaving - now
+	remaining := time.Duration(float64(o.predict(r, task)) * (1 - min(entry.percent, 100)/100))
+	if remaining < left {
+		return false
+	}
+	if step.Checkpoints {
+		return left < o.options.StopTime+moveSlack
+	}
+	return true
+}
+
+// moveSlack is the time from the decision to stop a run until the order reaches its runner, with some to spare.
+const moveSlack = 500 * time.Millisecond
+
+// stopBrokenGangs stops the members that are left of a gang's run of which one has ended.
+func (o *Owner) stopBrokenGangs(now time.Duration, effects *jobs.Effects) {
+	for _, task := range effects.Ended {
+		if !task.Group.Spec().Gang || task.Phase == jobs.Done {
+			continue
+		}
+		for _, member := range task.Group.Tasks {
+			if member.Phase != jobs.Running {
+				continue
+			}
+			if r := o.runners[member.Runner]; r != nil {
+				o.stop(now, r, runKey{member.ID, member.Run})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/world_test.go
@@ -0,0 +1,140 @@
+package scheduler_test
+
+import (
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/jobs"
+	"ospreypond/internal/protocol"
+	"ospreypond/internal/scheduler"
+)
+
+const (
+	hold    = 6 * time.Second
+	service = "settle"
+	queue   = "host/settle/"
+	startMs = int64(1_700_000_000_000)
+)
+
+// world is one owner over one state, with a log that commits at once unless it is told to wait.
+type world struct {
+	state   *jobs.State
+	owner   *scheduler.Owner
+	now     time.Duration
+	stalled bool // commands are proposed and not committed
+	pending []*jobs.Command
+	log     []*jobs.Command
+}
+
+func newWorld() *world {
+	w := &world{state: jobs.New(jobs.Options{}), now: time.Second}
+	w.owner = scheduler.New(options(), w.state)
+	w.owner.Lead(w.now, w.clock(), 7)
+	return w
+}
+
+func options() scheduler.Options {
+	return scheduler.Options{HoldMax: hold, StopTime: 900 * time.Millisecond, GangWait: 3 * time.Second}
+}
+
+func (w *world) clock() int64 { return startMs + w.now.Milliseconds() }
+
+// settle commits what the owner proposes until it proposes nothing more.
+func (w *world) settle() {
+	for range 20 {
+		command := w.owner.Take(w.now)
+		if command == nil {
+			break
+		}
+		w.pending = append(w.pending, command)
+		if w.stalled {
+			break
+		}
+		w.commit()
+	}
+	w.owner.Flush(w.now)
+}
+
+// commit applies what is pending.
+func (w *world) commit() {
+	for _, command := range w.pending {
+		w.log = append(w.log, command)
+		effects := w.state.Apply(command)
+		w.owner.Applied(w.now, command, effects, true)
+	}
+	w.pending = nil
+}
+
+// pass lets time pass with leadership confirmed all the while.
+func (w *world) pass(d time.Duration) {
+	w.now += d
+	w.owner.Tick(w.now, w.clock(), w.now)
+	w.settle()
+}
+
+// passUnconfirmed lets time pass without any confirmation.
+func (w *world) passUnconfirmed(d time.Duration) {
+	w.now += d
+	w.owner.Tick(w.now, w.clock(), 0)
+	w.settle()
+}
+
+func (w *world) submit(id string, steps ...protocol.Step) (known bool, err error) {
+	return w.submitTo(protocol.Queue{Key: queue, Service: service, MaxAttempts: 2, Extension: 2, TargetLatencyMs: 800}, id, steps...)
+}
+
+func (w *world) submitTo(q protocol.Queue, id string, steps ...protocol.Step) (known bool, err error) {
+	replied := false
+	w.owner.Submit(w.now, jobs.Submit{ID: id, Queue: q, Job: protocol.JobSpec{Spec: "do", Steps: steps}}, func(k bool, e error) {
+		replied, known, err = true, k, e
+	})
+	w.settle()
+	if !w.stalled {
+		Expect(replied).To(BeTrue(), "a hand-in is answered once it is committed")
+	}
+	return known, err
+}
+
+// beatOf is a heartbeat of a runner with 16 cores.
+func beatOf(instance string, sequence uint64) *protocol.Heartbeat {
+	return &protocol.Heartbeat{
+		Instance: instance, Service: service, Address: "10.0.0.1:1-" + instance, Zone: "z", State: protocol.Ready,
+		Capacity: protocol.Resources{CPU: 16000, MemoryMB: 32768, GPU: 8}, Labels: []string{"a", "r1"}, Sequence: sequence,
+	}
+}
+
+// beat sends a heartbeat and returns its answer, which must come within the time that answers may wait.
+func (w *world) beat(heartbeat *protocol.Heartbeat) (orders *protocol.Orders, err error) {
+	replied := false
+	w.owner.Heartbeat(w.now, heartbeat, func(o *protocol.Orders, e error) { replied, orders, err = true, o, e })
+	w.settle()
+	for range 20 {
+		if replied {
+			return orders, err
+		}
+		w.pass(10 * time.Millisecond)
+	}
+	Expect(replied).To(BeTrue(), "a heartbeat is answered")
+	return orders, err
+}
+
+func small() protocol.Step {
+	return protocol.Step{Count: 1, CPU: 500, MemoryMB: 100, EstimatedMs: 500}
+}
+
+func active(orders []protocol.StartOrder) []protocol.ActiveRun {
+	var rows []protocol.ActiveRun
+	for _, o := range orders {
+		rows = append(rows, protocol.ActiveRun{Task: o.Task, Run: o.Run})
+	}
+	return rows
+}
+
+func submitOf(id string) jobs.Submit {
+	return jobs.Submit{
+		ID:    id,
+		Queue: protocol.Queue{Key: queue, Service: service, MaxAttempts: 2},
+		Job:   protocol.JobSpec{Spec: "do", Steps: []protocol.Step{small()}},
+	}
+}
