--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -43,6 +43,14 @@
 	return nil
 }
 
+// Queue returns the route of the queue of that key (see QueueKey), or nil.
+func (d *Document) Queue(key string) *Route {
+	if member := d.places.get(placeOf(key)); member != nil {
+		return member.route
+	}
+	return nil
+}
+
 // Service returns the service of that name, or nil.
 func (d *Document) Service(name string) *Service {
 	if member := d.list(sectionServices).get(name); member != nil {
--- a/internal/configuration/update_test.go
+++ b/internal/configuration/update_test.go
@@ -71,6 +71,8 @@
 		Expect(document.Route("r-2").GetExtension()).To(Equal(4.0))
 		Expect(document.Route("r-2").GetTargetLatencyMs()).To(Equal(int64(800)))
 		Expect(document.Route("r-3")).To(BeNil())
+		Expect(document.Queue("one.example/two/")).To(BeIdenticalTo(document.Route("r-2")))
+		Expect(document.Queue("one.example/three/")).To(BeNil())
 		Expect(document.Service("b").GetPreconditions()).To(BeTrue())
 		Expect(document.Service("c")).To(BeNil())
 		Expect(document.Limits().GetMaxBodyBytes()).To(Equal(int64(262144)))
