--- /dev/null
+++ b/internal/jobs/codec_test.go
@@ -0,0 +1,190 @@
+package jobs_test
+
+import (
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"ospreypond/internal/jobs"
+	"ospreypond/internal/protocol"
+)
+
+// fullStep has every field set.
+func fullStep() protocol.Step {
+	return protocol.Step{
+		Count: 3, CPU: 15_000, MemoryMB: 1 << 17, GPU: 8, EstimatedMs: 912.25, DependsOn: []int{0, 1}, Gang: true,
+		RackLocal: true, Requirements: "kind-a", Affinity: "r1-3", AntiAffinity: 2, AtMostOnce: true, LongRunning: true,
+		Checkpoints: true,
+	}
+}
+
+// fullCommand has every field set.
+func fullCommand() *jobs.Command {
+	spec := protocol.JobSpec{
+		Spec: strings.Repeat("é", 2000), Steps: []protocol.Step{step(1), step(2), fullStep()},
+		Repetitions: 9, FirstRunMs: startMs, IntervalMs: 1500,
+	}
+	return &jobs.Command{
+		TimeOfDayMs: startMs,
+		Submits:     []jobs.Submit{{ID: jobA, Queue: queue(3), Job: spec}, {ID: jobB, Queue: queue(0)}},
+		Cancels:     []string{jobA, ""},
+		Fences:      []string{jobB},
+		Ends: []jobs.End{
+			{Runner: "r1", N: 1 << 60, Task: id(jobA, 1, 2, 3), Run: 7, How: protocol.EndDone, Saved: "00000bb87a21d94b"},
+			{Runner: "r1", N: 5, Task: id(jobA, 1, 2, 4), Run: 7, How: protocol.EndRefused},
+			{Runner: "r2", N: 6, Task: id(jobB, -1, -2, -3), Run: 0, How: "vanished"},
+		},
+		Losses: []jobs.Loss{{Runner: "r2", Task: id(jobB, 0), Run: 3, Saved: "x"}, {Runner: "", Task: jobs.TaskID{}}},
+		Starts: []jobs.Start{{Task: id(jobC, 0), Run: 1, Runner: "r2"}, {Task: id(jobC, 1), Run: 1, Runner: "r3"}},
+	}
+}
+
+func encode(c *jobs.Command) []byte {
+	GinkgoHelper()
+	data, err := jobs.Encode(c)
+	Expect(err).NotTo(HaveOccurred())
+	return data
+}
+
+var _ = Describe("encoded commands", func() {
+	DescribeTable("come back as they were",
+		func(c *jobs.Command) {
+			got, err := jobs.Decode(encode(c))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(got).To(Equal(c))
+		},
+		Entry("empty", &jobs.Command{}),
+		Entry("with a time before 1970", &jobs.Command{TimeOfDayMs: -5}),
+		Entry("full", fullCommand()),
+		Entry("one start", &jobs.Command{Starts: []jobs.Start{{Task: id(jobA, 0), Run: 1, Runner: "r1"}}}),
+	)
+
+	It("with each way a run ends", func() {
+		for _, how := range []string{
+			protocol.EndDone, protocol.EndFailed, protocol.EndStopped, protocol.EndLapsed,
+			protocol.EndBroken, protocol.EndAlone, protocol.EndRefused, "", "other",
+		} {
+			got, err := jobs.Decode(encode(&jobs.Command{Ends: []jobs.End{{How: how}}}))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(got.Ends[0].How).To(Equal(how))
+		}
+	})
+
+	It("are refused when cut anywhere, or with bytes too many, or of another version", func() {
+		c := fullCommand()
+		c.Submits[0].Job.Spec = "short"
+		data := encode(c)
+		for length := range data {
+			_, err := jobs.Decode(data[:length])
+			Expect(err).To(HaveOccurred(), "cut to %d bytes", length)
+		}
+		_, err := jobs.Decode(append(data, 0))
+		Expect(err).To(HaveOccurred())
+		data[0] = 99
+		_, err = jobs.Decode(data)
+		Expect(err).To(MatchError(ContainSubstring("version 99")))
+	})
+
+	It("never bring the reader down, whatever the bytes", func() {
+		data := encode(fullCommand())
+		rapid.Check(GinkgoTB(), func(t *rapid.T) {
+			damaged := append([]byte(nil), data...)
+			for range rapid.IntRange(1, 8).Draw(t, "changes") {
+				at := rapid.IntRange(1, len(damaged)-1).Draw(t, "at")
+				damaged[at] = rapid.Byte().Draw(t, "byte")
+			}
+			if c, err := jobs.Decode(damaged); err == nil {
+				jobs.New(jobs.Options{}).Apply(c)
+			}
+		})
+	})
+})
+
+// busyShard has something of everything that a snapshot holds.
+func busyShard() *shard {
+	s := newShard()
+	s.fence("0000000000000fff")
+	s.submit(jobA, 2, step(3, gang, checkpoints), step(2, after(0)), fullStep())
+	s.startOn(1, "r1", id(jobA, 0), "r2", id(jobA, 1), "r2", id(jobA, 2))
+	s.end("r1", id(jobA, 0), 1, protocol.EndFailed, "saved by one")
+	s.submitSpec(jobB, 2, protocol.JobSpec{
+		Steps: []protocol.Step{step(2, gang), step(1, after(0))}, Repetitions: 3, FirstRunMs: startMs, IntervalMs: 500,
+	})
+	s.pass(600)
+	s.startOn(1, "r1", id(jobB, 1, 0, 0), "r2", id(jobB, 1, 0, 1))
+	s.end("r2", id(jobB, 1, 0, 1), 1, protocol.EndDone, "")
+	s.submit(jobC, 2, step(2))
+	s.start("r3", 1, id(jobC, 0))
+	s.cancel(jobC)
+	s.submit("0000000000000eee", 2, step(1))
+	s.cancel("0000000000000eee")
+	return s
+}
+
+var _ = Describe("snapshots", func() {
+	It("bring back what every accessor shows", func() {
+		s := busyShard()
+		data, err := s.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		restored := jobs.New(jobs.Options{})
+		Expect(restored.Restore(data)).To(Succeed())
+		Expect(view(restored)).To(Equal(view(s.State)))
+		for _, job := range []string{jobA, jobB, jobC, "0000000000000eee"} {
+			Expect(restored.Job(job).Queue).To(Equal(s.Job(job).Queue))
+			Expect(restored.Job(job).Spec).To(Equal(s.Job(job).Spec))
+			Expect(restored.Job(job).State).To(Equal(s.Job(job).State))
+			Expect(restored.Job(job).AcceptedMs).To(Equal(s.Job(job).AcceptedMs))
+			Expect(restored.Job(job).EndedMs).To(Equal(s.Job(job).EndedMs))
+			Expect(restored.Job(job).Groups).To(HaveLen(len(s.Job(job).Groups)))
+		}
+		Expect(restored.Pending("host/path/")).To(Equal(2))
+		Expect(restored.Counters().Lingering).To(Equal(1))
+	})
+
+	It("replace all that was there", func() {
+		empty, err := jobs.New(jobs.Options{}).Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		s := busyShard()
+		Expect(s.Restore(empty)).To(Succeed())
+		Expect(s.Counters()).To(Equal(jobs.Counters{}))
+		Expect(s.Runners()).To(BeEmpty())
+		Expect(s.held()).To(BeEmpty())
+	})
+
+	It("are refused when cut anywhere, or of another version, and then change nothing", func() {
+		s := busyShard()
+		data, _ := s.Snapshot()
+		before := view(s.State)
+		for length := range data {
+			Expect(s.Restore(data[:length])).NotTo(Succeed(), "cut to %d bytes", length)
+		}
+		Expect(s.Restore(append(append([]byte(nil), data...), 0))).NotTo(Succeed())
+		Expect(s.Restore(append([]byte{99}, data[1:]...))).To(MatchError(ContainSubstring("version 99")))
+		Expect(view(s.State)).To(Equal(before))
+	})
+
+	It("never bring the reader down, whatever the bytes", func() {
+		data, _ := busyShard().Snapshot()
+		rapid.Check(GinkgoTB(), func(t *rapid.T) {
+			damaged := append([]byte(nil), data...)
+			for range rapid.IntRange(1, 4).Draw(t, "changes") {
+				at := rapid.IntRange(1, len(damaged)-1).Draw(t, "at")
+				damaged[at] = rapid.Byte().Draw(t, "byte")
+			}
+			_ = jobs.New(jobs.Options{}).Restore(damaged)
+		})
+	})
+
+	It("don't keep the memory that they were read from", func() {
+		s := busyShard()
+		data, _ := s.Snapshot()
+		restored := jobs.New(jobs.Options{})
+		Expect(restored.Restore(data)).To(Succeed())
+		again, _ := restored.Snapshot()
+		clear(data)
+		later, _ := restored.Snapshot()
+		Expect(later).To(Equal(again))
+	})
+})
