--- /dev/null
+++ b/internal/configuration/random_test.go
@@ -0,0 +1,115 @@
+package configuration
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/failure"
+)
+
+// model is the plainest form of a configuration: routes by name.
+type model map[string]string
+
+// randomOrder draws an order on the state, which may be invalid.
+func randomOrder(random *rand.Rand, base uint64) Command {
+	draw := func() string {
+		name := fmt.Sprintf("r-%d", random.IntN(8))
+		prefix := fmt.Sprintf("/%d/", random.IntN(6))
+		service := []string{"a", "b", "b", "gone"}[random.IntN(4)]
+		return aRoute(name, fmt.Sprintf("h%d", random.IntN(2)), prefix, service)
+	}
+	var routes []string
+	for range random.IntN(3) {
+		routes = append(routes, draw())
+	}
+	version := base + uint64(random.IntN(6))
+	if random.IntN(4) == 0 {
+		return replace(base, whole(int(version), routes...))
+	}
+	return update(base, fmt.Sprintf(`{"version":%d,"remove":{"routes":["r-%d"]},"upsert":{"routes":[%s]}}`,
+		version, random.IntN(8), strings.Join(routes, ",")))
+}
+
+// modelOf reads a document's JSON without this package's own reading of whole documents.
+func modelOf(document *Document) model {
+	routes := model{}
+	fields, _ := object(document.JSON())
+	for _, f := range fields {
+		if f.key != sectionRoutes {
+			continue
+		}
+		elements, _ := array(f.value)
+		for _, element := range elements {
+			routes[nameOf(element)] = string(element)
+		}
+	}
+	return routes
+}
+
+var _ = Describe("any orders", func() {
+	It("lead replicas and followers to the same, however they got there", func() {
+		random := rand.New(rand.NewPCG(3, 4))
+		for range 30 {
+			state, restored := NewState(), NewState()
+			follower := state.Document()
+			taken := 0
+			for step := range 60 {
+				command := randomOrder(random, state.Document().Version())
+				result := state.Execute(command)
+				Expect(restored.Execute(command)).To(Equal(result))
+				if result.Kind != failure.None {
+					Expect(result.Kind).To(Equal(failure.Invalid))
+					continue
+				}
+				taken++
+				Expect(state.Execute(command)).To(Equal(result), "resent")
+				snapshot, err := state.Snapshot()
+				Expect(err).NotTo(HaveOccurred())
+				Expect(restored.Snapshot()).To(Equal(snapshot))
+				if random.IntN(5) == 0 {
+					restored = NewState()
+					Expect(restored.Restore(snapshot)).To(Succeed())
+				}
+				if random.IntN(2) == 0 || step == 59 {
+					feed, err := state.Since(follower.Version(), random.IntN(3) > 0)
+					Expect(err).NotTo(HaveOccurred())
+					follower, err = Advance(follower, feed)
+					Expect(err).NotTo(HaveOccurred())
+					Expect(follower.Version()).To(Equal(state.Document().Version()))
+					Expect(modelOf(follower)).To(Equal(modelOf(state.Document())))
+					Expect(follower.image().Moved).To(Equal(state.Document().image().Moved))
+					Expect(follower.image().Dropped).To(HaveLen(len(state.Document().dropped)))
+				}
+				expectSound(state.Document())
+			}
+			Expect(taken).To(BeNumerically(">", 5))
+		}
+	})
+})
+
+// expectSound checks what must hold of every document in force.
+func expectSound(document *Document) {
+	GinkgoHelper()
+	routes := modelOf(document)
+	Expect(document.places).To(HaveLen(len(routes)))
+	for i, member := range document.places {
+		Expect(routes).To(HaveKeyWithValue(member.name, string(member.raw)))
+		Expect(document.Service(member.route.Service)).NotTo(BeNil())
+		Expect(document.Route(member.name)).To(BeIdenticalTo(member.route))
+		Expect(document.Queue(QueueKey(member.route))).To(BeIdenticalTo(member.route))
+		Expect(document.EarlierServices(QueueKey(member.route))).NotTo(ContainElement(member.route.Service))
+		if i > 0 {
+			Expect(document.places[i-1].place.compare(member.place)).To(BeNumerically("<", 0))
+		}
+	}
+	for i, member := range document.dropped {
+		Expect(document.places.get(member.place)).To(BeNil())
+		if i > 0 {
+			Expect(document.dropped[i-1].place.compare(member.place)).To(BeNumerically("<", 0))
+		}
+	}
+}
