Put the real cores onto the simulated deployment

Consensus, the shards' state machines, the owners and the feed run in virtual time; disks, links and the outer shells are modelled.

--- a/internal/simulation/client.go
+++ b/internal/simulation/client.go
@@ -163,7 +163,7 @@
 	told := false
 	var look func()
 	look = func() {
-		if job.lastState() == protocol.JobCompleted || c.World.now > c.Ledger.TrafficEnds {
+		if job.LastState() == protocol.JobCompleted || c.World.now > c.Ledger.TrafficEnds {
 			return
 		}
 		finished, _ := c.Plant.Finished(job.ID)
@@ -176,8 +176,8 @@
 	c.World.After(watch, look)
 }
 
-// lastState is what the job was last shown as.
-func (j *JobRecord) lastState() string {
+// LastState is what the job was last shown as.
+func (j *JobRecord) LastState() string {
 	for i := len(j.Asks) - 1; i >= 0; i-- {
 		if j.Asks[i].Answered != Never {
 			return j.Asks[i].State
--- /dev/null
+++ b/internal/simulation/cluster/cluster.go
@@ -0,0 +1,203 @@
+package cluster
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"ospreypond/internal/consensus"
+	"ospreypond/internal/failure"
+	"ospreypond/internal/simulation"
+)
+
+// Cluster is the scheduler's processes on a deployment's machines.
+type Cluster struct {
+	world      *simulation.World
+	deployment *simulation.Deployment
+	size       simulation.Size
+	cores      []*simulation.Machine // that are or were part of the core
+	first      []*simulation.Machine // members of the very first start
+	byID       map[consensus.MemberID]*simulation.Machine
+	byName     map[string]*simulation.Machine
+	controls   map[*simulation.Machine]*process
+	frontends  map[*simulation.Machine]*frontend
+	agents     map[*simulation.Machine]*agent
+	applied    map[appliedAt]appliedEntry
+	diverged   []string // replicas that applied different entries
+}
+
+type appliedAt struct {
+	group uint32
+	index uint64
+}
+
+type appliedEntry struct {
+	term uint64
+	data string
+	by   string
+}
+
+// New puts the scheduler on a deployment. Nothing moves before the machines are booted.
+func New(d *simulation.Deployment) *Cluster {
+	c := &Cluster{world: d.World, deployment: d, size: d.Size, byID: map[consensus.MemberID]*simulation.Machine{},
+		byName: map[string]*simulation.Machine{}, controls: map[*simulation.Machine]*process{},
+		frontends: map[*simulation.Machine]*frontend{}, agents: map[*simulation.Machine]*agent{},
+		applied: map[appliedAt]appliedEntry{}}
+	c.first = append(c.first, d.Cores...)
+	for _, m := range d.Cores {
+		c.addCore(m)
+	}
+	for _, m := range d.Fronts {
+		m.Start = func() { c.frontends[m] = newFrontend(c, m) }
+	}
+	for _, m := range d.Sides {
+		m.Start = func() { c.agents[m] = newAgent(c, m) }
+	}
+	c.connect(d)
+	return c
+}
+
+// connect lets clients, runners, the operator and troubles reach the processes.
+func (c *Cluster) connect(d *simulation.Deployment) {
+	d.Clients.Frontend = func(m *simulation.Machine) simulation.Frontend {
+		if f := c.frontends[m]; m.Up() && f != nil {
+			return f
+		}
+		return nil
+	}
+	d.Operator.Control = func(m *simulation.Machine) simulation.Control {
+		if p := c.controls[m]; m.Up() && p != nil {
+			return &operatorPort{p}
+		}
+		return nil
+	}
+	for _, runner := range append(append([]*simulation.Runner{}, d.Runners...), d.Spares...) {
+		runner.Agent = func() simulation.Agent {
+			if a := c.agents[runner.Machine]; runner.Machine.Up() && a != nil {
+				return a
+			}
+			return nil
+		}
+	}
+	d.Leader = c.leader
+	d.AddCore = c.newCore
+	d.Terminate = c.terminate
+}
+
+func (c *Cluster) addCore(m *simulation.Machine) {
+	c.cores = append(c.cores, m)
+	c.byName[m.Name] = m
+	m.Start = func() { c.startControl(m) }
+}
+
+// newCore makes an empty machine at a new address.
+func (c *Cluster) newCore() *simulation.Machine {
+	m := c.deployment.NewCore(fmt.Sprintf("core-%d", len(c.cores)), c.cores[len(c.cores)%len(c.first)].Zone)
+	c.addCore(m)
+	return m
+}
+
+func (c *Cluster) isFirst(m *simulation.Machine) bool { return slices.Contains(c.first, m) }
+
+// seeds are the core machines that the operator's list names now, at most three.
+func (c *Cluster) seeds() []*simulation.Machine {
+	const most = 3
+	cores := c.deployment.Cores
+	return cores[:min(most, len(cores))]
+}
+
+func (c *Cluster) machineOf(id consensus.MemberID) *simulation.Machine { return c.byID[id] }
+
+// leader is a core machine that leads some group.
+func (c *Cluster) leader() *simulation.Machine {
+	var leaders []*simulation.Machine
+	for _, m := range c.deployment.Cores {
+		p := c.controls[m]
+		if p == nil || !m.Up() {
+			continue
+		}
+		for _, g := range p.groups {
+			if g.leading != 0 {
+				leaders = append(leaders, m)
+			}
+		}
+	}
+	if len(leaders) == 0 {
+		return nil
+	}
+	return simulation.Pick(c.world, leaders)
+}
+
+// terminate ends a process in good order.
+func (c *Cluster) terminate(m *simulation.Machine, done func()) {
+	const frontDrain = 2300 * time.Millisecond
+	switch {
+	case m.Class == "front":
+		m.After(frontDrain, done)
+	case m.Class == "core" && c.controls[m] != nil:
+		p := c.controls[m]
+		m.After(0, func() { p.resign(done) })
+	default:
+		m.After(50*time.Millisecond, done)
+	}
+}
+
+// call asks a control process and calls done once, in the life of the caller: with the answer, or with an error once
+// time is over or nobody listens.
+func (c *Cluster) call(from *simulation.Machine, address string, request any, wait time.Duration, done func(any, error)) {
+	over := false
+	finish := func(response any, err error) {
+		if !over {
+			over = true
+			done(response, err)
+		}
+	}
+	timer := from.After(wait, func() { finish(nil, failure.New(failure.UnknownOutcome, "no answer in time")) })
+	settle := func(response any, err error) {
+		timer.Stop()
+		finish(response, err)
+	}
+	to := c.byName[address]
+	if to == nil {
+		from.After(0, func() { settle(nil, failure.New(failure.Unavailable, "nobody is at that address")) })
+		return
+	}
+	if !to.Up() || c.controls[to] == nil {
+		const refusal = 3 * time.Millisecond
+		from.After(refusal, func() { settle(nil, failure.New(failure.Unavailable, "connection refused")) })
+		return
+	}
+	network := c.deployment.Network
+	type outcome struct {
+		response any
+		err      error
+	}
+	simulation.Call(network, from, to, func(reply func(outcome)) {
+		p := c.controls[to]
+		if p == nil {
+			return
+		}
+		p.turn(func() {
+			p.handle(request, func(response any, err error) { reply(outcome{response, err}) })
+		})
+	}, func(o outcome) { settle(o.response, o.err) })
+}
+
+// checkApplied notes where two replicas apply different entries at one index.
+func (c *Cluster) checkApplied(p *process, group uint32, entry *consensus.Entry) {
+	key := appliedAt{group, entry.Index}
+	before, ok := c.applied[key]
+	if !ok {
+		c.applied[key] = appliedEntry{entry.Term, string(entry.Data), p.machine.Name}
+		return
+	}
+	if before.term != entry.Term || before.data != string(entry.Data) {
+		c.diverged = append(c.diverged, fmt.Sprintf("group %d index %d: %s applied term %d, %s applied term %d",
+			group, entry.Index, before.by, before.term, p.machine.Name, entry.Term))
+	}
+}
+
+// sortedKeys returns a map's keys in order.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/internal/simulation/cluster/doc.go
@@ -0,0 +1,4 @@
+// Package cluster puts the scheduler's real cores onto a simulated deployment: consensus, the state machines of jobs and
+// of the configuration, the owners' decisions and the feed. Only what has goroutines in production (the replicas' disk
+// and links, the frontends' and agents' shells) is modelled after it. A run is drawn from one seed. It is for tests only.
+package cluster
--- /dev/null
+++ b/internal/simulation/cluster/run.go
@@ -0,0 +1,133 @@
+package cluster
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"ospreypond/internal/protocol"
+	"ospreypond/internal/simulation"
+)
+
+// Options are what a run may be told; what is left out is drawn from the seed.
+type Options struct {
+	Troubles []string // kinds of trouble; nil: drawn
+	Quiet    bool     // no trouble at all
+	Closing  string   // final fault; "none": none; empty: drawn
+	Length   time.Duration
+	Size     *simulation.Size
+	Bounds   *simulation.Bounds
+}
+
+// Outcome is what came of a run.
+type Outcome struct {
+	Seed       uint64
+	Day        simulation.Day
+	Violations []simulation.Violation
+	Diverged   []string // replicas that applied different entries
+	Ledger     *simulation.Ledger
+	Jobs       int // handed in
+	Accepted   int
+	Finished   int // accepted and shown as ended at the end, lasting ones apart
+	Runs       int
+}
+
+// Failed tells whether anything is wrong.
+func (r *Outcome) Failed() bool { return len(r.Violations)+len(r.Diverged) > 0 }
+
+// String tells what is wrong and how to see it again.
+func (r *Outcome) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "seed %d, troubles %v, closing %q: %d jobs, %d accepted, %d ended, %d runs", r.Seed, r.Day.Troubles,
+		r.Day.Closing, r.Jobs, r.Accepted, r.Finished, r.Runs)
+	const most = 12
+	for i, violation := range r.Violations {
+		if i == most {
+			fmt.Fprintf(&text, "\n  and %d more", len(r.Violations)-most)
+			break
+		}
+		fmt.Fprintf(&text, "\n  %v", violation)
+	}
+	for _, diverged := range r.Diverged {
+		fmt.Fprintf(&text, "\n  diverged: %s", diverged)
+	}
+	if r.Failed() {
+		fmt.Fprintf(&text, "\n  replay: SIMULATION_SEED=%d go test ./internal/simulation/cluster", r.Seed)
+	}
+	return text.String()
+}
+
+// Run plays one day from a seed.
+func Run(seed uint64, options Options) *Outcome {
+	world := simulation.NewWorld(seed)
+	size, bounds := simulation.SmallSize(), DayBounds()
+	if options.Size != nil {
+		size = *options.Size
+	}
+	if options.Bounds != nil {
+		bounds = *options.Bounds
+	}
+	day := drawDay(world, options)
+	if day.Closing != "" {
+		bounds.Contact = 2 * time.Second
+	}
+	deployment := simulation.NewDeployment(world, size, bounds)
+	c := New(deployment)
+	deployment.Play(day)
+	return c.report(seed, day)
+}
+
+// DayBounds are the bounds of short days.
+func DayBounds() simulation.Bounds {
+	bounds := simulation.DefaultBounds()
+	bounds.Finish = 10 * time.Second
+	return bounds
+}
+
+func drawDay(w *simulation.World, options Options) simulation.Day {
+	const lead, length = 3 * time.Second, 12 * time.Second
+	day := simulation.Day{Lead: lead, Length: length, Troubles: options.Troubles, Closing: options.Closing}
+	if options.Length > 0 {
+		day.Length = options.Length
+	}
+	if day.Closing == "" && w.Chance(0.15) {
+		day.Closing = simulation.Pick(w, []string{"power_off_all", "kill_all", "wipe_after_ack"})
+	}
+	if options.Quiet || day.Closing == "none" {
+		day.Closing = ""
+	}
+	if day.Troubles == nil && !options.Quiet {
+		day.Troubles = drawTroubles(w)
+	}
+	return day
+}
+
+// drawTroubles draws none to six kinds, and often a change of the configuration along with them.
+func drawTroubles(w *simulation.World) []string {
+	kinds := simulation.TroubleKinds()
+	var names []string
+	for range w.Random.IntN(7) {
+		names = append(names, simulation.Pick(w, kinds).Name)
+	}
+	if w.Chance(0.5) {
+		names = append(names, "config_change")
+	}
+	return names
+}
+
+func (c *Cluster) report(seed uint64, day simulation.Day) *Outcome {
+	ledger := c.deployment.Ledger
+	report := &Outcome{Seed: seed, Day: day, Ledger: ledger, Diverged: c.diverged, Jobs: len(ledger.JobOrder), Runs: len(ledger.Runs)}
+	report.Violations = simulation.Audit(ledger)
+	for _, job := range ledger.JobOrder {
+		if job.Accepted == simulation.Never {
+			continue
+		}
+		report.Accepted++
+		switch job.LastState() {
+		case protocol.JobCompleted, protocol.JobFailed, protocol.JobCancelled:
+			report.Finished++
+		}
+	}
+	return report
+}
