--- a/internal/control/configuration_shard.go
+++ b/internal/control/configuration_shard.go
@@ -21,8 +21,6 @@
 	leading bool
 	logger  log.Logger
 	wake    func()
-	queues  map[string]string // service of each queue in the newest document
-	queued  uint64            // version that queues were made of
 }
 
 var _ replica.StateMachine = (*configurationShard)(nil)
@@ -95,15 +93,11 @@
 	if document.Version() == 0 {
 		return "", false, false
 	}
-	if s.queued != document.Version() {
-		s.queues = map[string]string{}
-		for route := range document.Routes() {
-			s.queues[configuration.QueueKey(route)] = route.GetService()
-		}
-		s.queued = document.Version()
+	route := document.Queue(queue)
+	if route == nil {
+		return "", false, true
 	}
-	service, ok = s.queues[queue]
-	return service, ok, true
+	return route.GetService(), true, true
 }
 
 // tick answers the watches that are due.
@@ -125,6 +119,7 @@
 			return
 		}
 		s.feed.Confirmed(s.engine.Now())
+		s.confirmFeed()
 	})
 }
 
