--- a/internal/assignment/assignment.go
+++ b/internal/assignment/assignment.go
@@ -88,20 +88,21 @@
 // relax looks at all columns from the row at the end of the path, and returns the nearest one and its distance.
 func (s *Solver) relax(costs []float64, columns, width, current int) (next int, delta float64) {
 	potential := s.rowPotential[s.rowOf[current]]
+	least, used, columnPotential := s.least[:width+1], s.used[:width+1], s.columnPotential[:width+1]
 	delta = math.Inf(1)
-	for column := 1; column <= width; column++ {
-		if s.used[column] {
+	for column := 1; column < len(least); column++ {
+		if used[column] {
 			continue
 		}
-		cost := none - potential - s.columnPotential[column]
+		cost := none - potential - columnPotential[column]
 		if column <= columns {
-			cost = costs[column-1] - potential - s.columnPotential[column]
+			cost = costs[column-1] - potential - columnPotential[column]
 		}
-		if cost < s.least[column] {
-			s.least[column], s.before[column] = cost, current
+		if cost < least[column] {
+			least[column], s.before[column] = cost, current
 		}
-		if s.least[column] < delta {
-			delta, next = s.least[column], column
+		if least[column] < delta {
+			delta, next = least[column], column
 		}
 	}
 	return next, delta
@@ -109,12 +110,13 @@
 
 // shift moves the potentials so that the next column of the path costs nothing.
 func (s *Solver) shift(delta float64) {
-	for column := range s.rowOf {
-		if s.used[column] {
+	least, used, columnPotential := s.least, s.used[:len(s.least)], s.columnPotential[:len(s.least)]
+	for column := range least {
+		if used[column] {
 			s.rowPotential[s.rowOf[column]] += delta
-			s.columnPotential[column] -= delta
+			columnPotential[column] -= delta
 		} else {
-			s.least[column] -= delta
+			least[column] -= delta
 		}
 	}
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"ospreypond/internal/protocol"
@@ -9,6 +10,7 @@
 
 const (
 	chosenMost  = 200 // tasks looked at in one round, besides whole gangs
+	membersMost = 200 // members of gangs looked at in one round, and the rest of their last gang
 	largeMost   = 40  // large tasks looked at besides them
 	rescueAfter = 1.5 // seconds after which something of a step that has nothing running goes wherever there is room
 	agedAfter   = 5.0 // seconds after which late tasks rank with those that are not
@@ -91,11 +93,18 @@
 	p.largestLeft = leastLeft
 	clear(p.shapes)
 	clear(p.rescued)
-	singles, large := 0, 0
+	singles, large, members := 0, 0, 0
 	for i := range p.candidates {
 		c := &p.candidates[i]
 		switch {
 		case c.task.Gang:
+			if members >= membersMost && p.candidates[i-1].order != c.order {
+				members = math.MaxInt // no further gang
+			}
+			if members == math.MaxInt {
+				continue
+			}
+			members++
 		case large < largeMost && p.isLarge(c):
 			c.large = true
 			large++
--- a/internal/placement/match.go
+++ b/internal/placement/match.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	batchRows    = 48  // tasks in one matching
-	placesMost   = 192 // places in one matching, about
+	batchRows    = 32  // tasks in one matching
+	placesMost   = 96  // places in one matching, about
 	allRooms     = 48  // runners up to which all take part in each matching
 	sparePlaces  = 4   // places looked at for a task beyond those that its likes would fill
 	triesMost    = 3   // matchings that a task takes part in, in one round
@@ -167,7 +167,14 @@
 }
 
 func comparePicks(a, b pick) int {
-	return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.room.index, b.room.index))
+	switch {
+	case a.cost < b.cost:
+		return -1
+	case a.cost > b.cost:
+		return 1
+	default:
+		return a.room.index - b.room.index
+	}
 }
 
 // fillCosts prices each task of the batch in each place.
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -81,8 +81,8 @@
 	later := &p.gangPlan.later
 	p.planLater(u, later)
 	if later.possible() && later.end() <= timeLeftTest*c.timeLeft {
-		for _, s := range later.slots {
-			add(&s.room.promised, c.task.Needs)
+		for _, r := range later.rooms {
+			add(&r.promised, c.task.Needs)
 		}
 		return
 	}
--- /dev/null
+++ b/internal/placement/property_test.go
@@ -0,0 +1,193 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	"pgregory.net/rapid"
+
+	"ospreypond/internal/protocol"
+)
+
+// drawRunners draws a fleet of some runners with runs on them.
+func drawRunners(t *rapid.T) []Runner {
+	runners := make([]Runner, rapid.IntRange(1, 8).Draw(t, "runners"))
+	gpus := rapid.Bool().Draw(t, "gpus")
+	for i := range runners {
+		runner := Runner{ID: fmt.Sprint("r", i), Kind: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "kind"),
+			Rack: rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "rack"), Capacity: cpu(16),
+			Slowness:   rapid.SampledFrom([]float64{0, 1, 1, 1, 5}).Draw(t, "slowness"),
+			Distrust:   rapid.SampledFrom([]float64{0, 0, 0, 0.3, 0.9}).Draw(t, "distrust"),
+			Draining:   rapid.IntRange(0, 5).Draw(t, "draining") == 0,
+			GroupCount: map[any]int{}}
+		runner.Labels = []string{runner.Kind, runner.Rack}
+		if gpus {
+			runner.Capacity.GPU = 8
+		}
+		runner.Free = runner.Capacity
+		for range rapid.IntRange(0, 5).Draw(t, "runs") {
+			run := drawRun(t, gpus)
+			subtract(&runner.Free, run.Needs)
+			runner.GroupCount[run.Group]++
+			runner.Running = append(runner.Running, run)
+		}
+		runners[i] = runner
+	}
+	return runners
+}
+
+func drawNeeds(t *rapid.T, gpus bool) protocol.Resources {
+	needs := cpu(int64(rapid.IntRange(0, 15).Draw(t, "cores")))
+	if gpus {
+		needs.GPU = int64(rapid.SampledFrom([]int{0, 1, 2, 8}).Draw(t, "gpu"))
+	}
+	return needs
+}
+
+func drawRun(t *rapid.T, gpus bool) Run {
+	return Run{Queue: "q", Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Needs: drawNeeds(t, gpus),
+		Predicted:   time.Duration(rapid.IntRange(0, 9000).Draw(t, "predicted")) * time.Millisecond,
+		Elapsed:     time.Duration(rapid.IntRange(0, 9000).Draw(t, "elapsed")) * time.Millisecond,
+		SavedAgo:    time.Duration(rapid.IntRange(0, 3000).Draw(t, "savedAgo")) * time.Millisecond,
+		LongRunning: rapid.IntRange(0, 5).Draw(t, "lasting") == 0,
+		Gang:        rapid.IntRange(0, 5).Draw(t, "gang") == 0,
+		Stopping:    rapid.IntRange(0, 5).Draw(t, "stopping") == 0,
+		Group:       fmt.Sprint("g", rapid.IntRange(0, 5).Draw(t, "group")),
+	}
+}
+
+// drawTasks draws held steps of some tasks each.
+func drawTasks(t *rapid.T) []Task {
+	var tasks []Task
+	for g := range rapid.IntRange(0, 8).Draw(t, "steps") {
+		step := Task{Queue: rapid.SampledFrom([]string{"q", "p"}).Draw(t, "queue"),
+			Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+			SizeMs:   float64(rapid.IntRange(0, 9000).Draw(t, "size")), Needs: drawNeeds(t, true),
+			TimeLeft:     time.Duration(rapid.IntRange(-5000, 20000).Draw(t, "left")) * time.Millisecond,
+			Waited:       time.Duration(rapid.IntRange(0, 9000).Draw(t, "waited")) * time.Millisecond,
+			Requirements: rapid.SampledFrom([]string{"", "", "a", "b", "none"}).Draw(t, "label"),
+			Affinity:     rapid.SampledFrom([]string{"", "k1", "k2", "k9"}).Draw(t, "affinity"),
+			Group:        fmt.Sprint("g", g), AntiAffinity: rapid.IntRange(0, 2).Draw(t, "apart"), Remaining: 1,
+		}
+		switch rapid.IntRange(0, 3).Draw(t, "sort") {
+		case 0:
+			step.Gang, step.RackLocal = true, rapid.Bool().Draw(t, "rackLocal")
+		case 1:
+			step.LongRunning = true
+		}
+		for k := range rapid.IntRange(1, 12).Draw(t, "count") {
+			step.Key = fmt.Sprint(g, ".", k)
+			tasks = append(tasks, step)
+		}
+	}
+	return rapid.Permutation(tasks).Draw(t, "order")
+}
+
+// checkRules checks a round against all that it must never break.
+func checkRules(t *rapid.T, tasks []Task, runners []Runner, result Result) {
+	free := map[int]protocol.Resources{}
+	started, members := map[int]bool{}, map[any]int{}
+	together := map[string]int{}
+	for _, p := range result.Placements {
+		task, runner := &tasks[p.Task], &runners[p.Runner]
+		if started[p.Task] {
+			t.Fatalf("task %v placed twice", task.Key)
+		}
+		started[p.Task] = true
+		members[task.Group]++
+		if _, known := free[p.Runner]; !known {
+			free[p.Runner] = runner.Free
+		}
+		left := free[p.Runner]
+		subtract(&left, task.Needs)
+		free[p.Runner] = left
+		if left.CPU < 0 || left.MemoryMB < 0 || left.GPU < 0 {
+			t.Fatalf("runner %v over its capacity: %+v", runner.ID, left)
+		}
+		if runner.Draining {
+			t.Fatalf("task %v on a draining runner", task.Key)
+		}
+		if task.Requirements != "" && task.Requirements != runner.Kind && task.Requirements != runner.Rack {
+			t.Fatalf("task %v on a runner without its label", task.Key)
+		}
+		at := fmt.Sprint(task.Group, " on ", runner.ID)
+		together[at]++
+		if task.AntiAffinity > 0 && runner.GroupCount[task.Group]+together[at] > task.AntiAffinity {
+			t.Fatalf("%v tasks of %v", together[at], at)
+		}
+		if p.Predicted <= 0 {
+			t.Fatalf("task %v predicted to run %v", task.Key, p.Predicted)
+		}
+	}
+	for i := range tasks {
+		if tasks[i].Gang && started[i] != (members[tasks[i].Group] > 0) {
+			t.Fatalf("gang %v placed in part", tasks[i].Group)
+		}
+	}
+	checkStops(t, tasks, runners, result)
+}
+
+func checkStops(t *rapid.T, tasks []Task, runners []Runner, result Result) {
+	seen, highest := map[Stop]bool{}, 9
+	for i := range tasks {
+		highest = min(highest, tasks[i].Priority)
+	}
+	for _, stop := range result.Stops {
+		run := runners[stop.Runner].Running[stop.Run]
+		if seen[stop] || run.Stopping || run.Gang || run.LongRunning || run.Priority <= highest {
+			t.Fatalf("stops %+v", run)
+		}
+		seen[stop] = true
+	}
+}
+
+var _ = Describe("any round", func() {
+	It("breaks no rule, whatever it is given, and decides the same again", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			planner, again := NewPlanner(testOptions), NewPlanner(testOptions)
+			now := time.Duration(0)
+			for range 3 { // with used buffers and with what is held back
+				tasks, runners := drawTasks(t), drawRunners(t)
+				result := planner.Round(now, tasks, runners)
+				checkRules(t, tasks, runners, result)
+				if same := again.Round(now, tasks, runners); fmt.Sprint(same) != fmt.Sprint(result) {
+					t.Fatalf("%v, and then %v", result, same)
+				}
+				now += time.Duration(rapid.IntRange(0, 8000).Draw(t, "gap")) * time.Millisecond
+			}
+		})
+	})
+
+	It("leaves no plain task waiting while there is room for it", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			tasks, runners := drawTasks(t), drawRunners(t)
+			for i := range tasks {
+				task := &tasks[i]
+				task.Gang, task.Affinity, task.AntiAffinity, task.Waited = false, "", 0, 0
+			}
+			for i := range runners {
+				runners[i].Slowness, runners[i].Distrust = 1, 0
+			}
+			result := NewPlanner(testOptions).Round(0, tasks, runners)
+			checkRules(t, tasks, runners, result)
+			checkNothingFits(t, tasks, runners, result)
+		})
+	})
+})
+
+func checkNothingFits(t *rapid.T, tasks []Task, runners []Runner, result Result) {
+	started := map[int]bool{}
+	for _, p := range result.Placements {
+		started[p.Task] = true
+		subtract(&runners[p.Runner].Free, tasks[p.Task].Needs)
+	}
+	for i := range tasks {
+		for k := range runners {
+			r := room{runner: &runners[k], free: runners[k].Free}
+			if !started[i] && r.takes(&tasks[i]) {
+				t.Fatalf("task %+v waits though %v has room for it: %+v", tasks[i], runners[k].ID, runners[k].Free)
+			}
+		}
+	}
+}
--- a/internal/placement/unit.go
+++ b/internal/placement/unit.go
@@ -43,9 +43,10 @@
 	since, seen time.Duration
 }
 
-// slot is a place for one member of a unit.
+// slot is room for members of a unit on one runner.
 type slot struct {
 	room    *room
+	count   int     // members
 	start   float64 // seconds from now
 	runtime float64 // seconds
 	cost    float64
@@ -53,7 +54,7 @@
 
 // plan is one way to place a unit.
 type plan struct {
-	slots   []slot
+	rooms   []*room // by member
 	start   float64 // seconds from now; infinity: there is no way
 	runtime float64 // of the slowest member, seconds
 	stretch float64 // how much longer it runs for being spread over racks; in runtime
@@ -106,10 +107,10 @@
 func (p *Planner) placeAll(u *unit, now *plan) {
 	runtime := 0.0
 	for i, c := range u.members {
-		runtime = max(runtime, p.runtime(c, now.slots[i].room)*now.stretch)
+		runtime = max(runtime, p.runtime(c, now.rooms[i])*now.stretch)
 	}
 	for i, c := range u.members {
-		p.place(c, now.slots[i].room, runtime)
+		p.place(c, now.rooms[i], runtime)
 	}
 	delete(p.holds, u.key())
 }
@@ -121,6 +122,9 @@
 	if u.first().rescue || task.Affinity == "" && !(task.RackLocal && len(u.members) > 1) {
 		return false
 	}
+	if now.runtime <= waitFrom*p.bestRuntime(u.first()) {
+		return false
+	}
 	p.planLater(u, later)
 	gain := now.runtime - later.runtime
 	return later.possible() && later.end() < sooner*now.runtime && task.Waited.Seconds() <= gain
@@ -148,8 +152,8 @@
 			continue
 		}
 		cost, runtime := p.cost(c, r), p.doubtfulRuntime(c, r)
-		for range r.fitting(c.task, len(u.members)) {
-			p.gangPlan.slots = append(p.gangPlan.slots, slot{r, 0, runtime, cost})
+		if count := r.fitting(c.task, len(u.members)); count > 0 {
+			p.gangPlan.slots = append(p.gangPlan.slots, slot{r, count, 0, runtime, cost})
 		}
 	}
 }
@@ -173,7 +177,7 @@
 			if math.IsInf(start, 1) {
 				break
 			}
-			p.gangPlan.slots = append(p.gangPlan.slots, slot{r, start, runtime, start + runtime})
+			p.gangPlan.slots = append(p.gangPlan.slots, slot{r, 1, start, runtime, start + runtime})
 		}
 	}
 }
@@ -182,56 +186,71 @@
 // that matters.
 func (p *Planner) planSlots(u *unit, best *plan, better func(a, b *plan) bool) {
 	best.start = math.Inf(1)
-	count := len(u.members)
-	if len(p.gangPlan.slots) < count {
+	slots, members := p.gangPlan.slots, len(u.members)
+	if total(slots) < members {
 		return
 	}
-	slices.SortFunc(p.gangPlan.slots, compareSlots)
-	p.planOf(u, best, p.gangPlan.slots[:count])
-	if !u.first().task.RackLocal || count == 1 {
+	slices.SortFunc(slots, compareSlots)
+	p.planOf(u, best, slots)
+	if !u.first().task.RackLocal || members == 1 {
 		return
 	}
 	p.gangPlan.inRack = slices.Grow(p.gangPlan.inRack[:0], len(p.racks))[:len(p.racks)]
-	clear(p.gangPlan.inRack)
-	tried := 0
-	for i := range p.gangPlan.slots {
-		rack := p.gangPlan.slots[i].room.rack
-		if p.gangPlan.inRack[rack]++; p.gangPlan.inRack[rack] != count || tried >= racksMost {
-			continue
+	inRack, tried := p.gangPlan.inRack, 0
+	clear(inRack)
+	for i := range slots {
+		rack := slots[i].room.rack
+		before := inRack[rack]
+		inRack[rack] += slots[i].count
+		if before < members && inRack[rack] >= members && tried < racksMost {
+			tried++
+			p.planRack(u, rack, slots[:i+1], best, better)
 		}
-		tried++
-		p.planRack(u, rack, i+1, best, better)
 	}
 }
 
-// planRack tries the first slots of a rack among the first upTo of all.
-func (p *Planner) planRack(u *unit, rack, upTo int, best *plan, better func(a, b *plan) bool) {
-	p.gangPlan.rackSlots = p.gangPlan.rackSlots[:0]
-	for _, s := range p.gangPlan.slots[:upTo] {
+// planRack tries those of the slots that are in a rack.
+func (p *Planner) planRack(u *unit, rack int, slots []slot, best *plan, better func(a, b *plan) bool) {
+	g := &p.gangPlan
+	g.rackSlots = g.rackSlots[:0]
+	for _, s := range slots {
 		if s.room.rack == rack {
-			p.gangPlan.rackSlots = append(p.gangPlan.rackSlots, s)
+			g.rackSlots = append(g.rackSlots, s)
 		}
 	}
-	p.planOf(u, &p.gangPlan.tried, p.gangPlan.rackSlots)
-	if better(&p.gangPlan.tried, best) {
-		*best, p.gangPlan.tried = p.gangPlan.tried, *best
+	p.planOf(u, &g.tried, g.rackSlots)
+	if better(&g.tried, best) {
+		*best, g.tried = g.tried, *best
+	}
+}
+
+func total(slots []slot) (members int) {
+	for i := range slots {
+		members += slots[i].count
 	}
+	return members
 }
 
-// planOf fills a plan with one slot for each member.
+// planOf fills a plan with a room for each member, from the first slots on.
 func (p *Planner) planOf(u *unit, made *plan, slots []slot) {
-	*made = plan{slots: append(made.slots[:0], slots...), stretch: 1}
-	c := u.first()
+	*made = plan{rooms: made.rooms[:0], stretch: 1}
+	c, members := u.first(), len(u.members)
 	for _, s := range slots {
+		for range min(s.count, members-len(made.rooms)) {
+			made.rooms = append(made.rooms, s.room)
+		}
 		made.start = max(made.start, s.start)
 		made.runtime = max(made.runtime, s.runtime)
 		if c.task.RackLocal && s.room.rack != slots[0].room.rack {
 			made.stretch = p.options.FarFactor
 		}
+		if len(made.rooms) == members {
+			break
+		}
 	}
 	made.runtime *= made.stretch
-	for _, s := range slots {
-		made.cost += p.memberCost(c, s.room, made.runtime)
+	for _, r := range made.rooms {
+		made.cost += p.memberCost(c, r, made.runtime)
 	}
 }
 
@@ -241,7 +260,16 @@
 }
 
 func compareSlots(a, b slot) int {
-	return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.room.index, b.room.index), cmp.Compare(a.start, b.start))
+	switch {
+	case a.cost < b.cost:
+		return -1
+	case a.cost > b.cost:
+		return 1
+	case a.room != b.room:
+		return a.room.index - b.room.index
+	default:
+		return cmp.Compare(a.start, b.start)
+	}
 }
 
 // holdBack keeps the rooms of a plan from tasks of no more priority that would still run when they are needed.
@@ -250,11 +278,11 @@
 		return
 	}
 	needs := u.first().task.Needs
-	for _, s := range later.slots {
-		held := &s.room.held
+	for _, r := range later.rooms {
+		held := &r.held
 		if held.group != u.key() {
-			spare := s.room.free
-			for _, end := range p.endings(s.room) {
+			spare := r.free
+			for _, end := range p.endings(r) {
 				if end.in <= later.start {
 					add(&spare, end.needs)
 				}
