Make sure of what was read before anything is built on it, and replace wiped voters first

A process that dies between write and sync leaves data that can be read and is not on disk: the last batch is now carried into a new segment before votes and acknowledgements leave. A new leader promoted the learner of a wiped machine while its old identity still stood as a voter, and counted members as alive that it had not heard: both now go by what was heard from the process.

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -100,6 +100,8 @@
 	logger   log.Logger
 	acked    map[GroupID][]string
 	nextLine int
+	turns    int
+	sent     int
 }
 
 const (
@@ -213,6 +215,7 @@
 	if m.cluster.random.Float64() < m.cluster.loss || m.isolated {
 		return
 	}
+	m.cluster.sent++
 	m.cluster.at(linkDelay, func() {
 		for _, to := range m.cluster.machines {
 			if to.address == address && to.up && !to.isolated && !m.isolated {
@@ -303,6 +306,7 @@
 	}
 	for _, m := range c.machines {
 		if m.up && !m.frozen && m.wakeAt <= now {
+			c.turns++
 			m.engine.turn()
 			Expect(m.engine.failed).NotTo(HaveOccurred())
 			m.wakeAt = now + m.engine.pause()
@@ -431,11 +435,27 @@
 	return names
 }
 
+// current tells whether all members are identities that the machines have now, up or not.
+func (c *cluster) current(id GroupID) bool {
+	identities := map[consensus.MemberID]bool{}
+	for _, m := range c.machines {
+		identities[m.engine.self.ID] = true
+	}
+	for _, member := range c.leader(id).engine.Members(id) {
+		if !identities[member.ID] {
+			return false
+		}
+	}
+	return true
+}
+
 // settled tells whether exactly these machines vote in all groups.
 func (c *cluster) settled(names ...string) func() bool {
+	names = slices.Sorted(slices.Values(names))
 	return func() bool {
 		for id := range GroupID(c.groups) {
-			if !slices.Equal(c.voters(id), names) || len(c.leader(id).engine.Members(id)) != len(names) {
+			if !slices.Equal(c.voters(id), names) || len(c.leader(id).engine.Members(id)) != len(names) ||
+				!c.current(id) {
 				return false
 			}
 		}
@@ -447,3 +467,49 @@
 	GinkgoHelper()
 	Expect(c.until(20*time.Second, c.settled(names...))).To(BeTrue(), "these vote: %v", names)
 }
+
+// terms are those of the groups' leaders.
+func (c *cluster) terms() []uint64 {
+	var terms []uint64
+	for id := range GroupID(c.groups) {
+		terms = append(terms, c.leader(id).ledgers[id].leading)
+	}
+	return terms
+}
+
+// proposeMany proposes lines in all groups without waiting.
+func (c *cluster) proposeMany(lines int) {
+	for i := range lines {
+		c.propose(GroupID(i%c.groups), 50, nil)
+	}
+}
+
+// isMember tells whether an identity is a member of any group.
+func (c *cluster) isMember(id consensus.MemberID) bool {
+	for group := range GroupID(c.groups) {
+		leader := c.leader(group)
+		if leader == nil {
+			continue
+		}
+		for _, member := range leader.engine.Members(group) {
+			if member.ID == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// confirmed expects a confirmation.
+func (c *cluster) confirmed(id GroupID) {
+	GinkgoHelper()
+	leader, called := c.leader(id), false
+	leader.engine.Do(func() {
+		leader.engine.Confirm(id, func(err error) {
+			Expect(err).NotTo(HaveOccurred())
+			called = true
+		})
+	})
+	leader.wake()
+	Expect(c.until(time.Second, func() bool { return called })).To(BeTrue())
+}
--- a/internal/replica/engine_test.go
+++ b/internal/replica/engine_test.go
@@ -1,12 +1,19 @@
 package replica
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/failure"
 )
 
+// idle is a state of things in which nothing is to be done.
+const idle = 10 * time.Second
+
 var _ = Describe("Engine", func() {
 	It("elects leaders and commits in every group", func() {
 		c := newCluster(1, 5)
@@ -18,16 +25,322 @@
 		c.converge()
 	})
 
-	It("takes in machines beyond the seeds and learns all names", func() {
-		c := newCluster(2, 5)
+	It("takes in machines beyond the seeds, and spreads the leaderships", func() {
+		for seed := range uint64(10) {
+			c := newCluster(seed, 5)
+			c.startFirst(5)
+			c.awaitVoters("core-1", "core-2", "core-3", "core-4", "core-5")
+			Expect(c.now()).To(BeNumerically("<", 5*time.Second))
+			c.run(20 * time.Second)
+			leaders := map[*machine]bool{}
+			for id := range GroupID(5) {
+				leaders[c.leader(id)] = true
+			}
+			Expect(leaders).To(HaveLen(5), "each leads one group")
+			terms := c.terms()
+			c.run(30 * time.Second)
+			Expect(c.terms()).To(Equal(terms), "and then it stays so")
+		}
+	})
+
+	It("forms a group of a single member", func() {
+		c := newCluster(1, 2)
+		c.startFirst(1)
+		c.commit(0, 3, 10)
+		c.commit(1, 3, 10)
+		c.machines[0].losePower()
+		c.machines[0].start(nil)
+		c.converge()
+		c.confirmed(0)
+	})
+
+	It("goes on when a leader is lost, and takes it back", func() {
+		c := newCluster(3, 2)
+		c.startFirst(3)
+		c.commit(0, 5, 10)
+		lost := c.leader(0)
+		lost.kill()
+		before := c.now()
+		c.commit(0, 5, 10)
+		Expect(c.now() - before).To(BeNumerically("<", 4*time.Second))
+		lost.start(nil)
+		c.converge()
+	})
+
+	It("comes back from disks alone when all are killed at once", func() {
+		for seed := range uint64(20) {
+			c := newCluster(seed, 5)
+			c.startFirst(5)
+			for id := range GroupID(5) {
+				c.commit(id, 3, 100)
+			}
+			c.proposeMany(20)
+			c.run(time.Duration(c.random.IntN(30)) * time.Millisecond)
+			for _, m := range c.machines {
+				if seed%2 == 0 {
+					m.kill()
+				} else {
+					m.losePower()
+				}
+			}
+			c.run(time.Second)
+			for _, m := range c.machines {
+				m.start(nil)
+			}
+			before := c.now()
+			c.awaitLeaders()
+			Expect(c.now() - before).To(BeNumerically("<", 5*time.Second))
+			c.converge()
+		}
+	})
+
+	It("does not let a wiped machine vote before it is taken in", func() {
+		c := newCluster(4, 2)
+		c.startFirst(3)
+		c.commit(0, 5, 10)
+		c.converge()
+		for _, m := range c.machines[1:] {
+			m.wipe()
+			m.start(nil)
+		}
+		c.run(30 * time.Second)
+		Expect(c.leader(0)).To(BeNil(), "two of three have forgotten what they promised")
+	})
+
+	It("takes a wiped machine in again, within the time that a return may take", func() {
+		for seed := range uint64(20) {
+			c := newCluster(seed, 5)
+			c.startFirst(3)
+			for id := range GroupID(5) {
+				c.commit(id, 5, 10)
+			}
+			c.converge()
+			wiped := c.machines[c.random.IntN(3)]
+			old := wiped.engine.self.ID
+			wiped.wipe()
+			c.run(time.Second)
+			wiped.start(nil)
+			back := c.now()
+			c.awaitVoters("core-1", "core-2", "core-3")
+			Expect(c.isMember(old)).To(BeFalse())
+			Expect(c.now() - back).To(BeNumerically("<", 4*time.Second))
+			Expect(wiped.engine.self.ID).NotTo(Equal(old))
+			c.converge()
+			other := c.machines[(slotOf(c, wiped)+1)%3]
+			other.kill()
+			c.commit(0, 1, 10)
+			c.check()
+		}
+	})
+
+	DescribeTable("lets a new machine take the place of a lost one",
+		func(name string) {
+			c := newCluster(5, 3)
+			c.startFirst(3)
+			c.commit(1, 5, 10)
+			c.run(3 * time.Second)
+			c.machines[1].kill()
+			c.run(10 * time.Second)
+			c.machines = slices.Delete(c.machines, 1, 2)
+			c.add(name, "10.0.9.9:7380").start(nil)
+			c.awaitVoters("core-1", "core-3", name)
+			c.commit(1, 5, 10)
+			c.machines[0].kill()
+			c.commit(1, 5, 10)
+			c.check()
+		},
+		Entry("of the same name at another address", "core-2"),
+		Entry("of another name", "core-9"),
+	)
+
+	It("takes a machine in again that was replaced while it was away", func() {
+		c := newCluster(6, 3)
+		c.startFirst(3)
+		c.commit(1, 5, 10)
+		c.run(3 * time.Second)
+		c.machines[1].isolated = true
+		c.run(10 * time.Second)
+		c.add("core-4", "10.0.0.4:7380").start(nil)
+		c.awaitVoters("core-1", "core-3", "core-4")
+		c.machines[1].isolated = false
+		c.awaitVoters("core-1", "core-2", "core-3", "core-4")
+		c.converge()
+	})
+
+	It("drops a voter that is gone for good, if enough remain", func() {
+		c := newCluster(7, 2)
 		c.startFirst(5)
 		c.awaitVoters("core-1", "core-2", "core-3", "core-4", "core-5")
-		GinkgoWriter.Println("settled at", c.now())
+		c.machines[4].kill()
+		c.run(50 * time.Second)
+		Expect(c.voters(0)).To(HaveLen(5))
+		c.run(30 * time.Second)
+		c.awaitVoters("core-1", "core-2", "core-3", "core-4")
+	})
+
+	It("follows a machine that returns with its disk at another address", func() {
+		c := newCluster(8, 2)
+		c.startFirst(3)
+		c.commit(0, 5, 10)
+		moved := c.machines[2]
+		moved.kill()
+		c.run(5 * time.Second)
+		moved.address = "10.0.7.7:7380"
+		moved.start(nil)
+		c.converge()
+		Expect(c.until(10*time.Second, func() bool {
+			for _, member := range c.leader(0).engine.Members(0) {
+				if member.Address == moved.address {
+					return true
+				}
+			}
+			return false
+		})).To(BeTrue())
+		c.awaitVoters("core-1", "core-2", "core-3")
+	})
+
+	It("is quiet when idle", func() {
+		c := newCluster(9, 5)
+		c.startFirst(5)
 		c.run(20 * time.Second)
-		leaders := map[*machine]bool{}
-		for id := range GroupID(5) {
-			leaders[c.leader(id)] = true
+		turns, sent := c.turns, c.sent
+		c.run(idle)
+		perMachine := float64(c.turns-turns) / 5 / idle.Seconds()
+		envelopes := float64(c.sent-sent) / 5 / idle.Seconds()
+		GinkgoWriter.Println("turns a second", perMachine, "envelopes a second", envelopes)
+		Expect(perMachine).To(BeNumerically("<", 150))
+		Expect(envelopes).To(BeNumerically("<", 90))
+	})
+})
+
+var _ = Describe("Propose", func() {
+	It("refuses at a follower, and names the leader", func() {
+		c := newCluster(1, 1)
+		c.startFirst(3)
+		c.awaitLeaders()
+		c.run(time.Second)
+		follower := c.machines[(slotOf(c, c.leader(0))+1)%3]
+		var outcome error
+		follower.engine.Propose(0, []byte("x"), func(_ any, err error) { outcome = err })
+		Expect(failure.KindOf(outcome)).To(Equal(failure.NotLeader))
+		Expect(failure.LeaderOf(outcome)).To(Equal(c.leader(0).address))
+		follower.engine.Propose(99, nil, func(_ any, err error) { outcome = err })
+		Expect(failure.KindOf(outcome)).To(Equal(failure.NotLeader))
+	})
+
+	It("leaves the outcome open when leadership is lost", func() {
+		c := newCluster(2, 1)
+		c.startFirst(3)
+		c.awaitLeaders()
+		old := c.leader(0)
+		old.isolated = true
+		var outcome error
+		calls := 0
+		c.propose(0, 10, func(err error) { outcome = err; calls++ })
+		c.run(10 * time.Second)
+		Expect(calls).To(Equal(1))
+		Expect(failure.KindOf(outcome)).To(Equal(failure.UnknownOutcome))
+		Expect(old.ledgers[0].ended).To(Equal(1))
+		old.isolated = false
+		c.commit(0, 1, 10)
+		c.converge()
+	})
+})
+
+var _ = Describe("Confirm", func() {
+	It("is fast at a leader", func() {
+		c := newCluster(1, 1)
+		c.startFirst(3)
+		c.awaitLeaders()
+		c.run(time.Second)
+		before := c.now()
+		c.confirmed(0)
+		Expect(c.now() - before).To(BeNumerically("<", 40*time.Millisecond))
+	})
+
+	It("fails within about a second at a leader that is cut off", func() {
+		c := newCluster(2, 1)
+		c.startFirst(3)
+		c.awaitLeaders()
+		old := c.leader(0)
+		old.isolated = true
+		var outcome error
+		called := false
+		old.engine.Do(func() {
+			old.engine.Confirm(0, func(err error) { outcome, called = err, true })
+		})
+		old.wake()
+		Expect(c.until(1200*time.Millisecond, func() bool { return called })).To(BeTrue())
+		Expect(failure.KindOf(outcome)).To(Equal(failure.NotLeader))
+	})
+
+	It("never confirms a leader that was frozen while another was elected", func() {
+		for seed := range uint64(10) {
+			c := newCluster(seed, 1)
+			c.startFirst(3)
+			c.commit(0, 3, 10)
+			old := c.leader(0)
+			old.frozen = true
+			c.commit(0, 3, 10)
+			Expect(c.leader(0)).NotTo(Equal(old))
+			var outcome error
+			called := false
+			old.engine.Do(func() {
+				old.engine.Confirm(0, func(err error) { outcome, called = err, true })
+			})
+			old.frozen = false
+			old.wake()
+			c.until(2*time.Second, func() bool { return called })
+			Expect(failure.KindOf(outcome)).To(Equal(failure.NotLeader))
+			c.converge()
+		}
+	})
+})
+
+var _ = Describe("Resign", func() {
+	It("gives all leaderships away quickly, and takes none again", func() {
+		for seed := range uint64(10) {
+			c := newCluster(seed, 5)
+			c.startFirst(3)
+			c.awaitLeaders()
+			c.run(3 * time.Second)
+			leaving := c.leader(GroupID(c.random.IntN(5)))
+			begun, done := c.now(), time.Duration(0)
+			leaving.engine.Do(func() {
+				leaving.engine.Resign(func() { done = c.now() })
+			})
+			leaving.wake()
+			Expect(c.until(2*time.Second, func() bool { return done > 0 })).To(BeTrue())
+			Expect(done - begun).To(BeNumerically("<", 300*time.Millisecond))
+			c.awaitLeaders()
+			c.run(idle)
+			for id := range GroupID(5) {
+				Expect(leaving.ledgers[id].leading).To(BeZero())
+				Expect(c.leader(id)).NotTo(BeNil())
+			}
+			leaving.kill()
+			leaving.start(nil)
+			c.converge()
 		}
-		Expect(leaders).To(HaveLen(5), "each leads one group")
+	})
+
+	It("does not wait for ever when nobody is there", func() {
+		c := newCluster(1, 1)
+		c.startFirst(1)
+		c.awaitLeaders()
+		done := false
+		leaving := c.leader(0)
+		leaving.engine.Do(func() { leaving.engine.Resign(func() { done = true }) })
+		leaving.wake()
+		Expect(c.until(2*time.Second, func() bool { return done })).To(BeTrue())
 	})
 })
+
+func slotOf(c *cluster, m *machine) int {
+	for i := range c.machines {
+		if c.machines[i] == m {
+			return i
+		}
+	}
+	panic(fmt.Sprint("no such machine: ", m.name))
+}
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -107,6 +107,9 @@
 // apply hands a committed entry to the machine, and its result to the proposer if that is here.
 func (g *group) apply(entry *consensus.Entry) {
 	g.appliedIndex, g.appliedTerm = entry.Index, entry.Term
+	if entry.Kind == consensus.EntryMembership {
+		g.engine.manage = g.engine.now // the next change need not wait
+	}
 	if entry.Kind != consensus.EntryCommand {
 		return
 	}
--- a/internal/replica/joins.go
+++ b/internal/replica/joins.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -128,7 +129,7 @@
 	view := membershipView{self: g.engine.self, replacing: g.replacing}
 	for _, member := range members {
 		behind, heardAt, known := g.node.Lagging(member.ID)
-		seen := memberView{Member: member, behind: behind, silent: now - heardAt}
+		seen := memberView{Member: member, behind: behind, silent: now - heardAt, unheard: g.engine.peers.unheard(member.ID, now)}
 		if !known {
 			seen.behind = unknownLag
 		}
@@ -141,8 +142,6 @@
 		}
 		view.joiners = append(view.joiners, j.member)
 	}
-	slices.SortFunc(view.joiners, func(a, b consensus.Member) int {
-		return int(min(max(int64(a.ID>>1)-int64(b.ID>>1), -1), 1))
-	})
+	slices.SortFunc(view.joiners, func(a, b consensus.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return view
 }
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -12,7 +12,8 @@
 const (
 	caughtUpLag        = 64                     // entries that a member that has caught up may lack
 	aliveSilence       = 700 * time.Millisecond // a member silent for less is alive
-	wipedSilence       = time.Second            // a voter silent for this whose machine has come back as another is lost
+	wipedSilence       = time.Second            // a member unheard for this whose machine has come back as another is lost
+	wipedTermSilence   = 300 * time.Millisecond // the same, counted from the start of the leader's term
 	replaceableSilence = 3 * time.Second        // a voter silent for this gives its place to a learner
 	learnerSilence     = 30 * time.Second       // a learner silent for this is dropped
 	voterSilence       = time.Minute            // a voter silent for this is dropped if enough others remain
@@ -30,8 +31,9 @@
 
 type memberView struct {
 	consensus.Member
-	behind uint64
-	silent time.Duration
+	behind  uint64
+	silent  time.Duration // since its newest answer in this term, or since the term's start
+	unheard time.Duration // since anything came from it, in whatever group
 }
 
 // membershipPlan is the next membership; with nil members nothing is to be changed.
@@ -80,7 +82,7 @@
 		if !member.Learner {
 			continue
 		}
-		replaced := member.silent >= wipedSilence && slices.ContainsFunc(view.joiners, member.succeededBy)
+		replaced := member.wiped() && slices.ContainsFunc(view.joiners, member.succeededBy)
 		if replaced || member.silent >= learnerSilence {
 			plan := view.without(member.ID)
 			plan.reason = fmt.Sprintf("learner %x is gone", uint64(member.ID))
@@ -104,7 +106,8 @@
 	return membershipPlan{}, false
 }
 
-// promoteLearner lets a learner vote that has caught up. A voter whose place it takes goes first.
+// promoteLearner lets a learner vote that has caught up. A voter whose place it takes goes first; while it is not sure
+// that the one whose machine it has is lost, the learner waits.
 func promoteLearner(view membershipView) (membershipPlan, bool) {
 	for _, member := range view.members {
 		if !member.Learner || !member.caughtUp() {
@@ -117,6 +120,9 @@
 				plan.reason = fmt.Sprintf("voter %x gives its place to %x", uint64(lost), uint64(member.ID))
 				return plan, true
 			}
+			if slices.ContainsFunc(view.voters(), func(voter memberView) bool { return voter.succeededBy(member.Member) }) {
+				continue
+			}
 		}
 		voter := member.Member
 		voter.Learner = false
@@ -128,20 +134,19 @@
 	return membershipPlan{}, false
 }
 
-// dropVoter drops a voter that has long been gone, if enough remain.
+// dropVoter drops a voter that is gone for good, if enough remain: its machine votes as another, or it has long been
+// silent.
 func dropVoter(view membershipView) (membershipPlan, bool) {
-	voters := 0
-	for _, member := range view.members {
-		if !member.Learner {
-			voters++
-		}
-	}
-	if voters <= enoughVoters {
+	voters := view.voters()
+	if len(voters) <= enoughVoters {
 		return membershipPlan{}, false
 	}
-	for _, member := range view.members {
-		gone := !member.Learner && member.ID != view.self.ID && member.silent >= voterSilence
-		if gone && view.canSpare(member.ID) {
+	for _, member := range voters {
+		succeeded := member.wiped() && slices.ContainsFunc(voters, func(other memberView) bool {
+			return member.succeededBy(other.Member)
+		})
+		gone := succeeded || member.silent >= voterSilence
+		if gone && member.ID != view.self.ID && view.canSpare(member.ID) {
 			plan := view.without(member.ID)
 			plan.reason = fmt.Sprintf("voter %x is gone", uint64(member.ID))
 			return plan, true
@@ -153,11 +158,11 @@
 // lostVoter is the voter whose place a learner takes: the one its machine was before, else the one silent for longest.
 func (v *membershipView) lostVoter(learner memberView) (consensus.MemberID, bool) {
 	lost, silent := consensus.None, replaceableSilence
-	for _, member := range v.members {
-		if member.Learner || member.ID == v.self.ID {
+	for _, member := range v.voters() {
+		if member.ID == v.self.ID {
 			continue
 		}
-		if member.succeededBy(learner.Member) && member.silent >= wipedSilence {
+		if member.succeededBy(learner.Member) && member.wiped() {
 			return member.ID, true
 		}
 		if member.silent >= silent {
@@ -170,12 +175,12 @@
 // canSpare tells whether the voters that remain without one have a quorum that is alive.
 func (v *membershipView) canSpare(id consensus.MemberID) bool {
 	voters, alive := 0, 0
-	for _, member := range v.members {
-		if member.Learner || member.ID == id {
+	for _, member := range v.voters() {
+		if member.ID == id {
 			continue
 		}
 		voters++
-		if member.ID == v.self.ID || member.silent < aliveSilence {
+		if member.ID == v.self.ID || member.alive() {
 			alive++
 		}
 	}
@@ -183,11 +188,28 @@
 }
 
 func (m *memberView) caughtUp() bool {
-	return m.behind <= caughtUpLag && m.silent < aliveSilence
+	return m.behind <= caughtUpLag && m.alive()
+}
+
+func (m *memberView) alive() bool { return max(m.silent, m.unheard) < aliveSilence }
+
+// wiped tells whether a member is silent enough to be lost, if its machine has come back as another.
+func (m *memberView) wiped() bool {
+	return m.silent >= wipedTermSilence && m.unheard >= wipedSilence
+}
+
+func (v *membershipView) voters() []memberView {
+	var voters []memberView
+	for _, member := range v.members {
+		if !member.Learner {
+			voters = append(voters, member)
+		}
+	}
+	return voters
 }
 
 // succeededBy tells whether another identity runs where this member ran: its disk was lost.
-func (m *memberView) succeededBy(other consensus.Member) bool {
+func (m memberView) succeededBy(other consensus.Member) bool {
 	if m.ID == other.ID {
 		return false
 	}
--- a/internal/replica/open.go
+++ b/internal/replica/open.go
@@ -176,5 +176,6 @@
 			return nil, err
 		}
 	}
+	e.writer.begin()
 	return e, nil
 }
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -71,6 +71,14 @@
 	return ""
 }
 
+// unheard is the time since anything came from a peer; since the start, if nothing has.
+func (p *peers) unheard(id consensus.MemberID, now time.Duration) time.Duration {
+	if known := p.known[id]; known != nil {
+		return now - known.heardAt
+	}
+	return now
+}
+
 // reluctance is for how long a peer's word that it does not want to lead counts.
 const reluctance = 2 * time.Second
 
--- a/internal/replica/wal/batch.go
+++ b/internal/replica/wal/batch.go
@@ -58,10 +58,15 @@
 // maxKeptBuffer bounds, in bytes, what an empty batch keeps.
 const maxKeptBuffer = 256 << 10
 
-func (b *Batch) begin(kind frameKind, group uint32) {
+// reserve makes room for the header.
+func (b *Batch) reserve() {
 	if len(b.buffer) == 0 {
 		b.buffer = append(b.buffer, make([]byte, batchHeaderSize)...)
 	}
+}
+
+func (b *Batch) begin(kind frameKind, group uint32) {
+	b.reserve()
 	b.buffer = append(b.buffer, byte(kind))
 	b.number(uint64(group))
 }
@@ -110,6 +115,7 @@
 
 // seal fills in the header and returns the bytes to write.
 func (b *Batch) seal(sequence uint64) []byte {
+	b.reserve()
 	binary.LittleEndian.PutUint32(b.buffer[0:], batchMagic)
 	binary.LittleEndian.PutUint64(b.buffer[4:], sequence)
 	binary.LittleEndian.PutUint32(b.buffer[12:], uint32(len(b.buffer)-batchHeaderSize))
--- a/internal/replica/wal/decode.go
+++ b/internal/replica/wal/decode.go
@@ -52,9 +52,9 @@
 	return bytes.Clone(value)
 }
 
-// decodeFrames hands each frame of a batch to visit, with the entry if it is one.
-func decodeFrames(batch []byte, visit func(note, consensus.Entry)) error {
-	r := reader{rest: batch[batchHeaderSize:]}
+// decodeFrames hands each of the frames to visit, with the entry if it is one.
+func decodeFrames(frames []byte, visit func(note, consensus.Entry)) error {
+	r := reader{rest: frames}
 	for len(r.rest) > 0 {
 		n, entry := r.frame()
 		if r.bad {
--- a/internal/replica/wal/recover.go
+++ b/internal/replica/wal/recover.go
@@ -53,24 +53,21 @@
 // replay reads all segments that belong to the log. A segment's number that is missing ends what older ones are good for:
 // they had been removed.
 func (r *recovery) replay(names []string) error {
-	contents, numbers, err := r.headers(names)
+	numbers, err := r.numbers(names)
 	if err != nil {
 		return err
 	}
 	for i, number := range numbers {
-		end := int64(-1)
-		if i+1 < len(numbers) {
-			end = contents[numbers[i+1]]
-		}
-		if err := r.segment(number, end); err != nil {
+		if err := r.segment(number, i == len(numbers)-1); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// headers returns the numbers of the segments to read, and for each the length that counts of the one before it.
-func (r *recovery) headers(names []string) (previousEnds map[uint64]int64, numbers []uint64, err error) {
+// numbers returns the numbers of the segments to read. Newest ones are left out that nothing was ever added to.
+func (r *recovery) numbers(names []string) ([]uint64, error) {
+	var numbers []uint64
 	for _, name := range names {
 		if number, ok := parseSegmentName(name); ok {
 			numbers = append(numbers, number)
@@ -78,18 +75,17 @@
 	}
 	slices.Sort(numbers)
 	numbers = afterLastGap(numbers)
-	previousEnds = map[uint64]int64{}
-	for i, number := range numbers {
-		end, ok, err := r.header(number, i == len(numbers)-1)
+	for len(numbers) > 0 {
+		vain, err := r.vain(numbers[len(numbers)-1])
 		if err != nil {
-			return nil, nil, err
+			return nil, err
 		}
-		if !ok {
-			return previousEnds, numbers[:i], nil
+		if !vain {
+			break
 		}
-		previousEnds[number] = end
+		numbers = numbers[:len(numbers)-1]
 	}
-	return previousEnds, numbers, nil
+	return numbers, nil
 }
 
 func afterLastGap(numbers []uint64) []uint64 {
@@ -101,23 +97,28 @@
 	return numbers
 }
 
-// header reads a segment's header. The newest segment may have none: the power went off while it was made.
-func (r *recovery) header(number uint64, newest bool) (previousEnd int64, ok bool, err error) {
+// vain tells whether nothing was ever added to the newest segment after it was made. It may then never have been synced,
+// but then nobody was told either of what it repeats.
+func (r *recovery) vain(number uint64) (bool, error) {
 	content, err := r.read(number)
 	if err != nil {
-		return 0, false, err
-	}
-	previousEnd, ok = parseSegmentHeader(content, number)
-	if ok {
-		return previousEnd, true, nil
+		return false, err
+	}
+	_, sound := parseSegmentHeader(content, number)
+	if sound {
+		if _, base, ok := parseBatch(content[segmentHeaderSize:]); ok {
+			_, _, sound = parseBatch(content[segmentHeaderSize+len(base):])
+		} else {
+			sound = false
+		}
 	}
-	if !newest {
-		return 0, false, &DamageError{File: segmentName(number), Reason: "its header is not sound, and a newer segment is there"}
+	if sound {
+		return false, nil
 	}
-	if offset := findBatch(content, 0, 0); offset > segmentHeaderSize {
-		return 0, false, &DamageError{File: segmentName(number), Reason: "its header is not sound, and a sound batch follows"}
+	if findBatch(content, segmentHeaderSize+1, 0) >= 0 {
+		return false, &DamageError{File: segmentName(number), Reason: "its start is not sound, and a sound batch follows"}
 	}
-	return 0, false, nil
+	return true, nil
 }
 
 func (r *recovery) read(number uint64) ([]byte, error) {
@@ -126,55 +127,110 @@
 	return content, errors.Wrapf(err, "read %s", name)
 }
 
-// segment replays one segment, up to end if a newer one says where it ends.
-func (r *recovery) segment(number uint64, end int64) error {
+// segment replays one segment.
+func (r *recovery) segment(number uint64, newest bool) error {
+	name := segmentName(number)
 	content, err := r.read(number)
 	if err != nil {
 		return err
 	}
-	name := segmentName(number)
-	if end > int64(len(content)) {
-		return &DamageError{File: name, Offset: int64(len(content)), Reason: "it is shorter than the next segment says"}
-	}
-	newest := end < 0
-	if !newest {
-		content = content[:end]
+	if _, ok := parseSegmentHeader(content, number); !ok {
+		return &DamageError{File: name, Reason: "its header is not sound"}
 	}
 	r.log.segments = append(r.log.segments, newSegment(number, segmentHeaderSize))
-	offset, err := r.batches(name, content)
+	if newest {
+		return r.newestSegment(name, content)
+	}
+	return r.olderSegment(number, content)
+}
+
+// olderSegment replays a segment up to where the next one says that it ends. All of that was synced.
+func (r *recovery) olderSegment(number uint64, content []byte) error {
+	name, next := segmentName(number), segmentName(number+1)
+	follower, err := r.read(number + 1)
 	if err != nil {
 		return err
 	}
-	r.log.segments[len(r.log.segments)-1].size = int64(offset)
-	if offset == len(content) {
-		return nil
+	end, ok := parseSegmentHeader(follower, number+1)
+	if !ok {
+		return &DamageError{File: next, Reason: "its header is not sound"}
 	}
-	if !newest {
-		return &DamageError{File: name, Offset: int64(offset), Reason: "a batch before the end is not sound"}
+	if end > int64(len(content)) {
+		return &DamageError{File: name, Offset: int64(len(content)), Reason: "it is shorter than the next segment says"}
 	}
-	if findBatch(content, offset+1, r.log.sequence) >= 0 {
-		return &DamageError{File: name, Offset: int64(offset), Reason: "a batch is not sound, and a sound one follows"}
+	content = content[:end]
+	for offset := segmentHeaderSize; offset < len(content); {
+		sequence, batch, ok := parseBatch(content[offset:])
+		if !ok || !r.follows(sequence) {
+			return &DamageError{File: name, Offset: int64(offset), Reason: "a batch before the end is not sound"}
+		}
+		if err := r.take(name, offset, batch); err != nil {
+			return err
+		}
+		offset += len(batch)
 	}
 	return nil
 }
 
-// batches replays the sound batches of a segment and returns where they end.
-func (r *recovery) batches(name string, content []byte) (int, error) {
-	offset := segmentHeaderSize
+// newestSegment replays the segment that was written to last. Its last batch may never have been synced: it counts, but
+// is carried over to the next segment before anything is built on it.
+func (r *recovery) newestSegment(name string, content []byte) error {
+	lastOffset, offset := segmentHeaderSize, segmentHeaderSize
+	var last []byte
 	for {
 		sequence, batch, ok := parseBatch(content[offset:])
-		if !ok {
-			return offset, nil
-		}
-		if r.log.sequence != 0 && sequence != r.log.sequence {
-			return 0, &DamageError{File: name, Offset: int64(offset), Reason: "a batch is not the one that should follow"}
+		if !ok || last != nil && sequence != r.log.sequence+1 || last == nil && !r.follows(sequence) {
+			break
 		}
-		if err := decodeFrames(batch, r.frame); err != nil {
-			return 0, &DamageError{File: name, Offset: int64(offset), Reason: err.Error()}
+		if last != nil {
+			if err := r.take(name, lastOffset, last); err != nil {
+				return err
+			}
 		}
-		r.log.sequence = sequence + 1
+		r.log.sequence = sequence
+		last, lastOffset = batch, offset
 		offset += len(batch)
 	}
+	if findBatch(content, offset, r.log.sequence+1) >= 0 {
+		return &DamageError{File: name, Offset: int64(offset), Reason: "a batch is not sound, and a sound one follows"}
+	}
+	return r.carry(name, lastOffset, last)
+}
+
+// follows tells whether a batch has the sequence that is due.
+func (r *recovery) follows(sequence uint64) bool {
+	return r.log.sequence == 0 || sequence == r.log.sequence
+}
+
+// take replays a batch that is sure to be on disk.
+func (r *recovery) take(name string, offset int, batch []byte) error {
+	sequence, _, _ := parseBatch(batch)
+	err := decodeFrames(batch[batchHeaderSize:], func(n note, entry consensus.Entry) {
+		r.frame(&n, entry)
+		r.log.remember(&n)
+	})
+	if err != nil {
+		return &DamageError{File: name, Offset: int64(offset), Reason: err.Error()}
+	}
+	r.log.sequence = sequence + 1
+	r.log.segments[len(r.log.segments)-1].size = int64(offset + len(batch))
+	return nil
+}
+
+// carry replays a batch that may get lost.
+func (r *recovery) carry(name string, offset int, batch []byte) error {
+	sequence, _, ok := parseBatch(batch)
+	if !ok {
+		return &DamageError{File: name, Offset: int64(offset), Reason: "its first batch is not the one that should follow"}
+	}
+	frames := batch[batchHeaderSize:]
+	err := decodeFrames(frames, func(n note, entry consensus.Entry) { r.frame(&n, entry) })
+	if err != nil {
+		return &DamageError{File: name, Offset: int64(offset), Reason: err.Error()}
+	}
+	r.log.sequence = sequence
+	r.log.carried = bytes.Clone(frames)
+	return nil
 }
 
 // findBatch returns where the first sound batch with a sequence of at least lowest starts, from offset on; or -1.
@@ -196,7 +252,7 @@
 }
 
 // frame takes one frame into its group.
-func (r *recovery) frame(n note, entry consensus.Entry) {
+func (r *recovery) frame(n *note, entry consensus.Entry) {
 	group := r.group(n.group)
 	switch n.kind {
 	case frameHardState:
@@ -207,11 +263,10 @@
 		}
 	case frameInstall:
 		group.Entries = nil
-		group.cover(&n)
+		group.cover(n)
 	case frameCompact:
-		group.cover(&n)
+		group.cover(n)
 	}
-	r.log.remember(&n)
 }
 
 // replace puts an entry in place of those at the same and higher indexes. A hole before it can only be what a later
@@ -286,6 +341,11 @@
 	for group, state := range r.log.states {
 		kept[snapshotName(group, state.snapshotIndex, state.snapshotTerm)] = true
 	}
+	for id, group := range r.groups {
+		if group.Snapshot != nil {
+			kept[snapshotName(id, group.Snapshot.Index, group.Snapshot.Term)] = true
+		}
+	}
 	r.log.obsolete = nil
 	for _, name := range names {
 		_, isSegment := parseSegmentName(name)
--- a/internal/replica/wal/wal.go
+++ b/internal/replica/wal/wal.go
@@ -47,6 +47,7 @@
 	segments []*segment
 	states   map[uint32]*groupState
 	obsolete []string // files of snapshots that nothing needs any more
+	carried  []byte   // frames of the last batch of an earlier process, which may never have been synced
 }
 
 // groupState is what the log repeats for a group at the start of each segment.
@@ -59,7 +60,8 @@
 func (s *groupState) hasSnapshot() bool { return s.snapshotIndex > 0 }
 
 // Append writes the batch with one sync. After an error nothing of it counts, and what was written is not trusted: the
-// next Append starts a new segment, which says where the one before it ends. The same batch may be given again.
+// next Append starts a new segment, which says where the one before it ends. The same batch may be given again. The first
+// Append also makes sure of what Open read: until then that may be lost with the power.
 func (l *Log) Append(batch *Batch) error {
 	if batch.Empty() {
 		return nil
@@ -92,24 +94,20 @@
 		previous := l.segments[len(l.segments)-1]
 		number, previousEnd = previous.number+1, previous.size
 	}
-	first := segmentHeader(number, previousEnd)
-	base := l.base()
-	if !base.Empty() {
-		first = append(first, base.seal(l.sequence)...)
-	}
+	first := l.base().seal(l.sequence)
+	first = append(segmentHeader(number, previousEnd), first...)
 	file, err := createSegment(l.files, l.dir, number, first)
 	if err != nil {
 		return err
 	}
-	if !base.Empty() {
-		l.sequence++
-	}
+	l.sequence++
 	l.file = file
 	l.segments = append(l.segments, newSegment(number, int64(len(first))))
-	return nil
+	return l.takeCarried()
 }
 
-// base repeats each group's hard state and snapshot, so that older segments can go.
+// base is a segment's first batch. It repeats each group's hard state and snapshot, so that older segments can go, and has
+// what an earlier process wrote last.
 func (l *Log) base() *Batch {
 	batch := &Batch{}
 	for _, group := range sortedGroups(l.states) {
@@ -119,9 +117,18 @@
 		}
 		batch.HardState(group, state.hard)
 	}
+	batch.reserve()
+	batch.buffer = append(batch.buffer, l.carried...)
 	return batch
 }
 
+// takeCarried notes that the newest segment has what was carried over.
+func (l *Log) takeCarried() error {
+	carried := l.carried
+	l.carried = nil
+	return decodeFrames(carried, func(n note, _ consensus.Entry) { l.remember(&n) })
+}
+
 func (l *Log) abandonFile() {
 	if l.file != nil {
 		_ = l.file.Close()
--- a/internal/replica/writer.go
+++ b/internal/replica/writer.go
@@ -68,6 +68,16 @@
 	return w
 }
 
+// begin lets nothing leave that depends on the disk before the first write, which makes sure of what was read from it:
+// an earlier process may have ended before it was synced.
+func (w *writer) begin() {
+	for _, g := range w.engine.groups {
+		w.pending.batch.HardState(g.id, g.hardState)
+		g.hardWork = w.pending.number
+		w.touch(g, 0, 0)
+	}
+}
+
 // start runs the disk's goroutine, and returns what ends it.
 func (w *writer) start() (stop func()) {
 	if w.perform != nil {
