--- a/internal/placement/match.go
+++ b/internal/placement/match.go
@@ -6,13 +6,13 @@
 )
 
 const (
-	batchRows    = 32  // tasks in one matching
-	placesMost   = 96  // places in one matching, about
-	allRooms     = 48  // runners up to which all take part in each matching
-	sparePlaces  = 4   // places looked at for a task beyond those that its likes would fill
-	triesMost    = 3   // matchings that a task takes part in, in one round
-	waitFrom     = 1.2 // a task may wait for a better room if its best one now is so much slower than the best of all
-	hiddenMargin = 0.9 // and waiting must end that much sooner
+	batchRows   = 32  // tasks in one matching
+	placesMost  = 96  // places in one matching, about
+	allRooms    = 48  // runners up to which all take part in each matching
+	sparePlaces = 4   // places looked at for a task beyond those that its likes would fill
+	triesMost   = 3   // matchings that a task takes part in, in one round
+	waitFrom    = 1.2 // a task may wait for a better room if its best one now is so much slower than the best of all
+	waitMargin  = 0.9 // and waiting must cost that much less
 )
 
 // matching has the buffers of one matching.
@@ -39,6 +39,11 @@
 // placeSingles matches the tasks that start alone, batch after batch in the order of their rank, until nothing more
 // fits.
 func (p *Planner) placeSingles(level []*candidate) {
+	for _, c := range level {
+		if c.task.LongRunning && !c.task.Gang {
+			p.placeLasting(c)
+		}
+	}
 	for p.nextBatch(level) {
 		p.offerPlaces()
 		if len(p.match.places) == 0 {
@@ -56,6 +61,26 @@
 	}
 }
 
+// placeLasting places a task that lasts in the cheapest room. Each one makes its runner and rack dearer for the next, so
+// they go one by one; as those of a step are alike, that costs the least too.
+func (p *Planner) placeLasting(c *candidate) {
+	c.tries = triesMost
+	var cheapest *room
+	least := forbidden
+	for i := range p.rooms {
+		r := &p.rooms[i]
+		if !p.may(c, r) {
+			continue
+		}
+		if cost := p.cost(c, r); cost < least {
+			cheapest, least = r, cost
+		}
+	}
+	if cheapest != nil {
+		p.place(c, cheapest, p.runtime(c, cheapest))
+	}
+}
+
 // nextBatch gathers the next tasks that still look for a place.
 func (p *Planner) nextBatch(level []*candidate) bool {
 	m := &p.match
@@ -196,19 +221,15 @@
 
 func (p *Planner) fillRow(c *candidate, row []float64) {
 	var last *room
-	cost, nth := 0.0, 0
+	cost := 0.0
 	for k, r := range p.match.places {
 		if r != last {
-			last, nth, cost = r, 0, forbidden
+			last, cost = r, forbidden
 			if p.may(c, r) {
 				cost = p.cost(c, r)
 			}
 		}
 		row[k] = cost
-		if c.task.LongRunning && cost < forbidden {
-			row[k] += float64(nth) * spreadWeight * p.runtime(c, r)
-		}
-		nth++
 	}
 }
 
@@ -234,24 +255,28 @@
 	}
 }
 
-// betterWaits tells whether a task would end sooner if it waited for another room: one near its data, or on a runner
+// betterWaits tells whether it costs a task less to wait for a room that will be free: one near its data, or on a runner
 // that is not slow. It waits no longer in all than it can gain.
 func (p *Planner) betterWaits(c *candidate, r *room) bool {
-	if c.rescue || c.task.LongRunning {
+	if c.rescue {
 		return false
 	}
-	here := p.doubtfulRuntime(c, r)
-	best := p.bestRuntime(c)
+	here, best := p.doubtfulRuntime(c, r), p.bestRuntime(c)
 	if here <= waitFrom*best || c.task.Waited.Seconds() > here-best {
 		return false
 	}
+	bound := waitMargin * price(p.weights[r.kind], here, c.timeLeft, p.largestLeft)
 	for i := range p.rooms {
 		other := &p.rooms[i]
-		if other == r || !other.capable(c.task) || !p.trusts(c, other) {
+		if fits(other.free, c.task.Needs) || !other.capable(c.task) || !p.trusts(c, other) {
 			continue
 		}
 		there := p.doubtfulRuntime(c, other)
-		if there < hiddenMargin*here && p.freeIn(other, c.task.Needs, 1)+there < hiddenMargin*here {
+		if there >= here {
+			continue
+		}
+		ends := p.freeIn(other, c.task.Needs, 1) + there
+		if price(p.weights[other.kind], ends, c.timeLeft, p.largestLeft) < bound {
 			return true
 		}
 	}
