--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -11,8 +11,8 @@
 const (
 	distrustFrom    = 0.5  // runners distrusted that much are avoided
 	sickShare       = 0.67 // share of distrusted runners from which on none is avoided
-	overdueShare    = 0.1  // an overdue run is expected to last another such part of its predicted runtime
-	overdueLeast    = 0.2  // and so many seconds
+	overdueShare    = 0.1  // an overdue run is expected to last for another such part of the time it has run
+	overdueLeast    = 0.2  // and for so many seconds at least
 	gpuCores        = 8.0  // cores that an accelerator counts as (rules)
 	milliCores      = 1000.0
 	begunNow        = -1 // in place of the position of a run
@@ -202,8 +202,10 @@
 	if run.LongRunning {
 		return math.Inf(1)
 	}
-	predicted := run.Predicted.Seconds()
-	return max(predicted-run.Elapsed.Seconds(), overdueShare*predicted, overdueLeast)
+	if rest := (run.Predicted - run.Elapsed).Seconds(); rest > overdueLeast {
+		return rest
+	}
+	return max(overdueShare*run.Elapsed.Seconds(), overdueLeast)
 }
 
 // freeIn returns the seconds until the room has place for needs, count times over, beside what it has promised;
