--- a/internal/directory/call.go
+++ b/internal/directory/call.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
 )
@@ -45,7 +43,7 @@
 	if target == "" {
 		return failure.New(failure.Unavailable, "no control process is known")
 	}
-	bounded, cancel := clockwork.WithTimeout(ctx, d.options.Clock, attemptTimeout)
+	bounded, cancel := d.bound(ctx, attemptTimeout)
 	defer cancel()
 	return d.options.Client.Do(bounded, target, request, response)
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -36,6 +36,7 @@
 // Directory is safe for use by many goroutines.
 type Directory struct {
 	options Options
+	bound   func(ctx context.Context, span time.Duration) (context.Context, context.CancelFunc) // for a time by the clock
 
 	mutex     sync.Mutex
 	view      *view
@@ -53,8 +54,12 @@
 	if options.Logger == nil {
 		options.Logger = log.NewNopLogger()
 	}
+	bound := func(ctx context.Context, span time.Duration) (context.Context, context.CancelFunc) {
+		return clockwork.WithTimeout(ctx, options.Clock, span)
+	}
 	return &Directory{
 		options: options,
+		bound:   bound,
 		view:    newView(options.Seeds),
 		changed: make(chan struct{}),
 	}
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/go-kit/log/level"
-	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"ospreypond/internal/failure"
@@ -17,7 +16,7 @@
 	watchSlack      = 600 * time.Millisecond // on top of that until it counts as silent
 	leastWatchPause = 50 * time.Millisecond
 	mostWatchPause  = 400 * time.Millisecond
-	leastWatchSpan  = 50 * time.Millisecond  // between two watches that brought nothing
+	leastWatchSpan  = 50 * time.Millisecond  // after a watch that was answered sooner than this and brought nothing
 	leastRefresh    = 200 * time.Millisecond // a watch younger than this is not broken off
 )
 
@@ -62,7 +61,7 @@
 	}
 	request := d.request(w)
 	held := time.Duration(request.WaitMs) * time.Millisecond
-	bounded, cancel := clockwork.WithTimeout(ctx, d.options.Clock, held+watchSlack)
+	bounded, cancel := d.bound(ctx, held+watchSlack)
 	defer cancel()
 	if !w.short {
 		d.setBreakOff(cancel)
@@ -119,7 +118,7 @@
 	}
 	w.whole = brought.incomplete
 	if brought.incomplete {
-		d.pace(ctx, sentAt, leastWatchSpan)
+		d.pace(ctx, sentAt)
 		return
 	}
 	if brought.configuration != nil && d.options.OnConfiguration != nil {
@@ -127,7 +126,7 @@
 	}
 	d.confirm(w.target, answer.Version, sentAt)
 	if brought.configuration == nil && !brought.owners {
-		d.pace(ctx, sentAt, leastWatchSpan)
+		d.pace(ctx, sentAt)
 	}
 }
 
@@ -177,10 +176,10 @@
 	return min(leastWatchPause<<min(failures-1, 3), mostWatchPause)
 }
 
-// pace waits until a span has passed since a moment.
-func (d *Directory) pace(ctx context.Context, since time.Time, span time.Duration) {
-	if left := span - d.options.Clock.Since(since); left > 0 {
-		d.pause(ctx, left)
+// pace waits a little after an answer that came at once.
+func (d *Directory) pace(ctx context.Context, sentAt time.Time) {
+	if d.options.Clock.Since(sentAt) < leastWatchSpan {
+		d.pause(ctx, leastWatchSpan)
 	}
 }
 
