Pass over silent owners, also after calls that may not repeat, and bound a server's farewell

A call that may not repeat left the silent owner in place, so each later call lost an attempt to it.

--- a/internal/directory/attempts.go
+++ b/internal/directory/attempts.go
@@ -19,6 +19,7 @@
 	refused   error // newest error that says that nothing was done for want of an owner
 	hints     int   // followed in a row
 	pauses    int
+	silent    string // newest process whose answer did not come; a hint to it is not followed
 }
 
 // step is what to do next.
@@ -43,8 +44,9 @@
 		return step{pause: a.pause(), doubt: true}
 	case failure.UnknownOutcome:
 		a.unknown = err
+		a.silent = target
 		if !a.mayRepeat {
-			return step{done: true, err: err}
+			return step{done: true, err: err, doubt: true}
 		}
 		return step{pause: a.pause(), doubt: true}
 	default:
@@ -53,7 +55,8 @@
 }
 
 func (a *attempts) follow(target, leader string) step {
-	if leader == "" || leader == target {
+	if leader == "" || leader == target || leader == a.silent {
+		a.silent = "" // once: it may just have been slow
 		return step{pause: a.pause()}
 	}
 	if a.hints < mostHints {
--- a/internal/directory/call.go
+++ b/internal/directory/call.go
@@ -31,10 +31,11 @@
 			d.noteOwner(shard, target)
 			return response, nil
 		}
+		d.note(shard, target, next)
 		if next.done {
 			return nil, next.err
 		}
-		target = d.move(ctx, shard, target, err, next)
+		target = d.move(ctx, shard, target, next)
 	}
 }
 
@@ -48,16 +49,20 @@
 	return d.options.Client.Do(bounded, target, request, response)
 }
 
-// move takes note of what an attempt has shown, waits, and returns whom to ask next.
-func (d *Directory) move(ctx context.Context, shard protocol.ShardID, target string, err error, next step) string {
+// note takes note of what an attempt has shown.
+func (d *Directory) note(shard protocol.ShardID, target string, next step) {
 	if next.target != "" {
 		d.noteOwner(shard, next.target)
-	} else {
-		d.forgetOwner(shard, target)
+	} else if next.doubt || !next.done {
+		d.passOver(shard, target)
 	}
 	if next.doubt {
 		d.Refresh()
 	}
+}
+
+// move waits, and returns whom to ask next.
+func (d *Directory) move(ctx context.Context, shard protocol.ShardID, target string, next step) string {
 	changed := d.changes()
 	if next.pause > 0 && d.wait(ctx, next.pause, changed) {
 		if owner := d.Owner(shard); owner != "" {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -57,12 +57,21 @@
 	bound := func(ctx context.Context, span time.Duration) (context.Context, context.CancelFunc) {
 		return clockwork.WithTimeout(ctx, options.Clock, span)
 	}
-	return &Directory{
+	d := &Directory{
 		options: options,
 		bound:   bound,
 		view:    newView(options.Seeds),
 		changed: make(chan struct{}),
 	}
+	d.view.startAt(placeOf(options.Node))
+	return d
+}
+
+// placeOf spreads machines over the processes that they ask first.
+func placeOf(node string) uint32 {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(node))
+	return hash.Sum32()
 }
 
 // Version returns the version of the configuration that OnConfiguration was last told; 0 if none yet.
@@ -131,10 +140,12 @@
 	d.announce()
 }
 
-func (d *Directory) forgetOwner(shard protocol.ShardID, owner string) {
+// passOver takes note that a process did not help: it is not the shard's owner, and others are asked first.
+func (d *Directory) passOver(shard protocol.ShardID, address string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.view.forget(shard, owner)
+	d.view.forget(shard, address)
+	d.view.doubt(address)
 }
 
 // announce wakes the calls that wait for owners to change. The mutex is held.
@@ -143,20 +154,11 @@
 	d.changed = make(chan struct{})
 }
 
-// first returns whom to ask for a shard: its owner if known, else any process, not the same from all machines.
+// first returns whom to ask for a shard.
 func (d *Directory) first(shard protocol.ShardID) string {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if owner := d.view.owners[shard]; owner != "" {
-		return owner
-	}
-	addresses := d.view.addresses
-	if len(addresses) == 0 {
-		return ""
-	}
-	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(d.options.Node))
-	return addresses[hash.Sum32()%uint32(len(addresses))]
+	return d.view.first(shard)
 }
 
 // next returns whom to ask after one that could not help.
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -17,6 +17,7 @@
 	owners      map[protocol.ShardID]string
 	confirmedAt time.Time // sending of the newest watch that was answered
 	addresses   []string  // members, then seeds that are no members
+	start       string    // whom to ask where no owner is known
 }
 
 func newView(seeds []string) *view {
@@ -111,6 +112,31 @@
 	}
 }
 
+// startAt has the address at a place of all that are known, counted round, be the one to start from.
+func (v *view) startAt(place uint32) {
+	if len(v.addresses) > 0 {
+		v.start = v.addresses[int(place%uint32(len(v.addresses)))]
+	}
+}
+
+// doubt has other addresses than this one be asked first.
+func (v *view) doubt(address string) {
+	if v.start == address {
+		v.start = v.after(address)
+	}
+}
+
+// first returns whom to ask for a shard: its owner, or where to start; "" if nobody is known.
+func (v *view) first(shard protocol.ShardID) string {
+	if owner := v.owners[shard]; owner != "" {
+		return owner
+	}
+	if slices.Contains(v.addresses, v.start) {
+		return v.start
+	}
+	return v.after("")
+}
+
 // after returns the address that follows another among all that are known, or the first; "" if none is known.
 func (v *view) after(address string) string {
 	if len(v.addresses) == 0 {
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -20,6 +20,9 @@
 	leastRefresh    = 200 * time.Millisecond // a watch younger than this is not broken off
 )
 
+// tellAfter is how many failures in a row are worth a line in the log.
+const tellAfter = 10
+
 // watch is the state of the one watch that a Directory keeps going.
 type watch struct {
 	target   string
@@ -44,7 +47,6 @@
 	switch {
 	case isOver(ctx):
 	case err == nil:
-		w.failures, w.hints = 0, 0
 		w.short = false
 		d.accept(ctx, w, answer, sentAt)
 	case refreshed:
@@ -116,6 +118,7 @@
 		d.fail(ctx, w, errors.New("an older configuration"))
 		return
 	}
+	d.found(w)
 	w.whole = brought.incomplete
 	if brought.incomplete {
 		d.pace(ctx, sentAt)
@@ -125,7 +128,7 @@
 		d.options.OnConfiguration(answer.Version, brought.configuration)
 	}
 	d.confirm(w.target, answer.Version, sentAt)
-	if brought.configuration == nil && !brought.owners {
+	if brought.configuration == nil {
 		d.pace(ctx, sentAt)
 	}
 }
@@ -158,10 +161,11 @@
 	}
 	w.hints = 0
 	w.failures++
+	d.tell(w, err)
 	if leader != "" {
 		w.target = leader
 	} else {
-		d.forgetOwner(protocol.ConfigurationShard, w.target)
+		d.passOver(protocol.ConfigurationShard, w.target)
 		w.target = d.next(w.target)
 	}
 	silent := failure.KindOf(err) == failure.UnknownOutcome
@@ -171,6 +175,21 @@
 	d.pause(ctx, watchPause(w.failures))
 }
 
+// found ends a row of failures.
+func (d *Directory) found(w *watch) {
+	if w.failures >= tellAfter {
+		_ = level.Info(d.options.Logger).Log("message", "the configuration's owner answers", "peer", w.target)
+	}
+	w.failures, w.hints = 0, 0
+}
+
+// tell logs that the owner cannot be found, once in a row of failures.
+func (d *Directory) tell(w *watch, err error) {
+	if w.failures == tellAfter {
+		_ = level.Warn(d.options.Logger).Log("message", "the configuration's owner is not found", "cause", err)
+	}
+}
+
 // watchPause returns how long to wait after so many failures in a row.
 func watchPause(failures int) time.Duration {
 	return min(leastWatchPause<<min(failures-1, 3), mostWatchPause)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -83,6 +83,12 @@
 	for _, each := range sessions {
 		each.out.finish()
 	}
+	farewell := time.AfterFunc(2*farewellLimit, func() {
+		for _, each := range sessions {
+			each.out.close()
+		}
+	})
+	defer farewell.Stop()
 	s.waiting.Wait()
 }
 
