Run the frontend and the agent on the directory of owners

The agent waits for a slow owner to the end unless a successor is known: asking a slow owner again would throw away the orders it has committed.

--- /dev/null
+++ b/internal/agent/exchange.go
@@ -0,0 +1,103 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/protocol"
+)
+
+// serveHeartbeat carries one heartbeat to the owner and its orders back.
+func (s *Service) serveHeartbeat(ctx context.Context, w http.ResponseWriter, r *http.Request, instance string) {
+	request, err := readHeartbeat(w, r, instance)
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	ctx, entered, ok := s.beats.enter(ctx, instance, request.Heartbeat.Sequence)
+	if !ok {
+		answerError(w, failure.New(failure.Unavailable, errAbandoned.Error()))
+		return
+	}
+	var response *protocol.HeartbeatResponse
+	err = s.attempt(ctx, request.Shard, func(ctx context.Context) (err error) {
+		response, err = s.owners.Heartbeat(ctx, request)
+		return err
+	})
+	if newest := s.beats.leave(instance, entered); !newest {
+		answerError(w, failure.New(failure.Unavailable, errAbandoned.Error()))
+		return
+	}
+	if err != nil {
+		answerError(w, refused(err))
+		return
+	}
+	answerOrders(w, &response.Orders)
+}
+
+// serveDeregister carries a planned end to the owner. A runner that doesn't name its service is looked for in all
+// shards.
+func (s *Service) serveDeregister(ctx context.Context, w http.ResponseWriter, r *http.Request, instance string) {
+	service, err := readService(w, r)
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	if service == "" {
+		service = s.service
+	}
+	for _, shard := range shardsOf(service) {
+		request := &protocol.DeregisterRequest{Shard: shard, Service: service, Instance: instance}
+		err := s.attempt(ctx, shard, func(ctx context.Context) error {
+			_, err := s.owners.Deregister(ctx, request)
+			return err
+		})
+		if err != nil {
+			answerError(w, refused(err))
+			return
+		}
+	}
+	answer(w, http.StatusOK, emptyBody)
+}
+
+// shardsOf returns the shards that may know a runner of service; of an unknown service all may.
+func shardsOf(service string) []protocol.ShardID {
+	if service != "" {
+		return []protocol.ShardID{protocol.ShardOf(service)}
+	}
+	all := make([]protocol.ShardID, protocol.JobShards)
+	for i := range all {
+		all[i] = protocol.ShardID(i + 1)
+	}
+	return all
+}
+
+// refused is the answer to a runner whose message no owner has answered. A runner sends its next heartbeat in any case,
+// so that an unknown outcome is no news to it.
+func refused(err error) error {
+	if failure.KindOf(err) == failure.UnknownOutcome {
+		return failure.Newf(failure.Unavailable, "no answer from the owner: %v", err)
+	}
+	return err
+}
+
+// readBody returns a call's body within its bound.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if r.ContentLength > maxBodyBytes {
+		w.Header().Set("Connection", "close") // what is still to come is not read
+		return nil, failure.Newf(failure.TooLarge, "a body may have at most %d bytes", maxBodyBytes)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err == nil {
+		return body, nil
+	}
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return nil, failure.Newf(failure.TooLarge, "a body may have at most %d bytes", maxBodyBytes)
+	}
+	return nil, failure.Newf(failure.Invalid, "the body can't be read: %v", err)
+}
--- /dev/null
+++ b/internal/agent/run.go
@@ -0,0 +1,96 @@
+package agent
+
+import (
+	"context"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"ospreypond/internal/boot"
+	"ospreypond/internal/directory"
+	"ospreypond/internal/protocol"
+	"ospreypond/internal/seeds"
+	"ospreypond/internal/transport"
+)
+
+// Times of the runner's connections.
+const (
+	readTime = 5 * time.Second
+	idleTime = 60 * time.Second
+	// stopTime is the longest that a stop waits for exchanges that are out.
+	stopTime = 1200 * time.Millisecond
+)
+
+// Run serves the runner of this machine until ctx ends, then finishes what is out.
+func Run(ctx context.Context, settings *boot.Settings, logger log.Logger) error {
+	hangups := seeds.Hangups()
+	config := net.ListenConfig{KeepAlive: -1}
+	listener, err := config.Listen(ctx, "tcp", settings.Listen[boot.ListenControl])
+	if err != nil {
+		return errors.Wrap(err, "listen for the runner")
+	}
+	client := transport.NewClient(transport.ClientOptions{Logger: logger, Name: settings.NodeName})
+	defer client.Close()
+
+	// The directory goes on until the last exchange is over, which is after ctx has ended.
+	serving, stop := context.WithCancel(context.Background())
+	defer stop()
+	known := directory.New(directory.Options{
+		Client: client,
+		Seeds:  settings.SeedInternalAddresses(),
+		Node:   settings.NodeName,
+		Logger: logger,
+	})
+	go known.Run(serving)
+	follower := seeds.NewFollower(seeds.Options{Path: os.Getenv(boot.Variable), Seeds: settings.SeedInternalAddresses(),
+		Directory: known, Logger: logger})
+	go follower.Run(serving, hangups)
+
+	service := NewService(Options{Owners: owners{known}, Service: settings.Service})
+	level.Info(logger).Log("msg", "agent is up", "node", settings.NodeName, "service", settings.Service)
+	return serve(ctx, listener, service)
+}
+
+// serve serves on listener until ctx ends and what is out is finished.
+func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{
+		Handler:     handler,
+		ReadTimeout: readTime,
+		IdleTimeout: idleTime,
+		ErrorLog:    stdlog.New(io.Discard, "", 0),
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	select {
+	case err := <-ended:
+		return errors.Wrap(err, "serve the runner")
+	case <-ctx.Done():
+	}
+	stopping, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	if err := server.Shutdown(stopping); err != nil {
+		server.Close()
+	}
+	return nil
+}
+
+// owners carries messages by a directory.
+type owners struct{ *directory.Directory }
+
+// Heartbeat carries a heartbeat. An attempt without an answer isn't repeated here, so that it is known whose answer
+// comes back.
+func (o owners) Heartbeat(ctx context.Context, r *protocol.HeartbeatRequest) (*protocol.HeartbeatResponse, error) {
+	return directory.Call[protocol.HeartbeatRequest, protocol.HeartbeatResponse](ctx, o.Directory, r.Shard, r, false)
+}
+
+// Deregister tells of a planned end.
+func (o owners) Deregister(ctx context.Context, r *protocol.DeregisterRequest) (*protocol.DeregisterResponse, error) {
+	return directory.Call[protocol.DeregisterRequest, protocol.DeregisterResponse](ctx, o.Directory, r.Shard, r, true)
+}
--- a/internal/frontend/ask.go
+++ b/internal/frontend/ask.go
@@ -106,7 +106,7 @@
 func askShards(ctx context.Context, to target, ask func(protocol.ShardID, string) error) error {
 	var worst error
 	for _, shard := range to.route.Shards {
-		if ctx.Err() != nil {
+		if over(ctx) {
 			return graver(worst, failure.New(failure.Unavailable, "the time for this request is over"))
 		}
 		err := ask(shard, to.id)
--- a/internal/frontend/deadline.go
+++ b/internal/frontend/deadline.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -49,3 +50,13 @@
 	}
 	return min(max(available-answerMargin, shortestTry), most)
 }
+
+// over tells whether ctx has ended.
+func over(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/frontend/documents.go
@@ -0,0 +1,90 @@
+package frontend
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"ospreypond/internal/configuration"
+	"ospreypond/internal/protocol"
+)
+
+// documents turns what the directory hands over into views.
+type documents struct {
+	views    *Views
+	logger   log.Logger
+	document *configuration.Document
+}
+
+// take puts a version in force. One that can't be read is passed over; the directory brings the next.
+func (d *documents) take(version uint64, data []byte) {
+	document, err := configuration.Advance(d.document, data)
+	if err != nil {
+		level.Error(d.logger).Log("msg", "a configuration can't be read", "version", version, "err", err)
+		return
+	}
+	d.document = document
+	d.views.Set(viewOf(document))
+	level.Debug(d.logger).Log("msg", "a configuration is in force", "version", version)
+}
+
+// viewOf returns a document as requests use it.
+func viewOf(document *configuration.Document) *View {
+	limits := document.Limits()
+	return &View{
+		Version: document.Version(),
+		Table:   documentTable{document: document, table: document.Table()},
+		Limits: Limits{
+			MaxHeaderBytes: int(limits.MaxHeaderBytes),
+			MaxBodyBytes:   limits.MaxBodyBytes,
+			HeaderTimeout:  milliseconds(limits.HeaderTimeoutMs),
+			IdleTimeout:    milliseconds(limits.IdleTimeoutMs),
+		},
+	}
+}
+
+func milliseconds(count int64) time.Duration { return time.Duration(count) * time.Millisecond }
+
+// documentTable makes a Route at each look-up: a configuration may have many that are never asked for.
+type documentTable struct {
+	document *configuration.Document
+	table    *configuration.Table
+}
+
+// Lookup finds the route of a request.
+func (t documentTable) Lookup(host, path string) (*Route, string, bool) {
+	found, rest, ok := t.table.Lookup(host, path)
+	if !ok {
+		return nil, "", false
+	}
+	key := configuration.QueueKey(found)
+	return &Route{
+		Queue: protocol.Queue{
+			Key:             key,
+			Service:         found.Service,
+			Priority:        int(found.Priority),
+			MaxAttempts:     int(found.MaxAttempts),
+			Extension:       found.Extension,
+			TargetLatencyMs: found.TargetLatencyMs,
+		},
+		Timeout: milliseconds(found.TimeoutMs),
+		Shards:  shardsOf(found.Service, t.document.EarlierServices(key)),
+	}, rest, true
+}
+
+// shardsOf returns the shard of the present service and those of the earlier ones, each once.
+func shardsOf(present string, earlier []string) []protocol.ShardID {
+	shards := append(make([]protocol.ShardID, 0, 1+len(earlier)), protocol.ShardOf(present))
+next:
+	for _, service := range earlier {
+		shard := protocol.ShardOf(service)
+		for _, known := range shards {
+			if known == shard {
+				continue next
+			}
+		}
+		shards = append(shards, shard)
+	}
+	return shards
+}
--- /dev/null
+++ b/internal/frontend/frontend_test.go
@@ -0,0 +1,214 @@
+package frontend
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/protocol"
+)
+
+func TestFrontend(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "frontend")
+}
+
+const (
+	jobID   = "5c0e7a21d94b36f8"
+	oneStep = `{"spec":"x","steps":[{"count":2,"cpu":500}],"unknown":{"a":1}}`
+)
+
+// fakeDirectory is a directory whose freshness a test sets.
+type fakeDirectory struct {
+	mutex     sync.Mutex
+	age       time.Duration // of the newest confirmation
+	refreshes int
+	onRefresh func()
+}
+
+func (d *fakeDirectory) Fresh(within time.Duration) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.age <= within
+}
+
+func (d *fakeDirectory) Refresh() {
+	d.mutex.Lock()
+	d.refreshes++
+	then := d.onRefresh
+	d.mutex.Unlock()
+	if then != nil {
+		then()
+	}
+}
+
+func (d *fakeDirectory) setAge(age time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.age = age
+}
+
+// fakeOwners answers by functions that a test sets, and notes who was asked what.
+type fakeOwners struct {
+	mutex   sync.Mutex
+	asked   []string
+	submit  func(ctx context.Context, r *protocol.SubmitRequest) error
+	fence   func(ctx context.Context, r *protocol.FenceRequest) (bool, error)
+	status  func(ctx context.Context, r *protocol.StatusRequest) (string, error)
+	cancel  func(ctx context.Context, r *protocol.CancelRequest) error
+	pending func(ctx context.Context, r *protocol.PendingRequest) (int, error)
+}
+
+func (o *fakeOwners) note(what string, shard protocol.ShardID) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.asked = append(o.asked, what+" "+string(rune('0'+shard)))
+}
+
+func (o *fakeOwners) calls() []string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return append([]string{}, o.asked...)
+}
+
+func (o *fakeOwners) Submit(ctx context.Context, r *protocol.SubmitRequest) (*protocol.SubmitResponse, error) {
+	o.note("submit", r.Shard)
+	if err := o.submit(ctx, r); err != nil {
+		return nil, err
+	}
+	return &protocol.SubmitResponse{}, nil
+}
+
+func (o *fakeOwners) Fence(ctx context.Context, r *protocol.FenceRequest) (*protocol.FenceResponse, error) {
+	o.note("fence", r.Shard)
+	has, err := o.fence(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return &protocol.FenceResponse{HasJob: has}, nil
+}
+
+func (o *fakeOwners) Status(ctx context.Context, r *protocol.StatusRequest) (*protocol.StatusResponse, error) {
+	o.note("status", r.Shard)
+	state, err := o.status(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return &protocol.StatusResponse{State: state}, nil
+}
+
+func (o *fakeOwners) Cancel(ctx context.Context, r *protocol.CancelRequest) (*protocol.CancelResponse, error) {
+	o.note("cancel", r.Shard)
+	if err := o.cancel(ctx, r); err != nil {
+		return nil, err
+	}
+	return &protocol.CancelResponse{}, nil
+}
+
+func (o *fakeOwners) Pending(ctx context.Context, r *protocol.PendingRequest) (*protocol.PendingResponse, error) {
+	o.note("pending", r.Shard)
+	count, err := o.pending(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return &protocol.PendingResponse{Pending: count}, nil
+}
+
+// fakeTable finds queues of one host by prefix.
+type fakeTable map[string]*Route
+
+func (t fakeTable) Lookup(host, path string) (*Route, string, bool) {
+	if host != "ficu95.example" {
+		return nil, "", false
+	}
+	best := ""
+	for prefix := range t {
+		if strings.HasPrefix(path, prefix) && len(prefix) > len(best) {
+			best = prefix
+		}
+	}
+	if best == "" {
+		return nil, "", false
+	}
+	return t[best], path[len(best):], true
+}
+
+func route(prefix string, shards ...protocol.ShardID) *Route {
+	return &Route{
+		Queue:   protocol.Queue{Key: "ficu95.example" + prefix, Service: "huvo11a", MaxAttempts: 3},
+		Timeout: 3 * time.Second,
+		Shards:  shards,
+	}
+}
+
+func view(version uint64, routes map[string]*Route) *View {
+	return &View{Version: version, Table: fakeTable(routes), Limits: Limits{MaxBodyBytes: 1000}}
+}
+
+// bed is a Service with fakes around it: /a/ has shard 1, /b/ shard 2 and earlier 3 and 4.
+type bed struct {
+	directory *fakeDirectory
+	owners    *fakeOwners
+	views     *Views
+	clock     *clockwork.FakeClock
+	service   *Service
+}
+
+func newBed() *bed {
+	b := &bed{
+		directory: &fakeDirectory{},
+		owners: &fakeOwners{
+			submit:  func(context.Context, *protocol.SubmitRequest) error { return nil },
+			fence:   func(context.Context, *protocol.FenceRequest) (bool, error) { return false, nil },
+			status:  func(context.Context, *protocol.StatusRequest) (string, error) { return protocol.JobRunning, nil },
+			cancel:  func(context.Context, *protocol.CancelRequest) error { return nil },
+			pending: func(context.Context, *protocol.PendingRequest) (int, error) { return 4, nil },
+		},
+		views: NewViews(),
+		clock: clockwork.NewFakeClock(),
+	}
+	b.views.Set(view(7, map[string]*Route{"/a/": route("/a/", 1), "/b/": route("/b/", 2, 3, 4)}))
+	b.service = NewService(Options{Directory: b.directory, Owners: b.owners, Views: b.views, Clock: b.clock,
+		Bounds: Bounds{ConfigApply: 2 * time.Second, MaxSkew: 5 * time.Second}})
+	return b
+}
+
+func request(method, path, body string) *http.Request {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Host = "ficu95.example"
+	r.Header.Set("Content-Type", "application/json")
+	return r
+}
+
+// do serves r to its end.
+func (b *bed) do(r *http.Request) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	b.service.ServeHTTP(w, r)
+	return w
+}
+
+// begin serves r aside; the channel brings the answer.
+func (b *bed) begin(r *http.Request) <-chan *httptest.ResponseRecorder {
+	answered := make(chan *httptest.ResponseRecorder, 1)
+	go func() { answered <- b.do(r) }()
+	return answered
+}
+
+// waiting returns once n waits stand on the clock.
+func (b *bed) waiting(n int) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	Expect(b.clock.BlockUntilContext(ctx, n)).To(Succeed())
+}
+
+// kind returns a function's error for a kind.
+func kind(k failure.Kind) error { return failure.New(k, "as scripted") }
--- a/internal/frontend/handin.go
+++ b/internal/frontend/handin.go
@@ -109,7 +109,7 @@
 			return nil
 		}
 	}
-	if ctx.Err() != nil {
+	if over(ctx) {
 		return failure.New(failure.Unavailable, "the time for this request is over")
 	}
 	_, err := s.Owners.Submit(ctx, &protocol.SubmitRequest{
--- /dev/null
+++ b/internal/frontend/moves_test.go
@@ -0,0 +1,217 @@
+package frontend
+
+import (
+	"context"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/protocol"
+)
+
+var _ = Describe("queues that have moved", func() {
+	DescribeTable("hand-ins ask the earlier shards first",
+		func(has map[protocol.ShardID]bool, failing protocol.ShardID, failsWith failure.Kind, status int, asked ...string) {
+			b := newBed()
+			b.owners.fence = func(_ context.Context, r *protocol.FenceRequest) (bool, error) {
+				if r.Shard == failing {
+					return false, kind(failsWith)
+				}
+				return has[r.Shard], nil
+			}
+			Expect(b.do(request("POST", "/b/"+jobID, oneStep)).Code).To(Equal(status))
+			Expect(b.owners.calls()).To(Equal(asked))
+		},
+		Entry("none has it", nil, protocol.ShardID(0), failure.None, 200, "fence 3", "fence 4", "submit 2"),
+		Entry("the first has it", map[protocol.ShardID]bool{3: true}, protocol.ShardID(0), failure.None, 200, "fence 3"),
+		Entry("the last has it", map[protocol.ShardID]bool{4: true}, protocol.ShardID(0), failure.None, 200, "fence 3", "fence 4"),
+		Entry("one can't be reached", nil, protocol.ShardID(4), failure.Unavailable, 503, "fence 3", "fence 4"),
+		Entry("one doesn't answer: nobody took the job", nil, protocol.ShardID(3), failure.UnknownOutcome, 503, "fence 3"),
+	)
+
+	DescribeTable("questions go to all until one has the job",
+		func(method string, answers map[protocol.ShardID]failure.Kind, status int, asked ...string) {
+			b := newBed()
+			answer := func(shard protocol.ShardID) error {
+				if k := answers[shard]; k != failure.None {
+					return kind(k)
+				}
+				return nil
+			}
+			b.owners.status = func(_ context.Context, r *protocol.StatusRequest) (string, error) {
+				return "queued", answer(r.Shard)
+			}
+			b.owners.cancel = func(_ context.Context, r *protocol.CancelRequest) error { return answer(r.Shard) }
+			Expect(b.do(request(method, "/b/"+jobID, "")).Code).To(Equal(status))
+			Expect(b.owners.calls()).To(Equal(asked))
+		},
+		Entry("the present one has it", "GET", nil, 200, "status 2"),
+		Entry("an earlier one has it", "GET", map[protocol.ShardID]failure.Kind{2: failure.Gone, 3: failure.Gone}, 200,
+			"status 2", "status 3", "status 4"),
+		Entry("none has it", "GET", map[protocol.ShardID]failure.Kind{2: failure.Gone, 3: failure.Gone, 4: failure.Gone}, 410,
+			"status 2", "status 3", "status 4"),
+		Entry("one can't be asked", "GET", map[protocol.ShardID]failure.Kind{2: failure.Gone, 3: failure.NotLeader, 4: failure.Gone}, 503,
+			"status 2", "status 3", "status 4"),
+		Entry("one can't be asked, another has it", "GET", map[protocol.ShardID]failure.Kind{2: failure.Unavailable}, 200,
+			"status 2", "status 3"),
+		Entry("an earlier one cancels it", "DELETE", map[protocol.ShardID]failure.Kind{2: failure.Gone}, 200,
+			"cancel 2", "cancel 3"),
+		Entry("nobody to cancel it", "DELETE", map[protocol.ShardID]failure.Kind{2: failure.Gone, 3: failure.Gone, 4: failure.Gone}, 410,
+			"cancel 2", "cancel 3", "cancel 4"),
+		Entry("a cancel in doubt stays so", "DELETE", map[protocol.ShardID]failure.Kind{2: failure.Unavailable, 3: failure.UnknownOutcome, 4: failure.Gone}, 504,
+			"cancel 2", "cancel 3", "cancel 4"),
+	)
+
+	It("does not say that a job is gone while a shard is unasked", func() {
+		b := newBed()
+		b.owners.status = func(ctx context.Context, r *protocol.StatusRequest) (string, error) {
+			b.clock.Advance(askTry)
+			<-ctx.Done()
+			return "", kind(failure.Gone)
+		}
+		Expect(b.do(request("GET", "/b/"+jobID, "")).Code).To(Equal(503))
+		Expect(b.owners.calls()).To(Equal([]string{"status 2"}))
+	})
+
+	It("counts over all shards", func() {
+		b := newBed()
+		Expect(b.do(request("GET", "/b/", "")).Body.String()).To(MatchJSON(`{"pending":12}`))
+		Expect(b.do(request("GET", "/a/", "")).Body.String()).To(MatchJSON(`{"pending":4}`))
+		b.owners.pending = func(context.Context, *protocol.PendingRequest) (int, error) { return 0, kind(failure.UnknownOutcome) }
+		Expect(b.do(request("GET", "/a/", "")).Code).To(Equal(503))
+	})
+})
+
+var _ = Describe("a configuration that is behind", func() {
+	DescribeTable("a hand-in that the owner finds stale starts again with the newer one",
+		func(refusal failure.Kind) {
+			b := newBed()
+			b.owners.submit = func(_ context.Context, r *protocol.SubmitRequest) error {
+				if r.ConfigurationVersion < 9 {
+					return kind(refusal)
+				}
+				return nil
+			}
+			b.directory.onRefresh = func() { b.views.Set(view(9, map[string]*Route{"/a/": route("/a/", 4, 1)})) }
+			Expect(b.do(request("POST", "/a/"+jobID, oneStep)).Code).To(Equal(200))
+			Expect(b.owners.calls()).To(Equal([]string{"submit 1", "fence 1", "submit 4"}))
+		},
+		Entry("stale", failure.Stale),
+		Entry("moved", failure.Moved),
+	)
+
+	It("refuses a hand-in whose queue the newer configuration dropped", func() {
+		b := newBed()
+		b.owners.submit = func(context.Context, *protocol.SubmitRequest) error { return kind(failure.Stale) }
+		b.directory.onRefresh = func() { b.views.Set(view(9, map[string]*Route{"/c/": route("/c/", 4)})) }
+		Expect(b.do(request("POST", "/a/"+jobID, oneStep)).Code).To(Equal(404))
+	})
+
+	It("gives a stale hand-in up when no newer one comes", func() {
+		b := newBed()
+		b.owners.submit = func(context.Context, *protocol.SubmitRequest) error { return kind(failure.Stale) }
+		answered := b.begin(request("POST", "/a/"+jobID, oneStep))
+		Eventually(b.owners.calls).Should(HaveLen(1))
+		b.waiting(1)
+		b.clock.Advance(handInTry)
+		var w *httptest.ResponseRecorder
+		Eventually(answered).Should(Receive(&w))
+		Expect(w.Code).To(Equal(503))
+		Expect(b.directory.refreshes).To(Equal(1))
+	})
+
+	DescribeTable("waits for a confirmation where an unseen version could make the answer wrong",
+		func(method, path, body string, age time.Duration, whenConfirmed, otherwise int) {
+			for _, confirmed := range []bool{true, false} {
+				b := newBed()
+				b.directory.age = age
+				b.owners.status = func(context.Context, *protocol.StatusRequest) (string, error) { return "", kind(failure.Gone) }
+				want := otherwise
+				if confirmed {
+					b.directory.onRefresh = func() { b.directory.setAge(0) }
+					want = whenConfirmed
+				}
+				answered := b.begin(request(method, path, body))
+				var w *httptest.ResponseRecorder
+				Eventually(func() bool {
+					b.clock.Advance(confirmPoll)
+					select {
+					case w = <-answered:
+						return true
+					default:
+						return false
+					}
+				}).WithPolling(time.Millisecond).Should(BeTrue())
+				Expect(w.Code).To(Equal(want))
+			}
+		},
+		Entry("no such queue", "POST", "/z/"+jobID, oneStep, 1900*time.Millisecond, 404, 503),
+		Entry("no such job", "GET", "/a/"+jobID, "", 1900*time.Millisecond, 410, 503),
+		Entry("a count", "GET", "/a/", "", 1900*time.Millisecond, 200, 503),
+		Entry("a hand-in just after the usual time", "POST", "/a/"+jobID, oneStep, 2500*time.Millisecond, 200, 200),
+		Entry("a hand-in long after it", "POST", "/a/"+jobID, oneStep, 6*time.Second, 200, 503),
+	)
+
+	It("does not wait for a confirmation in calm", func() {
+		b := newBed()
+		b.directory.age = 1700 * time.Millisecond
+		Expect(b.do(request("GET", "/z/", "")).Code).To(Equal(404))
+		Expect(b.do(request("GET", "/a/", "")).Code).To(Equal(200))
+		b.directory.age = 2200 * time.Millisecond
+		Expect(b.do(request("POST", "/a/"+jobID, oneStep)).Code).To(Equal(200))
+		Expect(b.directory.refreshes).To(BeZero())
+	})
+
+	It("never goes back to an older version", func() {
+		views := NewViews()
+		Expect(views.Set(view(7, nil))).To(BeTrue())
+		Expect(views.Set(view(5, nil))).To(BeFalse())
+		Expect(views.Set(view(7, nil))).To(BeFalse())
+		Expect(views.Current().Version).To(Equal(uint64(7)))
+	})
+})
+
+var _ = Describe("deadlines", func() {
+	DescribeTable("a request that no owner answers ends in time",
+		func(method, path, deadline string, allowed time.Duration, status int) {
+			b := newBed()
+			ended := func(ctx context.Context) error {
+				<-ctx.Done()
+				return kind(failure.UnknownOutcome)
+			}
+			b.owners.submit = func(ctx context.Context, _ *protocol.SubmitRequest) error { return ended(ctx) }
+			b.owners.status = func(ctx context.Context, _ *protocol.StatusRequest) (string, error) { return "", ended(ctx) }
+			b.owners.pending = func(ctx context.Context, _ *protocol.PendingRequest) (int, error) { return 0, ended(ctx) }
+			r := request(method, path, oneStep)
+			r.Header.Set(DeadlineHeader, deadline)
+			answered := b.begin(r)
+			b.waiting(1)
+			b.clock.Advance(allowed - time.Millisecond)
+			Consistently(answered, 20*time.Millisecond).ShouldNot(Receive())
+			b.clock.Advance(time.Millisecond)
+			var w *httptest.ResponseRecorder
+			Eventually(answered).Should(Receive(&w))
+			Expect(w.Code).To(Equal(status))
+		},
+		Entry("a hand-in", "POST", "/a/"+jobID, "3000", handInTry, 504),
+		Entry("a hand-in of a client in haste", "POST", "/a/"+jobID, "700", 550*time.Millisecond, 504),
+		Entry("a state", "GET", "/a/"+jobID, "3000", askTry, 503),
+		Entry("a count of a client in haste", "GET", "/a/", "500", 350*time.Millisecond, 503),
+	)
+
+	It("does not hand a job in after its time", func() {
+		b := newBed()
+		b.owners.fence = func(ctx context.Context, r *protocol.FenceRequest) (bool, error) {
+			if r.Shard == 4 {
+				b.clock.Advance(handInTry)
+				<-ctx.Done()
+			}
+			return false, nil
+		}
+		Expect(b.do(request("POST", "/b/"+jobID, oneStep)).Code).To(Equal(503))
+		Expect(b.owners.calls()).To(Equal([]string{"fence 3", "fence 4"}))
+	})
+})
--- /dev/null
+++ b/internal/frontend/owners.go
@@ -0,0 +1,36 @@
+package frontend
+
+import (
+	"context"
+
+	"ospreypond/internal/directory"
+	"ospreypond/internal/protocol"
+)
+
+// owners carries requests by a directory. All of them may be repeated: each is done once however often it comes.
+type owners struct{ directory *directory.Directory }
+
+// Submit hands a job in.
+func (o owners) Submit(ctx context.Context, r *protocol.SubmitRequest) (*protocol.SubmitResponse, error) {
+	return directory.Call[protocol.SubmitRequest, protocol.SubmitResponse](ctx, o.directory, r.Shard, r, true)
+}
+
+// Fence asks an earlier shard of a queue.
+func (o owners) Fence(ctx context.Context, r *protocol.FenceRequest) (*protocol.FenceResponse, error) {
+	return directory.Call[protocol.FenceRequest, protocol.FenceResponse](ctx, o.directory, r.Shard, r, true)
+}
+
+// Status asks for a job's state.
+func (o owners) Status(ctx context.Context, r *protocol.StatusRequest) (*protocol.StatusResponse, error) {
+	return directory.Call[protocol.StatusRequest, protocol.StatusResponse](ctx, o.directory, r.Shard, r, true)
+}
+
+// Cancel cancels a job.
+func (o owners) Cancel(ctx context.Context, r *protocol.CancelRequest) (*protocol.CancelResponse, error) {
+	return directory.Call[protocol.CancelRequest, protocol.CancelResponse](ctx, o.directory, r.Shard, r, true)
+}
+
+// Pending counts a queue's jobs.
+func (o owners) Pending(ctx context.Context, r *protocol.PendingRequest) (*protocol.PendingResponse, error) {
+	return directory.Call[protocol.PendingRequest, protocol.PendingResponse](ctx, o.directory, r.Shard, r, true)
+}
--- /dev/null
+++ b/internal/frontend/service_test.go
@@ -0,0 +1,150 @@
+package frontend
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/protocol"
+)
+
+var _ = Describe("what clients are told", func() {
+	DescribeTable("before any owner is asked",
+		func(method, path, body string, status int) {
+			b := newBed()
+			w := b.do(request(method, path, body))
+			Expect(w.Code).To(Equal(status))
+			if status != http.StatusOK {
+				Expect(w.Body.String()).To(ContainSubstring(`"error":`))
+				Expect(b.owners.calls()).To(BeEmpty())
+			}
+		},
+		Entry("a job", "POST", "/a/"+jobID, oneStep, 200),
+		Entry("no such queue", "POST", "/z/"+jobID, oneStep, 404),
+		Entry("count of no such queue", "GET", "/z/", "", 404),
+		Entry("a short id", "POST", "/a/5c0e", oneStep, 400),
+		Entry("an id that is not hex", "GET", "/a/5c0e7a21d94b36fg", "", 400),
+		Entry("below a job", "GET", "/a/"+jobID+"/steps", "", 404),
+		Entry("another verb", "PUT", "/a/"+jobID, oneStep, 405),
+		Entry("a hand-in without an id", "POST", "/a/", oneStep, 405),
+		Entry("not JSON", "POST", "/a/"+jobID, `{"spec":`, 400),
+		Entry("another type", "POST", "/a/"+jobID, `{"spec":5,"steps":[{"count":1}]}`, 400),
+		Entry("trailing garbage", "POST", "/a/"+jobID, oneStep+"}", 400),
+		Entry("no steps", "POST", "/a/"+jobID, `{"spec":"x"}`, 400),
+		Entry("a step of no tasks", "POST", "/a/"+jobID, `{"steps":[{"cpu":1}]}`, 400),
+		Entry("a negative need", "POST", "/a/"+jobID, `{"steps":[{"count":1,"cpu":-1}]}`, 400),
+		Entry("a step after itself", "POST", "/a/"+jobID, `{"steps":[{"count":1,"dependsOn":[0]}]}`, 400),
+		Entry("a step after no step", "POST", "/a/"+jobID, `{"steps":[{"count":1},{"count":1,"dependsOn":[-1]}]}`, 400),
+		Entry("negative times", "POST", "/a/"+jobID, `{"repetitions":-1,"steps":[{"count":1}]}`, 400),
+		Entry("a long text", "POST", "/a/"+jobID, `{"spec":"`+strings.Repeat("x", 1000)+`","steps":[{"count":1}]}`, 413),
+	)
+
+	It("measures a body of unknown length too", func() {
+		r := request("POST", "/a/"+jobID, `{"spec":"`+strings.Repeat("x", 1000)+`"}`)
+		r.ContentLength = -1
+		Expect(newBed().do(r).Code).To(Equal(413))
+	})
+
+	It("refuses a text above its bound", func() {
+		spec := &protocol.JobSpec{Spec: strings.Repeat("x", maxSpecBytes+1), Steps: []protocol.Step{{Count: 1}}}
+		Expect(failure.KindOf(checkSpec(spec))).To(Equal(failure.Invalid))
+	})
+
+	It("tells all to come back before the first configuration", func() {
+		b := newBed()
+		b.service.Views = NewViews()
+		w := b.do(request("POST", "/a/"+jobID, oneStep))
+		Expect(w.Code).To(Equal(503))
+		Expect(w.Header().Get("Retry-After")).To(Equal("1"))
+	})
+
+	DescribeTable("after the owner's answer to a hand-in",
+		func(err error, status int, retry string) {
+			b := newBed()
+			b.owners.submit = func(context.Context, *protocol.SubmitRequest) error { return err }
+			w := b.do(request("POST", "/a/"+jobID, oneStep))
+			Expect(w.Code).To(Equal(status))
+			Expect(w.Header().Get("Retry-After")).To(Equal(retry))
+			Expect(w.Header().Get("Content-Type")).To(Equal("application/json"))
+		},
+		Entry("taken", nil, 200, ""),
+		Entry("overloaded", kind(failure.Overloaded), 429, "1"),
+		Entry("unavailable", kind(failure.Unavailable), 503, "1"),
+		Entry("no leader", kind(failure.NotLeader), 503, "1"),
+		Entry("in doubt", kind(failure.UnknownOutcome), 504, ""),
+		Entry("an error of no kind is in doubt", context.DeadlineExceeded, 504, ""),
+		Entry("nonsense", kind(failure.Invalid), 400, ""),
+	)
+
+	It("hands over what the configuration says of the queue", func() {
+		b := newBed()
+		var got *protocol.SubmitRequest
+		b.owners.submit = func(_ context.Context, r *protocol.SubmitRequest) error {
+			got = r
+			return nil
+		}
+		Expect(b.do(request("POST", "/a/"+jobID, oneStep)).Body.String()).To(Equal("{}"))
+		Expect(got.ID).To(Equal(jobID))
+		Expect(got.ConfigurationVersion).To(Equal(uint64(7)))
+		Expect(got.Queue).To(Equal(route("/a/").Queue))
+		Expect(got.Job.Steps).To(Equal([]protocol.Step{{Count: 2, CPU: 500}}))
+	})
+
+	DescribeTable("after the owner's answer to a question",
+		func(method string, err error, status int) {
+			b := newBed()
+			b.owners.status = func(context.Context, *protocol.StatusRequest) (string, error) { return "completed", err }
+			b.owners.cancel = func(context.Context, *protocol.CancelRequest) error { return err }
+			w := b.do(request(method, "/a/"+jobID, ""))
+			Expect(w.Code).To(Equal(status))
+			if method == "GET" && err == nil {
+				Expect(w.Body.String()).To(MatchJSON(`{"state":"completed"}`))
+			}
+		},
+		Entry("a state", "GET", nil, 200),
+		Entry("a state of no job", "GET", kind(failure.Gone), 410),
+		Entry("a state that can't be had", "GET", kind(failure.NotLeader), 503),
+		Entry("a state without an answer", "GET", kind(failure.UnknownOutcome), 503),
+		Entry("a cancel", "DELETE", nil, 200),
+		Entry("a cancel of no job", "DELETE", kind(failure.Gone), 410),
+		Entry("a cancel that can't be done", "DELETE", kind(failure.Unavailable), 503),
+		Entry("a cancel in doubt", "DELETE", kind(failure.UnknownOutcome), 504),
+	)
+
+	It("makes each answer the last of its connection while draining", func() {
+		b := newBed()
+		Expect(b.do(request("GET", "/a/", "")).Header().Get("Connection")).To(BeEmpty())
+		b.service.Drain()
+		Expect(b.do(request("GET", "/a/", "")).Header().Get("Connection")).To(Equal("close"))
+	})
+})
+
+var _ = Describe("budget", func() {
+	DescribeTable("is the least of all bounds",
+		func(wait, timeout, most, want time.Duration) {
+			Expect(budget(wait, timeout, most)).To(Equal(want))
+		},
+		Entry("the longest try", 9*time.Second, 9*time.Second, handInTry, handInTry),
+		Entry("the client's wait", time.Second, 3*time.Second, handInTry, 850*time.Millisecond),
+		Entry("the route's timeout", 3*time.Second, 800*time.Millisecond, handInTry, 650*time.Millisecond),
+		Entry("nothing known", time.Duration(0), time.Duration(0), handInTry, handInTry),
+		Entry("hardly any wait", 10*time.Millisecond, 3*time.Second, handInTry, shortestTry),
+	)
+
+	DescribeTable("reads the client's wait",
+		func(value string, want time.Duration) {
+			r := request("GET", "/a/", "")
+			r.Header.Set(DeadlineHeader, value)
+			Expect(clientWait(r)).To(Equal(want))
+		},
+		Entry("a number", "1500", 1500*time.Millisecond),
+		Entry("nonsense", "soon", time.Duration(0)),
+		Entry("a negative one", "-5", time.Duration(0)),
+		Entry("one beyond measure", "99999999999999", time.Duration(0)),
+	)
+})
