--- a/internal/frontend/documents.go
+++ b/internal/frontend/documents.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"ospreypond/internal/configuration"
+	"ospreypond/internal/directory"
 	"ospreypond/internal/protocol"
 )
 
@@ -29,6 +30,23 @@
 	level.Debug(d.logger).Log("msg", "a configuration is in force", "version", version)
 }
 
+// confirmed is a directory whose confirmations count only for a version that is in force here: one that could not be
+// read isn't.
+type confirmed struct {
+	*directory.Directory
+	views *Views
+}
+
+// Fresh tells whether what is in force here was confirmed within the last while.
+func (c confirmed) Fresh(within time.Duration) bool {
+	if !c.Directory.Fresh(within) {
+		return false
+	}
+	known := c.Directory.Version()
+	current := c.views.Current()
+	return current != nil && current.Version >= known
+}
+
 // viewOf returns a document as requests use it.
 func viewOf(document *configuration.Document) *View {
 	limits := document.Limits()
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -46,7 +46,7 @@
 	go follower.Run(serving, hangups)
 
 	service := NewService(Options{
-		Directory: known,
+		Directory: confirmed{known, views},
 		Owners:    owners{known},
 		Views:     views,
 		Bounds:    Bounds{ConfigApply: settings.Bounds.ConfigApply, MaxSkew: settings.Bounds.MaxSkew},
