--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -74,6 +74,7 @@
 	root.SetOut(std.Out)
 	root.SetErr(std.Err)
 	root.AddCommand(serve, newStore(std), newTraffic(std), newVersion(std))
+	root.AddCommand(newRoles(std, getenv)...)
 	root.CompletionOptions.SetDefaultShellCompDirective(cobra.ShellCompDirectiveDefault)
 	for _, c := range all(root) {
 		c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
--- /dev/null
+++ b/internal/cli/roles.go
@@ -0,0 +1,59 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/spf13/cobra"
+
+	"ospreypond/internal/agent"
+	"ospreypond/internal/boot"
+	"ospreypond/internal/control"
+	"ospreypond/internal/frontend"
+)
+
+// settingsVariable names the settings file of a process of the cluster scheduler.
+const settingsVariable = "OSPREYPOND_SETTINGS"
+
+// roleMain is a role's main function: it serves until the context ends.
+type roleMain func(ctx context.Context, settings *boot.Settings, logger log.Logger) error
+
+func newRoles(std Streams, getenv func(string) string) []*cobra.Command {
+	return []*cobra.Command{
+		newRole(std, getenv, "control", "Run a control process of the cluster scheduler", control.Run),
+		newRole(std, getenv, "frontend", "Run a frontend of the cluster scheduler", frontend.Run),
+		newRole(std, getenv, "agent", "Run the agent beside one runner", agent.Run),
+	}
+}
+
+func newRole(std Streams, getenv func(string) string, use, short string, run roleMain) *cobra.Command {
+	return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs,
+		Long: short + ", in the foreground, with the settings file that " + settingsVariable + " names.\n" +
+			"SIGTERM ends it in order.",
+		RunE: func(c *cobra.Command, _ []string) error {
+			logger := newRoleLog(std.Err)
+			settings, err := boot.Load(getenv(settingsVariable))
+			if err != nil {
+				level.Error(logger).Log("msg", "the settings cannot be used", "err", err)
+				return errSaid
+			}
+			settings.Limits.Apply()
+			ctx, stop := interruptible(c.Context())
+			defer stop()
+			if err := run(ctx, settings, logger); err != nil {
+				level.Error(logger).Log("msg", "the role cannot go on", "role", use, "err", err)
+				return errSaid
+			}
+			return nil
+		}}
+}
+
+func newRoleLog(w io.Writer) log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(w))
+	logger = level.NewFilter(logger, level.AllowInfo())
+	return log.With(logger, "ts", log.TimestampFormat(time.Now, "15:04:05.000"), "pid", os.Getpid())
+}
--- /dev/null
+++ b/internal/frontend/documents_test.go
@@ -0,0 +1,84 @@
+package frontend
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/configuration"
+	"ospreypond/internal/protocol"
+)
+
+const service = `{"name":"huvo11a"},{"name":"wuno96b"}`
+
+// replaced returns the state's document, encoded, after a replacement of all routes.
+func replaced(state *configuration.State, version, base string, routes string) []byte {
+	body := `{"version":` + version + `,"routes":[` + routes + `],"services":[` + service + `],` +
+		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+	result := state.Execute(configuration.Command{Kind: protocol.ConfigurationReplace, Base: uint64(base[0] - '0'), Body: []byte(body)})
+	Expect(result.Err()).NotTo(HaveOccurred())
+	encoded, err := state.Document().Encode()
+	Expect(err).NotTo(HaveOccurred())
+	return encoded
+}
+
+func queueOf(service string) string {
+	return `{"name":"r","host":"FICU95.example","pathPrefix":"/a/","timeoutMs":2500,"targetLatencyMs":800,` +
+		`"priority":1,"service":"` + service + `","maxAttempts":3,"extension":1.5}`
+}
+
+var _ = Describe("configurations", func() {
+	It("become views", func() {
+		state := configuration.NewState()
+		documents := documents{views: NewViews(), logger: log.NewNopLogger()}
+		documents.take(3, replaced(state, "3", "0", queueOf("huvo11a")))
+		current := documents.views.Current()
+		Expect(current.Version).To(Equal(uint64(3)))
+		Expect(current.Limits).To(Equal(Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 262144,
+			HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}))
+		found, rest, ok := current.Table.Lookup("ficu95.example:80", "/a/"+jobID)
+		Expect(ok).To(BeTrue())
+		Expect(rest).To(Equal(jobID))
+		Expect(found).To(Equal(&Route{
+			Queue: protocol.Queue{Key: "ficu95.example/a/", Service: "huvo11a", Priority: 1, MaxAttempts: 3,
+				Extension: 1.5, TargetLatencyMs: 800},
+			Timeout: 2500 * time.Millisecond,
+			Shards:  []protocol.ShardID{protocol.ShardOf("huvo11a")},
+		}))
+		_, _, ok = current.Table.Lookup("other.example", "/a/")
+		Expect(ok).To(BeFalse())
+	})
+
+	It("keep the shards of a queue that has moved", func() {
+		Expect(protocol.ShardOf("huvo11a")).NotTo(Equal(protocol.ShardOf("wuno96b")))
+		state := configuration.NewState()
+		documents := documents{views: NewViews(), logger: log.NewNopLogger()}
+		documents.take(3, replaced(state, "3", "0", queueOf("huvo11a")))
+		documents.take(5, replaced(state, "5", "3", queueOf("wuno96b")))
+		found, _, ok := documents.views.Current().Table.Lookup("ficu95.example", "/a/")
+		Expect(ok).To(BeTrue())
+		Expect(found.Shards).To(Equal([]protocol.ShardID{protocol.ShardOf("wuno96b"), protocol.ShardOf("huvo11a")}))
+	})
+
+	It("that can't be read leave the view as it is", func() {
+		documents := documents{views: NewViews(), logger: log.NewNopLogger()}
+		documents.take(3, replaced(configuration.NewState(), "3", "0", queueOf("huvo11a")))
+		documents.take(4, []byte("nonsense"))
+		Expect(documents.views.Current().Version).To(Equal(uint64(3)))
+	})
+
+	DescribeTable("name each shard once, the present one first",
+		func(present string, earlier []string, services ...string) {
+			var want []protocol.ShardID
+			for _, service := range services {
+				want = append(want, protocol.ShardOf(service))
+			}
+			Expect(shardsOf(present, earlier)).To(Equal(want))
+		},
+		Entry("never moved", "huvo11a", nil, "huvo11a"),
+		Entry("moved and back", "huvo11a", []string{"wuno96b", "huvo11a"}, "huvo11a", "wuno96b"),
+		Entry("twice to the same", "huvo11a", []string{"wuno96b", "wuno96b"}, "huvo11a", "wuno96b"),
+	)
+})
--- /dev/null
+++ b/internal/frontend/server_test.go
@@ -0,0 +1,200 @@
+package frontend
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/protocol"
+)
+
+// stand is a Server on the loopback.
+type stand struct {
+	*bed
+	server    *Server
+	clients   string // address
+	readiness string // address
+	stop      context.CancelFunc
+	ended     chan error
+}
+
+func newStand() *stand {
+	s := &stand{bed: newBed(), ended: make(chan error, 1)}
+	s.server = NewServer(s.service, 6*time.Second, log.NewNopLogger())
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	clients, err := listen(ctx, "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	readiness, err := listen(ctx, "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s.clients, s.readiness = clients.Addr().String(), readiness.Addr().String()
+	go func() { s.ended <- s.server.Run(ctx, clients, readiness) }()
+	DeferCleanup(stop)
+	return s
+}
+
+// connection is a client's connection, kept open between requests.
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (s *stand) connect() *connection {
+	conn, err := net.Dial("tcp", s.clients)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	Expect(conn.SetDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+	return &connection{Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+func (c *connection) send(method, path, body string) {
+	r := request(method, path, body)
+	Expect(r.Write(c.Conn)).To(Succeed())
+}
+
+// receive returns the next answer's status and whether it is the connection's last.
+func (c *connection) receive() (status int, last bool) {
+	response, err := http.ReadResponse(c.reader, nil)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return response.StatusCode, response.Close
+}
+
+func (s *stand) ready() int {
+	response, err := http.Get("http://" + s.readiness + readinessPath)
+	Expect(err).NotTo(HaveOccurred())
+	response.Body.Close()
+	return response.StatusCode
+}
+
+var _ = Describe("readiness", func() {
+	It("needs a configuration and that it was confirmed lately", func() {
+		s := newStand()
+		Expect(s.ready()).To(Equal(200))
+		s.directory.setAge(readinessAge + time.Millisecond)
+		Expect(s.ready()).To(Equal(503))
+		s.directory.setAge(0)
+		s.service.Views = NewViews()
+		Expect(s.server.Ready()).To(BeFalse())
+	})
+
+	It("is all that its address serves", func() {
+		s := newStand()
+		response, err := http.Get("http://" + s.readiness + "/a/")
+		Expect(err).NotTo(HaveOccurred())
+		response.Body.Close()
+		Expect(response.StatusCode).To(Equal(404))
+	})
+})
+
+var _ = Describe("an orderly stop", func() {
+	It("serves until nobody is sent here, and cuts nothing", func() {
+		s := newStand()
+		release := make(chan struct{})
+		s.owners.submit = func(context.Context, *protocol.SubmitRequest) error {
+			<-release
+			return nil
+		}
+		kept, busy := s.connect(), s.connect()
+		kept.send("GET", "/a/", "")
+		status, last := kept.receive()
+		Expect(status).To(Equal(200))
+		Expect(last).To(BeFalse())
+		busy.send("POST", "/a/"+jobID, oneStep)
+		Eventually(s.owners.calls).Should(ContainElement("submit 1"))
+
+		s.stop()
+		s.waiting(2) // the notice and the hand-in's deadline
+		Expect(s.ready()).To(Equal(503))
+		kept.send("GET", "/a/", "")
+		status, last = kept.receive()
+		Expect(status).To(Equal(200))
+		Expect(last).To(BeTrue())
+		late := s.connect()
+		late.send("GET", "/a/", "")
+		status, last = late.receive()
+		Expect(status).To(Equal(200))
+		Expect(last).To(BeTrue())
+
+		s.clock.Advance(noticeTime)
+		Eventually(func() error {
+			conn, err := net.Dial("tcp", s.clients)
+			if err == nil {
+				conn.Close()
+			}
+			return err
+		}).Should(HaveOccurred())
+		Consistently(s.ended, 30*time.Millisecond).ShouldNot(Receive())
+		close(release)
+		status, last = busy.receive()
+		Expect(status).To(Equal(200))
+		Expect(last).To(BeTrue())
+		Eventually(s.ended, 5*time.Second).Should(Receive(BeNil()))
+	})
+
+	It("ends before SIGKILL even if a request does not", func() {
+		s := newStand()
+		release := make(chan struct{})
+		defer close(release)
+		s.owners.submit = func(context.Context, *protocol.SubmitRequest) error {
+			<-release
+			return nil
+		}
+		busy := s.connect()
+		busy.send("POST", "/a/"+jobID, oneStep)
+		Eventually(s.owners.calls).Should(ContainElement("submit 1"))
+		s.stop()
+		s.waiting(2)
+		s.clock.Advance(noticeTime)
+		Consistently(s.ended, 30*time.Millisecond).ShouldNot(Receive())
+		s.clock.Advance(6*time.Second - closeMargin - noticeTime)
+		Eventually(s.ended, 5*time.Second).Should(Receive(HaveOccurred()))
+	})
+})
+
+var _ = Describe("limits of connections", func() {
+	big := "GET /a/ HTTP/1.1\r\nHost: ficu95.example\r\nX-Big: " + strings.Repeat("x", 20<<10) + "\r\n\r\n"
+
+	It("are those of the configuration in force, for new connections", func() {
+		s := newStand()
+		before := s.connect()
+		before.send("GET", "/a/", "")
+		status, _ := before.receive()
+		Expect(status).To(Equal(200))
+
+		next := view(8, map[string]*Route{"/a/": route("/a/", 1)})
+		next.Limits.MaxHeaderBytes = 1 << 10
+		Expect(s.views.Set(next)).To(BeTrue())
+		Eventually(func() int {
+			after := s.connect()
+			_, err := after.Write([]byte(big))
+			Expect(err).NotTo(HaveOccurred())
+			status, _ := after.receive()
+			return status
+		}).Should(Equal(http.StatusRequestHeaderFieldsTooLarge))
+
+		before.send("GET", "/a/", "") // an open connection goes on
+		status, _ = before.receive()
+		Expect(status).To(Equal(200))
+	})
+
+	It("close a connection whose body is too large", func() {
+		s := newStand()
+		client := s.connect()
+		client.send("POST", "/a/"+jobID, `{"spec":"`+strings.Repeat("x", 2000)+`"}`)
+		status, last := client.receive()
+		Expect(status).To(Equal(failure.AnswerTo(failure.TooLarge).Status))
+		Expect(last).To(BeTrue())
+	})
+})
