--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -23,6 +23,7 @@
 	transport.HandleAsync(c.server, c.watch)
 	transport.HandleAsync(c.server, c.configure)
 	transport.HandleAsync(c.server, c.readConfiguration)
+	c.handleAdministration()
 }
 
 // on runs an input of a shard's owner on the loop; wrong tells of a shard that this process does not own.
