--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -84,9 +84,10 @@
 		Expect(s.ready()).To(Equal(200))
 		s.directory.setAge(readinessAge + time.Millisecond)
 		Expect(s.ready()).To(Equal(503))
-		s.directory.setAge(0)
-		s.service.Views = NewViews()
-		Expect(s.server.Ready()).To(BeFalse())
+
+		b := newBed()
+		b.service.Views = NewViews()
+		Expect(NewServer(b.service, 0, log.NewNopLogger()).Ready()).To(BeFalse())
 	})
 
 	It("is all that its address serves", func() {
--- /dev/null
+++ b/internal/seeds/seeds_test.go
@@ -0,0 +1,125 @@
+package seeds
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSeeds(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "seeds")
+}
+
+// fakeDirectory notes the seeds that it is given.
+type fakeDirectory struct {
+	mutex sync.Mutex
+	fresh bool
+	given [][]string
+}
+
+func (d *fakeDirectory) Fresh(time.Duration) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.fresh
+}
+
+func (d *fakeDirectory) SetSeeds(addresses []string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.given = append(d.given, addresses)
+}
+
+func (d *fakeDirectory) seeds() [][]string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return append([][]string{}, d.given...)
+}
+
+const settings = `{"nodeName":"n","role":"r","ip":"10.0.0.9","zone":"z","internalPorts":[7380,7395],"seeds":["SEED:8144"]}`
+
+func write(path, seed string, at time.Time) {
+	Expect(os.WriteFile(path, []byte(strings.ReplaceAll(settings, "SEED", seed)), 0o600)).To(Succeed())
+	Expect(os.Chtimes(path, at, at)).To(Succeed())
+}
+
+var _ = Describe("seeds", func() {
+	var (
+		path      string
+		clock     *clockwork.FakeClock
+		directory *fakeDirectory
+		hangups   chan os.Signal
+	)
+	first := time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+	BeforeEach(func() {
+		path = filepath.Join(GinkgoT().TempDir(), "boot.json")
+		write(path, "10.0.0.1", first)
+		clock = clockwork.NewFakeClock()
+		directory = &fakeDirectory{}
+		hangups = make(chan os.Signal)
+		follower := NewFollower(Options{Path: path, Seeds: []string{"10.0.0.1:7380"}, Directory: directory, Clock: clock,
+			Logger: log.NewNopLogger()})
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			follower.Run(ctx, hangups)
+			close(ended)
+		}()
+		DeferCleanup(func() {
+			stop()
+			Eventually(ended).Should(BeClosed())
+		})
+	})
+
+	look := func() {
+		waiting, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		Expect(clock.BlockUntilContext(waiting, 1)).To(Succeed())
+		clock.Advance(lookEvery)
+	}
+
+	It("change at a signal", func() {
+		directory.fresh = true
+		write(path, "10.0.0.2", first.Add(time.Second))
+		hangups <- syscall.SIGHUP
+		Eventually(directory.seeds).Should(Equal([][]string{{"10.0.0.2:7380"}}))
+	})
+
+	It("change without a signal while nobody answers", func() {
+		write(path, "10.0.0.2", first.Add(time.Second))
+		look()
+		Eventually(directory.seeds).Should(Equal([][]string{{"10.0.0.2:7380"}}))
+	})
+
+	DescribeTable("stay as they are after a signal",
+		func(change func()) {
+			change()
+			hangups <- syscall.SIGHUP
+			hangups <- syscall.SIGHUP // taken only once the one before is dealt with
+			Expect(directory.seeds()).To(BeEmpty())
+		},
+		Entry("if they are the same", func() {}),
+		Entry("if the file is nonsense", func() { Expect(os.WriteFile(path, []byte("{"), 0o600)).To(Succeed()) }),
+		Entry("if there is no file", func() { Expect(os.Remove(path)).To(Succeed()) }),
+	)
+
+	It("stay as they are without a signal while owners answer", func() {
+		directory.mutex.Lock()
+		directory.fresh = true
+		directory.mutex.Unlock()
+		write(path, "10.0.0.3", first.Add(time.Minute))
+		look()
+		Consistently(directory.seeds, 20*time.Millisecond).Should(BeEmpty())
+	})
+})
