--- a/internal/jobs/model_draw_test.go
+++ b/internal/jobs/model_draw_test.go
@@ -108,4 +108,3 @@
 		c.Ends = append(c.Ends, jobs.End{Runner: run.runner, N: n, Task: run.task, Run: run.run, How: how, Saved: saved})
 	}
 }
-
--- a/internal/jobs/model_test.go
+++ b/internal/jobs/model_test.go
@@ -287,4 +287,3 @@
 		}
 	}
 }
-
