Add the commands that look after a running system, and a small system in one command

An operator had nothing but HTTP calls and logs. Commands read and change the configuration, hand jobs in, show members, shards, runners, drain, back up and restore; state inspect and verify read a stopped process's folder; local starts three control processes, two frontends and two agents with stand-in runners on loopback.

--- /dev/null
+++ b/internal/administration/advice.go
@@ -0,0 +1,16 @@
+package administration
+
+import (
+	"github.com/pkg/errors"
+
+	"ospreypond/internal/failure"
+)
+
+// Advice returns what an operator can do about a fault of the system, or "" for another error.
+func Advice(err error) string {
+	var known *failure.Error
+	if !errors.As(err, &known) {
+		return ""
+	}
+	return failure.AnswerTo(known.Kind).Advice
+}
--- a/internal/administration/messages.go
+++ b/internal/administration/messages.go
@@ -52,11 +52,11 @@
 
 // JobCounts is what a shard of jobs holds.
 type JobCounts struct {
-	Jobs    int // not ended
-	Kept    int // ended, state still kept
-	Held    int // tasks whose turn has come
-	Running int // tasks of which a run may exist
-	Runners int
+	Jobs    int `json:"jobs"`    // not ended
+	Kept    int `json:"kept"`    // ended, state still kept
+	Held    int `json:"held"`    // tasks whose turn has come
+	Running int `json:"running"` // tasks of which a run may exist
+	Runners int `json:"runners"`
 }
 
 // RunnersRequest asks a shard's owner for its runners.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -38,7 +38,12 @@
 
 // Main runs a command line, without the program's name, and returns the exit status. Errors go to Err.
 func Main(args []string, std Streams, getenv func(string) string) int {
-	root := newRoot(std, getenv)
+	return mainWith(args, std, getenv, dialSystem)
+}
+
+// mainWith is Main with another way to reach a running system.
+func mainWith(args []string, std Streams, getenv func(string) string, dial dialer) int {
+	root := newRoot(std, getenv, dial)
 	root.SetArgs(args)
 	cmd, err := root.ExecuteContextC(context.Background())
 	var usage usageError
@@ -58,7 +63,7 @@
 // errSaid ends a command with a failure that it has told already.
 var errSaid = errors.New("failed")
 
-func newRoot(std Streams, getenv func(string) string) *cobra.Command {
+func newRoot(std Streams, getenv func(string) string, dial dialer) *cobra.Command {
 	serve := newServe(std, getenv)
 	root := &cobra.Command{
 		Use:   "ospreypond",
@@ -75,6 +80,7 @@
 	root.SetErr(std.Err)
 	root.AddCommand(serve, newStore(std), newTraffic(std), newVersion(std))
 	root.AddCommand(newRoles(std, getenv)...)
+	root.AddCommand(newSystem(std, getenv, dial)...)
 	root.CompletionOptions.SetDefaultShellCompDirective(cobra.ShellCompDirectiveDefault)
 	for _, c := range all(root) {
 		c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
--- /dev/null
+++ b/internal/local/machines.go
@@ -0,0 +1,159 @@
+// Package local runs a small system on this machine, over loopback: three control processes, two frontends, and two
+// agents with stand-in runners. The processes are real ones of this program; only the runners live in this process.
+package local
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"ospreypond/internal/boot"
+)
+
+// Ports, the same on all machines.
+const (
+	controlPort   = 8144
+	frontendPort  = 8149
+	readinessPort = 8141
+	runnerPort    = 8080
+	internalPort  = 7380
+	lastPort      = 7395
+)
+
+// Service is the name of the service of the stand-in runners.
+const Service = "demo"
+
+// region is where all zones are.
+const region = "local"
+
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
+// machine is one address of this machine that stands for a machine of its own.
+type machine struct {
+	name   string
+	role   string // command of the process
+	class  string
+	serves string
+	ip     string
+	zone   string
+	dir    string
+}
+
+// machinesOf lays the machines out in a network of loopback, given by its first three numbers.
+func machinesOf(dir, network string) ([]*machine, error) {
+	plan := []struct {
+		role, class, serves string
+		count, firstHost    int
+	}{
+		{"control", "core", boot.ServesControl, 3, 11},
+		{"frontend", "frontend", boot.ServesFrontend, 2, 21},
+		{"agent", "side", boot.ServesSide, 2, 31},
+	}
+	var machines []*machine
+	for _, part := range plan {
+		for i := range part.count {
+			name := fmt.Sprintf("%s-%d", part.role, i+1)
+			ip := fmt.Sprintf("%s.%d", network, part.firstHost+i)
+			address, err := netip.ParseAddr(ip)
+			if err != nil || !address.IsLoopback() {
+				return nil, errors.Errorf("network %q is not of the form 127.N.N", network)
+			}
+			machines = append(machines, &machine{
+				name: name, role: part.role, class: part.class, serves: part.serves,
+				ip: ip, zone: zones[i%len(zones)], dir: filepath.Join(dir, name),
+			})
+		}
+	}
+	return machines, nil
+}
+
+func ofRole(machines []*machine, role string) []*machine {
+	var found []*machine
+	for _, m := range machines {
+		if m.role == role {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+func (m *machine) address(port int) string { return net.JoinHostPort(m.ip, strconv.Itoa(port)) }
+
+func (m *machine) settingsPath() string { return filepath.Join(m.dir, "settings.json") }
+func (m *machine) logPath() string      { return filepath.Join(m.dir, "log") }
+func (m *machine) dataDir() string      { return filepath.Join(m.dir, "data") }
+
+// listens are the addresses that the machine's process serves at, by the settings' keys.
+func (m *machine) listens() map[string]string {
+	if m.serves == boot.ServesFrontend {
+		return map[string]string{
+			boot.ListenFrontend: m.address(frontendPort), boot.ListenReadiness: m.address(readinessPort),
+		}
+	}
+	return map[string]string{boot.ListenControl: m.address(controlPort)}
+}
+
+// writeSettings writes the settings file of the machine's process.
+func (m *machine) writeSettings(machines []*machine, bootstrap bool) error {
+	if err := os.MkdirAll(m.dir, 0o700); err != nil {
+		return err
+	}
+	var seeds []string
+	for _, control := range ofRole(machines, "control") {
+		seeds = append(seeds, control.address(controlPort))
+	}
+	settings := map[string]any{
+		"nodeName":            m.name,
+		"role":                m.role,
+		"machineClass":        m.class,
+		"serves":              []string{m.serves},
+		"ip":                  m.ip,
+		"zone":                m.zone,
+		"region":              region,
+		"listen":              m.listens(),
+		"internalPorts":       []int{internalPort, lastPort},
+		"seeds":               seeds,
+		"bootstrap":           bootstrap,
+		"countsForQuorum":     m.role == "control",
+		"heartbeatIntervalMs": 1500,
+		"commands":            boot.CommandsHeartbeat,
+		"faultTolerance":      map[string]int{"machines": 1},
+		"limits":              map[string]any{"memoryMb": 280, "fileDescriptors": 4096, "diskMb": 128},
+	}
+	if m.role == "control" {
+		settings["dataDir"] = m.dataDir()
+	}
+	if m.role == "agent" {
+		settings["app"] = m.address(runnerPort)
+		settings["service"] = Service
+	}
+	data, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(m.settingsPath(), append(data, '\n'), 0o600)
+}
+
+// checkFree tells if an address of a machine cannot be listened at.
+func checkFree(machines []*machine) error {
+	for _, m := range machines {
+		ports := []int{internalPort, controlPort}
+		if m.role == "frontend" {
+			ports = []int{frontendPort, readinessPort}
+		}
+		for _, port := range ports {
+			listener, err := net.Listen("tcp", m.address(port))
+			if err != nil {
+				return errors.Wrap(err, "is another local system running? Use another --network")
+			}
+			_ = listener.Close()
+		}
+	}
+	return nil
+}
