--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -91,7 +91,7 @@
 		w.Header().Set("Connection", "close") // what is still to come is not read
 		return nil, failure.Newf(failure.TooLarge, "a body may have at most %d bytes", maxBodyBytes)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := readAll(http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength)
 	if err == nil {
 		return body, nil
 	}
@@ -101,3 +101,13 @@
 	}
 	return nil, failure.Newf(failure.Invalid, "the body can't be read: %v", err)
 }
+
+// readAll is io.ReadAll with one allocation where the size is known.
+func readAll(reader io.Reader, size int64) ([]byte, error) {
+	if size <= 0 {
+		return io.ReadAll(reader)
+	}
+	body := make([]byte, size)
+	n, err := io.ReadFull(reader, body)
+	return body[:n], err
+}
--- a/internal/agent/wire.go
+++ b/internal/agent/wire.go
@@ -9,6 +9,12 @@
 	"ospreypond/internal/protocol"
 )
 
+// Usual sizes in an answer.
+const (
+	ordersBytes = 512 // without starts
+	startBytes  = 256 // each start
+)
+
 var emptyBody = []byte("{}")
 
 // readHeartbeat reads a heartbeat for the owner of its service's shard. Fields that aren't known are passed over.
@@ -18,7 +24,7 @@
 		return nil, err
 	}
 	request := new(protocol.HeartbeatRequest)
-	if err := json.Unmarshal(body, &request.Heartbeat); err != nil {
+	if err := parseHeartbeat(string(body), &request.Heartbeat); err != nil {
 		return nil, failure.Newf(failure.Invalid, "the body is not a heartbeat: %v", err)
 	}
 	if request.Heartbeat.Service == "" {
@@ -46,12 +52,8 @@
 
 // answerOrders sends the owner's orders.
 func answerOrders(w http.ResponseWriter, orders *protocol.Orders) {
-	body, err := json.Marshal(orders)
-	if err != nil {
-		answerError(w, failure.Newf(failure.Unavailable, "the orders can't be written: %v", err))
-		return
-	}
-	answer(w, http.StatusOK, body)
+	body := make([]byte, 0, ordersBytes+len(orders.Start)*startBytes)
+	answer(w, http.StatusOK, appendOrders(body, orders))
 }
 
 // errorBody is the body of an answer that isn't a success.
