--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -32,6 +32,9 @@
 // maxBodyBytes bounds a heartbeat.
 const maxBodyBytes = 4 << 20
 
+// usualBodyBytes is how much of a body is made room for before it comes.
+const usualBodyBytes = 16 << 10
+
 // Owners carries messages to the owners of shards. A call gives the result of the last process it asked, and nothing
 // of it comes after it has returned.
 type Owners interface {
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -102,12 +103,10 @@
 	return nil, failure.Newf(failure.Invalid, "the body can't be read: %v", err)
 }
 
-// readAll is io.ReadAll with one allocation where the size is known.
+// readAll is io.ReadAll with room for the size that is announced, as far as that is usual.
 func readAll(reader io.Reader, size int64) ([]byte, error) {
-	if size <= 0 {
-		return io.ReadAll(reader)
-	}
-	body := make([]byte, size)
-	n, err := io.ReadFull(reader, body)
-	return body[:n], err
+	var body bytes.Buffer
+	body.Grow(int(min(max(size, 0), usualBodyBytes)) + bytes.MinRead)
+	_, err := body.ReadFrom(reader)
+	return body.Bytes(), err
 }
--- a/internal/frontend/handin.go
+++ b/internal/frontend/handin.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -12,6 +13,9 @@
 	"ospreypond/internal/protocol"
 )
 
+// usualBodyBytes is how much of a body is made room for before it comes.
+const usualBodyBytes = 16 << 10
+
 var acceptedBody = []byte("{}")
 
 // serveHandIn takes a job.
@@ -54,14 +58,12 @@
 	return nil, failure.Newf(failure.Invalid, "the body can't be read: %v", err)
 }
 
-// readAll is io.ReadAll with one allocation where the size is known.
+// readAll is io.ReadAll with room for the size that is announced, as far as that is usual.
 func readAll(reader io.Reader, size int64) ([]byte, error) {
-	if size <= 0 {
-		return io.ReadAll(reader)
-	}
-	body := make([]byte, size)
-	n, err := io.ReadFull(reader, body)
-	return body[:n], err
+	var body bytes.Buffer
+	body.Grow(int(min(max(size, 0), usualBodyBytes)) + bytes.MinRead)
+	_, err := body.ReadFrom(reader)
+	return body.Bytes(), err
 }
 
 // handIn brings a job to the owner of its queue's shard. Where the owner knows a newer configuration than this
