--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -9,13 +9,14 @@
 )
 
 const (
-	chosenMost  = 200 // tasks looked at in one round, besides whole gangs
-	membersMost = 200 // members of gangs looked at in one round, and the rest of their last gang
-	largeMost   = 40  // large tasks looked at besides them
-	rescueAfter = 1.5 // seconds after which something of a step that has nothing running goes wherever there is room
-	agedAfter   = 5.0 // seconds after which late tasks rank with those that are not
-	runtimeRank = 0.5 // how much a second of runtime counts in the rank beside a second of time left
-	lastingRank = 1.0 // seconds of time left that a long-running task ranks with, at most
+	chosenMost  = 200  // tasks looked at in one round, besides whole gangs
+	membersMost = 200  // members of gangs looked at in one round, and the rest of their last gang
+	largeMost   = 40   // large tasks looked at besides them
+	rescueAfter = 1.5  // seconds after which something of a step that has nothing running goes wherever there is room
+	agedAfter   = 30.0 // seconds after which late tasks rank with those that are not
+	lateTimes   = 3.0  // objectives after which nothing is earned (rules)
+	runtimeRank = 0.5  // how much a second of runtime counts in the rank beside a second of time left
+	lastingRank = 1.0  // seconds of time left that a long-running task ranks with, at most
 )
 
 // ranking is the tasks in the present round, and what is found out about them.
@@ -39,7 +40,7 @@
 	task     *Task
 	index    int
 	timeLeft float64 // seconds
-	late     bool    // it misses its objective wherever it goes
+	late     int     // 0: it can meet its objective; 1: it can still earn as late; 2: neither
 	rescue   bool    // its step has nothing running, and should have by now
 	rank     float64 // seconds; lower ones go first
 	order    int     // of the first task of its group, so that members stay together
@@ -141,7 +142,7 @@
 	case fastest <= timeLeftTest*c.timeLeft:
 		c.rank = c.timeLeft + runtimeRank*fastest
 	default:
-		c.late = waited < agedAfter
+		c.late = lateness(waited, c.timeLeft, fastest)
 		c.rank = fastest - runtimeRank*waited
 	}
 	c.rescue = waited >= rescueAfter && p.halfFree && !p.running(task.Group)
@@ -154,6 +155,20 @@
 	return c
 }
 
+// lateness tells how late a task is that misses its objective: what is late earns less, and nothing from three times its
+// objective on. The objective ran from its turn at the latest.
+func lateness(waited, timeLeft, runtime float64) int {
+	objective := waited + timeLeft
+	switch {
+	case waited >= agedAfter:
+		return 0
+	case waited+runtime <= lateTimes*objective:
+		return 1
+	default:
+		return 2
+	}
+}
+
 func (p *Planner) firstOf(group any, i int) int {
 	first, known := p.gangs[group]
 	if !known {
@@ -180,7 +195,7 @@
 	return cmp.Or(
 		cmp.Compare(a.task.Priority, b.task.Priority),
 		compareBool(b.rescue, a.rescue),
-		compareBool(a.late, b.late),
+		cmp.Compare(a.late, b.late),
 		cmp.Compare(a.rank, b.rank),
 		cmp.Compare(a.order, b.order),
 		cmp.Compare(a.index, b.index),
@@ -227,7 +242,7 @@
 // trusts tells whether a task may go to a room as far as its runner is trusted. Where that is avoided, it still gets one
 // task at a time, if that has room nowhere else or the runner is idle.
 func (p *Planner) trusts(c *candidate, r *room) bool {
-	if !r.distrusted || p.failOpen || c.rescue || !p.otherwise(c) {
+	if !r.distrusted || p.failOpen || p.rescues(c) || !p.otherwise(c) {
 		return true
 	}
 	probe := len(r.runner.Running) == 0 && len(r.placed) == 0
@@ -248,6 +263,12 @@
 	return c.otherwise == yes
 }
 
+// rescues tells whether a task is the first of its step to be rescued; the others then have one that runs. A gang is
+// rescued whole.
+func (p *Planner) rescues(c *candidate) bool {
+	return c.rescue && !p.rescued[c.task.Group]
+}
+
 // leavesHeld tells whether a task leaves the room that is held back there: it is not for that task's like, or the
 // task ends before it is needed, or it fits in beside.
 func (p *Planner) leavesHeld(c *candidate, r *room) bool {
@@ -255,7 +276,7 @@
 	if held.group == nil || held.group == c.holdKey() || c.task.Priority < held.priority {
 		return true
 	}
-	if c.rescue && !p.rescued[c.task.Group] {
+	if p.rescues(c) {
 		return true
 	}
 	if !c.task.LongRunning && p.runtime(c, r) <= held.from {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	blockedMost = 16  // units for which room may be made, in one round
-	stopsMost   = 12  // runs stopped in one round
-	thrift      = 2.0 // work lost by stops may be so many times the work that gets room
-	thriftLeast = 0.5 // core-seconds that may be lost in any case
-	endsSoon    = 0.3 // seconds beyond the time of a stop; what ends within them is left alone
+	blockedMost = 16   // units for which room may be made, in one round
+	stopsMost   = 12   // runs stopped in one round
+	thrift      = 0.25 // work lost by stops may be such a part of the work that gets room
+	thriftLeast = 0.5  // core-seconds that may be lost in any case
+	endsSoon    = 0.3  // seconds beyond the time of a stop; what ends within them is left alone
 )
 
 // stopping is what found no room in the present round, and how room could be made.
@@ -58,7 +58,7 @@
 	})
 	for i := range p.stopping.blocked {
 		u := &p.stopping.blocked[i]
-		if c := u.first(); c.task.Priority < lowest && !c.late && !c.task.LongRunning && !c.placed {
+		if c := u.first(); c.task.Priority < lowest && c.late == 0 && !c.task.LongRunning && !c.placed {
 			p.makeRoom(u)
 		}
 	}
