--- a/internal/administration/cluster.go
+++ b/internal/administration/cluster.go
@@ -4,15 +4,18 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"sync"
 
+	"github.com/pkg/errors"
+
 	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
 	"ospreypond/internal/transport"
 )
 
 // Reports asks the given control processes, and all that they know of, how they stand. A process that does not answer
-// has no report; the error is Unavailable if none answers.
+// has no report; it is an error if none answers.
 func (c *Client) Reports(ctx context.Context) ([]Report, error) {
 	asked := map[string]bool{}
 	var reports []Report
@@ -25,7 +28,8 @@
 		}
 	}
 	if len(reports) == 0 {
-		return nil, failure.Newf(failure.Unavailable, "no control process answers at %q: %v", c.addresses, messageOf(fault))
+		return nil, errors.Errorf("no control process answers at %s; are they running, and are these their internal addresses? (%s)",
+			strings.Join(c.addresses, ", "), messageOf(fault))
 	}
 	slices.SortFunc(reports, func(a, b Report) int {
 		return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.Address, b.Address))
--- a/internal/administration/document/difference.go
+++ b/internal/administration/document/difference.go
@@ -16,7 +16,7 @@
 // Difference is what leads from one configuration to another.
 type Difference struct {
 	From    uint64   `json:"from"`
-	To      uint64   `json:"to"`
+	To      uint64   `json:"to"` // as the file says
 	Changes []Change `json:"changes"`
 }
 
@@ -46,11 +46,15 @@
 
 // Compare tells what applying a file to the configuration in force would change.
 func Compare(present, body []byte) (*Difference, error) {
-	before, after, err := applied(present, body)
+	said, raised, err := raisedVersion(present, body)
 	if err != nil {
 		return nil, err
 	}
-	difference := &Difference{From: before.Version(), To: after.Version(), Changes: []Change{}}
+	before, after, err := applied(present, raised)
+	if err != nil {
+		return nil, err
+	}
+	difference := &Difference{From: before.Version(), To: said, Changes: []Change{}}
 	earlier, err := itemsOf(before)
 	if err != nil {
 		return nil, err
@@ -169,11 +173,18 @@
 
 // Text writes the difference for people.
 func (d *Difference) Text(w io.Writer) {
-	if len(d.Changes) == 0 {
-		fmt.Fprintf(w, "version %d to %d: nothing else changes\n", d.From, d.To)
+	if len(d.Changes) == 0 && d.From == d.To {
+		fmt.Fprintf(w, "version %d: nothing changes\n", d.From)
 		return
 	}
-	fmt.Fprintf(w, "version %d to %d\n", d.From, d.To)
+	fmt.Fprintf(w, "version %d to %d", d.From, d.To)
+	if d.To <= d.From {
+		fmt.Fprint(w, ", which must be raised before it can be applied")
+	}
+	if len(d.Changes) == 0 {
+		fmt.Fprint(w, ": nothing else changes")
+	}
+	fmt.Fprintln(w)
 	for i := range d.Changes {
 		d.Changes[i].text(w)
 	}
--- a/internal/administration/document/document.go
+++ b/internal/administration/document/document.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -66,3 +67,25 @@
 	result := state.Execute(configuration.Command{Kind: protocol.ConfigurationReplace, Body: present})
 	return state, errors.Wrap(result.Err(), "the configuration in force")
 }
+
+// raisedVersion returns the version that a file has, and the file with one that is above the one in force: what a change
+// does can be told before it is given its number.
+func raisedVersion(present, body []byte) (said uint64, raised []byte, err error) {
+	var head, in struct{ Version uint64 }
+	if err := configuration.Readable(body); err != nil {
+		return 0, nil, err
+	}
+	if json.Unmarshal(body, &head) != nil || json.Unmarshal(present, &in) != nil {
+		return 0, body, nil // what is wrong is told when it is tried
+	}
+	if head.Version > in.Version {
+		return head.Version, body, nil
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return 0, nil, err
+	}
+	fields["version"] = json.RawMessage(strconv.FormatUint(in.Version+1, 10))
+	raised, err = json.Marshal(fields)
+	return head.Version, raised, err
+}
--- a/internal/administration/inspect/inspect.go
+++ b/internal/administration/inspect/inspect.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"ospreypond/internal/administration/identity"
 	"ospreypond/internal/consensus"
 	"ospreypond/internal/replica/wal"
 	"ospreypond/internal/store/vfs"
@@ -16,53 +17,55 @@
 
 // Folder is what a folder holds.
 type Folder struct {
-	Dir      string
-	Identity uint64   // 0: none, the folder is nobody's
-	First    []Member // the first members of all groups, if the process was one of them
-	Files    []File
-	Groups   []Group
-	Faults   []Fault
+	Dir      string      `json:"dir"`
+	Identity identity.ID `json:"identity"` // 0: none, the folder is nobody's
+	First    []Member    `json:"first"`    // the first members of all groups, if the process was one of them
+	Files    []File      `json:"files"`
+	Groups   []Group     `json:"groups"`
+	Faults   []Fault     `json:"faults"`
+	Verified bool        `json:"verified"`
 }
 
 // File is one file.
 type File struct {
-	Name  string
-	Bytes int64
+	Name  string `json:"name"`
+	Bytes int64  `json:"bytes"`
 }
 
 // Member is a member of a group.
 type Member struct {
-	ID      uint64
-	Node    string
-	Zone    string
-	Address string
-	Learner bool
+	ID      identity.ID `json:"id"`
+	Node    string      `json:"node"`
+	Zone    string      `json:"zone"`
+	Address string      `json:"address"`
+	Learner bool        `json:"learner"`
 }
 
 // Group is what the folder holds of one shard.
 type Group struct {
-	Shard         uint32
-	Term          uint64
-	Vote          uint64 // whom this member voted for in the term; 0: nobody
-	Commit        uint64
-	SnapshotIndex uint64 // 0: none
-	SnapshotTerm  uint64
-	SnapshotBytes int
-	Entries       int // that follow the snapshot
-	First, Last   uint64
-	EntryBytes    int64
-	Members       []Member
-	Holds         string // what the state machine has after all committed entries; only if verified
+	Shard         uint32      `json:"shard"`
+	Term          uint64      `json:"term"`
+	Vote          identity.ID `json:"vote"`          // whom this member voted for in the term; 0: nobody
+	Commit        uint64      `json:"commit"`        // as last written; it may be higher by now
+	SnapshotIndex uint64      `json:"snapshotIndex"` // 0: none
+	SnapshotTerm  uint64      `json:"snapshotTerm"`
+	SnapshotBytes int         `json:"snapshotBytes"`
+	Entries       int         `json:"entries"` // that follow the snapshot
+	First         uint64      `json:"first"`
+	Last          uint64      `json:"last"`
+	EntryBytes    int64       `json:"entryBytes"`
+	Members       []Member    `json:"members"`
+	Holds         string      `json:"holds"` // what the state machine has after all entries; only if verified
 }
 
 // Fault is something that is not as it was written.
 type Fault struct {
-	File   string // empty: it is not one file's
-	Offset int64  // bytes
-	Reason string
+	File   string `json:"file"`   // empty: it is not one file's
+	Offset int64  `json:"offset"` // bytes
+	Reason string `json:"reason"`
 }
 
-// Read reads a folder. With verify, every snapshot is read, and the state machines carry out all that is committed. The
+// Read reads a folder. With verify, every snapshot is read, and the state machines carry out all entries. The
 // error is for a folder that cannot be read at all; what is wrong inside stands in Faults.
 func Read(dir string, verify bool) (*Folder, error) {
 	files := readOnly{vfs.OS{}}
@@ -71,7 +74,7 @@
 		return nil, err
 	}
 	defer unlock()
-	folder := &Folder{Dir: dir}
+	folder := &Folder{Dir: dir, Verified: verify, First: []Member{}, Files: []File{}, Groups: []Group{}, Faults: []Fault{}}
 	if err := folder.readFiles(files); err != nil {
 		return nil, err
 	}
@@ -149,24 +152,24 @@
 }
 
 func (f *Folder) readIdentity(files vfs.FS) error {
-	identity, err := wal.ReadIdentity(files, f.Dir)
+	found, err := wal.ReadIdentity(files, f.Dir)
 	if err != nil {
 		return f.fault(err)
 	}
-	if identity == nil {
+	if found == nil {
 		f.Faults = append(f.Faults, Fault{Reason: "there is no identity: no control process has run here, or its start was cut off"})
 		return nil
 	}
-	f.Identity = uint64(identity.ID)
-	f.First = membersOf(identity.First)
+	f.Identity = identity.ID(found.ID)
+	f.First = membersOf(found.First)
 	return nil
 }
 
 func membersOf(members []consensus.Member) []Member {
-	var list []Member
+	list := []Member{}
 	for _, member := range members {
 		list = append(list, Member{
-			ID: uint64(member.ID), Node: member.Node, Zone: member.Zone, Address: member.Address, Learner: member.Learner,
+			ID: identity.ID(member.ID), Node: member.Node, Zone: member.Zone, Address: member.Address, Learner: member.Learner,
 		})
 	}
 	return list
@@ -189,7 +192,7 @@
 	group := Group{
 		Shard:   id,
 		Term:    held.HardState.Term,
-		Vote:    uint64(held.HardState.Vote),
+		Vote:    identity.ID(held.HardState.Vote),
 		Commit:  held.HardState.Commit,
 		Entries: len(held.Entries),
 		Members: f.First,
--- a/internal/administration/inspect/verify.go
+++ b/internal/administration/inspect/verify.go
@@ -45,10 +45,8 @@
 // machine is a state machine that what is held is tried on.
 type machine interface {
 	Restore(data []byte) error
-	// carryOut applies a committed entry; an order that is refused is no fault.
+	// carryOut applies an entry; one that cannot be decoded is a fault, an order that is refused is none.
 	carryOut(entry *consensus.Entry) error
-	// readable tells whether an entry can be decoded.
-	readable(entry *consensus.Entry) error
 	holds() string
 }
 
@@ -63,7 +61,8 @@
 	}
 }
 
-// verifyGroups has the state machines take the snapshots and carry out the committed entries.
+// verifyGroups has the state machines take the snapshots and carry out all entries after them. Which of the newest ones
+// are committed is not on one disk alone.
 func (f *Folder) verifyGroups(groups map[uint32]*wal.Group) {
 	for i := range f.Groups {
 		f.verifyGroup(&f.Groups[i], groups[f.Groups[i].Shard])
@@ -88,11 +87,7 @@
 		if entry.Kind != consensus.EntryCommand {
 			continue
 		}
-		err := tried.readable(entry)
-		if err == nil && entry.Index <= group.Commit {
-			err = tried.carryOut(entry)
-		}
-		if err != nil {
+		if err := tried.carryOut(entry); err != nil {
 			f.entryFault(group.Shard, entry, err)
 		}
 	}
@@ -101,13 +96,12 @@
 
 type configurationMachine struct{ *configuration.State }
 
-func (m *configurationMachine) readable(entry *consensus.Entry) error {
-	_, err := configuration.DecodeCommand(entry.Data)
-	return err
-}
-
 func (m *configurationMachine) carryOut(entry *consensus.Entry) error {
-	m.Apply(entry.Index, entry.Term, entry.Data) // a refusal is an outcome as good as any
+	command, err := configuration.DecodeCommand(entry.Data)
+	if err != nil {
+		return err
+	}
+	m.Execute(command)
 	return nil
 }
 
@@ -125,11 +119,6 @@
 
 type jobsMachine struct{ *jobs.State }
 
-func (m *jobsMachine) readable(entry *consensus.Entry) error {
-	_, err := jobs.Decode(entry.Data)
-	return err
-}
-
 func (m *jobsMachine) carryOut(entry *consensus.Entry) error {
 	command, err := jobs.Decode(entry.Data)
 	if err != nil {
--- a/internal/administration/jobs.go
+++ b/internal/administration/jobs.go
@@ -134,8 +134,28 @@
 	return "", 0, failure.Newf(failure.Gone, "no shard knows a job %q", id)
 }
 
-// Jobs returns the jobs of a queue (empty: of all) whose state is kept, by shard and id.
+// Jobs returns the jobs of a queue (empty: of all) whose state is kept, by shard and id. A queue without a route, and
+// without jobs of the time when it had one, is the error NoRoute.
 func (c *Client) Jobs(ctx context.Context, queue string) ([]Job, error) {
+	if queue == "" {
+		return c.listJobs(ctx, "")
+	}
+	document, err := c.document(ctx)
+	if err != nil {
+		return nil, err
+	}
+	route, missing := findQueue(document, queue)
+	if missing == nil {
+		return c.listJobs(ctx, configuration.QueueKey(route))
+	}
+	jobs, err := c.listJobs(ctx, queue)
+	if err == nil && len(jobs) == 0 {
+		return nil, missing
+	}
+	return jobs, err
+}
+
+func (c *Client) listJobs(ctx context.Context, queue string) ([]Job, error) {
 	var jobs []Job
 	err := eachShard(func(shard protocol.ShardID) error {
 		after := ""
--- a/internal/administration/views.go
+++ b/internal/administration/views.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"ospreypond/internal/administration/identity"
 	"ospreypond/internal/protocol"
 )
 
@@ -17,18 +18,18 @@
 
 // MemberView is one control process as all reports together show it.
 type MemberView struct {
-	Node        string `json:"node"`
-	Zone        string `json:"zone"`
-	Address     string `json:"address"`
-	ID          uint64 `json:"id"`
-	Role        string `json:"role"`
-	Answers     bool   `json:"answers"`
-	Draining    bool   `json:"draining"`
-	DiskSick    bool   `json:"diskSick"`
-	Leads       int    `json:"leads"` // shards that it owns
-	UptimeMs    int64  `json:"uptimeMs"`
-	LogBytes    int64  `json:"logBytes"`
-	MemoryBytes uint64 `json:"memoryBytes"`
+	Node        string      `json:"node"`
+	Zone        string      `json:"zone"`
+	Address     string      `json:"address"`
+	ID          identity.ID `json:"id"`
+	Role        string      `json:"role"`
+	Answers     bool        `json:"answers"`
+	Draining    bool        `json:"draining"`
+	DiskSick    bool        `json:"diskSick"`
+	Leads       int         `json:"leads"` // shards that it owns
+	UptimeMs    int64       `json:"uptimeMs"`
+	LogBytes    int64       `json:"logBytes"`
+	MemoryBytes uint64      `json:"memoryBytes"`
 }
 
 // State is how the process stands, in one word.
@@ -74,7 +75,7 @@
 		Node:        report.Node,
 		Zone:        report.Zone,
 		Address:     report.Address,
-		ID:          report.Identity,
+		ID:          identity.ID(report.Identity),
 		Role:        RoleNone,
 		Answers:     true,
 		Draining:    report.Draining,
@@ -95,7 +96,7 @@
 func addMembership(views map[uint64]*MemberView, member MemberReport) {
 	view := views[member.ID]
 	if view == nil {
-		view = &MemberView{Node: member.Node, Zone: member.Zone, Address: member.Address, ID: member.ID}
+		view = &MemberView{Node: member.Node, Zone: member.Zone, Address: member.Address, ID: identity.ID(member.ID)}
 		views[member.ID] = view
 	}
 	switch {
@@ -149,14 +150,14 @@
 
 // ShardMember is one member of a shard.
 type ShardMember struct {
-	Node    string `json:"node"`
-	Address string `json:"address"`
-	ID      uint64 `json:"id"`
-	Learner bool   `json:"learner"`
-	Answers bool   `json:"answers"`
-	Commit  uint64 `json:"commit"`
-	Applied uint64 `json:"applied"`
-	Lacking uint64 `json:"lacking"` // entries of the owner's that it has not acknowledged; without owner, not committed there
+	Node    string      `json:"node"`
+	Address string      `json:"address"`
+	ID      identity.ID `json:"id"`
+	Learner bool        `json:"learner"`
+	Answers bool        `json:"answers"`
+	Commit  uint64      `json:"commit"`
+	Applied uint64      `json:"applied"`
+	Lacking uint64      `json:"lacking"` // entries of the owner's that it has not acknowledged; without owner, not committed there
 }
 
 // Shards puts the reports together.
@@ -207,7 +208,7 @@
 
 func shardMember(reports []Report, group *GroupReport, member *MemberReport) ShardMember {
 	view := ShardMember{
-		Node: member.Node, Address: member.Address, ID: member.ID, Learner: member.Learner, Lacking: member.Entries,
+		Node: member.Node, Address: member.Address, ID: identity.ID(member.ID), Learner: member.Learner, Lacking: member.Entries,
 	}
 	for i := range reports {
 		if reports[i].Identity != member.ID {
--- /dev/null
+++ b/internal/cli/fake_test.go
@@ -0,0 +1,177 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/administration"
+	"ospreypond/internal/administration/archive"
+	"ospreypond/internal/configuration"
+	"ospreypond/internal/jobs"
+	"ospreypond/internal/protocol"
+)
+
+// fakeSystem answers as it was told, and keeps what it was asked.
+type fakeSystem struct {
+	err     error // of every call
+	version uint64
+	body    string
+	known   bool
+	state   string
+	jobs    []administration.Job
+	reports []administration.Report
+	runners []administration.Runner
+	left    int
+	backup  *archive.Archive
+
+	addresses []string
+	calls     []string
+	orders    []order
+	submitted *protocol.JobSpec
+	closed    bool
+}
+
+// order is a change that was ordered.
+type order struct {
+	kind string
+	base uint64
+	body string
+}
+
+func (f *fakeSystem) note(parts ...string) { f.calls = append(f.calls, strings.Join(parts, " ")) }
+
+func (f *fakeSystem) ReadConfiguration(context.Context) (uint64, []byte, error) {
+	f.note("read")
+	return f.version, []byte(f.body), f.err
+}
+
+func (f *fakeSystem) Configure(_ context.Context, kind string, base uint64, body []byte) (uint64, error) {
+	f.note("configure")
+	f.orders = append(f.orders, order{kind, base, string(body)})
+	return 9, f.err
+}
+
+func (f *fakeSystem) Submit(_ context.Context, queue, id string, job *protocol.JobSpec) (bool, error) {
+	f.note("submit", queue, id)
+	f.submitted = job
+	return f.known, f.err
+}
+
+func (f *fakeSystem) Status(_ context.Context, id string) (string, error) {
+	f.note("status", id)
+	return f.state, f.err
+}
+
+func (f *fakeSystem) Cancel(_ context.Context, id string) error {
+	f.note("cancel", id)
+	return f.err
+}
+
+func (f *fakeSystem) Jobs(_ context.Context, queue string) ([]administration.Job, error) {
+	f.note("jobs", queue)
+	return f.jobs, f.err
+}
+
+func (f *fakeSystem) Reports(context.Context) ([]administration.Report, error) {
+	f.note("reports")
+	return f.reports, f.err
+}
+
+func (f *fakeSystem) Runners(context.Context) ([]administration.Runner, error) {
+	f.note("runners")
+	return f.runners, f.err
+}
+
+func (f *fakeSystem) Drain(_ context.Context, node string) (int, error) {
+	f.note("drain", node)
+	return f.left, f.err
+}
+
+func (f *fakeSystem) Backup(context.Context) (*archive.Archive, error) {
+	f.note("backup")
+	return f.backup, f.err
+}
+
+func (f *fakeSystem) Close() { f.closed = true }
+
+// outcome is what a command line came to.
+type outcome struct {
+	status   int
+	out, err string
+}
+
+// command runs a command line on a fake system; words are parted by spaces.
+func command(system *fakeSystem, input, line string) outcome {
+	var out, err bytes.Buffer
+	std := Streams{In: strings.NewReader(input), Out: &out, Err: &err}
+	dial := func(addresses []string) (administrator, error) {
+		for _, address := range addresses {
+			if !strings.Contains(address, ":") {
+				return nil, errors.New("not an address")
+			}
+		}
+		system.addresses = addresses
+		return system, nil
+	}
+	noVariables := func(string) string { return "" }
+	return outcome{mainWith(strings.Fields(line), std, noVariables, dial), out.String(), err.String()}
+}
+
+// file writes a file for a test and returns its path.
+func file(name, content string) string {
+	path := filepath.Join(GinkgoT().TempDir(), name)
+	Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+	return path
+}
+
+// sampleBackup is a backup of a system in which nothing happened.
+func sampleBackup() *archive.Archive {
+	made := &archive.Archive{}
+	for id := uint32(1); id <= protocol.JobShards; id++ {
+		data, err := jobs.New(jobs.Options{}).Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		made.Shards = append(made.Shards, archive.Shard{ID: id, Index: 3, Term: 2, Data: data})
+	}
+	data, err := configuration.NewState().Snapshot()
+	Expect(err).NotTo(HaveOccurred())
+	made.Shards = append(made.Shards, archive.Shard{ID: uint32(protocol.ConfigurationShard), Index: 4, Term: 2, Data: data})
+	return made
+}
+
+// sampleReports are two of three control processes: "b" owns the configuration, shard 1 has no owner.
+func sampleReports() []administration.Report {
+	members := []administration.MemberReport{
+		{Member: protocol.Member{ID: 1, Node: "a", Zone: "z1", Address: "10.0.0.1:7380"}},
+		{Member: protocol.Member{ID: 2, Node: "b", Zone: "z2", Address: "10.0.0.2:7380"}},
+		{Member: protocol.Member{ID: 3, Node: "c", Zone: "z3", Address: "10.0.0.3:7380"}, Learner: true},
+	}
+	owned := []administration.MemberReport{members[0], members[1], members[2]}
+	owned[0].Entries, owned[2].Entries = 2, 40
+	return []administration.Report{
+		{Node: "a", Zone: "z1", Address: "10.0.0.1:7380", Identity: 1, UptimeMs: 61_000, LogBytes: 5000, MemoryBytes: 20_000_000,
+			Groups: []administration.GroupReport{
+				{Shard: 0, Term: 4, Leader: 2, Commit: 38, Applied: 38, Last: 38, Members: members},
+				{Shard: 1, Term: 2, Commit: 7, Applied: 7, Last: 7, Members: members},
+			}},
+		{Node: "b", Zone: "z2", Address: "10.0.0.2:7380", Identity: 2, UptimeMs: 5_000, Draining: true,
+			Groups: []administration.GroupReport{
+				{Shard: 0, Term: 4, Leader: 2, Owner: true, Commit: 40, Applied: 40, Last: 40, Members: owned,
+					StateBytes: 1200, LogBytes: 300, ConfigurationVersion: 12},
+				{Shard: 1, Term: 2, Commit: 5, Applied: 5, Last: 7, Members: members},
+			}},
+	}
+}
+
+// emptyState is a folder that a control process left.
+func emptyState() string {
+	dir := filepath.Join(GinkgoT().TempDir(), "data")
+	Expect(sampleBackup().Restore(dir, archive.Process{Node: "a", Zone: "z", Address: "10.0.0.1:7380"})).To(Succeed())
+	return dir
+}
--- a/internal/cli/system.go
+++ b/internal/cli/system.go
@@ -162,6 +162,19 @@
 	return err
 }
 
+// needs returns a check that a command is given exactly the named arguments.
+func needs(names ...string) cobra.PositionalArgs {
+	return func(_ *cobra.Command, args []string) error {
+		if len(args) < len(names) {
+			return fmt.Errorf("%s is missing", names[len(args)])
+		}
+		if len(args) > len(names) {
+			return fmt.Errorf("%q is one argument too many", args[len(names)])
+		}
+		return nil
+	}
+}
+
 // print writes value as JSON, or text by the function.
 func (c *connection) print(value any, text func(w io.Writer)) error {
 	if c.output == formJSON {
--- a/internal/cli/system_cluster.go
+++ b/internal/cli/system_cluster.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -15,7 +15,7 @@
 )
 
 func (s *systemCommands) newMembers() *cobra.Command {
-	return s.connect(&cobra.Command{Use: "members", Short: "List the control processes and how they stand", Args: cobra.NoArgs,
+	return s.connect(&cobra.Command{Use: "members", Short: "List the control processes and how they stand", Args: needs(),
 		Long: "List the control processes: those that answer, and those that are members of a shard and do not. LEADS counts the\n" +
 			"shards that a process owns; ROLE is voter, learner (it catches up) or none (not a member yet).\n" +
 			"The exit status is 1 if a voter does not answer or a disk is sick.",
@@ -29,10 +29,13 @@
 			if err := c.print(members, func(w io.Writer) { table(w, memberRows(members)) }); err != nil {
 				return err
 			}
-			if slices.ContainsFunc(members, administration.MemberView.Troubled) {
-				return errSaid
+			var faults []string
+			for _, member := range members {
+				if member.Troubled() {
+					faults = append(faults, fmt.Sprintf("%s at %s is %s", member.Node, member.Address, member.State()))
+				}
 			}
-			return nil
+			return foundFaults(faults)
 		})
 }
 
@@ -46,14 +49,13 @@
 		if m.DiskSick {
 			disk = "sick"
 		}
-		id := strconv.FormatUint(m.ID, 16)
-		rows = append(rows, []string{m.Node, m.Zone, m.Address, id, m.Role, m.State(), strconv.Itoa(m.Leads), up, disk, memory})
+		rows = append(rows, []string{m.Node, m.Zone, m.Address, m.ID.String(), m.Role, m.State(), strconv.Itoa(m.Leads), up, disk, memory})
 	}
 	return rows
 }
 
 func (s *systemCommands) newShards() *cobra.Command {
-	return s.connect(&cobra.Command{Use: "shards", Short: "List the shards: owner, term, and how far each member is", Args: cobra.NoArgs,
+	return s.connect(&cobra.Command{Use: "shards", Short: "List the shards: owner, term, and how far each member is", Args: needs(),
 		Long: "List the shards: 0 holds the configuration, the others jobs. For each its owner, term, commit index, the size of its\n" +
 			"state and of its log after the newest snapshot; and each member with the entries that it lacks.\n" +
 			"The exit status is 1 if a shard has no owner.",
@@ -68,13 +70,24 @@
 			if err := c.print(shards, func(w io.Writer) { table(w, shardRows(shards)) }); err != nil {
 				return err
 			}
-			if slices.ContainsFunc(shards, func(shard administration.ShardView) bool { return shard.Owner == "" }) {
-				return errSaid
+			var faults []string
+			for _, shard := range shards {
+				if shard.Owner == "" {
+					faults = append(faults, fmt.Sprintf("shard %d has no owner that answers", shard.Shard))
+				}
 			}
-			return nil
+			return foundFaults(faults)
 		})
 }
 
+// foundFaults is the error of a command that has found something wrong.
+func foundFaults(faults []string) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	return errors.New(strings.Join(faults, "; "))
+}
+
 func shardRows(shards []administration.ShardView) [][]string {
 	rows := [][]string{{"SHARD", "OWNER", "TERM", "COMMIT", "STATE", "LOG", "HOLDS", "MEMBERS (APPLIED, LACKING)"}}
 	for _, shard := range shards {
@@ -128,7 +141,7 @@
 }
 
 func (s *systemCommands) newRunners() *cobra.Command {
-	return s.connect(&cobra.Command{Use: "runners", Short: "List the runners: state, capacity, what is free, distrust, holds", Args: cobra.NoArgs,
+	return s.connect(&cobra.Command{Use: "runners", Short: "List the runners: state, capacity, what is free, distrust, holds", Args: needs(),
 		Long: "List the runners as the owners of their shards know them. Amounts are cores, MB of memory and accelerators, free of\n" +
 			"all. DISTRUST is 0 for a runner that fails nothing, up to 1 for one that fails all it starts; HOLD is how long what\n" +
 			"runs there may go on without another heartbeat.",
@@ -160,7 +173,7 @@
 }
 
 func (s *systemCommands) newDrain() *cobra.Command {
-	return s.connect(&cobra.Command{Use: "drain NODE", Short: "Have a control process give its leaderships away", Args: cobra.ExactArgs(1),
+	return s.connect(&cobra.Command{Use: "drain NODE", Short: "Have a control process give its leaderships away", Args: needs("NODE"),
 		Long: "Have a control process, named by its node or internal address, give away the shards that it owns, before its machine\n" +
 			"is looked after. It goes on as a member and owns nothing until it is started again.",
 		Example: "  ospreypond drain control-2 --control 127.77.0.11:7380"},
--- a/internal/cli/system_config.go
+++ b/internal/cli/system_config.go
@@ -24,7 +24,7 @@
 func (s *systemCommands) newConfigCheck() *cobra.Command {
 	made := &connection{system: s}
 	settings := false
-	c := &cobra.Command{Use: "check FILE", Short: "Tell whether a configuration would be taken", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: "check FILE", Short: "Tell whether a configuration would be taken", Args: needs("FILE"),
 		Long: "Read a configuration (- for the standard input) and tell what is wrong with it. With --control it is tried on\n" +
 			"the configuration in force, as 'apply' would; without, a whole configuration is checked by itself. A file with\n" +
 			"\"upsert\" or \"remove\" is an update, which only a running system can be asked about.",
@@ -88,7 +88,7 @@
 }
 
 func (s *systemCommands) newConfigGet() *cobra.Command {
-	return s.connect(&cobra.Command{Use: "get", Short: "Print the newest configuration", Args: cobra.NoArgs,
+	return s.connect(&cobra.Command{Use: "get", Short: "Print the newest configuration", Args: needs(),
 		Long: "Print the newest configuration, whole, as JSON. Change it, give it a higher \"version\", and 'apply' it.",
 		Example: "  ospreypond config get --control 127.77.0.11:7380 > routes.json\n" +
 			"  ospreypond config get -o json | jq .routes"},
@@ -103,7 +103,7 @@
 
 func (s *systemCommands) newConfigApply() *cobra.Command {
 	base := int64(-1)
-	c := &cobra.Command{Use: "apply FILE", Short: "Put a configuration in force", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: "apply FILE", Short: "Put a configuration in force", Args: needs("FILE"),
 		Long: "Put a configuration (- for the standard input) in force: a whole one, or an update with \"upsert\" and \"remove\".\n" +
 			"Its \"version\" must be above the one in force. It is taken only if the version that it builds on is still in\n" +
 			"force: --base, or else the newest. Applying the same file on the same base again is safe.",
@@ -140,7 +140,7 @@
 
 func (s *systemCommands) newConfigDiff() *cobra.Command {
 	status := false
-	c := &cobra.Command{Use: "diff FILE", Short: "Tell what applying a configuration would change", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: "diff FILE", Short: "Tell what applying a configuration would change", Args: needs("FILE"),
 		Long: "Compare the newest configuration with what it would be once a file (- for the standard input) was applied, item\n" +
 			"by item: + comes new, - goes, ~ changes.",
 		Example: "  ospreypond config diff routes.json --control 127.77.0.11:7380"}
--- a/internal/cli/system_jobs.go
+++ b/internal/cli/system_jobs.go
@@ -37,7 +37,7 @@
 
 func (s *systemCommands) newJobsSubmit() *cobra.Command {
 	var queue, id string
-	c := &cobra.Command{Use: "submit FILE", Short: "Hand a job in", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: "submit FILE", Short: "Hand a job in", Args: needs("FILE"),
 		Long: "Hand a job in (- for the standard input): JSON with \"spec\" and \"steps\", as clients send it. The queue is named\n" +
 			"by the host and the path prefix of its route. Without --id one is drawn and printed. Handing the same id in again\n" +
 			"is safe: it stays one job.",
@@ -93,7 +93,7 @@
 }
 
 func (s *systemCommands) newJobsStatus() *cobra.Command {
-	return s.connect(&cobra.Command{Use: "status ID", Short: "Print a job's state", Args: cobra.ExactArgs(1),
+	return s.connect(&cobra.Command{Use: "status ID", Short: "Print a job's state", Args: needs("ID"),
 		Long:    "Print a job's state: queued, running, completed, failed or cancelled.",
 		Example: "  ospreypond jobs status 5c0e7a21d94b36f8 --control 127.77.0.11:7380"},
 		func(ctx context.Context, c *connection, system administrator, args []string) error {
@@ -109,7 +109,7 @@
 }
 
 func (s *systemCommands) newJobsCancel() *cobra.Command {
-	return s.connect(&cobra.Command{Use: "cancel ID", Short: "Cancel a job", Args: cobra.ExactArgs(1),
+	return s.connect(&cobra.Command{Use: "cancel ID", Short: "Cancel a job", Args: needs("ID"),
 		Long:    "Cancel a job. Its tasks are stopped; a job that has ended stays as it is.",
 		Example: "  ospreypond jobs cancel 5c0e7a21d94b36f8 --control 127.77.0.11:7380"},
 		func(ctx context.Context, c *connection, system administrator, args []string) error {
@@ -129,7 +129,7 @@
 
 func (s *systemCommands) newJobsList() *cobra.Command {
 	var queue string
-	c := &cobra.Command{Use: "list", Short: "List the jobs whose state is kept", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "list", Short: "List the jobs whose state is kept", Args: needs(),
 		Long: "List the jobs that have not ended, and those that have ended a short time ago. TASKS counts those of the times\n" +
 			"that are under way: done, running, all.",
 		Example: "  ospreypond jobs list --queue demo.local/jobs/ --control 127.77.0.11:7380\n" +
--- a/internal/cli/system_local.go
+++ b/internal/cli/system_local.go
@@ -11,7 +11,7 @@
 
 func (s *systemCommands) newLocal() *cobra.Command {
 	options := local.Options{Network: local.StandardNetwork, Out: s.std.Out}
-	c := &cobra.Command{Use: "local", Short: "Run a small system on this machine", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "local", Short: "Run a small system on this machine", Args: needs(),
 		Long: "Run three control processes, two frontends, and two agents with stand-in runners on addresses of loopback, in the\n" +
 			"foreground; Ctrl-C ends all in order. The folder keeps settings, logs and data: started again with it, the system\n" +
 			"goes on from there. The queue demo.local/jobs/ is there from the start; a task's \"spec\" tells the stand-in runners\n" +
--- a/internal/cli/system_state.go
+++ b/internal/cli/system_state.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -18,18 +20,18 @@
 func (s *systemCommands) newStateInspect() *cobra.Command {
 	return s.newState("inspect DIR", "Print what the folder of a control process holds", false,
 		"Read the folder (dataDir) of a control process that does not run, and print for each shard its term, commit, members,\n"+
-			"snapshot and entries. Nothing is changed. The exit status is 1 if there is damage, which is named by file and offset.")
+			"snapshot and entries; COMMIT is as last written. Nothing is changed. The exit status is 1 if there is damage, which is named by file and offset.")
 }
 
 func (s *systemCommands) newStateVerify() *cobra.Command {
 	return s.newState("verify DIR", "Check all that the folder of a control process holds", true,
 		"Read the folder (dataDir) of a control process that does not run, compare all with its checksums, restore every\n"+
-			"snapshot and carry out every committed entry. Nothing is changed. The exit status is 1 if there is a fault.")
+			"snapshot and carry out every entry: HOLDS is what comes of it. Nothing is changed. The exit status is 1 if there is a fault.")
 }
 
 func (s *systemCommands) newState(use, short string, verify bool, long string) *cobra.Command {
 	made := &connection{system: s}
-	c := &cobra.Command{Use: use, Short: short, Long: long, Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: use, Short: short, Long: long, Args: needs("DIR"),
 		Example: "  ospreypond state " + strings.Fields(use)[0] + " /tmp/osprey/control-1/data",
 		RunE: func(_ *cobra.Command, args []string) error {
 			if err := made.checkOutput(); err != nil {
@@ -56,16 +58,14 @@
 	for _, file := range folder.Files {
 		bytes += file.Bytes
 	}
-	fmt.Fprintf(w, "identity %x, %d files, %s\n", folder.Identity, len(folder.Files), size(bytes))
-	rows := [][]string{{"SHARD", "TERM", "COMMIT", "SNAPSHOT", "BYTES", "ENTRIES", "FROM", "TO", "MEMBERS", "HOLDS"}}
-	for _, group := range folder.Groups {
-		rows = append(rows, []string{
-			strconv.Itoa(int(group.Shard)), strconv.FormatUint(group.Term, 10), strconv.FormatUint(group.Commit, 10),
-			strconv.FormatUint(group.SnapshotIndex, 10), size(int64(group.SnapshotBytes)), strconv.Itoa(group.Entries),
-			strconv.FormatUint(group.First, 10), strconv.FormatUint(group.Last, 10), folderMembers(group.Members), group.Holds,
-		})
+	if folder.Identity == 0 {
+		fmt.Fprintf(w, "%s: %d files, %s\n", folder.Dir, len(folder.Files), size(bytes))
+	} else {
+		fmt.Fprintf(w, "%s: identity %v, %d files, %s\n", folder.Dir, folder.Identity, len(folder.Files), size(bytes))
+	}
+	if len(folder.Groups) > 0 {
+		table(w, folderRows(folder))
 	}
-	table(w, rows)
 	for _, fault := range folder.Faults {
 		if fault.File == "" {
 			fmt.Fprintf(w, "fault: %s\n", fault.Reason)
@@ -78,6 +78,26 @@
 	}
 }
 
+// folderRows has a column more if the folder was verified.
+func folderRows(folder *inspect.Folder) [][]string {
+	rows := [][]string{{"SHARD", "TERM", "COMMIT", "SNAPSHOT", "BYTES", "ENTRIES", "FROM", "TO", "MEMBERS"}}
+	if folder.Verified {
+		rows[0] = append(rows[0], "HOLDS")
+	}
+	for _, group := range folder.Groups {
+		row := []string{
+			strconv.Itoa(int(group.Shard)), strconv.FormatUint(group.Term, 10), strconv.FormatUint(group.Commit, 10),
+			strconv.FormatUint(group.SnapshotIndex, 10), size(int64(group.SnapshotBytes)), strconv.Itoa(group.Entries),
+			strconv.FormatUint(group.First, 10), strconv.FormatUint(group.Last, 10), folderMembers(group.Members),
+		}
+		if folder.Verified {
+			row = append(row, group.Holds)
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
 func folderMembers(members []inspect.Member) string {
 	var names []string
 	for _, member := range members {
@@ -97,11 +117,14 @@
 const backupTimeout = time.Minute
 
 func (s *systemCommands) newBackup() *cobra.Command {
-	c := &cobra.Command{Use: "backup FILE", Short: "Write the state of a running system to a file", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: "backup FILE", Short: "Write the state of a running system to a file", Args: needs("FILE"),
 		Long: "Write the state of every shard to a file that is not there yet. It holds all that was acknowledged before the\n" +
 			"command began. The shards are read one after the other, each from its owner, the configuration last.",
 		Example: "  ospreypond backup monday.backup --control 127.77.0.11:7380"}
 	s.connect(c, func(ctx context.Context, made *connection, system administrator, args []string) error {
+		if _, err := os.Lstat(args[0]); err == nil {
+			return fmt.Errorf("%s is there already", args[0])
+		}
 		backup, err := system.Backup(ctx)
 		if err != nil {
 			return err
@@ -138,7 +161,7 @@
 	made := &connection{system: s}
 	var dir, settingsPath string
 	var process archive.Process
-	c := &cobra.Command{Use: "restore FILE", Short: "Write a backup into the empty folder of a control process", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: "restore FILE", Short: "Write a backup into the empty folder of a control process", Args: needs("FILE"),
 		Long: "Write a backup into the empty or missing folder of the one control process that the system starts again from. Start\n" +
 			"it, with \"bootstrap\" false, then the others with empty folders and its address among their seeds: they join by\n" +
 			"themselves. Start frontends and runners anew, too, since they have seen a later state.",
@@ -160,6 +183,9 @@
 		case process.Node == "" || process.Address == "":
 			return usageError{fmt.Errorf("--settings, or --node and --address, must tell which process the folder is for")}
 		}
+		if _, err := netip.ParseAddrPort(process.Address); err != nil {
+			return usageError{fmt.Errorf("--address: an ip:port is due, found %q", process.Address)}
+		}
 		backup, err := archive.Read(args[0])
 		if err != nil {
 			return err
--- /dev/null
+++ b/internal/cli/system_test.go
@@ -0,0 +1,287 @@
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/administration"
+	"ospreypond/internal/protocol"
+
+	faults "ospreypond/internal/failure"
+)
+
+const job = `{"spec":"x","steps":[{"count":2,"cpu":100}]}`
+
+const small = `{"version":5,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","timeoutMs":9,"service":"s"}],` +
+	`"services":[{"name":"s"}],"limits":{"maxBodyBytes":5}}`
+
+var _ = DescribeTable("what is not understood ends with 2 and says why, and the system is not asked",
+	func(line, said string) {
+		system := &fakeSystem{}
+		ended := command(system, job, line)
+		Expect(ended.status).To(Equal(usageFault), ended.err)
+		Expect(ended.err).To(ContainSubstring(said))
+		Expect(ended.err).To(ContainSubstring("--help"))
+		Expect(ended.out).To(BeEmpty())
+		Expect(system.calls).To(BeEmpty())
+	},
+	Entry(nil, "members", "--control is missing, and OSPREYPOND_CONTROL is not set"),
+	Entry(nil, "members --control nonsense", "--control: not an address"),
+	Entry(nil, "members --control a:1 --timeout 0s", "--timeout: 0s is not above 0"),
+	Entry(nil, "members --control a:1 --timeout soon", `invalid argument "soon"`),
+	Entry(nil, "members --control a:1 -o xml", `--output: "xml" is neither text nor json`),
+	Entry(nil, "members --control a:1 all", `"all" is one argument too many`),
+	Entry(nil, "members --nonsense", "unknown flag: --nonsense"),
+	Entry(nil, "shards --control a:1 1", "one argument too many"),
+	Entry(nil, "runners --control a:1 1", "one argument too many"),
+	Entry(nil, "drain --control a:1", "NODE is missing"),
+	Entry(nil, "config", "a command is missing"),
+	Entry(nil, "config forget", `unknown command "forget"`),
+	Entry(nil, "config check", "FILE is missing"),
+	Entry(nil, "config check - -o yaml", "--output"),
+	Entry(nil, "config apply --control a:1", "FILE is missing"),
+	Entry(nil, "config apply - --base -3 --control a:1", "--base: -3 is no version"),
+	Entry(nil, "config apply - --base new --control a:1", `invalid argument "new"`),
+	Entry(nil, "config diff --control a:1", "FILE is missing"),
+	Entry(nil, "jobs", "a command is missing"),
+	Entry(nil, "jobs submit - --control a:1", "--queue is missing"),
+	Entry(nil, "jobs submit - --control a:1 --queue h/p --id 12", `--id: "12" is no job`),
+	Entry(nil, "jobs submit --queue h/p --control a:1", "FILE is missing"),
+	Entry(nil, "jobs status --control a:1", "ID is missing"),
+	Entry(nil, "jobs status nonsense --control a:1", `"nonsense" is no job: it has 16 hex digits`),
+	Entry(nil, "jobs cancel 5c0e7a21d94b36f --control a:1", "is no job"),
+	Entry(nil, "jobs list h/p --control a:1", "one argument too many"),
+	Entry(nil, "state", "a command is missing"),
+	Entry(nil, "state verify", "DIR is missing"),
+	Entry(nil, "state inspect /tmp -o xml", "--output"),
+	Entry(nil, "backup --control a:1", "FILE is missing"),
+	Entry(nil, "restore", "FILE is missing"),
+	Entry(nil, "restore x", "--dir is missing"),
+	Entry(nil, "restore x --dir y", "must tell which process the folder is for"),
+	Entry(nil, "restore x --dir y --node a --address b", `--address: an ip:port is due, found "b"`),
+	Entry(nil, "local", "--dir is missing"),
+	Entry(nil, "local now --dir x", "one argument too many"),
+)
+
+var _ = DescribeTable("faults end with 1, by name",
+	func(line, input string, err error, said ...string) {
+		ended := command(&fakeSystem{err: err, version: 5, body: small}, input, line)
+		Expect(ended.status).To(Equal(failure), ended.err)
+		for _, part := range said {
+			Expect(ended.err).To(ContainSubstring(part))
+		}
+	},
+	Entry("a system that is away", "shards --control a:1", "", faults.New(faults.Unavailable, "nobody"),
+		"unavailable: nobody", "What to do: look at `members`"),
+	Entry("an order in doubt", "config apply - --control a:1 --base 5", small, faults.New(faults.UnknownOutcome, "cut"),
+		"unknown_outcome: cut", "What to do: send the same request again"),
+	Entry("another version", "config apply - --control a:1 --base 5", small, faults.New(faults.Conflict, "7 is current"),
+		"conflict: 7 is current", "What to do: read the configuration"),
+	Entry("a fault without a kind", "members --control a:1", "", errors.New("burnt down"), "ospreypond members: burnt down\n"),
+	Entry("an unknown job", "jobs status 5c0e7a21d94b36f8 --control a:1", "", faults.New(faults.Gone, "never heard of"),
+		"gone: never heard of"),
+	Entry("no queue", "jobs submit - --queue h/q --control a:1", job, faults.New(faults.NoRoute, "there is no queue"),
+		"job ", ": no_route: there is no queue"),
+	Entry("a job that is none", "jobs submit - --queue h/q --control a:1", "soon", nil, "- is not a job: invalid character"),
+	Entry("a job without steps", "jobs submit - --queue h/q --control a:1", "{}", nil, "steps is missing or empty"),
+	Entry("a job that is a list", "jobs submit - --queue h/q --control a:1", "[]", nil, "- is not a job"),
+	Entry("a missing file", "config check /no/such/file", "", nil, "no such file"),
+	Entry("a cut configuration", "config check -", `{"version":1`, nil, "-: invalid: the body is not one whole JSON value"),
+	Entry("an unknown service", "config check -", strings.Replace(small, `"s"}],"l`, `"t"}],"l`, 1), nil, "-: invalid", `"s"`),
+	Entry("an update by itself", "config check -", `{"version":6,"upsert":{}}`, nil, "give --control"),
+	Entry("an old version", "config check - --control a:1", small, nil, "invalid: version 5 is not above the current 5"),
+	Entry("settings with faults", "config check --settings -", `{"ip":"x","seeds":5}`, nil,
+		"nodeName: is missing", `ip: an IP address is due, found "x"`, "seeds: a list of texts is due"),
+	Entry("a folder that is not there", "state verify /no/such/folder", "", nil, "no such file"),
+	Entry("a backup that is none", "restore /etc/hostname --dir /no/such --node a --address 10.0.0.1:7380", "", nil,
+		"/etc/hostname: it is not a backup"),
+	Entry("a file that is there", "backup /etc/hostname --control a:1", "", nil, "/etc/hostname is there already"),
+	Entry("a network that is not loopback", "local --dir /tmp/x --network 10.0.0", "", nil, `network "10.0.0" is not of the form 127.N.N`),
+)
+
+var _ = DescribeTable("what commands ask the system, and say",
+	func(line, input string, system *fakeSystem, calls []string, out string) {
+		ended := command(system, input, line)
+		Expect(ended.err).To(BeEmpty())
+		Expect(ended.status).To(Equal(ok))
+		Expect(ended.out).To(Equal(out))
+		Expect(system.calls).To(Equal(calls))
+		Expect(system.closed).To(BeTrue())
+	},
+	Entry("a job", "jobs submit - --queue h/p --id 5c0e7a21d94b36f8 --control a:1,b:2", job, &fakeSystem{},
+		[]string{"submit h/p 5c0e7a21d94b36f8"}, "5c0e7a21d94b36f8\n"),
+	Entry("a job again", "jobs submit - --queue h/p --id 5c0e7a21d94b36f8 --control a:1", job, &fakeSystem{known: true},
+		[]string{"submit h/p 5c0e7a21d94b36f8"}, "5c0e7a21d94b36f8 was taken before\n"),
+	Entry("a job in JSON", "jobs submit - -o json --queue h/p --id 5c0e7a21d94b36f8 --control a:1", job, &fakeSystem{},
+		[]string{"submit h/p 5c0e7a21d94b36f8"}, "{\n  \"id\": \"5c0e7a21d94b36f8\",\n  \"known\": false\n}\n"),
+	Entry("a state", "jobs status 5C0E7A21D94B36F8 --control a:1", "", &fakeSystem{state: "running"},
+		[]string{"status 5C0E7A21D94B36F8"}, "running\n"),
+	Entry("a state in JSON", "jobs status 5c0e7a21d94b36f8 -o json --control a:1", "", &fakeSystem{state: "failed"},
+		[]string{"status 5c0e7a21d94b36f8"}, "{\n  \"id\": \"5c0e7a21d94b36f8\",\n  \"state\": \"failed\"\n}\n"),
+	Entry("a cancel", "jobs cancel 5c0e7a21d94b36f8 --control a:1", "", &fakeSystem{state: "cancelled"},
+		[]string{"cancel 5c0e7a21d94b36f8", "status 5c0e7a21d94b36f8"}, "cancelled\n"),
+	Entry("no jobs in JSON", "jobs list -o json --control a:1", "", &fakeSystem{}, []string{"jobs "}, "[]\n"),
+	Entry("jobs of a queue", "jobs list --queue h/p --control a:1", "",
+		&fakeSystem{jobs: []administration.Job{{ID: "5c0e7a21d94b36f8", Queue: "h/p/", Service: "s", State: "running", Done: 1, Running: 2, Tasks: 4}}},
+		[]string{"jobs h/p"},
+		"ID                QUEUE  SERVICE  STATE    ACCEPTED              TASKS\n"+
+			"5c0e7a21d94b36f8  h/p/   s        running  1970-01-01T00:00:00Z  1/2/4\n"),
+	Entry("a configuration", "config get --control a:1", "", &fakeSystem{version: 3, body: `{"version":3}`},
+		[]string{"read"}, "{\n  \"version\": 3\n}\n"),
+	Entry("a change", "config apply - --control a:1", small, &fakeSystem{version: 4},
+		[]string{"read", "configure"}, "version 9 is in force, built on 4\n"),
+	Entry("a change on a base", "config apply - --base 3 --control a:1", small, &fakeSystem{version: 4},
+		[]string{"configure"}, "version 9 is in force, built on 3\n"),
+	Entry("a change on nothing", "config apply - --base 0 --control a:1", small, &fakeSystem{version: 4},
+		[]string{"configure"}, "version 9 is in force, built on 0\n"),
+	Entry("a check of a change", "config check - --control a:1", `{"version":6,"remove":{"routes":[]}}`, &fakeSystem{version: 5, body: small},
+		[]string{"read"}, "-: good\n"),
+	Entry("a comparison", "config diff - --control a:1", `{"version":7,"upsert":{"services":[{"name":"t"}]}}`,
+		&fakeSystem{version: 5, body: small}, []string{"read"}, "version 5 to 7\n+ services t  {\"name\":\"t\"}\n"),
+	Entry("a drain", "drain b --control a:1", "", &fakeSystem{}, []string{"drain b"}, "b owns nothing any more\n"),
+	Entry("runners", "runners --control a:1", "", &fakeSystem{runners: []administration.Runner{{
+		Instance: "i-1", Service: "s", Zone: "z", State: "ready", Labels: []string{"k", "r"}, Runs: 2, Distrust: 0.25, HoldMs: 4000,
+		Capacity: protocol.Resources{CPU: 8000, MemoryMB: 100, GPU: 1}, Free: protocol.Resources{CPU: 500, MemoryMB: 60},
+	}}}, []string{"runners"},
+		"INSTANCE  SERVICE  ZONE  STATE  CORES    MEMORY MB  GPU  RUNS  STOPS  DISTRUST  SILENT  HOLD  LABELS\n"+
+			"i-1       s        z     ready  0.5/8.0  60/100     0/1  2     0      0.25      0s      4s    k,r\n"),
+)
+
+var _ = Describe("the commands", func() {
+	It("take several addresses, also from the environment", func() {
+		system := &fakeSystem{}
+		command(system, "", "members --control a:1,b:2,,c:3")
+		Expect(system.addresses).To(Equal([]string{"a:1", "b:2", "c:3"}))
+	})
+
+	It("pass a change on as it was written", func() {
+		system := &fakeSystem{}
+		update := ` {"version":6, "remove":{"routes":["r"]}}` + "\n"
+		Expect(command(system, update, "config apply - --base 5 --control a:1").status).To(Equal(ok))
+		Expect(command(system, small, "config apply - --base 5 --control a:1").status).To(Equal(ok))
+		Expect(system.orders).To(Equal([]order{{"update", 5, update}, {"replace", 5, small}}))
+	})
+
+	It("draw a name for a job that has none", func() {
+		system := &fakeSystem{}
+		first := command(system, job, "jobs submit - --queue h/p --control a:1").out
+		second := command(system, job, "jobs submit - --queue h/p --control a:1").out
+		Expect(first).To(MatchRegexp("^[0-9a-f]{16}\n$"))
+		Expect(second).NotTo(Equal(first))
+		Expect(system.submitted.Steps[0].Count).To(Equal(2))
+	})
+
+	It("tell by the exit status, if asked, whether there is a difference", func() {
+		system := &fakeSystem{version: 5, body: small}
+		Expect(command(system, small, "config diff - --exit-code --control a:1").status).To(Equal(ok))
+		other := strings.Replace(small, `"timeoutMs":9`, `"timeoutMs":10`, 1)
+		ended := command(system, other, "config diff - --exit-code -o json --control a:1")
+		Expect(ended.status).To(Equal(failure))
+		Expect(ended.err).To(BeEmpty())
+		Expect(ended.out).To(MatchJSON(`{"from":5,"to":5,"changes":[{"section":"routes","name":"r","change":"changed",
+			"fields":[{"name":"timeoutMs","before":9,"after":10}],
+			"before":{"name":"r","host":"h","pathPrefix":"/p/","timeoutMs":9,"service":"s"},
+			"after":{"name":"r","host":"h","pathPrefix":"/p/","timeoutMs":10,"service":"s"}}]}`))
+	})
+
+	It("say in JSON that a file is not good", func() {
+		ended := command(&fakeSystem{}, "{}", "config check - -o json")
+		Expect(ended.status).To(Equal(failure))
+		Expect(ended.out).To(MatchJSON(`{"file":"-","valid":false,"fault":"invalid: there is no version"}`))
+	})
+
+	It("list members, those that are silent too", func() {
+		reports := sampleReports()
+		reports[0].DiskSick = true
+		ended := command(&fakeSystem{reports: reports}, "", "members --control a:1")
+		Expect(ended.out).To(Equal(`NODE  ZONE  ADDRESS        ID  ROLE     STATE     LEADS  UP    DISK  MEMORY
+a     z1    10.0.0.1:7380  1   voter    sick      0      1m1s  sick  20 MB
+b     z2    10.0.0.2:7380  2   voter    draining  1      5s    0 B   0 B
+c     z3    10.0.0.3:7380  3   learner  silent    0      -     -     -
+`))
+		Expect(ended.status).To(Equal(failure))
+		Expect(ended.err).To(Equal("ospreypond members: a at 10.0.0.1:7380 is sick\n"))
+	})
+
+	It("list shards with what each member lacks, and tell that one has no owner", func() {
+		ended := command(&fakeSystem{reports: sampleReports()}, "", "shards --control a:1")
+		Expect(ended.out).To(Equal(`SHARD              OWNER  TERM  COMMIT  STATE   LOG    HOLDS       MEMBERS (APPLIED, LACKING)
+0 (configuration)  b      4     40      1200 B  300 B  version 12  a 38, 2; b 40, 0; c (learner) silent
+1                  none   2     7       0 B     0 B    -           a 7, 0; b 5, 2; c (learner) silent
+`))
+		Expect(ended.status).To(Equal(failure))
+		Expect(ended.err).To(ContainSubstring("shard 1 has no owner that answers"))
+	})
+
+	It("list shards in JSON", func() {
+		ended := command(&fakeSystem{reports: sampleReports()[1:]}, "", "shards -o json --control a:1")
+		var shards []administration.ShardView
+		Expect(json.Unmarshal([]byte(ended.out), &shards)).To(Succeed())
+		Expect(shards).To(HaveLen(2))
+		Expect(shards[0].Owner).To(Equal("b"))
+		Expect(shards[0].ConfigurationVersion).To(Equal(uint64(12)))
+		Expect(shards[0].Members).To(HaveLen(3))
+	})
+
+	It("tell if a drained process could not get rid of everything", func() {
+		ended := command(&fakeSystem{left: 2}, "", "drain b --control a:1")
+		Expect(ended.status).To(Equal(failure))
+		Expect(ended.out).To(Equal("b still owns 2 shards: no other member could take them\n"))
+	})
+
+	It("back up, restore and look at what was restored", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "x.backup")
+		ended := command(&fakeSystem{backup: sampleBackup()}, "", "backup --control a:1 "+path)
+		Expect(ended.status).To(Equal(ok), ended.err)
+		Expect(ended.out).To(ContainSubstring(": 5 shards, "))
+
+		dir := filepath.Join(GinkgoT().TempDir(), "data")
+		settings := file("boot.json", `{"nodeName":"n1","role":"control","ip":"10.0.0.7","zone":"z","internalPorts":[7380,7395],"seeds":[]}`)
+		ended = command(&fakeSystem{}, "", "restore "+path+" --settings "+settings+" --dir "+dir)
+		Expect(ended.status).To(Equal(ok), ended.err)
+		Expect(ended.out).To(ContainSubstring("restored into " + dir + " for n1 at 10.0.0.7:7380"))
+
+		ended = command(&fakeSystem{}, "", "state verify "+dir)
+		Expect(ended.status).To(Equal(ok), ended.out+ended.err)
+		Expect(ended.out).To(ContainSubstring("n1"))
+		Expect(ended.out).To(HaveSuffix("no faults\n"))
+
+		ended = command(&fakeSystem{}, "", "restore "+path+" --settings "+settings+" --dir "+dir)
+		Expect(ended.status).To(Equal(failure))
+		Expect(ended.err).To(ContainSubstring("is not empty"))
+	})
+
+	It("name damage by file and offset, in text and JSON", func() {
+		dir := emptyState()
+		entries, err := os.ReadDir(dir)
+		Expect(err).NotTo(HaveOccurred())
+		for _, entry := range entries {
+			if strings.HasPrefix(entry.Name(), "snapshot-00000002") {
+				Expect(os.WriteFile(filepath.Join(dir, entry.Name()), []byte("spoilt"), 0o600)).To(Succeed())
+			}
+		}
+		ended := command(&fakeSystem{}, "", "state inspect "+dir)
+		Expect(ended.status).To(Equal(failure))
+		Expect(ended.out).To(MatchRegexp("fault: snapshot-00000002-.*state at offset 0: it is not a snapshot"))
+		ended = command(&fakeSystem{}, "", "state verify -o json "+dir)
+		Expect(ended.status).To(Equal(failure))
+		Expect(ended.out).To(ContainSubstring(`"file": "snapshot-00000002-`))
+	})
+
+	It("show help with an example for each", func() {
+		for _, line := range []string{"config check", "config get", "config apply", "config diff", "jobs submit", "jobs status",
+			"jobs cancel", "jobs list", "members", "shards", "runners", "drain", "backup", "restore", "state inspect",
+			"state verify", "local"} {
+			ended := command(&fakeSystem{}, "", line+" --help")
+			Expect(ended.status).To(Equal(ok))
+			Expect(ended.out).To(ContainSubstring("Examples:\n  "), line)
+			Expect(ended.out).To(ContainSubstring("ospreypond "+line), line)
+		}
+	})
+})
