Notice sooner that the configuration is no longer confirmed; tell runners of lost answers as temporary

A frontend cut off from the core called itself ready for 2.5 s; in calm a confirmation is at most 1.1 s old, so 1.8 s tells as much.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -196,6 +196,8 @@
 		},
 		Entry("invalid", failure.Invalid, 400),
 		Entry("overloaded", failure.Overloaded, 429),
+		Entry("an incarnation that is over", failure.Gone, 410),
+		Entry("had already", failure.Conflict, 503),
 	)
 
 	DescribeTable("are tried again at whoever owns the shard by then",
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -78,10 +78,14 @@
 }
 
 // refused is the answer to a runner whose message no owner has answered. A runner sends its next heartbeat in any case,
-// so that an unknown outcome is no news to it.
+// so that it doesn't matter to it whether this one had an effect: neither an unknown outcome, nor that the owner has
+// had this heartbeat already, and its answer is lost.
 func refused(err error) error {
-	if failure.KindOf(err) == failure.UnknownOutcome {
+	switch failure.KindOf(err) {
+	case failure.UnknownOutcome:
 		return failure.Newf(failure.Unavailable, "no answer from the owner: %v", err)
+	case failure.Conflict:
+		return failure.Newf(failure.Unavailable, "the owner's answer to this heartbeat is lost: %v", err)
 	}
 	return err
 }
--- a/internal/frontend/handin.go
+++ b/internal/frontend/handin.go
@@ -93,7 +93,7 @@
 // confirmForHandIn refuses a job only if the configuration is so old that its queue may long have been dropped; the
 // owner checks the rest by the version that travels with the job.
 func (s *Service) confirmForHandIn(ctx context.Context) error {
-	if s.confirm(ctx, s.usual) || s.Directory.Fresh(s.oldest) {
+	if s.confirm(ctx, calmAge) || s.Directory.Fresh(s.oldest) {
 		return nil
 	}
 	return failure.New(failure.Unavailable, "the configuration held here may be out of date")
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -25,9 +25,6 @@
 	defaultGrace = 6 * time.Second
 )
 
-// readinessAge is how old the newest confirmation of the configuration may be for this process to call itself ready.
-const readinessAge = 2500 * time.Millisecond
-
 // bodyTime is how long a body may take after its headers.
 const bodyTime = 5 * time.Second
 
@@ -132,7 +129,7 @@
 
 // Ready tells whether clients should be sent here.
 func (s *Server) Ready() bool {
-	return !s.stopping.Load() && s.service.Views.Current() != nil && s.service.Directory.Fresh(readinessAge)
+	return !s.stopping.Load() && s.service.Views.Current() != nil && s.service.Directory.Fresh(calmAge)
 }
 
 // stop ends serving in order. No request that was read is cut, unless it lasts until shortly before SIGKILL.
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -17,6 +17,9 @@
 	confirmPoll = 20 * time.Millisecond
 	// confirmWait is the longest time that a request waits for a confirmation.
 	confirmWait = 400 * time.Millisecond
+	// calmAge is how old a confirmation is at most in calm: a watch is held for a second, and some time goes by on its
+	// way. Beyond it, hand-ins wait for a newer one, and the process doesn't call itself ready.
+	calmAge = 1800 * time.Millisecond
 )
 
 // Bounds are the times within which the configuration must reach this process.
@@ -40,8 +43,6 @@
 	draining atomic.Bool
 	// exact is how old a confirmation may be for an answer that an unseen version could make wrong.
 	exact time.Duration
-	// usual is how old it may be in calm before a hand-in waits for a newer one: a watch's wait and its way.
-	usual time.Duration
 	// oldest is how old it may be for a hand-in to be carried on at all.
 	oldest time.Duration
 }
@@ -50,7 +51,6 @@
 const (
 	defaultConfigApply = 2 * time.Second
 	exactMargin        = 200 * time.Millisecond
-	usualMargin        = 300 * time.Millisecond
 )
 
 // NewService returns a Service. It serves from the first view on; until then all are told to come back.
@@ -65,7 +65,6 @@
 	return &Service{
 		Options: options,
 		exact:   max(apply-exactMargin, apply/2),
-		usual:   apply + usualMargin,
 		oldest:  apply + skew/2,
 	}
 }
