--- /dev/null
+++ b/internal/administration/running_test.go
@@ -0,0 +1,219 @@
+package administration_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/administration"
+	"ospreypond/internal/administration/archive"
+	"ospreypond/internal/boot"
+	"ospreypond/internal/control"
+	"ospreypond/internal/failure"
+	"ospreypond/internal/protocol"
+	"ospreypond/internal/transport"
+)
+
+const startPatience = 20 * time.Second
+
+// freePort returns a port of loopback that nobody listens at.
+func freePort() int {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+// process is a control process that runs in this one.
+type process struct {
+	settings *boot.Settings
+	client   *administration.Client
+	stop     func()
+}
+
+// runControl runs a control process, alone in its system, until the test ends or stop is called.
+func runControl(dir string, bootstrap bool) *process {
+	internal := freePort()
+	settings := &boot.Settings{
+		NodeName:      "n1",
+		IP:            "127.0.0.1",
+		Zone:          "z",
+		Listen:        map[string]string{boot.ListenControl: fmt.Sprintf("127.0.0.1:%d", freePort())},
+		InternalPorts: [2]int{internal, internal},
+		Seeds:         []string{"127.0.0.1:1"}, // of itself: the ports are the same on all machines
+		Bootstrap:     bootstrap,
+		Bounds:        boot.StandardBounds(),
+		DataDir:       dir,
+		Limits:        boot.Limits{DiskMB: 128},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- control.Run(ctx, settings, log.NewNopLogger()) }()
+	p := &process{settings: settings, client: dial(settings.InternalAddress())}
+	p.stop = func() {
+		if ctx.Err() == nil {
+			cancel()
+			Eventually(ended, startPatience).Should(Receive(BeNil()))
+		}
+	}
+	DeferCleanup(p.stop)
+	return p
+}
+
+// ready waits until the process owns all shards.
+func (p *process) ready() {
+	Eventually(func(g Gomega) {
+		reports, err := p.client.Reports(soon(time.Second))
+		g.Expect(err).NotTo(HaveOccurred())
+		shards := administration.Shards(reports)
+		g.Expect(shards).To(HaveLen(protocol.JobShards + 1))
+		for _, shard := range shards {
+			g.Expect(shard.Owner).To(Equal("n1"))
+		}
+	}, startPatience, 20*time.Millisecond).Should(Succeed())
+}
+
+// beat sends a runner's heartbeat to the owner of its service's shard.
+func (p *process) beat(sequence uint64, change func(*protocol.Heartbeat)) *protocol.Orders {
+	GinkgoHelper()
+	carrier := transport.NewClient(transport.ClientOptions{})
+	defer carrier.Close()
+	beat := protocol.Heartbeat{
+		Instance: "i-1", Service: "s", Address: "127.0.0.1:8080", Zone: "z", State: protocol.Ready, Sequence: sequence,
+		Capacity: protocol.Resources{CPU: 4000, MemoryMB: 1000}, Labels: []string{"kind", "rack"},
+	}
+	change(&beat)
+	response, err := transport.Call[protocol.HeartbeatRequest, protocol.HeartbeatResponse](soon(patience), carrier,
+		p.settings.InternalAddress(), &protocol.HeartbeatRequest{Shard: protocol.ShardOf("s"), Heartbeat: beat})
+	Expect(err).NotTo(HaveOccurred())
+	return &response.Orders
+}
+
+var _ = Describe("a control process", Ordered, func() {
+	var p *process
+
+	// It is alone in its system, and has a configuration and a job.
+	BeforeAll(func() {
+		p = runControl(filepath.Join(GinkgoT().TempDir(), "data"), true)
+		p.ready()
+		version, err := p.client.Configure(soon(patience), protocol.ConfigurationReplace, 0, []byte(configurationWith(5, "s")))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(version).To(Equal(uint64(5)))
+		spec := &protocol.JobSpec{Spec: "x", Steps: []protocol.Step{{Count: 3, CPU: 1000}}}
+		Expect(p.client.Submit(soon(patience), "h/p", id, spec)).To(BeFalse())
+		Expect(p.client.Submit(soon(patience), "h/p/", id, spec)).To(BeTrue())
+	})
+
+	It("answers what the commands ask", func() {
+		Expect(p.client.Status(soon(patience), id)).To(Equal(protocol.JobQueued))
+		orders := p.beat(1, func(*protocol.Heartbeat) {})
+		sequence := uint64(1)
+		for len(orders.Start) == 0 && sequence < 50 {
+			sequence++
+			orders = p.beat(sequence, func(*protocol.Heartbeat) {})
+		}
+		Expect(orders.Start).To(HaveLen(3))
+
+		runners, err := p.client.Runners(soon(patience))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(runners).To(HaveLen(1))
+		Expect(runners[0].Free).To(Equal(protocol.Resources{CPU: 1000, MemoryMB: 1000}))
+		Expect(runners[0].Runs).To(Equal(3))
+		Expect(runners[0].State).To(Equal(protocol.Ready))
+		Expect(runners[0].HoldMs).To(BeNumerically(">", 0))
+		Expect(runners[0].Labels).To(Equal([]string{"kind", "rack"}))
+
+		jobs, err := p.client.Jobs(soon(patience), "h/p")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(jobs).To(HaveLen(1))
+		Expect(jobs[0].State).To(Equal(protocol.JobRunning))
+		Expect([]int{jobs[0].Done, jobs[0].Running, jobs[0].Tasks}).To(Equal([]int{0, 3, 3}))
+
+		Expect(p.client.Cancel(soon(patience), id)).To(Succeed())
+		Expect(p.client.Status(soon(patience), id)).To(Equal(protocol.JobCancelled))
+		err = p.client.Cancel(soon(patience), "5c0e7a21d94b36f9")
+		Expect(failure.KindOf(err)).To(Equal(failure.Gone))
+
+		reports, err := p.client.Reports(soon(patience))
+		Expect(err).NotTo(HaveOccurred())
+		members := administration.Members(reports)
+		Expect(members).To(HaveLen(1))
+		Expect(members[0].Leads).To(Equal(protocol.JobShards + 1))
+		Expect(members[0].Troubled()).To(BeFalse())
+		Expect(administration.Shards(reports)[0].ConfigurationVersion).To(Equal(uint64(5)))
+		Expect(members[0].MemoryBytes).To(BeNumerically(">", 0))
+	})
+
+	It("lists jobs page by page", func() {
+		spec := &protocol.JobSpec{Steps: []protocol.Step{{Count: 1}}}
+		for i := range 12 {
+			Expect(p.client.Submit(soon(patience), "h/p/", fmt.Sprintf("%016x", i), spec)).To(BeFalse())
+		}
+		carrier := transport.NewClient(transport.ClientOptions{})
+		defer carrier.Close()
+		page, err := transport.Call[administration.JobsRequest, administration.JobsResponse](soon(patience), carrier,
+			p.settings.InternalAddress(),
+			&administration.JobsRequest{Shard: protocol.ShardOf("s"), After: "0000000000000003", Most: 5})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.More).To(BeTrue())
+		Expect(page.Jobs).To(HaveLen(5))
+		Expect(page.Jobs[0].ID).To(Equal("0000000000000004"))
+		Expect(p.client.Jobs(soon(patience), "")).To(HaveLen(13))
+	})
+
+	It("refuses to go on with a reading that it does not know", func() {
+		carrier := transport.NewClient(transport.ClientOptions{})
+		defer carrier.Close()
+		for _, request := range []administration.SnapshotRequest{{Shard: 1, Session: 99}, {Shard: 1, Session: 99, Offset: -1}} {
+			_, err := transport.Call[administration.SnapshotRequest, administration.SnapshotResponse](soon(patience), carrier,
+				p.settings.InternalAddress(), &request)
+			Expect(failure.KindOf(err)).To(Equal(failure.Conflict))
+		}
+		_, err := transport.Call[administration.SnapshotRequest, administration.SnapshotResponse](soon(patience), carrier,
+			p.settings.InternalAddress(), &administration.SnapshotRequest{Shard: 77})
+		Expect(failure.KindOf(err)).To(Equal(failure.NotLeader))
+	})
+
+	It("gives a backup that another process goes on from", func() {
+		before, err := p.client.Backup(soon(patience))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(before.Check()).To(Succeed())
+		path := filepath.Join(GinkgoT().TempDir(), "backup")
+		Expect(before.Write(path)).To(Succeed())
+
+		read, err := archive.Read(path)
+		Expect(err).NotTo(HaveOccurred())
+		dir := filepath.Join(GinkgoT().TempDir(), "data")
+		Expect(read.Restore(dir, archive.Process{Node: "n1", Zone: "z", Address: "127.0.0.1:1"})).To(Succeed())
+		again := runControl(dir, false)
+		again.ready()
+		version, body, err := again.client.ReadConfiguration(soon(patience))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(version).To(Equal(uint64(5)))
+		Expect(body).To(MatchJSON(configurationWith(5, "s")))
+		Expect(again.client.Status(soon(patience), id)).To(Equal(protocol.JobCancelled))
+		Expect(again.client.Jobs(soon(patience), "")).To(HaveLen(13))
+		spec := &protocol.JobSpec{Spec: "x", Steps: []protocol.Step{{Count: 3, CPU: 1000}}}
+		Expect(again.client.Submit(soon(patience), "h/p", id, spec)).To(BeTrue(), "the job is known")
+		reports, err := again.client.Reports(soon(patience))
+		Expect(err).NotTo(HaveOccurred())
+		for i, shard := range administration.Shards(reports) {
+			Expect(shard.Term).To(BeNumerically(">", before.Shards[(i+protocol.JobShards)%(protocol.JobShards+1)].Term))
+		}
+	})
+
+	It("cannot give away what no other can take, and says so", func() {
+		left, err := p.client.Drain(soon(patience), "n1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(left).To(Equal(protocol.JobShards + 1))
+		reports, err := p.client.Reports(soon(patience))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reports[0].Draining).To(BeTrue())
+	})
+})
