--- a/internal/administration/messages.go
+++ b/internal/administration/messages.go
@@ -40,6 +40,7 @@
 	StateBytes           int
 	ConfigurationVersion uint64 // of the configuration's shard
 	Jobs                 JobCounts
+	Counters             Counters
 }
 
 // MemberReport is one member of a group as a process knows it. What the owner alone knows is 0 elsewhere.
@@ -59,6 +60,25 @@
 	Runners int `json:"runners"`
 }
 
+// Counters count what became of a shard of jobs.
+type Counters struct {
+	// Since the shard began.
+	Taken     uint64 `json:"taken"` // jobs
+	Completed uint64 `json:"completed"`
+	Failed    uint64 `json:"failed"`
+	Cancelled uint64 `json:"cancelled"`
+	Started   uint64 `json:"started"` // runs
+	Lost      uint64 `json:"lost"`    // runs that came to no end
+
+	// Since the owner's process started, while it owned the shard.
+	Rounds    uint64 `json:"rounds"`  // of placement
+	Stops     uint64 `json:"stops"`   // ordered
+	Refused   uint64 `json:"refused"` // hand-ins for want of room
+	Stale     uint64 `json:"stale"`   // hand-ins by an older configuration
+	Preempted uint64 `json:"preempted"`
+	Stalled   uint64 `json:"stalled"` // runs stopped for want of progress
+}
+
 // RunnersRequest asks a shard's owner for its runners.
 type RunnersRequest struct{ Shard protocol.ShardID }
 
--- a/internal/administration/views.go
+++ b/internal/administration/views.go
@@ -145,6 +145,7 @@
 	LogBytes             int64            `json:"logBytes"`
 	ConfigurationVersion uint64           `json:"configurationVersion,omitempty"`
 	Jobs                 *JobCounts       `json:"jobs,omitempty"`
+	Counters             *Counters        `json:"counters,omitempty"`
 	Members              []ShardMember    `json:"members"`
 }
 
@@ -201,8 +202,8 @@
 	}
 	v.ConfigurationVersion = group.ConfigurationVersion
 	if group.Shard != protocol.ConfigurationShard {
-		jobs := group.Jobs
-		v.Jobs = &jobs
+		jobs, counters := group.Jobs, group.Counters
+		v.Jobs, v.Counters = &jobs, &counters
 	}
 }
 
--- a/internal/boot/object.go
+++ b/internal/boot/object.go
@@ -9,7 +9,10 @@
 )
 
 // faults gathers everything that is wrong with a file, each by its key.
-type faults struct{ lines []string }
+type faults struct {
+	lines []string
+	keys  []string // that were looked for
+}
 
 func (f *faults) add(key, format string, arguments ...any) {
 	f.lines = append(f.lines, key+": "+fmt.Sprintf(format, arguments...))
@@ -29,6 +32,7 @@
 
 // raw returns the value of key; ok is false where it is absent or null.
 func (o *object) raw(key string) (value json.RawMessage, ok bool) {
+	o.faults.keys = append(o.faults.keys, o.path+key)
 	value, ok = o.values[key]
 	if !ok || bytes.Equal(bytes.TrimSpace(value), []byte("null")) {
 		return nil, false
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -67,9 +67,10 @@
 	serve := newServe(std, getenv)
 	root := &cobra.Command{
 		Use:   "ospreypond",
-		Short: "A dispatcher in front of payment authorisation",
-		Long: "ospreypond takes clients' requests and has runners do them, each with exactly one final answer.\n" +
-			"Without a command it serves.",
+		Short: "A cluster scheduler for jobs, and a dispatcher of requests",
+		Long: "ospreypond is a cluster scheduler for jobs, and a dispatcher of requests: it has runners do them, each with exactly\n" +
+			"one final answer. 'ospreypond local --dir DIR' runs a small scheduler on this machine. Without a command it serves\n" +
+			"as a dispatcher.",
 		RunE:          serve.RunE,
 		Args:          cobra.NoArgs,
 		SilenceErrors: true,
--- a/internal/cli/system_cluster.go
+++ b/internal/cli/system_cluster.go
@@ -55,29 +55,60 @@
 }
 
 func (s *systemCommands) newShards() *cobra.Command {
-	return s.connect(&cobra.Command{Use: "shards", Short: "List the shards: owner, term, and how far each member is", Args: needs(),
+	counters := false
+	c := &cobra.Command{Use: "shards", Short: "List the shards: owner, term, and how far each member is", Args: needs(),
 		Long: "List the shards: 0 holds the configuration, the others jobs. For each its owner, term, commit index, the size of its\n" +
 			"state and of its log after the newest snapshot; and each member with the entries that it lacks.\n" +
-			"The exit status is 1 if a shard has no owner.",
+			"With --counters, what became of jobs and runs since the shard began, and what the owner decided since its process\n" +
+			"started. The exit status is 1 if a shard has no owner.",
 		Example: "  ospreypond shards --control 127.77.0.11:7380\n" +
-			"  ospreypond shards -o json | jq '.[] | {shard, owner, term}'"},
-		func(ctx context.Context, c *connection, system administrator, _ []string) error {
-			reports, err := system.Reports(ctx)
-			if err != nil {
-				return err
-			}
-			shards := administration.Shards(reports)
-			if err := c.print(shards, func(w io.Writer) { table(w, shardRows(shards)) }); err != nil {
-				return err
-			}
-			var faults []string
-			for _, shard := range shards {
-				if shard.Owner == "" {
-					faults = append(faults, fmt.Sprintf("shard %d has no owner that answers", shard.Shard))
-				}
-			}
-			return foundFaults(faults)
-		})
+			"  ospreypond shards --counters\n" +
+			"  ospreypond shards -o json | jq '.[] | {shard, owner, term}'"}
+	s.connect(c, func(ctx context.Context, made *connection, system administrator, _ []string) error {
+		reports, err := system.Reports(ctx)
+		if err != nil {
+			return err
+		}
+		shards := administration.Shards(reports)
+		rows := shardRows(shards)
+		if counters {
+			rows = counterRows(shards)
+		}
+		if err := made.print(shards, func(w io.Writer) { table(w, rows) }); err != nil {
+			return err
+		}
+		return foundFaults(ownerless(shards))
+	})
+	c.Flags().BoolVar(&counters, "counters", false, "what became of jobs and runs, and what was decided")
+	return c
+}
+
+func ownerless(shards []administration.ShardView) []string {
+	var faults []string
+	for _, shard := range shards {
+		if shard.Owner == "" {
+			faults = append(faults, fmt.Sprintf("shard %d has no owner that answers", shard.Shard))
+		}
+	}
+	return faults
+}
+
+func counterRows(shards []administration.ShardView) [][]string {
+	rows := [][]string{{"SHARD", "TAKEN", "COMPLETED", "FAILED", "CANCELLED", "STARTED", "LOST", "ROUNDS", "STOPS", "REFUSED",
+		"STALE", "PREEMPTED", "STALLED"}}
+	for _, shard := range shards {
+		if shard.Counters == nil {
+			continue
+		}
+		row := []string{shardName(shard.Shard)}
+		c := shard.Counters
+		for _, count := range []uint64{c.Taken, c.Completed, c.Failed, c.Cancelled, c.Started, c.Lost, c.Rounds, c.Stops, c.Refused,
+			c.Stale, c.Preempted, c.Stalled} {
+			row = append(row, strconv.FormatUint(count, 10))
+		}
+		rows = append(rows, row)
+	}
+	return rows
 }
 
 // foundFaults is the error of a command that has found something wrong.
--- a/internal/control/administration.go
+++ b/internal/control/administration.go
@@ -130,7 +130,8 @@
 		group.ConfigurationVersion = a.control.configuration.Version()
 		return
 	}
-	counters := a.control.shards[group.Shard].state.Counters()
+	shard := a.control.shards[group.Shard]
+	counters, decided := shard.state.Counters(), shard.owner.Counters()
 	group.Jobs = administration.JobCounts{
 		Jobs:    counters.Jobs,
 		Kept:    counters.Kept,
@@ -138,6 +139,20 @@
 		Running: counters.Running,
 		Runners: counters.Runners,
 	}
+	group.Counters = administration.Counters{
+		Taken:     counters.Taken,
+		Completed: counters.Completed,
+		Failed:    counters.Failed,
+		Cancelled: counters.Cancelled,
+		Started:   counters.Started,
+		Lost:      counters.Lost,
+		Rounds:    decided.Rounds,
+		Stops:     decided.Stops,
+		Refused:   decided.Refused,
+		Stale:     decided.Stale,
+		Preempted: decided.Preempted,
+		Stalled:   decided.Stalled,
+	}
 }
 
 // machine returns a shard's state machine, or nil.
