Fences hold for versions of the configuration, so that a queue can come back to a shard

Cause: a fence forbade an id for good, so a hand-in whose first try met a fence was refused for as long as the queue stayed, once the queue had moved away and back. A fence and a hand-in now carry the version that the queue was picked by; the shard takes a hand-in whose version is newer than the fence's. The newest fence counts, and each renewal keeps it as long as the first.

--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -75,7 +75,12 @@
 
 func (c *Control) submit(_ string, request *protocol.SubmitRequest, reply func(*protocol.SubmitResponse, error)) {
 	c.on(request.Shard, func(s *jobShard, now time.Duration) {
-		submit := jobs.Submit{ID: request.ID, Queue: request.Queue, Job: request.Job}
+		submit := jobs.Submit{
+			ID:      request.ID,
+			Queue:   request.Queue,
+			Job:     request.Job,
+			Version: request.ConfigurationVersion,
+		}
 		s.owner.Submit(now, submit, func(known bool, err error) {
 			reply(&protocol.SubmitResponse{AlreadyKnown: known}, err)
 		})
@@ -98,7 +103,8 @@
 
 func (c *Control) fence(_ string, request *protocol.FenceRequest, reply func(*protocol.FenceResponse, error)) {
 	c.on(request.Shard, func(s *jobShard, now time.Duration) {
-		s.owner.Fence(now, request.ID, func(hasJob bool, err error) {
+		fence := jobs.Fence{ID: request.ID, Version: request.ConfigurationVersion}
+		s.owner.Fence(now, fence, func(hasJob bool, err error) {
 			reply(&protocol.FenceResponse{HasJob: hasJob}, err)
 		})
 	}, func(err error) { reply(nil, err) })
--- a/internal/frontend/handin.go
+++ b/internal/frontend/handin.go
@@ -103,7 +103,8 @@
 // either said that they have it or promised never to take it.
 func (s *Service) handInto(ctx context.Context, to target, spec *protocol.JobSpec) error {
 	for _, earlier := range to.route.Shards[1:] {
-		response, err := s.Owners.Fence(ctx, &protocol.FenceRequest{Shard: earlier, ID: to.id})
+		fence := &protocol.FenceRequest{Shard: earlier, ID: to.id, ConfigurationVersion: to.view.Version}
+		response, err := s.Owners.Fence(ctx, fence)
 		if err != nil {
 			return certainlyNotTaken(err)
 		}
--- a/internal/frontend/moves_test.go
+++ b/internal/frontend/moves_test.go
@@ -17,6 +17,7 @@
 		func(has map[protocol.ShardID]bool, failing protocol.ShardID, failsWith failure.Kind, status int, asked ...string) {
 			b := newBed()
 			b.owners.fence = func(_ context.Context, r *protocol.FenceRequest) (bool, error) {
+				Expect(r.ConfigurationVersion).To(Equal(uint64(7)))
 				if r.Shard == failing {
 					return false, kind(failsWith)
 				}
--- a/internal/jobs/apply.go
+++ b/internal/jobs/apply.go
@@ -24,8 +24,8 @@
 	for _, id := range c.Cancels {
 		effects.Cancels = append(effects.Cancels, s.cancel(id))
 	}
-	for _, id := range c.Fences {
-		effects.Fences = append(effects.Fences, s.fence(id))
+	for _, fence := range c.Fences {
+		effects.Fences = append(effects.Fences, s.fence(fence))
 	}
 	for i := range c.Ends {
 		effects.Ends = append(effects.Ends, s.end(&c.Ends[i]))
@@ -54,10 +54,11 @@
 	if s.jobs[submit.ID] != nil {
 		return Known
 	}
-	switch s.graves.kinds[submit.ID] {
-	case hadJob:
+	grave := s.graves.of(submit.ID)
+	switch {
+	case grave.kind == hadJob:
 		return Known
-	case fencing:
+	case grave.kind == fencing && submit.Version <= grave.version:
 		return Fenced
 	}
 	if s.Validate(&submit.Job) != nil {
@@ -77,6 +78,7 @@
 		AcceptedMs: s.clockMs,
 		dueIndex:   notWaiting,
 	}
+	s.graves.open(job.ID)
 	s.jobs[job.ID] = job
 	s.pending[job.Queue.Key]++
 	s.counters.Jobs++
@@ -130,17 +132,20 @@
 	return true
 }
 
-// fence returns whether the shard has or had the job; if not, it will never take it.
-func (s *State) fence(id string) bool {
-	if s.jobs[id] != nil {
+// fence returns whether the shard has or had the job; if not, it will never take it by the fence's version of the
+// configuration or an older one.
+func (s *State) fence(fence Fence) bool {
+	if s.jobs[fence.ID] != nil {
 		return true
 	}
-	switch s.graves.kinds[id] {
-	case hadJob:
+	known := s.graves.of(fence.ID)
+	if known.kind == hadJob {
 		return true
-	case fencing:
-		return false
 	}
-	s.graves.bury(id, fencing, s.ageMs+s.forgetMs)
+	s.graves.bury(fence.ID, grave{
+		kind:    fencing,
+		version: max(known.version, fence.Version),
+		untilMs: s.ageMs + s.forgetMs,
+	})
 	return false
 }
--- a/internal/jobs/codec.go
+++ b/internal/jobs/codec.go
@@ -7,7 +7,7 @@
 )
 
 // commandVersion is the first byte of an encoded command.
-const commandVersion = 1
+const commandVersion = 2
 
 // endNames are the ways a run ends that have a number of their own, counted from 1; any other is written out.
 var endNames = [...]string{
@@ -34,9 +34,10 @@
 		w.text(c.Submits[i].ID)
 		w.queue(&c.Submits[i].Queue)
 		w.spec(&c.Submits[i].Job)
+		w.unsigned(c.Submits[i].Version)
 	}
 	w.texts(c.Cancels)
-	w.texts(c.Fences)
+	w.fences(c.Fences)
 	w.count(len(c.Ends))
 	for i := range c.Ends {
 		w.end(&c.Ends[i], last)
@@ -75,9 +76,10 @@
 		c.Submits[i].ID = r.text()
 		c.Submits[i].Queue = r.queue()
 		r.spec(&c.Submits[i].Job)
+		c.Submits[i].Version = r.unsigned()
 	}
 	c.Cancels = r.texts()
-	c.Fences = r.texts()
+	c.Fences = r.fences()
 	c.Ends = items[End](r)
 	for i := range c.Ends {
 		r.end(&c.Ends[i], last)
@@ -120,6 +122,23 @@
 	return texts
 }
 
+func (w *writer) fences(fences []Fence) {
+	w.count(len(fences))
+	for i := range fences {
+		w.text(fences[i].ID)
+		w.unsigned(fences[i].Version)
+	}
+}
+
+func (r *reader) fences() []Fence {
+	fences := items[Fence](r)
+	for i := range fences {
+		fences[i].ID = r.text()
+		fences[i].Version = r.unsigned()
+	}
+	return fences
+}
+
 func (w *writer) task(id *TaskID, last *column) {
 	w.repeated(id.Job, &last.job)
 	w.signed(int64(id.Time))
--- a/internal/jobs/restore.go
+++ b/internal/jobs/restore.go
@@ -23,10 +23,7 @@
 		return err
 	}
 	s.ended.order.entries = r.expiries()
-	s.graves.order.entries = r.expiries()
-	for _, entry := range s.graves.order.entries {
-		s.graves.kinds[entry.id] = grave(r.byte())
-	}
+	r.graves(&s.graves)
 	if err := r.done(); err != nil {
 		return err
 	}
@@ -46,6 +43,17 @@
 	return entries
 }
 
+func (r *reader) graves(yard *graveyard) {
+	yard.order.entries = r.expiries()
+	for _, entry := range yard.order.entries {
+		known := grave{kind: graveKind(r.byte()), untilMs: entry.ms}
+		if known.kind == fencing {
+			known.version = r.unsigned()
+		}
+		yard.graves[entry.id] = known
+	}
+}
+
 func (r *reader) runners(s *State) {
 	for range r.count() {
 		record := s.runners.hear(r.own(), 0)
--- a/internal/jobs/retention.go
+++ b/internal/jobs/retention.go
@@ -34,34 +34,66 @@
 // all returns the entries, the first to expire first.
 func (q *expiryQueue) all() []keptUntil { return q.entries[q.head:] }
 
-// grave is what is known of an id without a state.
-type grave uint8
+// graveKind tells why an id is known without a state.
+type graveKind uint8
 
 const (
-	hadJob  grave = iota + 1 // a job that ended and was forgotten
-	fencing                  // an id that the shard will never take
+	hadJob  graveKind = iota + 1 // a job that ended and was forgotten
+	fencing                      // an id that the shard won't take by some versions of the configuration
 )
 
+// grave is what is known of an id without a state. Its zero value stands for nothing.
+type grave struct {
+	kind    graveKind
+	version uint64 // fencing: the newest version of the configuration that is fenced
+	untilMs int64  // by the shard's age
+}
+
 // graveyard holds ids that a shard must not take.
 type graveyard struct {
-	kinds map[string]grave
-	order expiryQueue
+	graves map[string]grave
+	order  expiryQueue // has an entry for each grave, and outdated ones of graves that were renewed or opened
 }
 
-func newGraveyard() graveyard { return graveyard{kinds: map[string]grave{}} }
+func newGraveyard() graveyard { return graveyard{graves: map[string]grave{}} }
+
+func (g *graveyard) count() int { return len(g.graves) }
 
-func (g *graveyard) count() int { return len(g.kinds) }
+// of returns what is known of an id.
+func (g *graveyard) of(id string) grave { return g.graves[id] }
 
-func (g *graveyard) bury(id string, kind grave, untilMs int64) {
+// bury notes a grave, in place of an earlier one of the id.
+func (g *graveyard) bury(id string, next grave) {
+	before, known := g.graves[id]
+	if known && before.untilMs == next.untilMs {
+		g.graves[id] = next
+		return
+	}
 	id = strings.Clone(id)
-	g.kinds[id] = kind
-	g.order.push(id, untilMs)
+	g.graves[id] = next
+	g.order.push(id, next.untilMs)
 }
 
+// open forgets an id that is taken after all.
+func (g *graveyard) open(id string) { delete(g.graves, id) }
+
 func (g *graveyard) expire(now int64) {
 	for id, ok := g.order.pop(now); ok; id, ok = g.order.pop(now) {
-		delete(g.kinds, id)
+		if g.graves[id].untilMs < now {
+			delete(g.graves, id)
+		}
+	}
+}
+
+// current returns the entries of the order that are not outdated.
+func (g *graveyard) current() []keptUntil {
+	entries := make([]keptUntil, 0, len(g.graves))
+	for _, entry := range g.order.all() {
+		if known, ok := g.graves[entry.id]; ok && known.untilMs == entry.ms {
+			entries = append(entries, entry)
+		}
 	}
+	return entries
 }
 
 // endedQueue holds ended jobs until their states expire.
@@ -107,7 +139,7 @@
 			continue
 		}
 		delete(s.jobs, id)
-		s.graves.bury(id, hadJob, s.ageMs+s.forgetMs)
+		s.graves.bury(id, grave{kind: hadJob, untilMs: s.ageMs + s.forgetMs})
 	}
 	s.graves.expire(s.ageMs)
 	s.runners.expire(s.ageMs, s.runnerMs)
--- a/internal/jobs/snapshot.go
+++ b/internal/jobs/snapshot.go
@@ -10,7 +10,7 @@
 )
 
 // snapshotVersion is the first byte of a snapshot.
-const snapshotVersion = 1
+const snapshotVersion = 2
 
 // stateNames are the states of a job by the number that a snapshot has for them.
 var stateNames = [...]string{
@@ -32,10 +32,7 @@
 	w.runners(&s.runners)
 	w.jobs(s.jobs)
 	w.expiries(s.ended.order.all())
-	w.expiries(s.graves.order.all())
-	for _, entry := range s.graves.order.all() {
-		w.byte(byte(s.graves.kinds[entry.id]))
-	}
+	w.graves(&s.graves)
 	s.snapshotHint = len(w.data) + len(w.data)/8
 	return w.data, nil
 }
@@ -59,6 +56,18 @@
 	}
 }
 
+func (w *writer) graves(yard *graveyard) {
+	entries := yard.current()
+	w.expiries(entries)
+	for _, entry := range entries {
+		known := yard.of(entry.id)
+		w.byte(byte(known.kind))
+		if known.kind == fencing {
+			w.unsigned(known.version)
+		}
+	}
+}
+
 func (w *writer) runners(book *runnerBook) {
 	w.count(len(book.records))
 	for record := book.first; record != nil; record = record.later {
--- a/internal/jobs/types.go
+++ b/internal/jobs/types.go
@@ -18,17 +18,24 @@
 	TimeOfDayMs int64 // owner's estimate, ms since 1970; the shard's clock never goes back
 	Submits     []Submit
 	Cancels     []string // jobs
-	Fences      []string // jobs that this shard will never take
-	Ends        []End    // those of one runner with rising N
+	Fences      []Fence
+	Ends        []End // those of one runner with rising N
 	Losses      []Loss
 	Starts      []Start
 }
 
 // Submit hands a job in.
 type Submit struct {
-	ID    string
-	Queue protocol.Queue
-	Job   protocol.JobSpec
+	ID      string
+	Queue   protocol.Queue
+	Job     protocol.JobSpec
+	Version uint64 // of the configuration that the queue was picked by
+}
+
+// Fence says that the shard will never take a job from a hand-in whose queue was picked by Version or an older one.
+type Fence struct {
+	ID      string
+	Version uint64 // of the configuration by which the queue belongs to another shard
 }
 
 // End is an end that a runner listed.
@@ -107,6 +114,6 @@
 const (
 	Taken    SubmitEffect = iota
 	Known                 // taken before
-	Fenced                // this shard has promised never to take it
+	Fenced                // this shard has promised not to take it, for the hand-in's version of the configuration
 	Rejected              // nonsense that Validate would have refused
 )
--- a/internal/protocol/internal.go
+++ b/internal/protocol/internal.go
@@ -68,10 +68,12 @@
 type CancelResponse struct{}
 
 // FenceRequest asks an earlier shard of a queue whether it has the job. If it has not, the shard commits that it
-// will never take it, so that the queue's present shard may.
+// will never take it from a hand-in that was picked by ConfigurationVersion or an older one, so that the queue's
+// present shard may. The queue can come back to the shard with a newer version.
 type FenceRequest struct {
-	Shard ShardID
-	ID    string
+	Shard                ShardID
+	ID                   string
+	ConfigurationVersion uint64 // what the frontend picked the queue by
 }
 
 // FenceResponse tells whether the shard has the job.
--- a/internal/scheduler/clients.go
+++ b/internal/scheduler/clients.go
@@ -111,17 +111,18 @@
 	o.waiting.cancels = append(o.waiting.cancels, reply)
 }
 
-// Fence asks whether the shard has a job, and makes it promise never to take it if it has not.
-func (o *Owner) Fence(now time.Duration, id string, reply func(hasJob bool, err error)) {
+// Fence asks whether the shard has a job, and makes it promise, if it has not, never to take it by the fence's version
+// of the configuration or an older one.
+func (o *Owner) Fence(now time.Duration, fence jobs.Fence, reply func(hasJob bool, err error)) {
 	if !o.leading {
 		reply(false, errNotLeader)
 		return
 	}
-	if _, known := o.state.StateOf(id); known {
+	if _, known := o.state.StateOf(fence.ID); known {
 		reply(true, nil)
 		return
 	}
-	o.next.Fences = append(o.next.Fences, id)
+	o.next.Fences = append(o.next.Fences, fence)
 	o.waiting.fences = append(o.waiting.fences, reply)
 }
 
--- a/internal/simulation/cluster/frontend.go
+++ b/internal/simulation/cluster/frontend.go
@@ -181,7 +181,7 @@
 func (f *frontend) handInto(t target, id string, job *protocol.JobSpec, position int, until time.Duration, done func(error)) {
 	d := f.directory
 	if position < len(t.shards) {
-		request := &protocol.FenceRequest{Shard: t.shards[position], ID: id}
+		request := &protocol.FenceRequest{Shard: t.shards[position], ID: id, ConfigurationVersion: t.document.Version()}
 		d.call(request.Shard, request, until, true, never, func(response any, err error) {
 			if err != nil {
 				if failure.KindOf(err) == failure.UnknownOutcome {
--- a/internal/simulation/cluster/shards.go
+++ b/internal/simulation/cluster/shards.go
@@ -283,14 +283,14 @@
 		case *protocol.DeregisterRequest:
 			owner.Deregister(now, r.Instance, func(err error) { reply(nil, err) })
 		case *protocol.SubmitRequest:
-			submit := jobs.Submit{ID: r.ID, Queue: r.Queue, Job: r.Job}
+			submit := jobs.Submit{ID: r.ID, Queue: r.Queue, Job: r.Job, Version: r.ConfigurationVersion}
 			owner.Submit(now, submit, func(known bool, err error) { reply(known, err) })
 		case *protocol.StatusRequest:
 			owner.Status(now, r.ID, func(state string, err error) { reply(state, err) })
 		case *protocol.CancelRequest:
 			owner.Cancel(now, r.ID, func(err error) { reply(nil, err) })
 		case *protocol.FenceRequest:
-			owner.Fence(now, r.ID, func(has bool, err error) { reply(has, err) })
+			owner.Fence(now, jobs.Fence{ID: r.ID, Version: r.ConfigurationVersion}, func(has bool, err error) { reply(has, err) })
 		case *protocol.PendingRequest:
 			owner.Pending(now, r.Queue, func(pending int, err error) { reply(pending, err) })
 		}
