Keep a control process alive at SIGHUP, and let it follow changed seeds

SIGHUP tells that the settings file has changed. It now reads the seeds again and asks those for joining.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/go-kit/log"
@@ -19,6 +20,7 @@
 	"ospreypond/internal/protocol"
 	"ospreypond/internal/replica"
 	"ospreypond/internal/scheduler"
+	"ospreypond/internal/seeds"
 	"ospreypond/internal/store/vfs"
 	"ospreypond/internal/transport"
 )
@@ -43,6 +45,7 @@
 
 // Run serves until ctx ends, then gives away what this process owns and returns.
 func Run(ctx context.Context, settings *boot.Settings, logger log.Logger) error {
+	hangups := seeds.Hangups()
 	c := &Control{settings: settings, logger: logger, shards: map[protocol.ShardID]*jobShard{}}
 	c.client = transport.NewClient(transport.ClientOptions{Logger: logger})
 	c.server = transport.NewServer(transport.Options{Logger: logger})
@@ -59,7 +62,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listening for the operator")
 	}
-	return c.serve(ctx, listener, web)
+	return c.serve(ctx, listener, web, hangups)
 }
 
 func (c *Control) open() error {
@@ -120,12 +123,13 @@
 	}
 }
 
-func (c *Control) serve(ctx context.Context, listener, web net.Listener) error {
+func (c *Control) serve(ctx context.Context, listener, web net.Listener, hangups <-chan os.Signal) error {
 	engineContext, stopEngine := context.WithCancel(context.Background())
 	defer stopEngine()
 	engineEnd := make(chan error, 1)
 	go func() { engineEnd <- c.engine.Run(engineContext) }()
 	go c.server.Serve(engineContext, listener)
+	go c.follower().Run(engineContext, hangups)
 	httpServer := &http.Server{Handler: c.operator(), ReadHeaderTimeout: 5 * time.Second}
 	go httpServer.Serve(web)
 	c.ticker.wake()
@@ -143,6 +147,12 @@
 	return nil
 }
 
+// follower keeps the peers in step with the settings file.
+func (c *Control) follower() *seeds.Follower {
+	return seeds.NewFollower(seeds.Options{Path: os.Getenv(boot.Variable), Seeds: c.settings.SeedInternalAddresses(),
+		Directory: peers{c.engine}, Logger: c.logger})
+}
+
 // resign gives away what this process owns, and waits until that is done, for a while.
 func (c *Control) resign() {
 	level.Info(c.logger).Log("msg", "giving away leadership before the end")
