Split the policy by concern

One file of a thousand lines held every decision. It is now eight: the step, requests, attempts, workers, warming, runtimes, rounds and probes. Constants stand with their only users.

--- a/policy/api.go
+++ b/policy/api.go
@@ -1,7 +1,7 @@
 // Package policy decides, for one scheduler, which worker each request is sent to and when.
 //
 // This file is the whole interface: the settings, the events a scheduler feeds in and the actions it
-// carries out. All decisions are in policy.go.
+// carries out. policy.go names the files with the decisions.
 package policy
 
 import (
--- a/policy/state.go
+++ b/policy/state.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// This file holds the types of the module's memory; what is done with them is in policy.go.
+// This file holds the types of the module's memory; policy.go names the files with what is done with them.
 
 // Dispatcher decides for one scheduler. It must not be used by two goroutines at once.
 type Dispatcher struct {
