Feed changes to frontends and owners alone to agents; tell how new a confirmation is

Agents have no use for the configuration: they watch owners only, and for ten seconds at a time, since their heartbeats notice sooner that an owner is gone. Frontends take changes and ask for the whole where those don't lead on. A watch's answer tells how long after the watch's coming its confirmation was asked for. So far a confirmation counted from the watch's sending and grew twice as old as a watch is held, past what answers of 404 and 410 need; now a watch is held for half of configApplyMs. A hand-in that the owner finds stale is sent again after a while: the owner may be the one that is behind. A role takes SIGHUP before it reads its settings.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -26,6 +26,8 @@
 	idleTime = 60 * time.Second
 	// stopTime is the longest that a stop waits for exchanges that are out.
 	stopTime = 1200 * time.Millisecond
+	// watchWait is how long a watch for owners may be held: heartbeats notice sooner that an owner is gone.
+	watchWait = 10 * time.Second
 )
 
 // Run serves the runner of this machine until ctx ends, then finishes what is out.
@@ -47,10 +49,11 @@
 		Seeds:  settings.SeedInternalAddresses(),
 		Node:   settings.NodeName,
 		Logger: logger,
+		Wait:   watchWait,
 	})
 	go known.Run(serving)
 	follower := seeds.NewFollower(seeds.Options{Path: os.Getenv(boot.Variable), Seeds: settings.SeedInternalAddresses(),
-		Directory: known, Logger: logger})
+		Directory: known, StaleAfter: 2 * watchWait, Logger: logger})
 	go follower.Run(serving, hangups)
 
 	service := NewService(Options{Owners: owners{known}, Service: settings.Service})
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -14,6 +14,7 @@
 	"ospreypond/internal/boot"
 	"ospreypond/internal/control"
 	"ospreypond/internal/frontend"
+	"ospreypond/internal/seeds"
 )
 
 // settingsVariable names the settings file of a process of the cluster scheduler.
@@ -36,6 +37,7 @@
 			"SIGTERM ends it in order.",
 		RunE: func(c *cobra.Command, _ []string) error {
 			logger := newRoleLog(std.Err)
+			seeds.Hangups() // a SIGHUP that comes while the role is being set up must not end it
 			settings, err := boot.Load(getenv(settingsVariable))
 			if err != nil {
 				level.Error(logger).Log("msg", "the settings cannot be used", "err", err)
--- a/internal/control/configuration_shard.go
+++ b/internal/control/configuration_shard.go
@@ -156,8 +156,16 @@
 	})
 }
 
+// ownersInterval is how often members and owners are looked at.
+const ownersInterval = 40 * time.Millisecond
+
 // tellOwners gives the feed the members and owners as known here.
 func (c *Control) tellOwners() {
+	now := c.engine.Now()
+	if c.ownersToldAt > 0 && now-c.ownersToldAt < ownersInterval {
+		return
+	}
+	c.ownersToldAt = now
 	owners := map[protocol.ShardID]string{protocol.ConfigurationShard: c.settings.InternalAddress()}
 	for id := range c.shards {
 		if address := c.engine.LeaderAddress(uint32(id)); address != "" {
@@ -177,7 +185,6 @@
 			reply(nil, c.notConfigurationOwner())
 			return
 		}
-		c.tellOwners()
 		c.configuration.feed.Watch(c.engine.Now(), request, reply)
 		c.configuration.confirmFeed()
 		c.ticker.wake()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -41,6 +41,7 @@
 	configuration *configurationShard
 	shards        map[protocol.ShardID]*jobShard
 	ticker        *ticker
+	ownersToldAt  time.Duration // when the feed was last told members and owners
 }
 
 // Run serves until ctx ends, then gives away what this process owns and returns.
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -16,7 +16,7 @@
 	// feedTogether is the share of a watch's wait by which it may be answered early, so that one confirmation serves many.
 	feedTogether = 0.2
 	// feedWaitMost bounds the wait that a caller may ask for.
-	feedWaitMost = 5 * time.Second
+	feedWaitMost = 30 * time.Second
 	// feedWatches bounds the watches that wait at once.
 	feedWatches = 4096
 )
@@ -41,8 +41,9 @@
 	revision uint64
 	members  []protocol.Member
 	owners   map[protocol.ShardID]string
-	round    uint64 // counts the rounds asked for
-	asked    bool   // a round is out
+	round    uint64        // counts the rounds asked for
+	asked    bool          // a round is out
+	askedAt  time.Duration // the asking of the newest round
 }
 
 // feedWatch is a watch that waits.
@@ -51,9 +52,14 @@
 	reply   func(*protocol.WatchResponse, error)
 	due     time.Duration // it is answered by then
 	early   time.Duration // from then on it may be answered along with others
+	taken   time.Duration // the loop's time when it was taken, which may be a little before it came
+	came    time.Duration // it certainly had come by then; noTime: not known yet
 	round   uint64        // the last round asked for before it came
 }
 
+// noTime stands for a time that is not known.
+const noTime time.Duration = -1
+
 // NewFeed returns a feed of a process that does not lead.
 func NewFeed(source feedSource) *Feed { return &Feed{source: source} }
 
@@ -88,6 +94,8 @@
 		reply:   reply,
 		due:     now + wait,
 		early:   now + early,
+		taken:   now,
+		came:    noTime,
 		round:   f.round,
 	})
 }
@@ -112,14 +120,25 @@
 // AskConfirmation reports whether a confirmation of leadership must be asked for now, and takes it that it is. Confirmed
 // or Unconfirmed tells how it ended.
 func (f *Feed) AskConfirmation(now time.Duration) bool {
+	f.stamp(now)
 	if !f.leading || f.asked || !slices.ContainsFunc(f.watches, func(w *feedWatch) bool { return f.ripe(now, w) }) {
 		return false
 	}
 	f.asked = true
+	f.askedAt = now
 	f.round++
 	return true
 }
 
+// stamp notes by when watches had come: a later time of the loop than the one at which they were taken.
+func (f *Feed) stamp(now time.Duration) {
+	for _, watch := range f.watches {
+		if watch.came == noTime && now > watch.taken {
+			watch.came = now
+		}
+	}
+}
+
 // Confirmed tells that the round asked for last was answered by a quorum. Watches that came before it and have
 // something to be told, or have waited nearly long enough, are answered.
 func (f *Feed) Confirmed(now time.Duration) {
@@ -164,12 +183,13 @@
 func (f *Feed) mayAnswer(now time.Duration, w *feedWatch) bool { return now >= w.early || f.news(w) }
 
 func (f *Feed) news(w *feedWatch) bool {
-	return f.source.Version() > w.request.Version || f.revision != w.request.Owners
+	newer := !w.request.OwnersOnly && f.source.Version() > w.request.Version
+	return newer || f.revision != w.request.Owners
 }
 
 func (f *Feed) answer(w *feedWatch) {
-	response := &protocol.WatchResponse{Version: f.source.Version(), OwnersAt: f.revision}
-	if response.Version > w.request.Version {
+	response := &protocol.WatchResponse{Version: f.source.Version(), OwnersAt: f.revision, HeldMs: f.held(w)}
+	if response.Version > w.request.Version && !w.request.OwnersOnly {
 		body, err := f.source.Since(w.request.Version, w.request.Changes)
 		if err != nil {
 			w.reply(nil, failure.New(failure.Unavailable, err.Error()))
@@ -184,6 +204,14 @@
 	w.reply(response, nil)
 }
 
+// held is the time in ms from a watch's coming to the asking of the newest round.
+func (f *Feed) held(w *feedWatch) int64 {
+	if w.came == noTime {
+		return 0
+	}
+	return max(f.askedAt-w.came, 0).Milliseconds()
+}
+
 func (f *Feed) refuse(which func(w *feedWatch) bool) {
 	f.settle(which, func(w *feedWatch) { w.reply(nil, f.notLeader()) })
 }
--- a/internal/control/feed_test.go
+++ b/internal/control/feed_test.go
@@ -132,6 +132,34 @@
 		Expect(NewFeed(source).revision).To(BeZero())
 	})
 
+	It("tells how long after the watch's coming the confirmation was asked for, as far as that is certain", func() {
+		waiting := current(100 * at)
+		Expect(feed.AskConfirmation(100 * at)).To(BeFalse())
+		Expect(feed.AskConfirmation(105 * at)).To(BeFalse()) // by now it had certainly come
+		Expect(feed.AskConfirmation(1100 * at)).To(BeTrue())
+		feed.Confirmed(1130 * at)
+		Expect(waiting.response.HeldMs).To(Equal(int64(995)))
+	})
+
+	It("tells of no time held where the watch came in the turn that asked", func() {
+		newcomer := watch(100*at, 0, 0, 1000)
+		feed.AskConfirmation(100 * at)
+		feed.AskConfirmation(105 * at)
+		feed.Confirmed(110 * at)
+		Expect(newcomer.response.HeldMs).To(BeZero())
+	})
+
+	It("tells those who watch owners only of no configuration", func() {
+		result := &answered{}
+		feed.Watch(0, &protocol.WatchRequest{Version: 4, Owners: revision, WaitMs: 1000, OwnersOnly: true}, result.reply)
+		Expect(feed.AskConfirmation(0)).To(BeFalse())
+		feed.OwnersChanged(members, map[protocol.ShardID]string{3: "10.0.0.1:7380"})
+		Expect(feed.AskConfirmation(10 * at)).To(BeTrue())
+		feed.Confirmed(13 * at)
+		Expect(result.response.Configuration).To(BeNil())
+		Expect(result.response.Owners).To(HaveKey(protocol.ShardID(3)))
+	})
+
 	It("serves all that wait with one round", func() {
 		first, second, third := current(0), current(150*at), current(300*at)
 		Expect(feed.AskConfirmation(1000 * at)).To(BeTrue())
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -28,9 +28,13 @@
 	Node   string   // this machine's name
 	Clock  clockwork.Clock
 	Logger log.Logger
-	// OnConfiguration is told each newer version of the configuration before Version returns it. It is called from one
-	// goroutine, with rising versions. It may be nil.
-	OnConfiguration func(version uint64, document []byte)
+	// Wait is how long the owner of the configuration may hold a watch back while there is no news; 0: a second.
+	Wait time.Duration
+	// OnConfiguration is told each newer version of the configuration before Version returns it: the whole, or changes
+	// from the version before on (see configuration.Advance). It is called from one goroutine, with rising versions. If
+	// it returns an error, the version counts as unknown here, and the whole is asked for. If it is nil, only members
+	// and owners are watched.
+	OnConfiguration func(version uint64, document []byte) error
 }
 
 // Directory is safe for use by many goroutines.
@@ -51,6 +55,9 @@
 	if options.Clock == nil {
 		options.Clock = clockwork.NewRealClock()
 	}
+	if options.Wait <= 0 {
+		options.Wait = defaultWait
+	}
 	if options.Logger == nil {
 		options.Logger = log.NewNopLogger()
 	}
@@ -81,8 +88,8 @@
 	return d.view.version
 }
 
-// ConfirmedAt returns when the newest watch that was answered had been sent: what was in force then is known here. It
-// is zero if there was none.
+// ConfirmedAt returns a time not after the asking of the confirmation on which the newest watch was answered: what was
+// in force then is known here. It is zero if there was none.
 func (d *Directory) ConfirmedAt() time.Time {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -15,7 +15,7 @@
 	ownersAt    uint64   // revision of members and owners
 	members     []protocol.Member
 	owners      map[protocol.ShardID]string
-	confirmedAt time.Time // sending of the newest watch that was answered
+	confirmedAt time.Time // what was in force then is known here
 	addresses   []string  // members, then seeds that are no members
 	start       string    // whom to ask where no owner is known
 }
@@ -55,13 +55,14 @@
 }
 
 // judge tells what an answer brings, and takes over members and owners. The configuration's version moves by adopt.
-func (v *view) judge(answer *protocol.WatchResponse) news {
+// With ownersOnly, the document is of no concern.
+func (v *view) judge(answer *protocol.WatchResponse, ownersOnly bool) news {
 	if answer.Version < v.version {
 		return news{stale: true}
 	}
 	brought := news{owners: v.takeOwners(answer)}
 	switch {
-	case answer.Version == v.version:
+	case ownersOnly || answer.Version == v.version:
 	case len(answer.Configuration) == 0:
 		brought.incomplete = true
 	default:
@@ -91,10 +92,10 @@
 // adopt takes note that a version is in force here.
 func (v *view) adopt(version uint64) { v.version = max(v.version, version) }
 
-// confirm takes note that a watch sent at that time was answered.
-func (v *view) confirm(sentAt time.Time) {
-	if sentAt.After(v.confirmedAt) {
-		v.confirmedAt = sentAt
+// confirm takes note that what was in force at that time is known.
+func (v *view) confirm(at time.Time) {
+	if at.After(v.confirmedAt) {
+		v.confirmedAt = at
 	}
 }
 
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	watchWait       = time.Second            // how long the owner may hold a watch back
+	defaultWait     = time.Second            // how long the owner may hold a watch back
 	watchSlack      = 600 * time.Millisecond // on top of that until it counts as silent
 	leastWatchPause = 50 * time.Millisecond
 	mostWatchPause  = 400 * time.Millisecond
@@ -20,6 +20,9 @@
 	leastRefresh    = 200 * time.Millisecond // a watch younger than this is not broken off
 )
 
+// heldShare is the share of the time that a watch was held that counts here: clocks may go at different speeds.
+const heldShare = 0.97
+
 // tellAfter is how many failures in a row are worth a line in the log.
 const tellAfter = 10
 
@@ -97,11 +100,16 @@
 	request := &protocol.WatchRequest{
 		Version: d.view.version,
 		Owners:  d.view.ownersAt,
-		WaitMs:  watchWait.Milliseconds(),
+		WaitMs:  d.options.Wait.Milliseconds(),
 		Node:    d.options.Node,
 	}
+	if d.options.OnConfiguration == nil {
+		request.OwnersOnly = true
+	} else {
+		request.Changes = true
+	}
 	if w.whole {
-		request.Version = 0
+		request.Version, request.Changes = 0, false
 	}
 	if w.short {
 		request.WaitMs = 0
@@ -112,6 +120,7 @@
 // accept takes over what an answer brought.
 func (d *Directory) accept(ctx context.Context, w *watch, answer *protocol.WatchResponse, sentAt time.Time) {
 	brought := d.judge(answer)
+	confirmedAt := d.confirmedBy(answer, sentAt)
 	if brought.stale {
 		_ = level.Warn(d.options.Logger).Log("message", "older configuration passed over", "peer", w.target,
 			"version", answer.Version, "held", d.Version())
@@ -119,35 +128,64 @@
 		return
 	}
 	d.found(w)
-	w.whole = brought.incomplete
 	if brought.incomplete {
+		w.whole = true
 		d.pace(ctx, sentAt)
 		return
 	}
-	if brought.configuration != nil && d.options.OnConfiguration != nil {
-		d.options.OnConfiguration(answer.Version, brought.configuration)
+	if !d.take(ctx, w, answer.Version, brought.configuration) {
+		return
 	}
-	d.confirm(w.target, answer.Version, sentAt)
+	w.whole = false
+	d.confirm(w.target, answer.Version, confirmedAt)
 	if brought.configuration == nil {
 		d.pace(ctx, sentAt)
 	}
 }
 
+// take hands a newer configuration over, if there is one. If that can't be read, the whole is asked for.
+func (d *Directory) take(ctx context.Context, w *watch, version uint64, configuration []byte) bool {
+	if configuration == nil || d.options.OnConfiguration == nil {
+		return true
+	}
+	err := d.options.OnConfiguration(version, configuration)
+	if err == nil {
+		return true
+	}
+	_ = level.Warn(d.options.Logger).Log("msg", "the configuration can't be taken, the whole is asked for", "version", version,
+		"err", err)
+	if w.whole {
+		d.pause(ctx, mostWatchPause) // that was the whole
+	}
+	w.whole = true
+	return false
+}
+
+// confirmedBy is when what an answer says was certainly in force.
+func (d *Directory) confirmedBy(answer *protocol.WatchResponse, sentAt time.Time) time.Time {
+	held := time.Duration(float64(max(answer.HeldMs, 0)) * heldShare * float64(time.Millisecond))
+	confirmed := sentAt.Add(held)
+	if now := d.options.Clock.Now(); confirmed.After(now) {
+		return now
+	}
+	return confirmed
+}
+
 func (d *Directory) judge(answer *protocol.WatchResponse) news {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	brought := d.view.judge(answer)
+	brought := d.view.judge(answer, d.options.OnConfiguration == nil)
 	if brought.owners {
 		d.announce()
 	}
 	return brought
 }
 
-func (d *Directory) confirm(from string, version uint64, sentAt time.Time) {
+func (d *Directory) confirm(from string, version uint64, confirmedAt time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.view.adopt(version)
-	d.view.confirm(sentAt)
+	d.view.confirm(confirmedAt)
 	d.view.learn(protocol.ConfigurationShard, from)
 }
 
--- a/internal/frontend/documents.go
+++ b/internal/frontend/documents.go
@@ -18,16 +18,17 @@
 	document *configuration.Document
 }
 
-// take puts a version in force. One that can't be read is passed over; the directory brings the next.
-func (d *documents) take(version uint64, data []byte) {
+// take puts a version in force. If it can't be read, or doesn't lead on from the one in force, the directory brings
+// the whole.
+func (d *documents) take(version uint64, data []byte) error {
 	document, err := configuration.Advance(d.document, data)
 	if err != nil {
-		level.Error(d.logger).Log("msg", "a configuration can't be read", "version", version, "err", err)
-		return
+		return err
 	}
 	d.document = document
 	d.views.Set(viewOf(document))
 	level.Debug(d.logger).Log("msg", "a configuration is in force", "version", version)
+	return nil
 }
 
 // confirmed is a directory whose confirmations count only for a version that is in force here: one that could not be
--- a/internal/frontend/handin.go
+++ b/internal/frontend/handin.go
@@ -7,12 +7,16 @@
 	"net/http"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
 )
 
+// stalePause is how long a hand-in waits for a newer configuration before its owner is asked again.
+const stalePause = 250 * time.Millisecond
+
 // usualBodyBytes is how much of a body is made room for before it comes.
 const usualBodyBytes = 16 << 10
 
@@ -66,8 +70,8 @@
 	return body.Bytes(), err
 }
 
-// handIn brings a job to the owner of its queue's shard. Where the owner knows a newer configuration than this
-// process, it starts again as soon as that has come.
+// handIn brings a job to the owner of its queue's shard. Where the owner knows another configuration than this process,
+// it starts again as soon as a newer one has come, or a little later: the owner may be the one that is behind.
 func (s *Service) handIn(ctx context.Context, arrived time.Time, r *http.Request, spec *protocol.JobSpec) error {
 	if err := s.confirmForHandIn(ctx); err != nil {
 		return err
@@ -81,7 +85,7 @@
 		switch failure.KindOf(err) {
 		case failure.Stale, failure.Moved:
 			s.Directory.Refresh()
-			if !s.Views.newerThan(ctx, found.view.Version) {
+			if !s.awaitNewer(ctx, found.view.Version) {
 				return err
 			}
 		default:
@@ -90,10 +94,17 @@
 	}
 }
 
+// awaitNewer waits a little for a view above version, and reports whether there is time to try again.
+func (s *Service) awaitNewer(ctx context.Context, version uint64) bool {
+	waiting, cancel := clockwork.WithTimeout(ctx, s.Clock, stalePause)
+	defer cancel()
+	return s.Views.newerThan(waiting, version) || !over(ctx)
+}
+
 // confirmForHandIn refuses a job only if the configuration is so old that its queue may long have been dropped; the
 // owner checks the rest by the version that travels with the job.
 func (s *Service) confirmForHandIn(ctx context.Context) error {
-	if s.confirm(ctx, calmAge) || s.Directory.Fresh(s.oldest) {
+	if s.confirm(ctx, s.calm) || s.Directory.Fresh(s.oldest) {
 		return nil
 	}
 	return failure.New(failure.Unavailable, "the configuration held here may be out of date")
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -38,6 +38,7 @@
 		Seeds:           settings.SeedInternalAddresses(),
 		Node:            settings.NodeName,
 		Logger:          logger,
+		Wait:            watchWait(settings.Bounds.ConfigApply),
 		OnConfiguration: (&documents{views: views, logger: logger}).take,
 	})
 	go known.Run(serving)
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -129,7 +129,7 @@
 
 // Ready tells whether clients should be sent here.
 func (s *Server) Ready() bool {
-	return !s.stopping.Load() && s.service.Views.Current() != nil && s.service.Directory.Fresh(calmAge)
+	return !s.stopping.Load() && s.service.Views.Current() != nil && s.service.Directory.Fresh(s.service.calm)
 }
 
 // stop ends serving in order. No request that was read is cut, unless it lasts until shortly before SIGKILL.
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -17,11 +17,20 @@
 	confirmPoll = 20 * time.Millisecond
 	// confirmWait is the longest time that a request waits for a confirmation.
 	confirmWait = 400 * time.Millisecond
-	// calmAge is how old a confirmation is at most in calm: a watch is held for a second, and some time goes by on its
-	// way. Beyond it, hand-ins wait for a newer one, and the process doesn't call itself ready.
-	calmAge = 1800 * time.Millisecond
+	// calmSlack is how much older than a watch's longest wait a confirmation gets in calm, with some to spare. Beyond
+	// it, hand-ins wait for a newer one, and the process doesn't call itself ready.
+	calmSlack = 800 * time.Millisecond
 )
 
+// watchWait is how long the owner of the configuration may hold this process's watch: a confirmation then stays young
+// enough for exact answers until the next one comes.
+func watchWait(configApply time.Duration) time.Duration {
+	if configApply <= 0 {
+		configApply = defaultConfigApply
+	}
+	return configApply / 2
+}
+
 // Bounds are the times within which the configuration must reach this process.
 type Bounds struct {
 	ConfigApply time.Duration // from a version's acknowledgement to its effect on new requests
@@ -43,6 +52,8 @@
 	draining atomic.Bool
 	// exact is how old a confirmation may be for an answer that an unseen version could make wrong.
 	exact time.Duration
+	// calm is how old it gets at most in calm.
+	calm time.Duration
 	// oldest is how old it may be for a hand-in to be carried on at all.
 	oldest time.Duration
 }
@@ -65,6 +76,7 @@
 	return &Service{
 		Options: options,
 		exact:   max(apply-exactMargin, apply/2),
+		calm:    watchWait(apply) + calmSlack,
 		oldest:  apply + skew/2,
 	}
 }
--- a/internal/protocol/internal.go
+++ b/internal/protocol/internal.go
@@ -96,6 +96,8 @@
 	WaitMs  int64
 	Node    string
 	Changes bool // the caller can take changes from Version on (configuration.Advance) in place of a snapshot
+
+	OwnersOnly bool // the caller has no use for the configuration, and is not told when it changes
 }
 
 // Member is one control process.
@@ -113,4 +115,5 @@
 	OwnersAt      uint64 // revision of Members and Owners
 	Members       []Member
 	Owners        map[ShardID]string // internal address of each shard's owner as far as known
+	HeldMs        int64              // time between the request's coming and the asking for that confirmation, or less
 }
--- a/internal/seeds/seeds.go
+++ b/internal/seeds/seeds.go
@@ -20,8 +20,8 @@
 const (
 	// lookEvery is how often it is asked whether the seeds are still of use.
 	lookEvery = 3 * time.Second
-	// staleAfter is how long nobody has answered before the settings file is read again without a signal.
-	staleAfter = 3 * time.Second
+	// defaultStaleAfter is how long nobody has answered before the settings file is read again without a signal.
+	defaultStaleAfter = 3 * time.Second
 )
 
 // Directory is what uses the seeds.
@@ -35,8 +35,10 @@
 	Path      string   // of the settings file
 	Seeds     []string // internal addresses as first read
 	Directory Directory
-	Clock     clockwork.Clock // nil: the real one
-	Logger    log.Logger
+	// StaleAfter is how long nobody has answered before the settings file is read again without a signal; 0: 3 s.
+	StaleAfter time.Duration
+	Clock      clockwork.Clock // nil: the real one
+	Logger     log.Logger
 }
 
 // Follower reads the settings file again when that may help.
@@ -50,6 +52,9 @@
 	if options.Clock == nil {
 		options.Clock = clockwork.NewRealClock()
 	}
+	if options.StaleAfter <= 0 {
+		options.StaleAfter = defaultStaleAfter
+	}
 	return &Follower{Options: options}
 }
 
@@ -78,7 +83,7 @@
 
 // look reads the file if nobody answers and it was written since it was last read.
 func (f *Follower) look() {
-	if f.Directory.Fresh(staleAfter) {
+	if f.Directory.Fresh(f.StaleAfter) {
 		return
 	}
 	information, err := os.Stat(f.Path)
