Let the next tick propose again what the engine refused at once

A process that wakes from a freeze still believes for a moment that it owns its shards. The engine, which knew better, refused the command before Propose returned; the callback took and proposed the next one, which was refused as well, and so on without end: 129 MB of stack in half a second, until the process was killed for its memory. Commands are now taken again only after one was applied, else at the next tick.

--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -91,7 +91,9 @@
 	}
 	s.engine.Propose(uint32(s.id), data, func(result any, err error) {
 		s.settled(command, result, err)
-		s.pump()
+		if err == nil {
+			s.pump() // else the next tick tries again: a refusal may come before Propose returns
+		}
 	})
 }
 
--- /dev/null
+++ b/internal/control/shard_test.go
@@ -0,0 +1,57 @@
+package control
+
+import (
+	"runtime/debug"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/consensus"
+	"ospreypond/internal/jobs"
+	"ospreypond/internal/protocol"
+	"ospreypond/internal/replica"
+	"ospreypond/internal/scheduler"
+	"ospreypond/internal/store/vfs"
+)
+
+// discarded is a Sender whose envelopes are lost.
+type discarded struct{}
+
+func (discarded) Send(string, *replica.Envelope) {}
+
+var _ = Describe("a shard of jobs", func() {
+	const timeOfDay = 1_000_000
+
+	It("waits for the next tick after its engine has refused a command", func() {
+		const enough = 8 << 20 // bytes of stack: calls that go round end the test instead of the machine's memory
+		defer debug.SetMaxStack(debug.SetMaxStack(enough))
+
+		shard := newJobShard(1, scheduler.Options{}, jobs.Options{}, func() int64 { return timeOfDay }, log.NewNopLogger())
+		engine, err := replica.Open(replica.Options{
+			FileSystem: vfs.OS{},
+			Dir:        GinkgoT().TempDir(),
+			Groups:     map[replica.GroupID]replica.StateMachine{1: shard},
+			Self:       consensus.Member{Node: "n", Zone: "z", Address: "127.0.0.1:1"},
+			Peers:      []string{"127.0.0.1:2"},
+			Sender:     discarded{},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		shard.engine = engine
+		shard.wake = func() {}
+
+		job := protocol.JobSpec{Steps: []protocol.Step{{Count: 1, CPU: 100}}, Repetitions: 2, FirstRunMs: timeOfDay - 10,
+			IntervalMs: 1000}
+		shard.state.Apply(&jobs.Command{TimeOfDayMs: timeOfDay - 20, Submits: []jobs.Submit{{
+			ID: "5c0e7a21d94b36f8", Job: job, Queue: protocol.Queue{Key: "host/queue/", Service: "service", MaxAttempts: 1}}}})
+		_, due := shard.state.NextDueMs()
+		Expect(due).To(BeTrue())
+
+		shard.Leading(1) // as the owner still believes just after a freeze; the engine knows better
+		for range 3 {
+			shard.tick()
+			Expect(shard.deadline(0)).To(BeNumerically(">=", 10*time.Millisecond))
+		}
+	})
+})
