--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -51,6 +51,8 @@
 	confirmationAge = 900 * time.Millisecond
 	// readWait is how long a read waits for a confirmation of leadership.
 	readWait = 800 * time.Millisecond
+	// proposeAgain is the pause after a command that could not be proposed, as while leadership is being given away.
+	proposeAgain = 50 * time.Millisecond
 	// roundGap is the least time between two rounds of placement.
 	roundGap = 10 * time.Millisecond
 	// roundAgain is the longest time between two rounds while tasks are held.
@@ -83,7 +85,8 @@
 	ending   map[runKey]bool        // runs whose end or loss is in next or inFlight
 	starting map[jobs.TaskID]string // tasks whose start is in inFlight: the runner
 
-	dirty     bool // something changed that a round may use
+	notBefore time.Duration // no command is proposed before this, after one could not be
+	dirty     bool          // something changed that a round may use
 	lastRound time.Duration
 	suspects  map[string]int // failures by job: runners on which its tasks failed
 	failedOn  map[string]map[string]bool
@@ -150,6 +153,7 @@
 	o.starting = map[jobs.TaskID]string{}
 	o.failedOn = map[string]map[string]bool{}
 	o.dirty = true
+	o.notBefore = 0
 	o.lastRound = 0
 }
 
@@ -206,7 +210,7 @@
 // Take returns the next command to propose, or nil. One command is in flight at a time: the shell reports it by Applied
 // or Failed.
 func (o *Owner) Take(now time.Duration) *jobs.Command {
-	if !o.leading || o.inFlight != nil {
+	if !o.leading || o.inFlight != nil || now < o.notBefore {
 		return nil
 	}
 	o.round(now)
@@ -261,6 +265,7 @@
 	o.flying = waitingReplies{}
 	o.starting = map[jobs.TaskID]string{}
 	o.settleEnds(command)
+	o.notBefore = now + proposeAgain
 	flying.fail(err)
 	o.dirty = true
 }
--- a/internal/scheduler/owner_test.go
+++ b/internal/scheduler/owner_test.go
@@ -172,6 +172,20 @@
 		Expect(failure.KindOf(second)).To(Equal(failure.NotLeader))
 	})
 
+	It("pauses after a command that could not be proposed, whatever is due", func() {
+		refused := failure.New(failure.NotLeader, "leadership is being given away")
+		w.submit(id, small())
+		w.beat(beatOf("i1", 1))
+		w.owner.Cancel(w.now, id, func(error) {})
+		command := w.owner.Take(w.now)
+		Expect(command).NotTo(BeNil())
+		w.owner.Failed(w.now, command, refused)
+		w.owner.Cancel(w.now, id, func(error) {})
+		Expect(w.owner.Take(w.now)).To(BeNil())
+		w.now += 100 * time.Millisecond
+		Expect(w.owner.Take(w.now)).NotTo(BeNil())
+	})
+
 	It("starts a gang's members together with one run", func() {
 		w.beat(beatOf("i1", 1))
 		w.beat(beatOf("i2", 1))
