--- a/internal/simulation/cluster/cluster.go
+++ b/internal/simulation/cluster/cluster.go
@@ -132,7 +132,7 @@
 
 // terminate ends a process in good order.
 func (c *Cluster) terminate(m *simulation.Machine, done func()) {
-	const frontDrain = 2300 * time.Millisecond
+	const frontDrain = 4 * time.Second // not ready, but serving; then what is in flight is finished
 	switch {
 	case m.Class == "front":
 		m.After(frontDrain, done)
--- a/internal/simulation/cluster/run.go
+++ b/internal/simulation/cluster/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"strings"
 	"time"
 
@@ -13,6 +14,7 @@
 type Options struct {
 	Troubles []string // kinds of trouble; nil: drawn
 	Quiet    bool     // no trouble at all
+	Together bool     // troubles begin close to each other in any case
 	Closing  string   // final fault; "none": none; empty: drawn
 	Length   time.Duration
 	Size     *simulation.Size
@@ -57,6 +59,15 @@
 	return text.String()
 }
 
+// Fingerprint is a number that differs where two runs differ in what runners did and when.
+func (r *Outcome) Fingerprint() uint64 {
+	hash := fnv.New64a()
+	for _, run := range r.Ledger.Runs {
+		fmt.Fprintln(hash, run.Text, run.Run, run.Runner.Instance, run.Started, run.Ended, run.How)
+	}
+	return hash.Sum64()
+}
+
 // Run plays one day from a seed.
 func Run(seed uint64, options Options) *Outcome {
 	world := simulation.NewWorld(seed)
@@ -106,6 +117,7 @@
 	if options.Quiet || day.Closing == "none" {
 		day.Closing = ""
 	}
+	day.Together = options.Together || w.Chance(0.4)
 	if day.Troubles == nil && !options.Quiet {
 		day.Troubles = drawTroubles(w)
 	}
--- a/internal/simulation/machine.go
+++ b/internal/simulation/machine.go
@@ -21,6 +21,8 @@
 	frozen   bool
 	life     int
 	began    time.Duration
+	ended    time.Duration // when it was last killed, or began to end in good order
+	leaving  bool
 	clockOff time.Duration // time of day against the true one
 	stalled  []func()
 	random   *rand.Rand // the machine's own
@@ -57,6 +59,7 @@
 	m.up, m.frozen, m.stalled = true, false, nil
 	m.life++
 	m.began = m.World.now
+	m.leaving = false
 	if m.Start != nil {
 		m.Start()
 	}
@@ -64,12 +67,28 @@
 
 // Kill ends the process; the files on its disk stay as they were written.
 func (m *Machine) Kill() {
+	if !m.leaving {
+		m.ended = m.World.now
+	}
 	m.up, m.frozen, m.stalled = false, false, nil
 	if m.Disk != nil {
 		m.Disk.processDied()
 	}
 }
 
+// Leave notes that the process has been asked to end.
+func (m *Machine) Leave() {
+	m.leaving = true
+	m.ended = m.World.now
+}
+
+// ready tells whether the platform sends new clients there: it notices within two seconds that a process has ended or
+// calls itself not ready.
+func (m *Machine) ready() bool {
+	const noticed = 2 * time.Second
+	return m.up && !m.leaving || m.World.now-m.ended < noticed
+}
+
 // LosePower ends the process, and writes that were not synced are kept, lost or torn.
 func (m *Machine) LosePower() {
 	m.Kill()
--- a/internal/simulation/runner.go
+++ b/internal/simulation/runner.go
@@ -59,9 +59,8 @@
 	slow        float64       // times as long; 0 or 1: as usual
 	failShare   float64       // of starts that fail
 	hangShare   float64       // of starts that stand still
-	coldUntil   time.Duration
-	listStopped bool // a stop for a run not there is listed as refused at once
-	startFirst  bool // of an answer's orders, starts are taken before stops
+	listStopped bool          // a stop for a run not there is listed as refused at once
+	startFirst  bool          // of an answer's orders, starts are taken before stops
 }
 
 type finishedEnd struct {
--- a/internal/simulation/trouble_machine.go
+++ b/internal/simulation/trouble_machine.go
@@ -172,6 +172,7 @@
 		return
 	}
 	d.strike("term", m, restartTime)
+	m.Leave()
 	life := m.life
 	over := false
 	end := func() {
