Read headers alone where that is enough, and let a membership correct an old address

At a start the whole of each next segment was read for its first 28 bytes. An address that a peer once told outweighed every later membership, also long after the peer was last heard: now only for five seconds.

--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -67,7 +67,7 @@
 	e.background = func(work func() func()) {
 		e.atDisk.Go(func() { e.Do(work()) })
 	}
-	e.peers.learn(opened.identity.First)
+	e.peers.learn(opened.identity.First, e.now)
 	return e
 }
 
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -65,7 +65,7 @@
 	}
 	g.snapshots.begin(g.appliedIndex, restored.Entries)
 	g.joiners = map[consensus.MemberID]joiner{}
-	e.peers.learn(g.node.Status().Members)
+	e.peers.learn(g.node.Status().Members, e.now)
 	return g
 }
 
@@ -79,7 +79,7 @@
 		g.hardState = *output.HardState
 	}
 	if output.Snapshot != nil || hasMembership(output.Entries) {
-		g.engine.peers.learn(g.node.Status().Members)
+		g.engine.peers.learn(g.node.Status().Members, g.engine.now)
 	}
 	for i := range output.Immediate {
 		g.engine.outbox.message(&output.Immediate[i])
--- a/internal/replica/joins.go
+++ b/internal/replica/joins.go
@@ -94,7 +94,7 @@
 		return
 	}
 	if g.leadingTerm != 0 {
-		e.peers.learn([]consensus.Member{join.Member})
+		e.peers.learn([]consensus.Member{join.Member}, e.now)
 		g.joiners[join.Member.ID] = joiner{member: join.Member, at: e.now}
 		e.manage = e.now
 		return
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -36,11 +36,15 @@
 	return known
 }
 
-// learn takes addresses from a membership, where the process itself has not told another.
-func (p *peers) learn(members []consensus.Member) {
+// toldLifetime is for how long an address that a process itself has told outweighs a membership.
+const toldLifetime = 5 * time.Second
+
+// learn takes addresses from a membership, where the process itself has not told another lately.
+func (p *peers) learn(members []consensus.Member, now time.Duration) {
 	for _, member := range members {
-		if known := p.get(member.ID); !known.told {
-			known.address = member.Address
+		known := p.get(member.ID)
+		if !known.told || now-known.heardAt > toldLifetime {
+			known.address, known.told = member.Address, false
 		}
 	}
 }
--- /dev/null
+++ b/internal/replica/peers_test.go
@@ -0,0 +1,58 @@
+package replica
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/consensus"
+)
+
+var _ = Describe("peers", func() {
+	const second = time.Second
+	var known *peers
+
+	hear := func(at time.Duration, address string, reluctant bool) {
+		known.heard(&Envelope{From: 2, Address: address, Reluctant: reluctant}, at)
+	}
+	member := func(address string) []consensus.Member {
+		return []consensus.Member{{ID: 2, Address: address}}
+	}
+
+	BeforeEach(func() {
+		known = newPeers(consensus.Member{ID: 1, Address: "self"})
+	})
+
+	It("knows its own address, and nothing of strangers", func() {
+		Expect(known.address(1)).To(Equal("self"))
+		Expect(known.address(2)).To(BeEmpty())
+		Expect(known.willing(2, second)).To(BeFalse())
+		Expect(known.unheard(2, 3*second)).To(Equal(3 * second))
+	})
+
+	It("holds an address that the process told for truer than a membership, for a while", func() {
+		known.learn(member("old"), 0)
+		Expect(known.address(2)).To(Equal("old"))
+		hear(second, "new", false)
+		known.learn(member("old"), 2*second)
+		Expect(known.address(2)).To(Equal("new"))
+		known.learn(member("newest"), 10*second)
+		Expect(known.address(2)).To(Equal("newest"))
+	})
+
+	It("counts how long a peer has been steady, and starts anew after a silence or reluctance", func() {
+		for at := second; at <= 6*second; at += second / 2 {
+			hear(at, "", false)
+		}
+		Expect(known.steady(2, 6*second)).To(Equal(5 * second))
+		Expect(known.steady(2, 8*second)).To(BeZero(), "silent now")
+		hear(8*second, "", false)
+		Expect(known.steady(2, 8*second)).To(BeZero())
+		hear(8*second+second/2, "", true)
+		hear(9*second, "", false)
+		Expect(known.steady(2, 9*second)).To(Equal(second / 2))
+		Expect(known.willing(2, 9*second)).To(BeFalse())
+		Expect(known.willing(2, 11*second)).To(BeTrue())
+	})
+})
--- a/internal/replica/wal/recover.go
+++ b/internal/replica/wal/recover.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"io"
 	"maps"
 	"path/filepath"
 	"slices"
@@ -127,6 +128,22 @@
 	return content, errors.Wrapf(err, "read %s", name)
 }
 
+// readHeader reads as much of a segment as its header is long, or less if there is less.
+func (r *recovery) readHeader(number uint64) ([]byte, error) {
+	name := segmentName(number)
+	file, err := r.log.files.Open(filepath.Join(r.log.dir, name))
+	if err != nil {
+		return nil, errors.Wrapf(err, "open %s", name)
+	}
+	defer file.Close()
+	header := make([]byte, segmentHeaderSize)
+	count, err := file.ReadAt(header, 0)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return nil, errors.Wrapf(err, "read %s", name)
+	}
+	return header[:count], nil
+}
+
 // segment replays one segment.
 func (r *recovery) segment(number uint64, newest bool) error {
 	name := segmentName(number)
@@ -147,7 +164,7 @@
 // olderSegment replays a segment up to where the next one says that it ends. All of that was synced.
 func (r *recovery) olderSegment(number uint64, content []byte) error {
 	name, next := segmentName(number), segmentName(number+1)
-	follower, err := r.read(number + 1)
+	follower, err := r.readHeader(number + 1)
 	if err != nil {
 		return err
 	}
