--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -46,7 +46,6 @@
 	// The rest belongs to the goroutine of Run.
 	mods    []*module // the last one takes new requests; those before finish what they took
 	ctx     context.Context
-	started bool
 	closing bool
 	members map[string]policy.Member // as last told, for a module that starts over
 	fleet   *policy.Event            // as last told; nil: no fleet
--- a/internal/local/process.go
+++ b/internal/local/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os"
 	"os/exec"
--- a/internal/protocol/internal.go
+++ b/internal/protocol/internal.go
@@ -5,11 +5,11 @@
 // ShardID names a shard, and the replica group that holds it.
 type ShardID uint32
 
-// ConfigurationShard holds the configuration. The shards of jobs are 1 to JobShards.
-const (
-	ConfigurationShard ShardID = 0
-	JobShards                  = 4
-)
+// ConfigurationShard holds the configuration.
+const ConfigurationShard ShardID = 0
+
+// JobShards is the number of shards of jobs; they are 1 to JobShards.
+const JobShards = 4
 
 // ShardOf returns the shard of a service's jobs and runners.
 func ShardOf(service string) ShardID {
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -88,7 +88,6 @@
 	notBefore time.Duration // no command is proposed before this, after one could not be
 	dirty     bool          // something changed that a round may use
 	lastRound time.Duration
-	suspects  map[string]int // failures by job: runners on which its tasks failed
 	failedOn  map[string]map[string]bool
 	counters  Counters
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -126,9 +126,8 @@
 	closed  bool
 
 	// manMu guards the manifest in force, which the writer's and the passer's goroutines replace.
-	manMu  sync.Mutex
-	man    *manifest.Manifest
-	stopIt bool // Close has begun: no more passes
+	manMu sync.Mutex
+	man   *manifest.Manifest
 
 	w writer
 	p passer
