Make the small system a program of its own

The command linked os/exec into ospreypond, which the dispatcher's platform refuses (test/platform failed). What starts processes is now cmd/ospreylocal, which runs the ospreypond beside it; internal/cli lends it the handling of faults.

--- /dev/null
+++ b/cmd/ospreylocal/main.go
@@ -0,0 +1,13 @@
+// Command ospreylocal runs a small system on this machine: the processes of ospreypond, and stand-in runners.
+package main
+
+import (
+	"os"
+
+	"ospreypond/internal/cli"
+	"ospreypond/internal/local/command"
+)
+
+func main() {
+	os.Exit(command.Main(os.Args[1:], cli.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}))
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -36,6 +36,9 @@
 
 func (e usageError) Unwrap() error { return e.error }
 
+// UsageFault marks a fault of the command line itself, which ends with an exit code of its own.
+func UsageFault(err error) error { return usageError{err} }
+
 // Main runs a command line, without the program's name, and returns the exit status. Errors go to Err.
 func Main(args []string, std Streams, getenv func(string) string) int {
 	return mainWith(args, std, getenv, dialSystem)
@@ -43,8 +46,20 @@
 
 // mainWith is Main with another way to reach a running system.
 func mainWith(args []string, std Streams, getenv func(string) string, dial dialer) int {
-	root := newRoot(std, getenv, dial)
+	return Execute(newRoot(std, getenv, dial), args, std)
+}
+
+// Execute runs the command that the arguments name, root or one below it, and returns the process' exit code. Faults of
+// the command line and failures are told on std.Err.
+func Execute(root *cobra.Command, args []string, std Streams) int {
+	root.SilenceErrors, root.SilenceUsage = true, true
+	root.SetIn(std.In)
+	root.SetOut(std.Out)
+	root.SetErr(std.Err)
 	root.SetArgs(args)
+	for _, c := range all(root) {
+		tellUsageFaults(c)
+	}
 	cmd, err := root.ExecuteContextC(context.Background())
 	var usage usageError
 	switch {
@@ -69,32 +84,31 @@
 		Use:   "ospreypond",
 		Short: "A cluster scheduler for jobs, and a dispatcher of requests",
 		Long: "ospreypond is a cluster scheduler for jobs, and a dispatcher of requests: it has runners do them, each with exactly\n" +
-			"one final answer. 'ospreypond local --dir DIR' runs a small scheduler on this machine. Without a command it serves\n" +
-			"as a dispatcher.",
-		RunE:          serve.RunE,
-		Args:          cobra.NoArgs,
-		SilenceErrors: true,
-		SilenceUsage:  true,
+			"one final answer. 'ospreylocal --dir DIR' runs a small scheduler on this machine. Without a command it serves as\n" +
+			"a dispatcher.",
+		RunE: serve.RunE,
+		Args: cobra.NoArgs,
 	}
-	root.SetIn(std.In)
-	root.SetOut(std.Out)
-	root.SetErr(std.Err)
 	root.AddCommand(serve, newStore(std), newTraffic(std), newVersion(std))
 	root.AddCommand(newRoles(std, getenv)...)
 	root.AddCommand(newSystem(std, getenv, dial)...)
 	root.CompletionOptions.SetDefaultShellCompDirective(cobra.ShellCompDirectiveDefault)
-	for _, c := range all(root) {
-		c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-		if check := c.Args; check != nil {
-			c.Args = func(c *cobra.Command, args []string) error {
-				if err := check(c, args); err != nil {
-					return usageError{err}
-				}
-				return nil
-			}
+	return root
+}
+
+// tellUsageFaults has the faults of c's own flags and arguments counted as faults of the command line.
+func tellUsageFaults(c *cobra.Command) {
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	check := c.Args
+	if check == nil {
+		return
+	}
+	c.Args = func(c *cobra.Command, args []string) error {
+		if err := check(c, args); err != nil {
+			return usageError{err}
 		}
+		return nil
 	}
-	return root
 }
 
 func all(c *cobra.Command) []*cobra.Command {
@@ -137,7 +151,7 @@
 	return log
 }
 
-// interruptible returns a context that SIGINT and SIGTERM end, for commands that end in order when they are asked to.
-func interruptible(ctx context.Context) (context.Context, context.CancelFunc) {
+// Interruptible returns a context that SIGINT and SIGTERM end, for commands that end in order when they are asked to.
+func Interruptible(ctx context.Context) (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 }
--- a/internal/cli/store.go
+++ b/internal/cli/store.go
@@ -36,7 +36,7 @@
 
 // withStore opens a store that is there, has f work on it until it is done or interrupted, and closes it.
 func withStore(c *cobra.Command, std Streams, dir string, f func(context.Context, *store.Store) error) (err error) {
-	ctx, stop := interruptible(c.Context())
+	ctx, stop := Interruptible(c.Context())
 	defer stop()
 	s, err := store.Open(dir, store.Options{Existing: true, Log: newLog(std.Err)})
 	if err != nil {
@@ -57,7 +57,7 @@
 		Long: "Read a whole store, compare all of it with its checksums and the index with the log, and print a report.\n" +
 			"Nothing is changed. The exit status is 1 if there is a fault; notes are put right at the next opening.",
 		RunE: func(c *cobra.Command, args []string) error {
-			ctx, stop := interruptible(c.Context())
+			ctx, stop := Interruptible(c.Context())
 			defer stop()
 			r, err := store.Check(ctx, args[0], nil)
 			if err != nil {
@@ -148,7 +148,7 @@
 			if every < 0 {
 				return usageError{fmt.Errorf("--sync-every: %v is negative", every)}
 			}
-			ctx, stop := interruptible(c.Context())
+			ctx, stop := Interruptible(c.Context())
 			defer stop()
 			s, err := store.Open(args[0], store.Options{SyncEvery: every, Log: newLog(std.Err)})
 			if err != nil {
@@ -302,7 +302,7 @@
 			if into == "" {
 				return usageError{errors.New("--into is missing")}
 			}
-			ctx, stop := interruptible(c.Context())
+			ctx, stop := Interruptible(c.Context())
 			defer stop()
 			r, err := store.Repair(ctx, args[0], into, store.Options{Log: newLog(std.Err)})
 			if err != nil {
--- a/internal/cli/system.go
+++ b/internal/cli/system.go
@@ -65,7 +65,6 @@
 		s.newMembers(), s.newShards(), s.newRunners(), s.newDrain(),
 		s.newBackup(), s.newRestore(),
 		group("state", "Look at the folder of a control process that does not run", s.newStateInspect(), s.newStateVerify()),
-		s.newLocal(),
 	}
 }
 
@@ -119,7 +118,7 @@
 		return err
 	}
 	defer system.Close()
-	ctx, stop := interruptible(command.Context())
+	ctx, stop := Interruptible(command.Context())
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
--- a/internal/cli/system_test.go
+++ b/internal/cli/system_test.go
@@ -65,8 +65,6 @@
 	Entry(nil, "restore x", "--dir is missing"),
 	Entry(nil, "restore x --dir y", "must tell which process the folder is for"),
 	Entry(nil, "restore x --dir y --node a --address b", `--address: an ip:port is due, found "b"`),
-	Entry(nil, "local", "--dir is missing"),
-	Entry(nil, "local now --dir x", "one argument too many"),
 )
 
 var _ = DescribeTable("faults end with 1, by name",
@@ -102,7 +100,6 @@
 	Entry("a backup that is none", "restore /etc/hostname --dir /no/such --node a --address 10.0.0.1:7380", "", nil,
 		"/etc/hostname: it is not a backup"),
 	Entry("a file that is there", "backup /etc/hostname --control a:1", "", nil, "/etc/hostname is there already"),
-	Entry("a network that is not loopback", "local --dir /tmp/x --network 10.0.0", "", nil, `network "10.0.0" is not of the form 127.N.N`),
 )
 
 var _ = DescribeTable("what commands ask the system, and say",
@@ -275,7 +272,7 @@
 	It("show help with an example for each", func() {
 		for _, line := range []string{"config check", "config get", "config apply", "config diff", "jobs submit", "jobs status",
 			"jobs cancel", "jobs list", "members", "shards", "runners", "drain", "backup", "restore", "state inspect",
-			"state verify", "local"} {
+			"state verify"} {
 			ended := command(&fakeSystem{}, "", line+" --help")
 			Expect(ended.status).To(Equal(ok))
 			Expect(ended.out).To(ContainSubstring("Examples:\n  "), line)
--- a/internal/cli/traffic.go
+++ b/internal/cli/traffic.go
@@ -34,7 +34,7 @@
 					return usageError{fmt.Errorf("--%s: %q is no time like 2026-12-01T08:00:00Z", f.name, f.text)}
 				}
 			}
-			ctx, stop := interruptible(c.Context())
+			ctx, stop := Interruptible(c.Context())
 			defer stop()
 			out := bufio.NewWriter(std.Out)
 			if _, err := traffic.Export(ctx, args[0], traffic.Format(format), times[0], times[1], out); err != nil {
--- a/test/system/system_test.go
+++ b/test/system/system_test.go
@@ -1,4 +1,4 @@
-// Package system tests a whole system as processes, as `ospreypond local` runs it.
+// Package system tests a whole system as processes, as `ospreylocal` runs it.
 package system
 
 import (
@@ -35,16 +35,18 @@
 	pollEvery     = 50 * time.Millisecond
 )
 
-var program string
+var program, localProgram string
 
 var _ = BeforeSuite(func() {
 	var err error
 	program, err = gexec.Build("ospreypond/cmd/ospreypond", "-race")
 	Expect(err).NotTo(HaveOccurred())
+	localProgram, err = gexec.Build("ospreypond/cmd/ospreylocal", "-race")
+	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(gexec.CleanupBuildArtifacts)
 })
 
-// localSystem is a running `ospreypond local`.
+// localSystem is a running `ospreylocal`.
 type localSystem struct {
 	dir     string
 	network string
@@ -55,8 +57,8 @@
 func startLocal(dir string, flags ...string) *localSystem {
 	GinkgoHelper()
 	s := &localSystem{dir: dir, network: fmt.Sprintf("127.%d.%d", 80+rand.IntN(100), rand.IntN(250))}
-	arguments := append([]string{"local", "--dir", dir, "--network", s.network}, flags...)
-	session, err := gexec.Start(exec.Command(program, arguments...), GinkgoWriter, GinkgoWriter)
+	arguments := append([]string{"--program", program, "--dir", dir, "--network", s.network}, flags...)
+	session, err := gexec.Start(exec.Command(localProgram, arguments...), GinkgoWriter, GinkgoWriter)
 	Expect(err).NotTo(HaveOccurred())
 	s.session = session
 	DeferCleanup(s.kill)
