Check what a role needs of its settings, and keep a local system's folder to one system

Tried by hand: a frontend without addresses listened anywhere, a control process without a folder named no key, an unset variable was told as a file without a name. A second local system in a folder overwrote the settings of the first; it now takes a lock, and keeps to the network that the folder's members know each other by.

--- a/internal/boot/load.go
+++ b/internal/boot/load.go
@@ -27,6 +27,9 @@
 // Load reads the settings file at path. Keys it does not know are passed over. The error is of kind Invalid and names
 // every fault by its key.
 func Load(path string) (*Settings, error) {
+	if path == "" {
+		return nil, failure.Newf(failure.Invalid, "the variable %s is not set: it names the settings file", Variable)
+	}
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, failure.Newf(failure.Invalid, "settings file (variable %s): %v", Variable, err)
--- /dev/null
+++ b/internal/boot/role_test.go
@@ -0,0 +1,29 @@
+package boot_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/boot"
+	"ospreypond/internal/failure"
+)
+
+var _ = DescribeTable("what a role needs",
+	func(role string, settings boot.Settings, faults ...string) {
+		err := settings.CheckRole(role)
+		if len(faults) == 0 {
+			Expect(err).NotTo(HaveOccurred())
+			return
+		}
+		Expect(failure.KindOf(err)).To(Equal(failure.Invalid))
+		for _, fault := range faults {
+			Expect(err).To(MatchError(ContainSubstring(fault + ": is missing, needed by the role " + role)))
+		}
+	},
+	Entry("a control process", boot.RoleControl, boot.Settings{DataDir: "/d", Listen: map[string]string{"control": "a"}}),
+	Entry("one without anything", boot.RoleControl, boot.Settings{}, "listen.control", "dataDir"),
+	Entry("a frontend", boot.RoleFrontend, boot.Settings{Listen: map[string]string{"frontend": "a", "readiness": "b"}}),
+	Entry("one without anything", boot.RoleFrontend, boot.Settings{}, "listen.frontend", "listen.readiness"),
+	Entry("an agent", boot.RoleAgent, boot.Settings{Listen: map[string]string{"control": "a"}}),
+	Entry("one without anything", boot.RoleAgent, boot.Settings{}, "listen.control"),
+)
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -39,6 +39,9 @@
 			logger := newRoleLog(std.Err)
 			seeds.Hangups() // a SIGHUP that comes while the role is being set up must not end it
 			settings, err := boot.Load(getenv(settingsVariable))
+			if err == nil {
+				err = settings.CheckRole(use)
+			}
 			if err != nil {
 				level.Error(logger).Log("msg", "the settings cannot be used", "err", err)
 				return errSaid
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -21,11 +21,15 @@
 	"ospreypond/internal/boot"
 	"ospreypond/internal/local/runner"
 	"ospreypond/internal/protocol"
+	"ospreypond/internal/store/vfs"
 )
 
 // StandardNetwork is where the machines are, by default.
 const StandardNetwork = "127.77.0"
 
+// lockName is the file that is locked while a local system runs in its folder.
+const lockName = "lock"
+
 const (
 	readyPatience = time.Minute
 	readyPoll     = 100 * time.Millisecond
@@ -53,6 +57,14 @@
 // Run starts the system, tells what stands where, and keeps it going until ctx ends; then all is ended in order.
 func Run(ctx context.Context, options Options) error {
 	s := &System{options: options}
+	if err := s.openFolder(); err != nil {
+		return err
+	}
+	lock, err := s.lock()
+	if err != nil {
+		return err
+	}
+	defer lock.Close()
 	if err := s.prepare(); err != nil {
 		return err
 	}
@@ -63,16 +75,24 @@
 	stopFrontends := s.startRole("frontend", failed)
 	stopAgents := s.startRole("agent", failed)
 	stopRunners := s.startRunners()
-	err := s.serve(ctx, failed)
+	err = s.serve(ctx, failed)
 	s.say("stopping")
 	stopRunners()
-	stopAgents()
-	stopFrontends()
+	together(stopAgents, stopFrontends)
 	stopControl()
 	s.say("all processes have ended")
 	return err
 }
 
+// together calls all at once and waits for them.
+func together(calls ...func()) {
+	var waiting sync.WaitGroup
+	for _, call := range calls {
+		waiting.Go(call)
+	}
+	waiting.Wait()
+}
+
 // serve waits until the system is ready, and then until its end.
 func (s *System) serve(ctx context.Context, failed <-chan error) error {
 	starting, cancel := context.WithTimeout(ctx, readyPatience)
@@ -98,23 +118,35 @@
 	}
 }
 
-// prepare writes what the processes start from.
-func (s *System) prepare() error {
+// openFolder makes the folder, and its name one that holds everywhere.
+func (s *System) openFolder() error {
 	dir, err := filepath.Abs(s.options.Dir)
 	if err != nil {
 		return err
 	}
 	s.options.Dir = dir
-	if s.machines, err = machinesOf(dir, s.options.Network); err != nil {
+	return os.MkdirAll(dir, 0o700)
+}
+
+// prepare writes what the processes start from.
+func (s *System) prepare() error {
+	machines, err := machinesOf(s.options.Dir, s.options.Network)
+	if err != nil {
 		return err
 	}
+	s.machines = machines
+	first := s.isFirst()
+	if !first {
+		if err := s.checkNetwork(); err != nil {
+			return err
+		}
+	}
 	if err := checkFree(s.machines); err != nil {
 		return err
 	}
-	first := s.isFirst()
 	if s.options.Restore != "" {
 		if !first {
-			return errors.Errorf("folder %s holds a system already; a backup is restored into a new one", dir)
+			return errors.Errorf("folder %s holds a system already; a backup is restored into a new one", s.options.Dir)
 		}
 		first = false
 	}
@@ -129,6 +161,25 @@
 	return nil
 }
 
+// lock makes sure that no other local system runs in the folder.
+func (s *System) lock() (io.Closer, error) {
+	lock, err := vfs.OS{}.Lock(filepath.Join(s.options.Dir, lockName))
+	if errors.Is(err, vfs.ErrLocked) {
+		return nil, errors.Errorf("a local system runs in %s already", s.options.Dir)
+	}
+	return lock, err
+}
+
+// checkNetwork tells if the system in the folder has other addresses: its members know each other by them.
+func (s *System) checkNetwork() error {
+	m := ofRole(s.machines, "control")[0]
+	settings, err := boot.Load(m.settingsPath())
+	if err == nil && settings.IP != m.ip {
+		return errors.Errorf("folder %s holds a system with %s at %s; use its --network", s.options.Dir, m.name, settings.IP)
+	}
+	return nil
+}
+
 // isFirst tells whether no control process has run here yet.
 func (s *System) isFirst() bool {
 	for _, m := range ofRole(s.machines, "control") {
--- a/internal/local/machines.go
+++ b/internal/local/machines.go
@@ -29,6 +29,9 @@
 // Service is the name of the service of the stand-in runners.
 const Service = "demo"
 
+// graceSeconds is short: nobody but the user sends clients to the frontends.
+const graceSeconds = 2
+
 // region is where all zones are.
 const region = "local"
 
@@ -124,6 +127,7 @@
 		"heartbeatIntervalMs": 1500,
 		"commands":            boot.CommandsHeartbeat,
 		"faultTolerance":      map[string]int{"machines": 1},
+		"bounds":              map[string]any{"graceS": graceSeconds},
 		"limits":              map[string]any{"memoryMb": 280, "fileDescriptors": 4096, "diskMb": 128},
 	}
 	if m.role == "control" {
--- a/internal/local/machines_test.go
+++ b/internal/local/machines_test.go
@@ -48,6 +48,17 @@
 		Expect(s.isFirst()).To(BeFalse())
 		s.options.Restore = "any"
 		Expect(s.prepare()).To(MatchError(ContainSubstring("holds a system already")))
+		s.options.Network = "127.9.7"
+		Expect(s.prepare()).To(MatchError(ContainSubstring("holds a system with control-1 at 127.9.8.11; use its --network")))
+	})
+
+	It("belong to one system at a time", func() {
+		s := &System{options: Options{Dir: GinkgoT().TempDir()}}
+		lock, err := s.lock()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.lock()
+		Expect(err).To(MatchError(ContainSubstring("a local system runs in " + s.options.Dir)))
+		Expect(lock.Close()).To(Succeed())
 	})
 
 	It("begin with a configuration that is good", func() {
