--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -189,7 +189,8 @@
 // call is one request to a target on its way.
 type call struct {
 	e      *Egress
-	job    bool // not a probe
+	job    bool      // not a probe
+	until  time.Time // when the wait for the answer is over; zero: a probe, which tells none
 	mu     sync.Mutex
 	conn   *conn
 	turn   int  // the request's number on conn
@@ -202,6 +203,7 @@
 // on the wire is no attempt, so this resends nothing.
 func (c *call) do(ctx context.Context, target string, gate func() error, build func(base string) (*http.Request, error)) (
 	*http.Response, error) {
+	var req *http.Request
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if own, ok := info.Conn.(*conn); ok {
 			tooOld := info.Reused && info.IdleTime > c.e.kept.limit(time.Now())
@@ -214,6 +216,7 @@
 			c.mu.Lock()
 			c.conn, c.turn, c.reused, c.idle = own, turn, info.Reused, info.IdleTime
 			c.mu.Unlock()
+			c.tellTime(req)
 		}
 	}})
 	for dials := 0; ; {
@@ -221,8 +224,8 @@
 		if !ok {
 			return nil, fmt.Errorf("%s: not in the route table", target)
 		}
-		req, err := build("http://" + route.Dial)
-		if err != nil {
+		var err error
+		if req, err = build("http://" + route.Dial); err != nil {
 			return nil, err
 		}
 		c.mu.Lock()
@@ -258,6 +261,16 @@
 	}
 }
 
+// tellTime has the request tell how long its answer is waited for. Guards against a dial that takes long, of which the
+// time that the target was told knew nothing: it is called as the connection is there and before the headers are
+// written, by the goroutine that called RoundTrip.
+func (c *call) tellTime(req *http.Request) {
+	if !c.until.IsZero() {
+		left := max(0, time.Until(c.until))
+		req.Header.Set("X-Timeout", strconv.FormatInt(left.Microseconds(), 10)+"u")
+	}
+}
+
 // final tells whether the gate's word holds for every connection, not only for one that was kept for too long.
 func final(no error) bool {
 	return no != nil && !errors.Is(no, errTooOld) && !errors.Is(no, errStray)
@@ -321,7 +334,7 @@
 	detach := context.AfterFunc(outer, func() { cancel(context.Cause(outer)) })
 	end := exchange.HopEnd{Report: policy.NoReport}
 
-	c := call{e: e, job: true}
+	c := call{e: e, job: true, until: h.Deadline}
 	gate := func() error {
 		if !e.table.Open(h.Target) {
 			return errNotOpen
@@ -364,7 +377,7 @@
 	return end
 }
 
-// hopRequest builds what the target gets: the client's request, unchanged, and how long we wait.
+// hopRequest builds what the target gets: the client's request, unchanged. How long we wait is told at the last moment.
 func hopRequest(base string, h *exchange.Hop) (*http.Request, error) {
 	r := h.Request
 	req, err := http.NewRequest(r.Method, base+r.Target, once(r.Body))
@@ -380,8 +393,6 @@
 	if r.ContentType != "" {
 		req.Header.Set("Content-Type", r.ContentType)
 	}
-	left := max(0, time.Until(h.Deadline))
-	req.Header.Set("X-Timeout", strconv.FormatInt(left.Microseconds(), 10)+"u")
 	return req, nil
 }
 
--- a/internal/egress/endings_test.go
+++ b/internal/egress/endings_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -310,3 +311,33 @@
 		return end.Outcome == policy.Full && end.Doubtful
 	}, time.Minute, time.Millisecond)
 }
+
+// Guards against a target that is told of more time than is left: how long the answer is waited for is read when the
+// connection is there, not before a dial that takes long.
+func TestTimeLeftIsToldAfterTheDial(t *testing.T) {
+	const wait, dialing = time.Minute, 300 * time.Millisecond
+	told := make(chan time.Duration, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		us, err := strconv.ParseInt(strings.TrimSuffix(r.Header.Get("X-Timeout"), "u"), 10, 64)
+		assert.NoError(t, err)
+		told <- time.Duration(us) * time.Microsecond
+		_, _ = io.WriteString(w, `{"id":"id","state":"done","result":"r"}`)
+	})}
+	defer srv.Close()
+	go func() { _ = srv.Serve(l) }()
+	e, _ := testEgress(t, l.Addr().String())
+	dial := e.transport("w").DialContext
+	e.transport("w").DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		time.Sleep(dialing) // the network's delay; nothing waits for it
+		return dial(ctx, network, addr)
+	}
+	deadline := time.Now().Add(wait)
+	for range 2 { // on a new connection, and on the kept one
+		end := e.Hop(context.Background(), &exchange.Hop{Target: "w", Deadline: deadline, News: func(policy.EventKind) {},
+			Begin: func(time.Time) error { return nil }, Request: &exchange.Request{ID: "id", Method: "POST", Target: "/c"}})
+		require.Equal(t, policy.OK, end.Outcome)
+		assert.LessOrEqual(t, <-told, wait-dialing)
+	}
+}
