--- a/internal/routetable/clock_test.go
+++ b/internal/routetable/clock_test.go
@@ -134,3 +134,42 @@
 	default:
 	}
 }
+
+// Guards against a drain that comes late because the module is busy with the news before it: the next call goes out, and
+// its answer counts in the table, while they wait. All of them are told in the end, in order.
+func TestBusyReaderHoldsUpNoDrain(t *testing.T) {
+	const patience = 20 * time.Second
+	answers := make(chan string, 2)
+	answers <- `{"seq":1,"whole":true,"hosts":[{"host":"a","dial":"x:1","health":"SERVING"}]}`
+	answers <- `{"seq":2,"whole":false,"hosts":[{"host":"a","dial":"x:1","health":"DRAINING"}]}`
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case answer := <-answers:
+			fmt.Fprint(w, answer)
+		case <-r.Context().Done():
+		}
+	}))
+	defer srv.Close()
+	table := New()
+	busy, told := make(chan struct{}), make(chan policy.Event, 16)
+	w := NewWatcher(table, srv.Listener.Addr().String(), time.Hour, 0, func(e policy.Event) { <-busy; told <- e }, quiet())
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go w.Run(ctx)
+	w.Subscribe()
+	require.Eventually(t, func() bool {
+		r, ok := table.Lookup("a")
+		return ok && r.State == policy.Draining
+	}, patience, time.Millisecond)
+	select {
+	case <-w.First():
+		t.Fatal("the first list was told by nobody yet")
+	default:
+	}
+	close(busy)
+	assert.Equal(t, policy.ListReplaced, (<-told).Kind)
+	second := <-told
+	assert.Equal(t, policy.ListChanged, second.Kind)
+	assert.Equal(t, policy.Draining, second.Members[0].State)
+	<-w.First()
+}
--- a/internal/routetable/watch.go
+++ b/internal/routetable/watch.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,11 +41,14 @@
 	pace   atomic.Pointer[pace]
 	client *http.Client
 	news   func(policy.Event)
+	teller *teller // calls news
 	kick   chan struct{}
 	keep   atomic.Bool
 	clock  clock
-	first  chan struct{} // closed when a list came
+	first  chan struct{} // closed when a list came and was told
 	log    logrus.FieldLogger
+
+	firstOnce sync.Once
 }
 
 // pace is what the settings in force say of the times of calls.
@@ -68,10 +72,10 @@
 }
 
 // NewWatcher returns a Watcher on the discovery service at addr, paced by hold and grace, see Retune. What is learned goes
-// into the table first and then to news.
+// into the table first and then, in order, to news, which may take its time.
 func NewWatcher(t *Table, addr string, hold, grace time.Duration, news func(policy.Event), log logrus.FieldLogger) *Watcher {
 	tr := &http.Transport{Proxy: nil, DisableCompression: true, MaxIdleConnsPerHost: 1}
-	w := &Watcher{table: t, first: make(chan struct{}), news: news, client: &http.Client{Transport: tr},
+	w := &Watcher{table: t, first: make(chan struct{}), news: news, teller: newTeller(), client: &http.Client{Transport: tr},
 		kick: make(chan struct{}, 1), log: log}
 	w.at.Store(newPlace(addr, false))
 	w.Retune(hold, grace)
@@ -108,7 +112,7 @@
 	w.pace.Store(p)
 }
 
-// First is closed once a list came.
+// First is closed once a list came and was told.
 func (w *Watcher) First() <-chan struct{} { return w.first }
 
 // Keep says whether the Watcher keeps a watch open by itself, where lists are pushed: what there is to tell then counts as
@@ -125,6 +129,9 @@
 	again := backoff.ExponentialBackOff{InitialInterval: againFirst, Multiplier: 2,
 		RandomizationFactor: backoff.DefaultRandomizationFactor}
 	again.Reset()
+	var telling sync.WaitGroup
+	defer telling.Wait()
+	telling.Go(func() { w.teller.run(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
@@ -141,7 +148,7 @@
 		}
 		w.log.WithError(err).WithField("told_in", time.Until(w.clock.told()).Round(time.Millisecond)).
 			Warn("discovery call failed; the route table stays as it is")
-		w.news(policy.Event{Kind: policy.ListUnavailable})
+		w.teller.tell(func() { w.news(policy.Event{Kind: policy.ListUnavailable}) })
 		if w.keep.Load() {
 			if time.Since(began) > steady { // it was up for a while
 				again.Reset()
@@ -196,14 +203,12 @@
 	for _, h := range l.Hosts {
 		w.log.WithFields(logrus.Fields{"target": h.Host, "health": h.Health, "seq": l.Seq}).Debug("route changed")
 	}
-	if answer || l.Whole || len(l.Hosts) > 0 {
-		w.news(e)
-	}
-	select {
-	case <-w.first:
-	default:
-		close(w.first)
-	}
+	w.teller.tell(func() {
+		if answer || l.Whole || len(l.Hosts) > 0 {
+			w.news(e)
+		}
+		w.firstOnce.Do(func() { close(w.first) })
+	})
 }
 
 // call asks for what is newer than the table, or for the whole list.
