--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -44,20 +44,22 @@
 	return urgent, d.spare(float64(using), float64(capacity)) / float64(capacity)
 }
 
-// byNeed splits tasks into those from which no room is kept, since they might never fit, and the others.
-func byNeed(held []*jobs.Task, runners []placement.Runner) (large, others []*jobs.Task) {
+// byNeed splits tasks into those from which no room is kept, since they might never fit or earn by being there all the
+// time, and the others.
+func byNeed(held []*jobs.Task, runners []placement.Runner) (free, others []*jobs.Task) {
 	largest := int64(0)
 	for i := range runners {
 		largest = max(largest, runners[i].Capacity.CPU)
 	}
 	for _, task := range held {
-		if float64(task.Group.Spec().CPU) > largeShare*float64(largest) {
-			large = append(large, task)
+		step := task.Group.Spec()
+		if step.LongRunning || float64(step.CPU) > largeShare*float64(largest) {
+			free = append(free, task)
 		} else {
 			others = append(others, task)
 		}
 	}
-	return large, others
+	return free, others
 }
 
 // usage sums what runs: the best priority there is, what that takes, and what there is, in thousandths of a core.
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -63,9 +63,9 @@
 		o.place(now, held, runners)
 		return
 	}
-	large, others := byNeed(held[urgent:], runners)
+	free, others := byNeed(held[urgent:], runners)
 	o.place(now, held[:urgent], runners)
-	o.place(now, large, runners)
+	o.place(now, free, runners)
 	keepFree(runners, spare)
 	o.place(now, others, runners)
 }
--- a/internal/scheduler/watch.go
+++ b/internal/scheduler/watch.go
@@ -137,13 +137,16 @@
 
 func (o *Owner) stalled(now time.Duration, r *runner, task *jobs.Task, entry *listing) bool {
 	step := task.Group.Spec()
-	if step.LongRunning || step.Gang {
+	if step.LongRunning {
 		return false
 	}
 	if _, stopping := r.stops[runKey{task.ID, task.Run}]; stopping {
 		return false
 	}
 	limit := max(stallLeast, time.Duration(stallShare*float64(o.predict(r, task))))
+	if step.Gang {
+		limit += o.options.GangWait // it may be waiting for the others
+	}
 	return now-entry.movedAt > limit
 }
 
