--- a/internal/transport/options.go
+++ b/internal/transport/options.go
@@ -5,6 +5,7 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -54,14 +55,6 @@
 	Dial          func(ctx context.Context, address string) (net.Conn, error)
 }
 
-func orStandard[T comparable](value, standard T) T {
-	var zero T
-	if value == zero {
-		return standard
-	}
-	return value
-}
-
 func (o Options) complete() Options {
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
@@ -69,12 +62,12 @@
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
-	o.MaxFrameBytes = orStandard(o.MaxFrameBytes, StandardMaxFrameBytes)
-	o.MaxQueueBytes = orStandard(o.MaxQueueBytes, StandardMaxQueueBytes)
-	o.MaxConnections = orStandard(o.MaxConnections, StandardMaxConnections)
-	o.MaxOutstanding = orStandard(o.MaxOutstanding, StandardMaxOutstanding)
-	o.MaxHandlers = orStandard(o.MaxHandlers, StandardMaxHandlers)
-	o.WriteTimeout = orStandard(o.WriteTimeout, StandardWriteTimeout)
+	o.MaxFrameBytes = cmp.Or(o.MaxFrameBytes, StandardMaxFrameBytes)
+	o.MaxQueueBytes = cmp.Or(o.MaxQueueBytes, StandardMaxQueueBytes)
+	o.MaxConnections = cmp.Or(o.MaxConnections, StandardMaxConnections)
+	o.MaxOutstanding = cmp.Or(o.MaxOutstanding, StandardMaxOutstanding)
+	o.MaxHandlers = cmp.Or(o.MaxHandlers, StandardMaxHandlers)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, StandardWriteTimeout)
 	return o
 }
 
@@ -88,12 +81,12 @@
 	if o.Dial == nil {
 		o.Dial = dial
 	}
-	o.MaxFrameBytes = orStandard(o.MaxFrameBytes, StandardMaxFrameBytes)
-	o.MaxQueueBytes = orStandard(o.MaxQueueBytes, StandardMaxQueueBytes)
-	o.DialTimeout = orStandard(o.DialTimeout, StandardDialTimeout)
-	o.WriteTimeout = orStandard(o.WriteTimeout, StandardWriteTimeout)
-	o.ProbeInterval = orStandard(o.ProbeInterval, StandardProbeInterval)
-	o.LeastBackoff = orStandard(o.LeastBackoff, StandardLeastBackoff)
-	o.MostBackoff = orStandard(o.MostBackoff, StandardMostBackoff)
+	o.MaxFrameBytes = cmp.Or(o.MaxFrameBytes, StandardMaxFrameBytes)
+	o.MaxQueueBytes = cmp.Or(o.MaxQueueBytes, StandardMaxQueueBytes)
+	o.DialTimeout = cmp.Or(o.DialTimeout, StandardDialTimeout)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, StandardWriteTimeout)
+	o.ProbeInterval = cmp.Or(o.ProbeInterval, StandardProbeInterval)
+	o.LeastBackoff = cmp.Or(o.LeastBackoff, StandardLeastBackoff)
+	o.MostBackoff = cmp.Or(o.MostBackoff, StandardMostBackoff)
 	return o
 }
