Simulate planned replacements, changes that meet a core machine's return, and herds right after a hand-in

Connections of a killed process are reset, as a kill does it and a loss of power doesn't; what a ledger holds of a job can be told by SIMULATION_JOB.

--- a/internal/simulation/client.go
+++ b/internal/simulation/client.go
@@ -68,6 +68,7 @@
 			return
 		}
 		life := machine.life
+		machine.callers = append(machine.callers, func() { c.World.After(c.delay(), func() { finish(0) }) })
 		machine.inLife(life, func() {
 			ask(frontend, func(status int, state string) {
 				c.World.After(c.delay(), func() {
--- a/internal/simulation/cluster/cluster_test.go
+++ b/internal/simulation/cluster/cluster_test.go
@@ -57,6 +57,7 @@
 				if outcome := Run(seed, options); outcome.Failed() {
 					mutex.Lock()
 					failures = append(failures, outcome.String())
+					explain(outcome)
 					mutex.Unlock()
 				}
 			}
@@ -66,6 +67,13 @@
 	Expect(failures).To(BeEmpty())
 }
 
+// explain tells all of the job that SIMULATION_JOB names, if any.
+func explain(outcome *Outcome) {
+	if id := os.Getenv("SIMULATION_JOB"); id != "" {
+		GinkgoWriter.Println(outcome.Ledger.Explain(id))
+	}
+}
+
 var _ = Describe("The real cores of a whole cluster", func() {
 	It("break no rule on quiet days", func() {
 		play(1, 1+seeds/100, Options{Quiet: true})
--- a/internal/simulation/cluster/shards.go
+++ b/internal/simulation/cluster/shards.go
@@ -152,20 +152,13 @@
 	s.feed.Lost(s.process.leaderAddress(0))
 }
 
-func (s *configurationShard) serviceOf(queue string) (service string, ok, known bool) {
+func (s *configurationShard) serviceOf(queue string) (service string, version uint64) {
 	document := s.state.Document()
-	if document.Version() == 0 {
-		return "", false, false
+	route := document.Queue(queue)
+	if route == nil {
+		return "", document.Version()
 	}
-	if s.queued != document.Version() {
-		s.queues = map[string]string{}
-		for route := range document.Routes() {
-			s.queues[configuration.QueueKey(route)] = route.GetService()
-		}
-		s.queued = document.Version()
-	}
-	service, ok = s.queues[queue]
-	return service, ok, true
+	return route.GetService(), document.Version()
 }
 
 func (s *configurationShard) tick() {
--- a/internal/simulation/day.go
+++ b/internal/simulation/day.go
@@ -139,14 +139,18 @@
 
 // askAtLast asks until the job has ended.
 func (d *Deployment) askAtLast(job *JobRecord) {
-	if d.World.now > d.Ledger.Ends-d.Clients.Deadline-lastAsks {
+	if d.World.now > d.Ledger.Ends-d.Clients.Deadline {
 		return
 	}
 	d.Clients.Ask(job, func(status int, state string) {
 		if status == 200 && (state == protocol.JobCompleted || state == protocol.JobFailed || state == protocol.JobCancelled) {
 			return
 		}
-		d.World.After(d.World.Between(lastAsks, 3*lastAsks), func() { d.askAtLast(job) })
+		pause := lastAsks
+		if status != 200 {
+			pause = lastAsks / 3
+		}
+		d.World.After(d.World.Between(pause, 2*pause), func() { d.askAtLast(job) })
 	})
 }
 
--- a/internal/simulation/machine.go
+++ b/internal/simulation/machine.go
@@ -26,6 +26,7 @@
 	clockOff time.Duration // time of day against the true one
 	stalled  []func()
 	random   *rand.Rand // the machine's own
+	callers  []func()   // told when the process ends: their connections are reset
 }
 
 // NewMachine returns a machine that is off.
@@ -65,8 +66,18 @@
 	}
 }
 
-// Kill ends the process; the files on its disk stay as they were written.
+// Kill ends the process; the files on its disk stay as they were written, and who is connected to it hears so.
 func (m *Machine) Kill() {
+	callers := m.callers
+	m.end()
+	for _, reset := range callers {
+		reset()
+	}
+}
+
+// end ends the process without a word.
+func (m *Machine) end() {
+	m.callers = nil
 	if !m.leaving {
 		m.ended = m.World.now
 	}
@@ -91,7 +102,7 @@
 
 // LosePower ends the process, and writes that were not synced are kept, lost or torn.
 func (m *Machine) LosePower() {
-	m.Kill()
+	m.end()
 	if m.Disk != nil {
 		m.Disk.losePower(m.World)
 	}
--- a/internal/simulation/trouble_core.go
+++ b/internal/simulation/trouble_core.go
@@ -38,6 +38,13 @@
 			d.onDisk(lasts, func(disk *Disk) { disk.Stalled = true }, (*Disk).Release)
 		}},
 		{"replace_core", (*Deployment).replaceCore},
+		{"replace_planned", (*Deployment).replacePlanned},
+		{"core_meet", (*Deployment).coreMeet},
+		{"core_cut_restart", (*Deployment).cutAndRestart},
+		{"after_sent_kill", (*Deployment).afterSent},
+		{"after_taken_herd", func(d *Deployment, lasts time.Duration) {
+			d.onceTaken(func() { d.herdKill(lasts, true) })
+		}},
 	}
 }
 
@@ -127,16 +134,51 @@
 
 // afterTaken takes the power of a machine that leads right after a job was accepted.
 func (d *Deployment) afterTaken(lasts time.Duration, wipe bool) {
+	d.onceTaken(func() {
+		if m := d.drawCore(); m != nil {
+			d.loseCore(m, lasts, wipe)
+		}
+	})
+}
+
+// onceTaken strikes right after the next job is accepted.
+func (d *Deployment) onceTaken(strike func()) {
 	done := false
 	d.Clients.Accepted = func(*JobRecord, *Machine) {
-		if done {
-			return
+		if !done {
+			done = true
+			strike()
 		}
-		done = true
+	}
+}
+
+// afterSent takes the power of a machine that leads a short time after a change was sent, acknowledged or not.
+func (d *Deployment) afterSent(lasts time.Duration) {
+	d.Operator.Change(nil)
+	d.World.After(d.World.Between(5*time.Millisecond, 400*time.Millisecond), func() {
 		if m := d.drawCore(); m != nil {
-			d.loseCore(m, lasts, wipe)
+			d.loseCore(m, lasts, false)
 		}
-	}
+	})
+}
+
+// coreMeet kills a core machine; changes race as it goes and as it returns, and runners leave soon after.
+func (d *Deployment) coreMeet(lasts time.Duration) {
+	back := max(lasts, restartTime)
+	d.onOneCore(back, func(m *Machine) {
+		d.killMachine(m, back, d.World.Chance(0.5))
+		d.Operator.Race()
+		d.World.After(back, d.Operator.Race)
+		d.World.After(back+d.World.Between(0, time.Second), func() { d.scaleIn(time.Second) })
+	})
+}
+
+// cutAndRestart cuts a core machine off and restarts it while it is cut off.
+func (d *Deployment) cutAndRestart(lasts time.Duration) {
+	d.onOneCore(lasts, func(m *Machine) {
+		d.cutCore(m, lasts)
+		d.World.After(lasts/3, func() { d.killMachine(m, restartTime, false) })
+	})
 }
 
 func (d *Deployment) loseCore(m *Machine, lasts time.Duration, wipe bool) {
@@ -166,21 +208,50 @@
 	d.onOneCore(longestWait+catchUp, func(m *Machine) {
 		d.strike("replace", m, 0)
 		m.LosePower()
-		m.Start = nil
-		d.Cores = without(d.Cores, m)
-		d.World.After(d.World.Between(0, longestWait), func() {
-			fresh := d.AddCore()
-			d.lostUntil[fresh] = d.World.now + catchUp
-			d.lostUntil[m] = d.World.now + catchUp
-			d.Cores = append(d.Cores, fresh)
-			d.Operator.Controls = d.Cores
-			d.strike("replace", fresh, 0)
-			fresh.Boot()
+		d.leaveCore(m)
+		d.World.After(d.World.Between(0, longestWait), func() { d.joinCore() })
+	})
+}
+
+// replacePlanned brings a new core machine first; the old one ends in good order once the new one has had time.
+func (d *Deployment) replacePlanned(time.Duration) {
+	if d.AddCore == nil || d.Terminate == nil {
+		return
+	}
+	d.onOneCore(2*catchUp, func(m *Machine) {
+		d.joinCore()
+		d.World.After(catchUp, func() {
+			if !m.up {
+				return
+			}
+			d.strike("replace", m, 0)
+			d.Terminate(m, func() {
+				d.strike("replace", m, 0)
+				m.Kill()
+				d.leaveCore(m)
+			})
 		})
-		d.Operator.Controls = d.Cores
 	})
 }
 
+// joinCore makes an empty machine part of the core.
+func (d *Deployment) joinCore() {
+	fresh := d.AddCore()
+	d.lostUntil[fresh] = d.World.now + catchUp
+	d.Cores = append(d.Cores, fresh)
+	d.Operator.Controls = d.Cores
+	d.strike("replace", fresh, 0)
+	fresh.Boot()
+}
+
+// leaveCore takes a machine that is off out of the core.
+func (d *Deployment) leaveCore(m *Machine) {
+	m.Start = nil
+	d.lostUntil[m] = d.World.now + catchUp
+	d.Cores = without(d.Cores, m)
+	d.Operator.Controls = d.Cores
+}
+
 func without(machines []*Machine, gone *Machine) []*Machine {
 	var left []*Machine
 	for _, m := range machines {
