Drop the voter too many when a replaced machine has left

A successor that comes before the old machine goes makes four voters of three. While an even number vote, one that leaves or is silent for 1.5 s is now dropped; the others need one voice less. A wish to join that was granted is forgotten, so that it brings no dropped member back. A learner whose process leaves waits.

--- a/internal/replica/joins.go
+++ b/internal/replica/joins.go
@@ -130,15 +130,17 @@
 	last := g.node.Status().LastIndex
 	for _, member := range members {
 		behind, heardAt, known := g.node.Lagging(member.ID)
-		seen := memberView{Member: member, behind: behind, silent: now - heardAt, unheard: g.engine.peers.unheard(member.ID, now)}
+		seen := memberView{Member: member, behind: behind, silent: now - heardAt, unheard: g.engine.peers.unheard(member.ID, now),
+			leaving: !g.engine.peers.willing(member.ID, now)}
 		if !known || behind >= last {
 			seen.behind = unknownLag // it has acknowledged nothing, however short the log is
 		}
 		view.members = append(view.members, seen)
 	}
 	for id, j := range g.joiners {
-		if now-j.at > joinerLifetime {
-			delete(g.joiners, id)
+		granted := slices.ContainsFunc(members, func(m consensus.Member) bool { return m.ID == id && sameMachine(m, j.member) })
+		if granted || now-j.at > joinerLifetime {
+			delete(g.joiners, id) // a wish that was granted must not bring a member back that is dropped later
 			continue
 		}
 		view.joiners = append(view.joiners, j.member)
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -10,14 +10,15 @@
 )
 
 const (
-	caughtUpLag        = 64                     // entries that a member that has caught up may lack
-	aliveSilence       = 700 * time.Millisecond // a member silent for less is alive
-	wipedSilence       = time.Second            // a member unheard for this whose machine has come back as another is lost
-	wipedTermSilence   = 300 * time.Millisecond // the same, counted from the start of the leader's term
-	replaceableSilence = 3 * time.Second        // a voter silent for this gives its place to a learner
-	learnerSilence     = 30 * time.Second       // a learner silent for this is dropped
-	voterSilence       = time.Minute            // a voter silent for this is dropped if enough others remain
-	enoughVoters       = 3                      // no voter is dropped without replacement if fewer would remain
+	caughtUpLag        = 64                      // entries that a member that has caught up may lack
+	aliveSilence       = 700 * time.Millisecond  // a member silent for less is alive
+	wipedSilence       = time.Second             // a member unheard for this whose machine has come back as another is lost
+	wipedTermSilence   = 300 * time.Millisecond  // the same, counted from the start of the leader's term
+	replaceableSilence = 3 * time.Second         // a voter silent for this gives its place to a learner
+	surplusSilence     = 1500 * time.Millisecond // a voter silent for this is dropped if an even number vote
+	learnerSilence     = 30 * time.Second        // a learner silent for this is dropped
+	voterSilence       = time.Minute             // a voter silent for this is dropped if enough others remain
+	enoughVoters       = 3                       // no voter is dropped without replacement if fewer would remain
 	unknownLag         = math.MaxUint64
 )
 
@@ -34,6 +35,7 @@
 	behind  uint64
 	silent  time.Duration // since its newest answer in this term, or since the term's start
 	unheard time.Duration // since anything came from it, in whatever group
+	leaving bool          // it has just said that it does not want to lead: it ends soon, or its disk is sick
 }
 
 // membershipPlan is the next membership; with nil members nothing is to be changed.
@@ -51,6 +53,7 @@
 		promoteLearner,
 		addLearner,
 		dropVoter,
+		dropSurplusVoter,
 	}
 	for _, step := range steps {
 		if plan, due := step(view); due {
@@ -110,7 +113,7 @@
 // that the one whose machine it has is lost, the learner waits.
 func promoteLearner(view membershipView) (membershipPlan, bool) {
 	for _, member := range view.members {
-		if !member.Learner || !member.caughtUp() {
+		if !member.Learner || !member.caughtUp() || member.leaving {
 			continue
 		}
 		if view.replacing != member.ID {
@@ -155,6 +158,24 @@
 	return membershipPlan{}, false
 }
 
+// dropSurplusVoter drops a voter that is away or leaves while an even number vote, as after its successor came: the
+// others need as many voices without it as with it, less one. Should it come back, it joins again.
+func dropSurplusVoter(view membershipView) (membershipPlan, bool) {
+	voters := view.voters()
+	if len(voters) <= enoughVoters || len(voters)%2 != 0 {
+		return membershipPlan{}, false
+	}
+	for _, member := range voters {
+		away := member.leaving || member.silent >= surplusSilence
+		if away && member.ID != view.self.ID && view.canSpare(member.ID) {
+			plan := view.without(member.ID)
+			plan.reason = fmt.Sprintf("voter %x is one too many", uint64(member.ID))
+			return plan, true
+		}
+	}
+	return membershipPlan{}, false
+}
+
 // lostVoter is the voter whose place a learner takes: the one its machine was before, else the one silent for longest.
 func (v *membershipView) lostVoter(learner memberView) (consensus.MemberID, bool) {
 	lost, silent := consensus.None, replaceableSilence
--- /dev/null
+++ b/internal/replica/replace_test.go
@@ -0,0 +1,53 @@
+package replica
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a machine that is replaced", func() {
+	It("is succeeded soon, also in groups without any proposals", func() {
+		c := newCluster(31, 5)
+		c.startFirst(3)
+		c.awaitVoters("core-1", "core-2", "core-3")
+		c.run(10 * time.Second)
+		c.add("core-4", "10.0.0.4:7380").start(nil)
+		Expect(c.until(time.Second, c.settled("core-1", "core-2", "core-3", "core-4"))).To(BeTrue())
+	})
+
+	DescribeTable("does not count once it has left for good, so that its successor may be lost as well",
+		func(leave func(m *machine)) {
+			for seed := range uint64(10) {
+				c := newCluster(seed, 5)
+				c.startFirst(3)
+				c.awaitVoters("core-1", "core-2", "core-3")
+				c.run(3 * time.Second)
+				second := c.add("core-4", "10.0.0.4:7380")
+				second.start(nil)
+				c.awaitVoters("core-1", "core-2", "core-3", "core-4")
+
+				leave(c.machines[0])
+				c.awaitVoters("core-2", "core-3", "core-4")
+				second.kill()
+				for id := range GroupID(5) {
+					c.commit(id, 2, 10)
+				}
+				third := c.add("core-5", "10.0.0.5:7380")
+				third.start(nil)
+				c.awaitVoters("core-2", "core-3", "core-5")
+				c.check()
+			}
+		},
+		Entry("after an orderly end", func(m *machine) {
+			ended := false
+			m.engine.Do(func() { m.engine.Resign(func() { ended = true }) })
+			m.wakeAt = m.cluster.now()
+			Expect(m.cluster.until(3*time.Second, func() bool { return ended })).To(BeTrue(), fmt.Sprint(m.name))
+			m.kill()
+		}),
+		Entry("without a word", func(m *machine) { m.kill() }),
+	)
+})
