--- a/internal/simulation/cluster/frontend.go
+++ b/internal/simulation/cluster/frontend.go
@@ -207,13 +207,13 @@
 }
 
 // ask asks the shards that may have a job, the present one first, until one has it.
-func (f *frontend) ask(name simulation.QueueName, id string, until time.Duration, make func(protocol.ShardID) any, done func(any, error)) {
+func (f *frontend) ask(name simulation.QueueName, id string, until time.Duration, question func(protocol.ShardID) any, done func(any, error)) {
 	f.find(name, id, until, func(t target, err error) {
 		if err != nil {
 			done(nil, err)
 			return
 		}
-		f.askShards(t, 0, until, nil, make, func(response any, err error) {
+		f.askShards(t, 0, until, nil, question, func(response any, err error) {
 			if failure.KindOf(err) != failure.Gone {
 				done(response, err)
 				return
@@ -225,21 +225,21 @@
 				case f.directory.version() == t.document.Version():
 					done(nil, err)
 				default:
-					f.ask(name, id, until, make, done)
+					f.ask(name, id, until, question, done)
 				}
 			})
 		})
 	})
 }
 
-func (f *frontend) askShards(t target, position int, until time.Duration, worst error, make func(protocol.ShardID) any,
+func (f *frontend) askShards(t target, position int, until time.Duration, worst error, question func(protocol.ShardID) any,
 	done func(any, error)) {
 	if position >= len(t.shards) {
 		done(nil, worst)
 		return
 	}
 	shard := t.shards[position]
-	f.directory.call(shard, make(shard), until, true, never, func(response any, err error) {
+	f.directory.call(shard, question(shard), until, true, never, func(response any, err error) {
 		if err == nil {
 			done(response, nil)
 			return
@@ -247,7 +247,7 @@
 		if worst == nil || failure.KindOf(worst) == failure.Gone || failure.KindOf(err) == failure.UnknownOutcome {
 			worst = err
 		}
-		f.askShards(t, position+1, until, worst, make, done)
+		f.askShards(t, position+1, until, worst, question, done)
 	})
 }
 
@@ -261,8 +261,8 @@
 
 // State tells a job's state.
 func (f *frontend) State(name simulation.QueueName, id string, deadline time.Duration, reply func(int, string)) {
-	make := func(shard protocol.ShardID) any { return &protocol.StatusRequest{Shard: shard, ID: id} }
-	f.ask(name, id, f.until(deadline, askTry), make, func(response any, err error) {
+	question := func(shard protocol.ShardID) any { return &protocol.StatusRequest{Shard: shard, ID: id} }
+	f.ask(name, id, f.until(deadline, askTry), question, func(response any, err error) {
 		state, _ := response.(string)
 		reply(unread(err), state)
 	})
@@ -270,8 +270,8 @@
 
 // Cancel cancels a job.
 func (f *frontend) Cancel(name simulation.QueueName, id string, deadline time.Duration, reply func(int)) {
-	make := func(shard protocol.ShardID) any { return &protocol.CancelRequest{Shard: shard, ID: id} }
-	f.ask(name, id, f.until(deadline, askTry), make, func(_ any, err error) {
+	question := func(shard protocol.ShardID) any { return &protocol.CancelRequest{Shard: shard, ID: id} }
+	f.ask(name, id, f.until(deadline, askTry), question, func(_ any, err error) {
 		reply(failure.AnswerTo(failure.KindOf(err)).Status)
 	})
 }
--- a/internal/simulation/cluster/run.go
+++ b/internal/simulation/cluster/run.go
@@ -72,6 +72,9 @@
 func Run(seed uint64, options Options) *Outcome {
 	world := simulation.NewWorld(seed)
 	size, bounds := simulation.SmallSize(), drawBounds(world)
+	if world.Chance(0.1) {
+		size.Cores = 5
+	}
 	if options.Size != nil {
 		size = *options.Size
 	}
