--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -10,9 +10,9 @@
 
 const (
 	peakFade      = 20 * time.Second // in which the remembered peak of urgent work halves
-	headroomMost  = 0.35            // of a service's processors that may be kept free for urgent work
-	largeShare    = 0.4             // of a runner's processors from which a task is large: room is not kept from it
-	headroomLeast = 0.08            // of the processors kept free for a service that has urgent work
+	headroomMost  = 0.35             // of a service's processors that may be kept free for urgent work
+	largeShare    = 0.4              // of a runner's processors from which a task is large: room is not kept from it
+	headroomLeast = 0.08             // of the processors kept free for a service that has urgent work
 )
 
 // demand is what the urgent tasks of a service take: those of the best priority that it has.
