Call runners where the settings say so (commands = invocation)

The agent looks at its runner by a long hold, tells the owner what it saw by the heartbeat that a runner would have sent, and carries out the orders by calls. A start without a definite answer counts as active until it is seen or stopped; one that is refused is reported, and the owner gives it up.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -51,6 +51,8 @@
 	Owners  Owners
 	Service string          // of the runner on this machine, for calls that don't name it; empty: unknown
 	Clock   clockwork.Clock // nil: the real one
+	Calls   bool            // the runner is called, instead of answered
+	App     string          // where it is called; empty: at the address in its heartbeats
 }
 
 // Service is the handler of a runner's calls.
@@ -59,6 +61,7 @@
 	service string
 	clock   clockwork.Clock
 	beats   beats
+	caller  *caller // nil: the runner is answered
 }
 
 // NewService returns a Service.
@@ -66,12 +69,23 @@
 	if options.Clock == nil {
 		options.Clock = clockwork.NewRealClock()
 	}
-	return &Service{
+	s := &Service{
 		owners:  options.Owners,
 		service: options.Service,
 		clock:   options.Clock,
 		beats:   beats{byInstance: make(map[string]*beat)},
 	}
+	if options.Calls {
+		s.caller = &caller{service: s, address: options.App}
+	}
+	return s
+}
+
+// Close ends the calls to the runner.
+func (s *Service) Close() {
+	if s.caller != nil {
+		s.caller.close()
+	}
 }
 
 const instancesPath = "/v1/instances/"
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -19,6 +19,10 @@
 		answerError(w, err)
 		return
 	}
+	if s.caller != nil {
+		s.acknowledge(ctx, w, request)
+		return
+	}
 	ctx, entered, ok := s.beats.enter(ctx, instance, request.Heartbeat.Sequence)
 	if !ok {
 		answerError(w, failure.New(failure.Unavailable, errAbandoned.Error()))
@@ -40,6 +44,15 @@
 	answerOrders(w, &response.Orders)
 }
 
+// acknowledge answers the heartbeat of a runner that is called, once the owner has it.
+func (s *Service) acknowledge(ctx context.Context, w http.ResponseWriter, request *protocol.HeartbeatRequest) {
+	if err := s.caller.register(ctx, request); err != nil {
+		answerError(w, refused(err))
+		return
+	}
+	answer(w, http.StatusOK, emptyBody)
+}
+
 // serveDeregister carries a planned end to the owner. A runner that doesn't name its service is looked for in all
 // shards.
 func (s *Service) serveDeregister(ctx context.Context, w http.ResponseWriter, r *http.Request, instance string) {
@@ -62,6 +75,9 @@
 			return
 		}
 	}
+	if s.caller != nil {
+		s.caller.leave(instance)
+	}
 	answer(w, http.StatusOK, emptyBody)
 }
 
--- /dev/null
+++ b/internal/agent/link.go
@@ -0,0 +1,81 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Times of calls to the runner.
+const (
+	// callTime is the longest that a call takes, beyond what the runner is asked to wait.
+	callTime = 800 * time.Millisecond
+	// linkBytes is the room for reading on a link.
+	linkBytes = 4 << 10
+)
+
+// link is one kept connection to the runner, for one call at a time. What has answered on it before is what answers now:
+// it never connects again by itself, so that a call can't reach a later incarnation. After an error it is of no use.
+type link struct {
+	address string
+	conn    net.Conn
+	reader  *bufio.Reader
+	request []byte // kept for its room
+}
+
+// dialLink connects to a runner.
+func dialLink(ctx context.Context, address string) (*link, error) {
+	dialer := net.Dialer{Timeout: callTime, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to the runner")
+	}
+	return &link{address: address, conn: conn, reader: bufio.NewReaderSize(conn, linkBytes)}, nil
+}
+
+// post makes a call that may take callTime and extra, and returns its answer. An error leaves open whether the call was
+// carried out.
+func (l *link) post(ctx context.Context, path string, body []byte, extra time.Duration) (status int, answer []byte, err error) {
+	if err := l.conn.SetDeadline(time.Now().Add(callTime + extra)); err != nil {
+		return 0, nil, errors.Wrap(err, "set a deadline")
+	}
+	stop := context.AfterFunc(ctx, func() { l.conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	l.request = appendRequest(l.request[:0], l.address, path, body)
+	if _, err := l.conn.Write(l.request); err != nil {
+		return 0, nil, errors.Wrap(err, "call the runner")
+	}
+	response, err := http.ReadResponse(l.reader, nil)
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "read the runner's answer")
+	}
+	defer response.Body.Close()
+	answer, err = readAll(io.LimitReader(response.Body, maxBodyBytes), response.ContentLength)
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "read the runner's answer")
+	}
+	if response.Close {
+		l.close() // the next call says so
+	}
+	return response.StatusCode, answer, nil
+}
+
+// appendRequest appends a whole HTTP/1.1 request.
+func appendRequest(request []byte, host, path string, body []byte) []byte {
+	request = append(request, "POST "...)
+	request = append(request, path...)
+	request = append(request, " HTTP/1.1\r\nHost: "...)
+	request = append(request, host...)
+	request = append(request, "\r\nContent-Type: application/json\r\nContent-Length: "...)
+	request = strconv.AppendInt(request, int64(len(body)), 10)
+	request = append(request, "\r\n\r\n"...)
+	return append(request, body...)
+}
+
+func (l *link) close() { l.conn.Close() }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -56,7 +56,13 @@
 		Directory: known, StaleAfter: 2 * watchWait, Logger: logger})
 	go follower.Run(serving, hangups)
 
-	service := NewService(Options{Owners: owners{known}, Service: settings.Service})
+	service := NewService(Options{
+		Owners:  owners{known},
+		Service: settings.Service,
+		Calls:   settings.Commands == boot.CommandsInvocation,
+		App:     settings.App,
+	})
+	defer service.Close()
 	level.Info(logger).Log("msg", "agent is up", "node", settings.NodeName, "service", settings.Service)
 	return serve(ctx, listener, service)
 }
--- a/internal/protocol/runner.go
+++ b/internal/protocol/runner.go
@@ -49,6 +49,9 @@
 	Sequence        uint64        `json:"sequence"`
 	Active          []ActiveRun   `json:"active"`
 	Finished        []FinishedRun `json:"finished"`
+
+	// Rejected are runs that the runner was told to start and certainly never will; from an agent that calls its runner.
+	Rejected []ActiveRun `json:"-"`
 }
 
 // ActiveRun is one run on a runner: [task, run, saved, percent].
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -117,6 +117,7 @@
 	o.takePlace(now, r)
 	o.takeFinished(now, r)
 	o.takeActive(now, r)
+	o.takeRejected(r)
 	o.withdraw(now, r)
 	o.watch(now, r)
 	r.reply = reply
@@ -332,6 +333,29 @@
 	}
 }
 
+// takeRejected gives up the runs that the runner certainly never starts. Where ends may be missing from the heartbeat,
+// it is left to a later one: the run may have ended.
+func (o *Owner) takeRejected(r *runner) {
+	if len(r.report.Finished) >= finishedPage {
+		return
+	}
+	for i := range r.report.Rejected {
+		rejected := &r.report.Rejected[i]
+		id, err := jobs.ParseTaskID(rejected.Task)
+		if err != nil {
+			continue
+		}
+		key := runKey{id, rejected.Run}
+		task := o.state.Task(id)
+		if task == nil || task.Run != key.run || task.Runner != r.instance || task.Phase != jobs.Running {
+			continue
+		}
+		if _, there := r.listed[key]; !there {
+			o.lose(r, task)
+		}
+	}
+}
+
 // orderTime is how long a start may wait for its runner, at most; a gang's members must come together.
 const orderTime = 4 * time.Second
 
