Look at a called runner by long holds, beside the exchanges with its owner

A runner is looked at on a connection of its own, for up to 300 ms unless something ends; what it started meanwhile is known from the answers.

--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -78,8 +78,9 @@
 	return seen, errors.Wrap(c.end(), "the runner's answer")
 }
 
-// start has a run started. A *refusal says that it was not; any other error that it may have been.
-func (l *link) start(ctx context.Context, given terms, order *protocol.StartOrder) error {
+// start has a run started, and returns the runner's clock in ms. A *refusal says that it was not started; any other error
+// that it may have been.
+func (l *link) start(ctx context.Context, given terms, order *protocol.StartOrder) (clockMs int64, err error) {
 	body := appendOrder(make([]byte, 0, 256+len(order.Spec)), order.Task, order.Run)
 	body = appendText(appendKey(append(body, ','), "spec"), order.Spec)
 	body = appendInt(append(body, ','), "deadlineMs", given.deadlineMs)
@@ -88,38 +89,54 @@
 		body = appendText(appendKey(append(body, ','), "checkpointed"), order.Saved)
 	}
 	status, answer, err := l.post(ctx, pathStart, append(body, '}'), 0)
+	if err != nil {
+		return 0, err
+	}
+	told, err := parseReply(string(answer))
 	switch {
-	case err != nil:
-		return err
-	case status == http.StatusOK:
-		return nil
 	case status == http.StatusConflict:
-		return &refusal{readWhy(string(answer))}
+		return told.clockMs, &refusal{told.why}
+	case status != http.StatusOK:
+		return 0, errors.Errorf("the runner answers a start with %d: %.200s", status, answer)
 	}
-	return errors.Errorf("the runner answers a start with %d: %.200s", status, answer)
+	return told.clockMs, err
+}
+
+// reply is a runner's answer to a start or a stop.
+type reply struct {
+	clockMs int64
+	why     string
 }
 
-func readWhy(body string) (why string) {
+func parseReply(body string) (reply, error) {
+	var told reply
 	c := &cursor{text: body}
 	c.object(func(name string) {
-		if name == "why" {
-			why = c.string()
-			return
+		switch name {
+		case "clockMs":
+			told.clockMs = c.int()
+		case "why":
+			told.why = c.string()
+		default:
+			c.skip()
 		}
-		c.skip()
 	})
-	return why
+	return told, errors.Wrap(c.end(), "the runner's answer")
 }
 
-// stop has a run stopped; one that is not there will never start there.
-func (l *link) stop(ctx context.Context, given terms, task string, run uint64) error {
-	body := appendOrder(make([]byte, 0, 128), task, run)
+// stop has a run stopped, and returns the runner's clock in ms. A run that is not there will never start there.
+func (l *link) stop(ctx context.Context, given terms, run runName) (clockMs int64, err error) {
+	body := appendOrder(make([]byte, 0, 128), run.task, run.run)
 	body = appendInt(append(body, ','), "fenceToken", int64(given.fenceToken))
 	status, answer, err := l.post(ctx, pathStop, append(body, '}'), 0)
-	if err == nil && status != http.StatusOK {
-		err = errors.Errorf("the runner answers a stop with %d: %.200s", status, answer)
+	if err != nil {
+		return 0, err
+	}
+	if status != http.StatusOK {
+		return 0, errors.Errorf("the runner answers a stop with %d: %.200s", status, answer)
 	}
-	return err
+	told, err := parseReply(string(answer))
+	return told.clockMs, err
 }
 
 // appendOrder begins an order for a run.
--- a/internal/agent/doubts.go
+++ b/internal/agent/doubts.go
@@ -8,26 +8,34 @@
 	run  uint64
 }
 
+// doubt is what is known of a run that may have been started.
+type doubt struct {
+	looked  bool  // a look since then has not shown it
+	stopped bool  // a stop for it was answered: if it is not there, it never will be
+	stopMs  int64 // the runner's clock in that answer
+}
+
 // doubts are the runs of which it isn't known whether the runner has begun them, or that it certainly will not begin.
-// One in doubt is reported as active, so that its room is kept, until it is seen, or a stop for it is answered.
+// One in doubt is reported as active, so that its room is kept, until it is seen, or until it was stopped and a later
+// look doesn't show it.
 type doubts struct {
-	open     map[runName]bool // in doubt; true: a look since then has not shown it
+	open     map[runName]*doubt
 	rejected map[runName]bool // certainly not there
 	shown    []runName        // rejected, in the heartbeat that is out
 }
 
 func newDoubts() doubts {
-	return doubts{open: make(map[runName]bool), rejected: make(map[runName]bool)}
+	return doubts{open: make(map[runName]*doubt), rejected: make(map[runName]bool)}
 }
 
-// doubt notes a start without a definite answer.
-func (d *doubts) doubt(run runName) { d.open[run] = false }
+// add notes a start without a definite yes.
+func (d *doubts) add(run runName) { d.open[run] = new(doubt) }
 
-// stopped notes that a stop for the run was answered: if it is not there, it never will be.
-func (d *doubts) stopped(run runName) {
-	if _, open := d.open[run]; open {
-		delete(d.open, run)
-		d.rejected[run] = true
+// stop notes that a stop for the run was answered, with the runner's clock then.
+func (d *doubts) stop(run runName, clockMs int64) {
+	if entry := d.open[run]; entry != nil && !entry.stopped {
+		entry.stopped = true
+		entry.stopMs = clockMs
 	}
 }
 
@@ -42,8 +50,12 @@
 	for i := range seen.finished {
 		d.settle(runName{seen.finished[i].Task, seen.finished[i].Run})
 	}
-	for run := range d.open {
-		d.open[run] = true
+	for run, entry := range d.open {
+		entry.looked = true
+		if entry.stopped && seen.clockMs > entry.stopMs {
+			delete(d.open, run)
+			d.rejected[run] = true
+		}
 	}
 }
 
@@ -52,17 +64,20 @@
 	delete(d.rejected, run)
 }
 
-// unseen returns the runs in doubt that the newest look has not shown.
+// unseen returns the runs in doubt that the newest look has not shown, and that are not stopped.
 func (d *doubts) unseen() []runName {
 	var runs []runName
-	for run, looked := range d.open {
-		if looked {
+	for run, entry := range d.open {
+		if entry.looked && !entry.stopped {
 			runs = append(runs, run)
 		}
 	}
 	return runs
 }
 
+// any tells that a look is wanted soon.
+func (d *doubts) any() bool { return len(d.open) > 0 }
+
 // addTo returns the active runs with those in doubt.
 func (d *doubts) addTo(active []protocol.ActiveRun) []protocol.ActiveRun {
 	for run := range d.open {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -12,12 +12,24 @@
 
 // Times of a loop.
 const (
-	// orderTime is the oldest look at the runner on which a start is still sent.
+	// orderTime is the oldest exchange whose starts are still sent.
 	orderTime = time.Second
 	// shortestTurn is the least time between two exchanges with the owner.
 	shortestTurn = 20 * time.Millisecond
+	// longestTurn is the longest time between them.
+	longestTurn = 500 * time.Millisecond
 	// mostWait is the longest that a runner is asked to wait for an end.
-	mostWait = 500 * time.Millisecond
+	mostWait = 300 * time.Millisecond
+	// waitShare is the same as a part of a hold, which is renewed by the next look.
+	waitShare = 8
+	// lookGap is the least time between two looks, unless a run is in doubt.
+	lookGap = 60 * time.Millisecond
+	// leavingWait is what a runner that is leaving is asked to wait: what it can still do is decided from moment to moment.
+	leavingWait = 60 * time.Millisecond
+	// unseenGap is the same while the owner has not acknowledged all ends, which end a look at once.
+	unseenGap = 100 * time.Millisecond
+	// stopAgain is the time after which a stop is sent again.
+	stopAgain = 500 * time.Millisecond
 	// firstPause and longestPause are waited after a turn that failed, the latter after several.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 500 * time.Millisecond
@@ -41,37 +53,39 @@
 
 	registration *registration
 
-	link      *link
-	confirmed bool      // this incarnation answers on the link
-	linkedAt  time.Time // when the runner's clock was asked on it
-	linkClock int64     // the runner's clock then, ms
+	session *session // nil: there is none
+	picture *picture // nil: nothing was looked at in this session
 
 	given    terms
-	wait     time.Duration // that the runner is asked to wait with its next answer to a hold
+	hold     time.Duration // newest that the owner gave
+	pause    time.Duration // that the owner wants between two exchanges
 	base     uint64        // sequence of the heartbeat that counter belongs to
 	counter  uint64
 	doubts   doubts
+	stopSent map[runName]time.Time
 	failures int // turns that failed, in a row
 }
 
 func newLoop(service *Service, instance, address string) *loop {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &loop{service: service, instance: instance, address: address, ctx: ctx, cancel: cancel,
-		ended: make(chan struct{}), registration: newRegistration(), doubts: newDoubts()}
+		ended: make(chan struct{}), registration: newRegistration(), doubts: newDoubts(), stopSent: make(map[runName]time.Time)}
 }
 
 // register takes a heartbeat of the runner and returns once the owner has it, or ctx ends.
 func (l *loop) register(ctx context.Context, request *protocol.HeartbeatRequest) error {
-	if !l.registration.put(request, l.service.clock.Now()) {
+	if !l.registration.put(request, l.now()) {
 		return failure.New(failure.Unavailable, errAbandoned.Error())
 	}
 	return l.registration.await(ctx, request.Heartbeat.Sequence)
 }
 
+func (l *loop) now() time.Time { return l.service.clock.Now() }
+
 // run makes turns until the loop is ended. before is closed when the loop before it is over; nil: there was none.
 func (l *loop) run(before <-chan struct{}) {
 	defer close(l.ended)
-	defer l.unlink()
+	defer l.leave()
 	if before != nil {
 		<-before
 	}
@@ -88,7 +102,7 @@
 // rest waits after a turn that failed, longer after several, and for the runner's next heartbeat if it has not come for
 // long.
 func (l *loop) rest() {
-	if _, arrived := l.registration.get(); l.link == nil && l.service.clock.Since(arrived) > dormantAfter {
+	if _, arrived := l.registration.get(); l.session == nil && l.now().Sub(arrived) > dormantAfter {
 		l.awaitNews()
 		return
 	}
@@ -112,57 +126,121 @@
 	}
 }
 
-func (l *loop) unlink() {
-	if l.link != nil {
-		l.link.close()
+// leave gives up the session.
+func (l *loop) leave() {
+	if l.session != nil {
+		l.session.close()
 	}
-	l.link = nil
-	l.confirmed = false
+	l.session = nil
+	l.picture = nil
+	clear(l.stopSent)
 }
 
-// turn is one look at the runner and one exchange with the owner.
+// turn is one exchange with the owner, and a look at the runner if it is time for one.
 func (l *loop) turn() error {
-	if err := l.connect(); err != nil {
+	ready, err := l.open()
+	if err != nil || !ready {
 		return err
 	}
-	if !l.confirm() {
-		l.awaitNews()
-		return nil
-	}
 	if err := l.settle(); err != nil {
 		return err
 	}
-	seen, err := l.link.hold(l.ctx, l.given, l.wait)
+	began := l.now()
+	orders, err := l.exchange(began)
 	if err != nil {
-		l.unlink()
+		l.look()
+		l.takeLook()
 		return err
 	}
-	lookedAt := l.service.clock.Now()
-	l.doubts.see(seen)
-	orders, err := l.exchange(seen)
-	if err != nil {
-		l.wait = 0
+	if err := l.carryOut(orders, began); err != nil {
 		return err
 	}
-	if err := l.carryOut(orders, seen, lookedAt); err != nil {
-		return err
+	l.look()
+	return l.await(began)
+}
+
+// open sees to a session in which this incarnation is certain to answer, and to a first look. It returns false if a
+// newer heartbeat may make it certain.
+func (l *loop) open() (ready bool, err error) {
+	if l.session == nil {
+		if l.session, err = openSession(l.ctx, l.address, l.now); err != nil {
+			return false, err
+		}
+	}
+	newest, arrived := l.registration.get()
+	if !l.session.confirm(newest.Heartbeat.ClockMs, arrived) {
+		l.awaitNews()
+		return false, nil
+	}
+	if l.picture == nil {
+		l.picture = newPicture()
+		l.session.look(l.ctx, l.given, 0, l.now())
+		return true, l.take(<-l.session.result)
+	}
+	return true, l.takeLook()
+}
+
+// takeLook takes the result of a look if there is one.
+func (l *loop) takeLook() error {
+	select {
+	case result := <-l.session.result:
+		return l.take(result)
+	default:
+		return nil
+	}
+}
+
+func (l *loop) take(result lookResult) error {
+	l.session.looking = false
+	if result.err != nil {
+		l.leave()
+		return result.err
 	}
-	l.sleep(shortestTurn - l.service.clock.Since(lookedAt))
+	l.picture.look(result.seen, l.now())
+	l.doubts.see(result.seen)
 	return nil
 }
 
-// exchange tells the owner what was seen and returns its orders.
-func (l *loop) exchange(seen *look) (*protocol.Orders, error) {
-	newest, _ := l.registration.get()
-	own := newest.Heartbeat.Sequence
-	request := &protocol.HeartbeatRequest{Shard: newest.Shard, Heartbeat: newest.Heartbeat}
-	beat := &request.Heartbeat
-	beat.Sequence = l.nextSequence(own)
-	beat.ClockMs = seen.clockMs
-	beat.Active = l.doubts.addTo(seen.active)
-	beat.Finished = seen.finished
-	beat.Rejected = l.doubts.rejections()
+// look begins a look if none is out and it is time for one. It renews the hold.
+func (l *loop) look() {
+	if l.session.looking {
+		return
+	}
+	gap, wait := lookGap, min(l.hold/waitShare, mostWait)
+	if newest, _ := l.registration.get(); newest.Heartbeat.State == protocol.Draining {
+		wait = leavingWait
+	}
+	switch {
+	case l.doubts.any():
+		gap, wait = 0, 0
+	case !l.picture.acknowledged(l.given.lastSeen):
+		gap = unseenGap
+	}
+	if now := l.now(); now.Sub(l.session.lookedAt) >= gap {
+		l.session.look(l.ctx, l.given, wait, now)
+	}
+}
 
+// await waits until it is time for the next exchange, or for news of the runner.
+func (l *loop) await(began time.Time) error {
+	pause := max(min(l.pause, longestTurn), shortestTurn)
+	select {
+	case <-l.ctx.Done():
+		return nil
+	case <-l.service.clock.After(pause):
+		return nil
+	case result := <-l.session.result:
+		if err := l.take(result); err != nil {
+			return err
+		}
+	}
+	l.sleep(shortestTurn - l.now().Sub(began))
+	return nil
+}
+
+// exchange tells the owner what is known of the runner and returns its orders.
+func (l *loop) exchange(now time.Time) (*protocol.Orders, error) {
+	request, own := l.report(now)
 	ctx, cancel := clockwork.WithTimeout(l.ctx, l.service.clock, exchangeTime)
 	defer cancel()
 	var response *protocol.HeartbeatResponse
@@ -178,9 +256,25 @@
 		return nil, err
 	}
 	l.doubts.reported()
+	l.takeTerms(&response.Orders, request.Heartbeat.ClockMs)
 	return &response.Orders, nil
 }
 
+// report is the heartbeat that the runner would send if it were one that is answered. own is the sequence of the
+// heartbeat of its own that this one follows.
+func (l *loop) report(now time.Time) (request *protocol.HeartbeatRequest, own uint64) {
+	newest, _ := l.registration.get()
+	own = newest.Heartbeat.Sequence
+	request = &protocol.HeartbeatRequest{Shard: newest.Shard, Heartbeat: newest.Heartbeat}
+	beat := &request.Heartbeat
+	beat.Sequence = l.nextSequence(own)
+	beat.ClockMs = l.picture.clock(now)
+	beat.Active = l.doubts.addTo(l.picture.active())
+	beat.Finished = l.picture.news(l.given.lastSeen)
+	beat.Rejected = l.doubts.rejections()
+	return request, own
+}
+
 func (l *loop) nextSequence(own uint64) uint64 {
 	if own != l.base {
 		l.base, l.counter = own, 0
@@ -189,74 +283,13 @@
 	return own<<sequenceBits | l.counter
 }
 
-// carryOut has the runner do what the owner has ordered, stops first.
-func (l *loop) carryOut(orders *protocol.Orders, seen *look, lookedAt time.Time) error {
-	l.takeTerms(orders, seen)
-	for i := range orders.Stop {
-		if err := l.stop(runName{orders.Stop[i].Task, orders.Stop[i].Run}); err != nil {
-			return err
-		}
-	}
-	if orders.HoldMs <= 0 {
-		return nil
-	}
-	for i := range orders.Start {
-		if l.service.clock.Since(lookedAt) >= orderTime {
-			return nil // the owner sends it again
-		}
-		if err := l.start(&orders.Start[i]); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// takeTerms notes what the next calls carry. A hold counts from the look that the owner was told of, which was before
-// that was sent.
-func (l *loop) takeTerms(orders *protocol.Orders, seen *look) {
+// takeTerms notes what the next calls carry. A hold counts from the runner's clock before the heartbeat was sent.
+func (l *loop) takeTerms(orders *protocol.Orders, clockMs int64) {
 	if orders.HoldMs > 0 {
-		l.given.deadlineMs = max(l.given.deadlineMs, seen.clockMs+orders.HoldMs)
+		l.given.deadlineMs = max(l.given.deadlineMs, clockMs+orders.HoldMs)
+		l.hold = time.Duration(orders.HoldMs) * time.Millisecond
 	}
 	l.given.fenceToken = orders.FenceToken
 	l.given.lastSeen = max(l.given.lastSeen, orders.LastSeen)
-	l.wait = min(time.Duration(orders.RetryDelayMs)*time.Millisecond, mostWait)
-}
-
-// stop has a run stopped.
-func (l *loop) stop(run runName) error {
-	if err := l.link.stop(l.ctx, l.given, run.task, run.run); err != nil {
-		l.unlink()
-		return err
-	}
-	l.doubts.stopped(run)
-	return nil
-}
-
-// start has a run started. What the runner refuses is stopped at once, so that it can't come later.
-func (l *loop) start(order *protocol.StartOrder) error {
-	run := runName{order.Task, order.Run}
-	err := l.link.start(l.ctx, l.given, order)
-	refused, definite := err.(*refusal)
-	switch {
-	case err == nil:
-		return nil
-	case definite && refused.why == whyFence:
-		return err // a newer owner has been here
-	}
-	l.doubts.doubt(run)
-	if definite {
-		return l.stop(run)
-	}
-	l.unlink()
-	return err
-}
-
-// settle stops what may or may not have been started, and has not been seen since.
-func (l *loop) settle() error {
-	for _, run := range l.doubts.unseen() {
-		if err := l.stop(run); err != nil {
-			return err
-		}
-	}
-	return nil
+	l.pause = time.Duration(orders.RetryDelayMs) * time.Millisecond
 }
