--- /dev/null
+++ b/internal/scheduler/rejected_test.go
@@ -0,0 +1,64 @@
+package scheduler_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/protocol"
+)
+
+var _ = Describe("a start that a runner certainly never carries out", func() {
+	var w *world
+	BeforeEach(func() { w = newWorld() })
+
+	// rejecting is the heartbeat after the first start, which rejects it, changed by change.
+	rejecting := func(change func(beat *protocol.Heartbeat)) *protocol.Orders {
+		w.submit(id, small())
+		first, err := w.beat(beatOf("i1", 1))
+		Expect(err).NotTo(HaveOccurred())
+		next := beatOf("i1", 2)
+		next.Rejected = active(first.Start)
+		change(next)
+		orders, err := w.beat(next)
+		Expect(err).NotTo(HaveOccurred())
+		return orders
+	}
+
+	It("is given up and made again under another number", func() {
+		orders := rejecting(func(*protocol.Heartbeat) {})
+		Expect(orders.Start).To(HaveLen(1))
+		Expect(orders.Start[0].Run).To(Equal(uint64(2)))
+		Expect(w.owner.Counters().Losses).To(Equal(uint64(1)))
+	})
+
+	It("is not given up if the runner lists it", func() {
+		orders := rejecting(func(beat *protocol.Heartbeat) { beat.Active = beat.Rejected })
+		Expect(orders.Start).To(BeEmpty())
+		Expect(orders.Stop).To(BeEmpty())
+	})
+
+	It("is not given up if it has ended", func() {
+		rejecting(func(beat *protocol.Heartbeat) {
+			beat.Finished = []protocol.FinishedRun{{N: 1, Task: beat.Rejected[0].Task, Run: 1, How: protocol.EndDone}}
+		})
+		state, _ := w.state.StateOf(id)
+		Expect(state).To(Equal(protocol.JobCompleted))
+		Expect(w.owner.Counters().Losses).To(BeZero())
+	})
+
+	It("is not given up while ends may be missing from the heartbeat", func() {
+		orders := rejecting(func(beat *protocol.Heartbeat) {
+			for n := range 500 {
+				beat.Finished = append(beat.Finished, protocol.FinishedRun{N: uint64(n + 1), Task: "00000000000000bb.0.0.0", Run: 1, How: protocol.EndStopped})
+			}
+		})
+		Expect(orders.Start).To(HaveLen(1))
+		Expect(orders.Start[0].Run).To(Equal(uint64(1)))
+	})
+
+	It("is not given up for what another run of the task had", func() {
+		orders := rejecting(func(beat *protocol.Heartbeat) { beat.Rejected[0].Run = 7 })
+		Expect(orders.Start).To(HaveLen(1))
+		Expect(orders.Start[0].Run).To(Equal(uint64(1)))
+	})
+})
