--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -32,10 +32,10 @@
 	finished []protocol.FinishedRun
 }
 
-// refusal is a runner's definite no to a start.
+// refusal is a runner's definite no.
 type refusal struct{ why string }
 
-func (r *refusal) Error() string { return "the runner does not start it: " + r.why }
+func (r *refusal) Error() string { return "the runner refuses: " + r.why }
 
 // whyFence is the refusal of an order whose fence token is lower than one that the runner has seen.
 const whyFence = "fence"
@@ -51,6 +51,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if status == http.StatusConflict {
+		told, _ := parseReply(string(answer)) // whatever it says, nothing was done
+		return nil, &refusal{told.why}
+	}
 	if status != http.StatusOK {
 		return nil, errors.Errorf("the runner answers a hold with %d: %.200s", status, answer)
 	}
--- a/internal/agent/fake_runner_test.go
+++ b/internal/agent/fake_runner_test.go
@@ -41,6 +41,7 @@
 	finished []protocol.FinishedRun
 	refuse   string // a start is refused with this reason
 	cut      bool   // a start's connection is cut, once
+	fence    uint64 // highest that it has seen
 	stopped  map[runName]bool
 	onStart  func() // called with each start
 
@@ -107,6 +108,12 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	run := runName{call.Task, call.RunID}
+	if call.FenceToken < f.fence {
+		w.WriteHeader(http.StatusConflict)
+		fmt.Fprintf(w, `{"clockMs":%d,"why":%q}`, f.clockMs(), whyFence)
+		return
+	}
+	f.fence = call.FenceToken
 	switch call.Path {
 	case pathHold:
 		json.NewEncoder(w).Encode(map[string]any{"clockMs": f.clockMs(), "active": f.active, "finished": f.finished})
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -163,7 +163,8 @@
 // newer heartbeat may make it certain.
 func (l *loop) open() (ready bool, err error) {
 	if l.session == nil {
-		if l.session, err = openSession(l.ctx, l.address, l.now); err != nil {
+		if err := l.meet(); err != nil {
+			l.leave()
 			return false, err
 		}
 	}
@@ -180,6 +181,27 @@
 	return true, l.takeLook()
 }
 
+// meet opens a session and asks the runner's clock. A runner answers nothing to a fence token lower than one that it has
+// seen; one that is not known here any more is asked from the owner.
+func (l *loop) meet() (err error) {
+	if l.session, err = openSession(l.ctx, l.address); err != nil {
+		return err
+	}
+	err = l.session.question(l.ctx, l.given.fenceToken, l.now)
+	if _, refused := err.(*refusal); !refused {
+		return err
+	}
+	newest, _ := l.registration.get()
+	request := &protocol.HeartbeatRequest{Shard: newest.Shard,
+		Heartbeat: protocol.Heartbeat{Instance: l.instance, Service: newest.Heartbeat.Service, FenceOnly: true}}
+	orders, err := l.ask(request)
+	if err != nil {
+		return err
+	}
+	l.given.fenceToken = orders.FenceToken
+	return l.session.question(l.ctx, l.given.fenceToken, l.now)
+}
+
 // takeLook takes the result of a look if there is one.
 func (l *loop) takeLook() error {
 	select {
@@ -241,6 +263,18 @@
 // exchange tells the owner what is known of the runner and returns its orders.
 func (l *loop) exchange(now time.Time) (*protocol.Orders, error) {
 	request, own := l.report(now)
+	orders, err := l.ask(request)
+	l.registration.done(own, err)
+	if err != nil {
+		return nil, err
+	}
+	l.doubts.reported()
+	l.takeTerms(orders, request.Heartbeat.ClockMs)
+	return orders, nil
+}
+
+// ask carries a heartbeat to the owner.
+func (l *loop) ask(request *protocol.HeartbeatRequest) (*protocol.Orders, error) {
 	ctx, cancel := clockwork.WithTimeout(l.ctx, l.service.clock, exchangeTime)
 	defer cancel()
 	var response *protocol.HeartbeatResponse
@@ -248,15 +282,12 @@
 		response, err = l.service.owners.Heartbeat(ctx, request)
 		return err
 	})
-	if err == nil && response.Orders.FenceToken < l.given.fenceToken {
-		err = failure.New(failure.NotLeader, "an owner of the past has answered")
-	}
-	l.registration.done(own, err)
 	if err != nil {
 		return nil, err
 	}
-	l.doubts.reported()
-	l.takeTerms(&response.Orders, request.Heartbeat.ClockMs)
+	if response.Orders.FenceToken < l.given.fenceToken {
+		return nil, failure.New(failure.NotLeader, "an owner of the past has answered")
+	}
 	return &response.Orders, nil
 }
 
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -195,12 +195,18 @@
 		Expect(answerOf(answered).Code).To(Equal(503))
 	})
 
-	It("is reported with rising numbers after the agent's restart", func() {
+	It("is looked at by the present token, and reported with rising numbers, after the agent's restart", func() {
+		b.runner.fence = 7
 		b.own(instance, 4, protocol.Ready)
+		fence := b.turn()
+		Expect(*fence.beat).To(Equal(protocol.Heartbeat{Instance: instance, Service: "huvo11a", FenceOnly: true}))
+		fence.reply <- result{orders: protocol.Orders{FenceToken: 8}}
 		before := b.turn().beat.Sequence
+		Expect(b.runner.fence).To(Equal(uint64(8)))
 		b.service.Close()
 		b.service = NewService(Options{Owners: b.owners, Service: "huvo11a", Clock: b.clock, Calls: true, App: b.runner.address()})
 		b.own(instance, 5, protocol.Ready)
+		b.turn().reply <- result{orders: protocol.Orders{FenceToken: 8}}
 		Expect(b.turn().beat.Sequence).To(BeNumerically(">", before))
 	})
 
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -25,8 +25,8 @@
 	err  error
 }
 
-// openSession connects to the runner and asks its clock. Nothing is granted by that.
-func openSession(ctx context.Context, address string, now func() time.Time) (*session, error) {
+// openSession connects to the runner.
+func openSession(ctx context.Context, address string) (*session, error) {
 	s := &session{result: make(chan lookResult, 1)}
 	var err error
 	if s.orders, err = dialLink(ctx, address); err != nil {
@@ -36,14 +36,18 @@
 		s.orders.close()
 		return nil, err
 	}
-	seen, err := s.looks.hold(ctx, terms{}, 0)
+	return s, nil
+}
+
+// question asks the runner's clock. It grants nothing. A *refusal says that the fence token is too low.
+func (s *session) question(ctx context.Context, fenceToken uint64, now func() time.Time) error {
+	seen, err := s.looks.hold(ctx, terms{fenceToken: fenceToken}, 0)
 	if err != nil {
-		s.close()
-		return nil, err
+		return err
 	}
 	s.linkedAt = now()
 	s.linkClock = seen.clockMs
-	return s, nil
+	return nil
 }
 
 // look begins a look, whose result comes on s.result.
--- a/internal/protocol/runner.go
+++ b/internal/protocol/runner.go
@@ -52,6 +52,9 @@
 
 	// Rejected are runs that the runner was told to start and certainly never will; from an agent that calls its runner.
 	Rejected []ActiveRun `json:"-"`
+	// FenceOnly asks for the present fence token and says nothing of runs: an agent that has started again must not look
+	// at its runner without one.
+	FenceOnly bool `json:"-"`
 }
 
 // ActiveRun is one run on a runner: [task, run, saved, percent].
--- a/internal/scheduler/rejected_test.go
+++ b/internal/scheduler/rejected_test.go
@@ -1,9 +1,12 @@
 package scheduler_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
 )
 
@@ -62,3 +65,26 @@
 		Expect(orders.Start[0].Run).To(Equal(uint64(1)))
 	})
 })
+
+var _ = Describe("a question for the fence token", func() {
+	It("is answered by it alone, and says nothing of the runner", func() {
+		w := newWorld()
+		w.submit(id, small())
+		first, _ := w.beat(beatOf("i1", 1))
+		Expect(first.Start).To(HaveLen(1))
+		orders, err := w.beat(&protocol.Heartbeat{Instance: "i1", Service: service, FenceOnly: true})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*orders).To(Equal(protocol.Orders{FenceToken: 7}))
+		again, err := w.beat(beatOf("i1", 2))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Start).To(Equal(first.Start))
+	})
+
+	It("is not answered without a confirmation", func() {
+		w := newWorld()
+		w.pass(0)
+		w.passUnconfirmed(2 * time.Second)
+		_, err := w.beat(&protocol.Heartbeat{Instance: "i1", Service: service, FenceOnly: true})
+		Expect(failure.KindOf(err)).To(Equal(failure.NotLeader))
+	})
+})
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -93,6 +93,10 @@
 		reply(nil, errNotLeader)
 		return
 	}
+	if beat.FenceOnly {
+		o.tellFence(now, reply)
+		return
+	}
 	if _, over := o.retired[beat.Instance]; over {
 		reply(nil, failure.New(failure.Gone, "this incarnation of the runner is over"))
 		return
@@ -124,6 +128,15 @@
 	r.replyDue = now + o.options.AnswerAfter
 }
 
+// tellFence answers with the fence token alone.
+func (o *Owner) tellFence(now time.Duration, reply func(*protocol.Orders, error)) {
+	if !o.recentlyConfirmed(now) {
+		reply(nil, failure.New(failure.NotLeader, "leadership could not be confirmed"))
+		return
+	}
+	reply(&protocol.Orders{FenceToken: o.term}, nil)
+}
+
 func (o *Owner) takeReport(now time.Duration, r *runner, beat *protocol.Heartbeat) {
 	if !r.reported || r.report.State != beat.State || r.report.Capacity != beat.Capacity {
 		o.dirty = true
