--- a/internal/simulation/cluster/cluster_test.go
+++ b/internal/simulation/cluster/cluster_test.go
@@ -32,7 +32,7 @@
 }
 
 // seeds is how many days of all kinds are played; those of one kind are a part of them.
-var seeds = environment("SIMULATION_SEEDS", 40)
+var seeds = environment("SIMULATION_SEEDS", 60)
 
 // players is how many days are played side by side.
 const players = 4
