Split the scheduler's owner and runner by concern

Change: pure moves into files of the same package: options.go, commands.go, deadlines.go, heartbeat.go, incarnations.go, reportedruns.go, losses.go.

--- /dev/null
+++ b/internal/scheduler/deadlines.go
@@ -0,0 +1,63 @@
+package scheduler
+
+import "time"
+
+// Tick lets time pass: confirmations that came, replies that are due, holds that are over.
+func (o *Owner) Tick(now time.Duration, timeOfDayMs int64, confirmedAt time.Duration) {
+	if !o.leading {
+		return
+	}
+	o.confirmedAt = max(o.confirmedAt, confirmedAt)
+	if timeOfDayMs > 0 {
+		o.setTimeOfDay(now, timeOfDayMs)
+	}
+	o.endReads(now)
+	o.expireHolds(now)
+	o.forgetRetired(now)
+}
+
+// Flush sends the replies to heartbeats that are due. The shell calls it after Take.
+func (o *Owner) Flush(now time.Duration) {
+	if !o.leading {
+		return
+	}
+	roundIsDue := o.dirty && o.state.HeldCount() > 0
+	settled := o.inFlight == nil && !o.hasNext() && !roundIsDue
+	for _, r := range o.runners {
+		if r.reply != nil && (settled || now >= r.replyDue) {
+			o.answer(now, r)
+		}
+	}
+}
+
+const (
+	busyTick = 20 * time.Millisecond
+	idleTick = 100 * time.Millisecond
+)
+
+// NextDeadline is when Tick is to be called next at the latest.
+func (o *Owner) NextDeadline(now time.Duration) time.Duration {
+	if !o.leading {
+		return now + time.Second
+	}
+	if len(o.reads) > 0 || o.inFlight != nil || o.hasNext() {
+		return now + busyTick
+	}
+	if o.state.HeldCount() > 0 {
+		return now + busyTick
+	}
+	for _, r := range o.runners {
+		if r.reply != nil {
+			return now + busyTick
+		}
+	}
+	due, ok := o.state.NextDueMs()
+	if ok {
+		wait := time.Duration(due-o.clockMs(now)) * time.Millisecond
+		return now + min(max(wait, busyTick), idleTick)
+	}
+	return now + idleTick
+}
+
+// WantsConfirmation tells that some read waits for leadership to be confirmed anew.
+func (o *Owner) WantsConfirmation() bool { return o.leading && len(o.reads) > 0 }
--- /dev/null
+++ b/internal/scheduler/losses.go
@@ -0,0 +1,105 @@
+package scheduler
+
+import (
+	"time"
+
+	"ospreypond/internal/jobs"
+)
+
+// withdraw deals with runs that were to start there and that the newest heartbeat does not list: every earlier answer is
+// void by now, so that such a run exists only if this heartbeat's answer orders it.
+func (o *Owner) withdraw(now time.Duration, r *runner) {
+	if len(r.report.Finished) >= finishedPage {
+		return
+	}
+	for _, task := range o.state.RunsOn(r.instance) {
+		key := runKey{task.ID, task.Run}
+		if task.Phase != jobs.Running || o.ending[key] {
+			continue
+		}
+		if _, there := r.listed[key]; there {
+			continue
+		}
+		_, stopping := r.stops[key]
+		if r.draining || stopping || over(task.Group.Job.State) || o.tooLate(now, r, task) {
+			o.lose(r, task)
+		}
+	}
+	for _, l := range o.state.LingeringOn(r.instance) {
+		key := runKey{l.Task, l.Run}
+		if _, there := r.listed[key]; there || o.ending[key] {
+			continue
+		}
+		o.ending[key] = true
+		o.next.Losses = append(o.next.Losses, jobs.Loss{Runner: r.instance, Task: l.Task, Run: l.Run})
+	}
+}
+
+// orderTime is how long a start may wait for its runner, at most; a gang's members must come together.
+const orderTime = 4 * time.Second
+
+// tooLate tells that a start has not reached its runner for so long that it is better made elsewhere.
+func (o *Owner) tooLate(now time.Duration, r *runner, task *jobs.Task) bool {
+	at, ok := r.ordered[runKey{task.ID, task.Run}]
+	if !ok {
+		at = o.ledAt
+	}
+	limit := orderTime
+	if task.Group.Spec().Gang {
+		limit = min(limit, o.options.GangWait/2)
+	}
+	return now-at > limit
+}
+
+// lose proposes that a run is no more.
+func (o *Owner) lose(r *runner, task *jobs.Task) {
+	key := runKey{task.ID, task.Run}
+	if o.ending[key] {
+		return
+	}
+	o.ending[key] = true
+	o.counters.Losses++
+	saved := ""
+	if l := r.listed[key]; l != nil {
+		saved = l.saved
+	}
+	delete(r.stops, key)
+	delete(r.ordered, key)
+	o.dirty = true
+	o.next.Losses = append(o.next.Losses, jobs.Loss{Runner: r.instance, Task: task.ID, Run: task.Run, Saved: saved})
+}
+
+func (o *Owner) loseAll(r *runner) {
+	for _, task := range o.state.RunsOn(r.instance) {
+		if task.Phase == jobs.Running {
+			o.lose(r, task)
+		}
+	}
+	for _, l := range o.state.LingeringOn(r.instance) {
+		key := runKey{l.Task, l.Run}
+		if !o.ending[key] {
+			o.ending[key] = true
+			o.next.Losses = append(o.next.Losses, jobs.Loss{Runner: r.instance, Task: l.Task, Run: l.Run})
+		}
+	}
+}
+
+// expireHolds gives up what silent runners ran, once their last hold is certainly over.
+func (o *Owner) expireHolds(now time.Duration) {
+	for instance, r := range o.runners {
+		if now < r.holdEnd {
+			continue
+		}
+		silent := !r.reported || now-r.heardAt > usableSilence
+		if !silent && !r.ended {
+			continue
+		}
+		o.loseAll(r)
+		if r.reply == nil && (r.ended || now-r.holdEnd > forgetSilent) && len(o.state.RunsOn(instance)) == 0 {
+			delete(o.runners, instance)
+		}
+	}
+}
+
+// forgetSilent is how long a silent runner is kept after its hold.
+const forgetSilent = 30 * time.Second
