Read a turn's time after its inputs were taken

Cause: the loop of the replica engine read its time first and took what had come afterwards. A process that was frozen between the two handled inputs of after the freeze with the time of before it: an owner would have taken its confirmation for young and granted a hold, counted from a heartbeat of after the freeze, that ends after HoldMax from the confirmation; a new owner would have counted the wait for the holds of the one before it from before its election. Ruled out: comparing the time of each input with the turn's (inputs come by goroutines that share nothing but the queue). Change: the inputs are taken, then the time is read. A disk that is far behind is now told as Unavailable, so that another owner is looked for, instead of as a refusal for want of room by a process that may have been replaced.

--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -169,7 +169,7 @@
 	return envelopes, functions
 }
 
-// Now is the steady time since Open of the present turn of the loop.
+// Now is the steady time since Open of the present turn of the loop. All that the turn handles had come by then.
 func (e *Engine) Now() time.Duration { return e.now }
 
 // Status is what this process knows of a group. A group that the engine does not have gives the zero Status.
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -20,14 +20,16 @@
 	done        func(result any, err error)
 }
 
-// confirmation waits for a quorum's answer to a round asked for at or after askedAt.
+// confirmation waits for a quorum's answer to a round of heartbeats that left after it was asked for. Rounds carry the
+// time of the turn that sends them, turns have rising times, and what a turn sends leaves at its end, after all that the
+// turn has taken: so a round with askedAt's time or a later one has left after the asking.
 type confirmation struct {
 	askedAt time.Duration
 	done    func(err error)
 }
 
 // Propose proposes a command. done is called on the loop exactly once: with the result of Apply; or with failure.NotLeader
-// or failure.Overloaded if certainly nothing was or will be done; or with failure.UnknownOutcome if leadership was lost
+// or failure.Unavailable if certainly nothing was or will be done; or with failure.UnknownOutcome if leadership was lost
 // with the command in doubt. The data is the engine's from then on.
 func (e *Engine) Propose(id GroupID, data []byte, done func(result any, err error)) {
 	g := e.byID[id]
@@ -36,7 +38,7 @@
 		return
 	}
 	if e.writer.unwritten() > maxUnwritten {
-		done(nil, failure.New(failure.Overloaded, "the disk is behind"))
+		done(nil, failure.New(failure.Unavailable, "the disk is behind"))
 		return
 	}
 	index, term, err := g.node.Propose(e.now, data)
--- a/internal/replica/turn.go
+++ b/internal/replica/turn.go
@@ -13,8 +13,9 @@
 
 // turn handles all that waits, lets every group act, and sends what came of it.
 func (e *Engine) turn() {
+	envelopes, functions := e.inbox.take(e.spareEnvelopes[:0], e.spareFunctions[:0])
 	e.advance()
-	e.handleInbox()
+	e.handle(envelopes, functions)
 	for _, g := range e.groups {
 		if g.node.NextDeadline() <= e.now {
 			g.node.Tick(e.now)
@@ -35,13 +36,16 @@
 	e.writer.submit()
 }
 
-// advance takes the time. It never stands still: what is sent in a turn is newer than all that was sent before.
+// advance reads the turn's time. It is called after the turn's inputs were taken, so that each of them had come by that
+// time, however long the process was frozen before or after: a hold that is counted from a confirmation and granted to a
+// heartbeat of this turn, or the wait for another's holds that begins with an election of this turn, is never too long
+// or too short by a freeze. The time never stands still: what is sent in a turn is newer than all that was sent before.
 func (e *Engine) advance() {
 	e.now = max(e.options.Clock.Since(e.started), e.now+1)
 }
 
-func (e *Engine) handleInbox() {
-	envelopes, functions := e.inbox.take(e.spareEnvelopes[:0], e.spareFunctions[:0])
+// handle carries out what was taken from the inbox.
+func (e *Engine) handle(envelopes []*Envelope, functions []func()) {
 	for i, envelope := range envelopes {
 		e.open(envelope)
 		envelopes[i] = nil
