Change the membership by joint consensus

A change moved one member at a time, so a lost voter was removed first and its successor promoted afterwards: of three voters two were left in between, and one more lost disk was the end.

ProposeMembers now takes any target. Where at most one voter is added or removed the target itself goes to the log, as before (majorities of such sets always overlap), also if learners and addresses change with it. Otherwise a joint membership goes to the log, which needs a majority of the outgoing and of the incoming voters for election, pre-vote, commit and the confirmation of leadership. Once it is committed the leader proposes the final membership; so does a new leader that finds a joint one, once it has committed an entry of its own term. No other change is taken meanwhile, and Status().ChangePending says so.

Member.Transition tells in which of the two configurations a member votes.

A voter that a membership leaves out (removed, or a learner now) may stand for election until it knows that this membership is committed, counting itself no more. It may hold the only newer log among those left: without that it would refuse its vote to the others, never stand, and the group would have no leader again. So that it ends, the leader tells removed members of the commit.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -12,10 +12,11 @@
 	ErrNotLeader = errors.New("not the leader of this group")
 	// ErrNotReady tells that the leader has not committed an entry of its own term yet.
 	ErrNotReady = errors.New("the leader has not committed an entry of its term yet")
-	// ErrChangePending tells that an earlier change of the membership is not committed yet.
+	// ErrChangePending tells that an earlier change of the membership is under way: its entry, or the final one of a joint
+	// change, is not committed yet.
 	ErrChangePending = errors.New("a change of the membership is not committed yet")
-	// ErrChangeRefused tells that a membership is not one step away from the present one.
-	ErrChangeRefused = errors.New("the membership is not one valid step away from the present one")
+	// ErrChangeRefused tells that a membership is not well formed, or is the present one.
+	ErrChangeRefused = errors.New("the membership is not well formed or does not differ from the present one")
 	// ErrUnknownMember tells that a member is not a voter other than this one.
 	ErrUnknownMember = errors.New("not another voter of this group")
 )
--- a/internal/consensus/confirm.go
+++ b/internal/consensus/confirm.go
@@ -1,35 +1,10 @@
 package consensus
 
-import (
-	"slices"
-	"time"
-)
-
-// maxScratch is the number of voters up to which quorums are worked out without allocating.
-const maxScratch = 16
-
-// reachedByQuorum is the largest value that a quorum of the voters has reached; values are sorted in place.
-func reachedByQuorum[T uint64 | time.Duration](values []T) T {
-	if len(values) == 0 {
-		return 0
-	}
-	slices.Sort(values)
-	return values[len(values)-quorumOf(len(values))]
-}
+import "time"
 
 // quorumTime is the newest time that a quorum of voters has reached; this member is at the present.
 func (n *Node) quorumTime(of func(*progress) time.Duration) time.Duration {
-	var held [maxScratch]time.Duration
-	times := held[:0]
-	if isVoter(n.memberships.current(), n.config.ID) {
-		times = append(times, n.now)
-	}
-	for _, peer := range n.leadership.peers {
-		if peer.voter {
-			times = append(times, of(peer))
-		}
-	}
-	return reachedByQuorum(times)
+	return reachedByQuorum(n, n.now, of)
 }
 
 // Confirm asks for a confirmation of the leadership at or after now: Status().ConfirmedAt tells when it is there. Calls
@@ -74,7 +49,7 @@
 		leadership.heartbeatAt = n.now + n.config.HeartbeatInterval
 	}
 	for _, peer := range leadership.peers {
-		if peer.voter || regular {
+		if peer.votes() || regular {
 			n.send(Message{Kind: MessageHeartbeat, To: peer.id, Commit: n.commit, SentAt: n.now})
 		}
 	}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // ballot is what a candidate has gathered.
 type ballot struct {
@@ -9,20 +12,28 @@
 	repeatAt time.Duration
 }
 
-// grant counts a voter once and returns how many there are.
-func (b *ballot) grant(id MemberID) int {
-	for _, known := range b.granted {
-		if known == id {
-			return len(b.granted)
-		}
+// grant notes that a member said yes.
+func (b *ballot) grant(id MemberID) {
+	if !b.has(id) {
+		b.granted = append(b.granted, id)
 	}
-	b.granted = append(b.granted, id)
-	return len(b.granted)
 }
 
-// mayStand tells whether this member may be elected.
+// has tells whether a member has said yes.
+func (b *ballot) has(id MemberID) bool {
+	return slices.Contains(b.granted, id)
+}
+
+// isElected tells whether a quorum said yes. Only voters of the membership in force count.
+func (n *Node) isElected() bool {
+	return HasQuorum(n.memberships.current(), n.ballot.has)
+}
+
+// mayStand tells whether this member may be elected: it votes, or did before a membership that may still be uncommitted.
+// The latter counts itself no more, but may be the only one left with the newest log: were it never to stand, it would
+// refuse its vote to all others and the group had no leader again.
 func (n *Node) mayStand() bool {
-	return n.campaignAllowed && isVoter(n.memberships.current(), n.config.ID)
+	return n.campaignAllowed && n.memberships.mayVote(n.commit, n.config.ID)
 }
 
 // stand begins an election, or waits on where this member may not be elected.
@@ -32,7 +43,7 @@
 	if !n.mayStand() {
 		return
 	}
-	if countVoters(n.memberships.current()) == 1 {
+	if isOnlyVoter(n.memberships.current(), n.config.ID) {
 		n.leadAlone()
 		return
 	}
@@ -71,7 +82,7 @@
 		request.Forced = n.ballot.forced
 	}
 	for _, member := range n.memberships.current() {
-		if member.Learner || member.ID == n.config.ID || n.ballot.has(member.ID) {
+		if member.votesIn() == 0 || member.ID == n.config.ID || n.ballot.has(member.ID) {
 			continue
 		}
 		request.To = member.ID
@@ -83,16 +94,6 @@
 	}
 }
 
-// has tells whether a voter has said yes.
-func (b *ballot) has(id MemberID) bool {
-	for _, known := range b.granted {
-		if known == id {
-			return true
-		}
-	}
-	return false
-}
-
 // repeatRequests asks again those that have not answered.
 func (n *Node) repeatRequests() {
 	if n.role == roleFollower || n.now < n.ballot.repeatAt {
@@ -155,22 +156,20 @@
 	if n.role != rolePreCandidate || message.Term != n.term+1 {
 		return
 	}
-	members := n.memberships.current()
-	if !isVoter(members, message.From) {
-		return
-	}
-	if n.ballot.grant(message.From) >= quorumOf(countVoters(members)) {
+	n.ballot.grant(message.From)
+	if n.isElected() {
 		n.campaign(false)
 	}
 }
 
 // countVote counts a vote. That it came shows that the request has left, and so that this member's own vote is on disk.
 func (n *Node) countVote(message *Message) {
-	if n.role != roleCandidate || message.Reject || !isVoter(n.memberships.current(), message.From) {
+	if n.role != roleCandidate || message.Reject {
 		return
 	}
 	n.ballot.grant(n.config.ID)
-	if n.ballot.grant(message.From) >= quorumOf(countVoters(n.memberships.current())) {
+	n.ballot.grant(message.From)
+	if n.isElected() {
 		n.becomeLeader()
 	}
 }
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -47,7 +47,7 @@
 		if peer == nil {
 			peer = &progress{id: member.ID, next: n.log.last() + 1, heardAt: n.now, ackAskedAt: n.now}
 		}
-		peer.voter = !member.Learner
+		peer.votesIn = member.votesIn()
 		peers = append(peers, peer)
 	}
 	n.leadership.peers = peers
@@ -86,66 +86,43 @@
 	return entry.Index, entry.Term, nil
 }
 
-// ProposeMembers adds a new membership to the log, which is in force at once. It differs from the present one in one
-// member.
-func (n *Node) ProposeMembers(now time.Duration, members []Member) error {
-	n.advance(now)
-	if n.role != roleLeader || n.leadership.transferee != None {
-		return ErrNotLeader
-	}
-	if n.memberships.newest() > n.commit {
-		return ErrChangePending
-	}
-	if !n.ready() {
-		return ErrNotReady
-	}
-	if err := checkChange(n.memberships.current(), members); err != nil {
-		return err
-	}
-	data, err := EncodeMembers(members)
-	if err != nil {
-		return err
-	}
-	n.changeMembers(members, data)
-	return nil
-}
-
-// changeMembers puts a membership in force and sends it out, last of all to a member it removes.
-func (n *Node) changeMembers(members []Member, data []byte) {
-	entry := n.appendOwn(EntryMembership, data)
-	held := append([]Member(nil), members...)
-	n.memberships = append(n.memberships, membership{index: entry.Index, members: held})
-	n.sendDueAppends()
-	n.adoptMembers()
-	n.leadership.appendsDue = true
-}
-
 // advanceCommit commits what a quorum holds, of this term.
 func (n *Node) advanceCommit() {
 	index := n.quorumIndex()
 	if index <= n.commit || !n.log.matches(index, n.term) {
 		return
 	}
+	changed := n.memberships.newest() > n.commit && n.memberships.newest() <= index
 	n.commit = index
 	n.verified = max(n.verified, index)
+	if changed {
+		n.dismissRemoved()
+	}
 	if !isVoter(n.memberships.current(), n.config.ID) && n.memberships.newest() <= n.commit {
 		n.retire()
 	}
 }
 
-// quorumIndex is the last index that a quorum has on disk.
-func (n *Node) quorumIndex() uint64 {
-	var held [maxScratch]uint64
-	values := held[:0]
-	if isVoter(n.memberships.current(), n.config.ID) {
-		values = append(values, n.leadership.ownMatch)
+// dismissRemoved tells the members that the membership just committed has removed, once: until they know that it is
+// committed they stand for election.
+func (n *Node) dismissRemoved() {
+	index := n.memberships.newest()
+	before, known := n.log.term(index - 1)
+	if !known {
+		return
 	}
-	for _, peer := range n.leadership.peers {
-		if peer.voter {
-			values = append(values, peer.match)
+	for _, member := range n.memberships.at(index - 1) {
+		if _, stays := findMember(n.memberships.current(), member.ID); stays || member.ID == n.config.ID {
+			continue
 		}
+		n.send(Message{Kind: MessageAppend, To: member.ID, Index: index - 1, LogTerm: before, Commit: n.commit,
+			Entries: n.log.between(index-1, index), SentAt: n.now})
 	}
-	return reachedByQuorum(values)
+}
+
+// quorumIndex is the last index that a quorum has on disk.
+func (n *Node) quorumIndex() uint64 {
+	return reachedByQuorum(n, n.leadership.ownMatch, func(peer *progress) uint64 { return peer.match })
 }
 
 // retire ends the leadership of a member that the group no longer counts, and asks the furthest other to stand.
@@ -153,7 +130,7 @@
 	n.sendRound(true)
 	var heir *progress
 	for _, peer := range n.leadership.peers {
-		if peer.voter && (heir == nil || peer.match > heir.match) {
+		if peer.votes() && (heir == nil || peer.match > heir.match) {
 			heir = peer
 		}
 	}
@@ -173,6 +150,7 @@
 		n.becomeFollower(n.term, None)
 		return
 	}
+	n.finishChange() // one that a transfer which came to nothing held up
 	if n.now >= leadership.heartbeatAt {
 		n.sendRound(true)
 		n.dropSilentTransfers()
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -61,6 +61,20 @@
 	return nil
 }
 
+// mayVote tells whether a member votes in the membership in force, or in one that comes back if all that may still be
+// uncommitted is truncated.
+func (h membershipHistory) mayVote(commit uint64, id MemberID) bool {
+	for position := len(h) - 1; position >= 0; position-- {
+		if isVoter(h[position].members, id) {
+			return true
+		}
+		if h[position].index <= commit {
+			return false
+		}
+	}
+	return false
+}
+
 // withEntries adds the memberships that stand in entries.
 func (h membershipHistory) withEntries(entries []Entry) membershipHistory {
 	for _, entry := range entries {
@@ -105,54 +119,3 @@
 	}
 	return Member{}, false
 }
-
-// isVoter tells whether a member is there and votes.
-func isVoter(members []Member, id MemberID) bool {
-	member, found := findMember(members, id)
-	return found && !member.Learner
-}
-
-// countVoters counts the members that vote.
-func countVoters(members []Member) int {
-	voters := 0
-	for _, member := range members {
-		if !member.Learner {
-			voters++
-		}
-	}
-	return voters
-}
-
-// quorumOf is how many of so many voters decide.
-func quorumOf(voters int) int {
-	return voters/2 + 1
-}
-
-// checkChange tells whether a membership may follow another: it is well formed and one member differs. Quorums of two
-// memberships in a row then always share a member.
-func checkChange(present, next []Member) error {
-	if countVoters(next) == 0 {
-		return errors.Wrap(ErrChangeRefused, "no voter is left")
-	}
-	differences := 0
-	for position, member := range next {
-		if member.ID == None {
-			return errors.Wrap(ErrChangeRefused, "a member has no identity")
-		}
-		if _, twice := findMember(next[:position], member.ID); twice {
-			return errors.Wrap(ErrChangeRefused, "a member stands twice")
-		}
-		if before, found := findMember(present, member.ID); !found || before != member {
-			differences++
-		}
-	}
-	for _, member := range present {
-		if _, found := findMember(next, member.ID); !found {
-			differences++
-		}
-	}
-	if differences != 1 {
-		return errors.Wrapf(ErrChangeRefused, "%d members differ", differences)
-	}
-	return nil
-}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -130,6 +130,7 @@
 	}
 	n.dispatch(&message)
 	if n.role == roleLeader {
+		n.finishChange()
 		n.sendWantedRound()
 	}
 }
@@ -247,6 +248,7 @@
 		n.leadership.appendsDue = true
 	}
 	n.advanceCommit()
+	n.finishChange()
 }
 
 // Compact drops the entries up to an index that was handed out to be applied.
@@ -275,16 +277,17 @@
 // Status is what this member knows.
 func (n *Node) Status() Status {
 	return Status{
-		ID:          n.config.ID,
-		Term:        n.term,
-		Leader:      n.leader,
-		IsLeader:    n.role == roleLeader,
-		Ready:       n.ready(),
-		Commit:      n.commit,
-		LastIndex:   n.log.last(),
-		FirstIndex:  n.log.base + 1,
-		ConfirmedAt: n.leadership.confirmedAt,
-		Members:     n.memberships.current(),
-		Transferee:  n.leadership.transferee,
+		ID:            n.config.ID,
+		Term:          n.term,
+		Leader:        n.leader,
+		IsLeader:      n.role == roleLeader,
+		Ready:         n.ready(),
+		Commit:        n.commit,
+		LastIndex:     n.log.last(),
+		FirstIndex:    n.log.base + 1,
+		ConfirmedAt:   n.leadership.confirmedAt,
+		Members:       n.memberships.current(),
+		ChangePending: n.changePending(),
+		Transferee:    n.leadership.transferee,
 	}
 }
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -13,9 +13,9 @@
 
 // progress is what a leader knows of another member.
 type progress struct {
-	id    MemberID
-	voter bool
-	state progressState
+	id      MemberID
+	votesIn configurations
+	state   progressState
 
 	match uint64 // last index known to be on its disk
 	next  uint64 // index of the next entry to send
@@ -33,6 +33,11 @@
 	transfer *outgoingSnapshot
 }
 
+// votes tells whether the member votes, be it in one configuration only.
+func (p *progress) votes() bool {
+	return p.votesIn != 0
+}
+
 // heard notes an answer.
 func (p *progress) heard(now, sentAt time.Duration) {
 	p.heardAt = now
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -10,7 +10,7 @@
 		return ErrNotLeader
 	}
 	peer := n.peer(to)
-	if peer == nil || !peer.voter {
+	if peer == nil || !peer.votes() {
 		return ErrUnknownMember
 	}
 	if n.leadership.transferee == to {
@@ -29,7 +29,7 @@
 		return
 	}
 	peer := n.peer(n.leadership.transferee)
-	if peer == nil || !peer.voter {
+	if peer == nil || !peer.votes() {
 		n.leadership.transferee = None
 		return
 	}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -1,5 +1,5 @@
 // Package consensus is one replica group's log: election with pre-vote, replication in batches, confirmed
-// leadership, membership changes one at a time, learners, and snapshots. It is pure: inputs and the steady time go in;
+// leadership, membership changes by joint consensus, learners, and snapshots. It is pure: inputs and the steady time go in;
 // messages, entries to write and committed entries come out. It has no clock, no disk, no goroutine.
 package consensus
 
@@ -13,13 +13,28 @@
 
 // Member is a member as the membership of a group holds it.
 type Member struct {
-	ID      MemberID
-	Node    string // machine's name
-	Zone    string
-	Address string // internal address
-	Learner bool   // gets the log, neither votes nor counts
+	ID         MemberID
+	Node       string // machine's name
+	Zone       string
+	Address    string // internal address
+	Learner    bool   // gets the log, neither votes nor counts
+	Transition Transition
 }
 
+// Transition tells how a joint membership changes a member's vote. A membership in which it is set for any member is
+// joint: it has the outgoing configuration, of the voters before the change, and the incoming one, of those after it, and
+// whatever is decided needs a majority of either. Only a leader makes such memberships, on its way to one that was given
+// to ProposeMembers.
+type Transition uint8
+
+// The transitions.
+const (
+	TransitionNone    Transition = iota // a voter, or a learner, in both configurations
+	TransitionAdded                     // votes in the incoming configuration only
+	TransitionRemoved                   // votes in the outgoing configuration only; afterwards no member
+	TransitionDemoted                   // votes in the outgoing configuration only; afterwards a learner
+)
+
 // EntryKind tells what an entry's data is.
 type EntryKind uint8
 
@@ -115,6 +130,11 @@
 	LastIndex   uint64
 	FirstIndex  uint64
 	ConfirmedAt time.Duration // steady time at which a quorum's confirmation was asked for, of the newest confirmed
-	Members     []Member
-	Transferee  MemberID
+	// Members is the membership in force: the newest in the log, committed or not. It is joint while a change of more than
+	// one voter is on its way; FinalMembers tells what it leads to.
+	Members []Member
+	// ChangePending tells that Members is not committed as far as this member knows, or is joint: ProposeMembers refuses
+	// another change until both the joint and the final membership are committed.
+	ChangePending bool
+	Transferee    MemberID
 }
