Show what may change only on a confirmation asked for after the question

Cause: an owner showed a job's state and a queue's count from memory if its leadership had been confirmed at most 900 ms before, by the time of the loop's turn, and refused a hand-in for want of room without any confirmation. An owner that was replaced within that time could show a job as running whose cancelling its successor had acknowledged, count jobs that had ended, and answer 429 from a state that was over. Ruled out: a shorter age (any age above zero lets the successor answer first); a lease (clocks of frozen processes). Change: a state that a job never leaves is told at once, as are a hand-in or a fence of a job that is there, a hand-in that is invalid whatever is in force, and one picked by a configuration older than the owner's: these stay true. All else waits for a round of heartbeats that left after the question came; it is asked for in the same turn, so that it costs a round trip and no tick, and a round serves all questions of a turn. The test of an unknown job asks one turn later than the confirmation, since turns have rising times; asked in the turn of the confirmation itself, as before, it described what the engine cannot do.

--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -114,27 +114,36 @@
 	if !s.owner.Leading() {
 		return
 	}
-	now := s.engine.Now()
-	s.owner.Tick(now, s.clock(), s.engine.Status(uint32(s.id)).ConfirmedAt)
-	if s.owner.WantsConfirmation() {
-		s.engine.Confirm(uint32(s.id), func(err error) {
-			if err == nil {
-				s.owner.Tick(s.engine.Now(), 0, s.engine.Status(uint32(s.id)).ConfirmedAt)
-				s.owner.Flush(s.engine.Now())
-			}
-		})
-	}
+	s.owner.Tick(s.engine.Now(), s.clock(), s.confirmedAt())
+	s.confirmReads()
 	s.pump()
 }
 
+// confirmReads asks for a confirmation of leadership while reads wait for one.
+func (s *jobShard) confirmReads() {
+	if !s.owner.WantsConfirmation() {
+		return
+	}
+	s.engine.Confirm(uint32(s.id), func(err error) {
+		if err == nil {
+			s.owner.Tick(s.engine.Now(), 0, s.confirmedAt())
+			s.pump()
+		}
+	})
+}
+
+// confirmedAt is when the newest confirmation of leadership was asked for.
+func (s *jobShard) confirmedAt() time.Duration { return s.engine.Status(uint32(s.id)).ConfirmedAt }
+
 // deadline is when tick is to be called next.
 func (s *jobShard) deadline(now time.Duration) time.Duration { return s.owner.NextDeadline(now) }
 
 // do runs an input of the owner.
 func (s *jobShard) do(input func(now time.Duration)) {
 	now := s.engine.Now()
-	s.owner.Tick(now, 0, s.engine.Status(uint32(s.id)).ConfirmedAt)
+	s.owner.Tick(now, 0, s.confirmedAt())
 	input(now)
+	s.confirmReads()
 	s.pump()
 	s.wake()
 }
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -65,11 +65,7 @@
 }
 
 // Ended tells whether the job is completed, failed or cancelled.
-func (j *Job) Ended() bool { return endedState(j.State) }
-
-func endedState(state string) bool {
-	return state == protocol.JobCompleted || state == protocol.JobFailed || state == protocol.JobCancelled
-}
+func (j *Job) Ended() bool { return protocol.JobEnded(j.State) }
 
 // times returns how often the steps run.
 func (j *Job) times() int { return max(1, j.Spec.Repetitions) }
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -48,3 +48,8 @@
 	JobFailed    = "failed"
 	JobCancelled = "cancelled"
 )
+
+// JobEnded tells whether a state is one that a job never leaves.
+func JobEnded(state string) bool {
+	return state == JobCompleted || state == JobFailed || state == JobCancelled
+}
--- a/internal/scheduler/clients.go
+++ b/internal/scheduler/clients.go
@@ -5,6 +5,7 @@
 
 	"ospreypond/internal/failure"
 	"ospreypond/internal/jobs"
+	"ospreypond/internal/protocol"
 )
 
 // waitingReplies are the replies owed once a command is applied, in the order of its parts.
@@ -60,19 +61,36 @@
 	errNotLeader = failure.New(failure.NotLeader, "this process does not own the shard")
 )
 
-// read is a question whose answer needs leadership confirmed after it came.
+// read is a question whose answer needs leadership confirmed by a round that left after it came.
 type read struct {
 	asked time.Duration
 	until time.Duration
 	reply func(err error)
 }
 
-// Submit hands a job in. The reply comes once it is committed; known tells that it was before.
+// Submit hands a job in. The reply comes once it is committed; known tells that it was before, which stays true. That
+// there is no room is only told by an owner whose leadership was confirmed after the hand-in came: the jobs of one that
+// was replaced may have ended long since.
 func (o *Owner) Submit(now time.Duration, submit jobs.Submit, reply func(known bool, err error)) {
 	if !o.leading {
 		reply(false, errNotLeader)
 		return
 	}
+	if o.full() {
+		o.readLater(now, func(err error) {
+			if err != nil {
+				reply(false, err)
+				return
+			}
+			o.submit(submit, reply)
+		})
+		return
+	}
+	o.submit(submit, reply)
+}
+
+// submit takes a hand-in, or refuses it for what is true for ever, or for want of room.
+func (o *Owner) submit(submit jobs.Submit, reply func(known bool, err error)) {
 	if _, known := o.state.StateOf(submit.ID); known {
 		reply(true, nil)
 		return
@@ -85,6 +103,11 @@
 	o.waiting.submits = append(o.waiting.submits, reply)
 }
 
+// full tells whether as many jobs are pending as may be.
+func (o *Owner) full() bool { return o.state.Counters().Jobs >= o.options.MaxPending }
+
+// acceptable tells why a hand-in is not proposed. That it is invalid depends on nothing but itself; that a newer
+// configuration than the one it was picked by gives its queue another service cannot change any more.
 func (o *Owner) acceptable(submit *jobs.Submit) error {
 	if err := o.state.Validate(&submit.Job); err != nil {
 		return err
@@ -94,7 +117,7 @@
 		o.counters.Stale++
 		return failure.New(failure.Stale, "a newer configuration gives the queue another service")
 	}
-	if o.state.Counters().Jobs >= o.options.MaxPending {
+	if o.full() {
 		o.counters.Refused++
 		return failure.New(failure.Overloaded, "too many jobs have not ended")
 	}
@@ -126,14 +149,14 @@
 	o.waiting.fences = append(o.waiting.fences, reply)
 }
 
-// Status asks for a job's state. A known job is answered at once from what is committed; that a job is unknown is
-// only told by an owner whose leadership was confirmed after the question.
+// Status asks for a job's state. That a job has ended is committed and told at once, since it stays true. All else may
+// be out of date here, and is told once leadership was confirmed after the question came.
 func (o *Owner) Status(now time.Duration, id string, reply func(state string, err error)) {
 	if !o.leading {
 		reply("", errNotLeader)
 		return
 	}
-	if state, known := o.state.StateOf(id); known && o.recentlyConfirmed(now) {
+	if state, _ := o.state.StateOf(id); protocol.JobEnded(state) {
 		reply(state, nil)
 		return
 	}
@@ -151,16 +174,13 @@
 	})
 }
 
-// Pending asks how many jobs of a queue have not ended.
+// Pending asks how many jobs of a queue have not ended. It is told once leadership was confirmed after the question
+// came.
 func (o *Owner) Pending(now time.Duration, queue string, reply func(pending int, err error)) {
 	if !o.leading {
 		reply(0, errNotLeader)
 		return
 	}
-	if o.recentlyConfirmed(now) {
-		reply(o.state.Pending(queue), nil)
-		return
-	}
 	o.readLater(now, func(err error) {
 		if err != nil {
 			reply(0, err)
@@ -170,18 +190,22 @@
 	})
 }
 
+// recentlyConfirmed tells whether heartbeats may be answered. What an owner that was replaced since then answers to
+// one does no harm: its holds count from the confirmation, its starts and ends are committed, and a runner that has
+// heard of its successor refuses its fence token.
 func (o *Owner) recentlyConfirmed(now time.Duration) bool { return now-o.confirmedAt < confirmationAge }
 
 func (o *Owner) readLater(now time.Duration, reply func(err error)) {
 	o.reads = append(o.reads, read{asked: now, until: now + readWait, reply: reply})
 }
 
-// endReads answers the reads that a confirmation covers, and gives up those that waited too long.
+// endReads answers the reads that a confirmation covers, and gives up those that waited too long. A confirmation that
+// was asked for at the time of the turn that took a read left after the read came, see replica.Engine.Confirm.
 func (o *Owner) endReads(now time.Duration) {
 	var left, done, late []read
 	for _, r := range o.reads {
 		switch {
-		case o.confirmedAt > r.asked:
+		case o.confirmedAt >= r.asked:
 			done = append(done, r)
 		case now >= r.until:
 			late = append(late, r)
--- a/internal/scheduler/owner_test.go
+++ b/internal/scheduler/owner_test.go
@@ -167,6 +167,7 @@
 
 	It("says that a job is unknown only after a confirmation", func() {
 		w.pass(0)
+		w.now++ // the next turn: their times rise
 		var got error
 		answered := false
 		w.owner.Status(w.now, id, func(_ string, err error) { answered, got = true, err })
