Take no leadership for confirmed because it has begun, and no runner for gone because it says so

Cause, first: an owner took the moment at which it learnt that it leads for that of a confirmation. Between the quorum's answers, which elect it and commit its first entry, and that moment the process may be frozen and replaced; it would then have given holds that outlast its successor's wait for them, and have shown states from memory. Now there is no confirmation until the engine's own time of one comes with the next tick. Cause, second: a runner that deregisters was taken to run nothing a second later, and what it ran was started elsewhere. Some runners deregister first and serve on, and one whose acknowledgement is lost ends seconds later: the same task could have run twice. Now its runs count until its hold is over; it gets no new hold and no work, also when its heartbeats go on after that, where it was taken for a new runner before. Ruled out: a second's wait only for runners that said draining before (the acknowledgement may be lost). Third: the acknowledgement of a deregistering waits for a confirmation asked for after it came.

--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -71,23 +71,17 @@
 	}
 }
 
-// Deregister takes a runner's word that it ends.
+// Deregister takes a runner's word that it ends. It is acknowledged once leadership was confirmed after it came: a
+// successor would go on giving the runner work. What runs there may go on until the runner's hold is over, since some
+// runners serve on for seconds, and an acknowledgement may be lost; a hold is not given any more.
 func (o *Owner) Deregister(now time.Duration, instance string, reply func(err error)) {
 	if !o.leading {
 		reply(errNotLeader)
 		return
 	}
-	if !o.recentlyConfirmed(now) {
-		reply(failure.New(failure.NotLeader, "leadership could not be confirmed"))
-		return
-	}
 	if r := o.runners[instance]; r != nil {
 		r.ended = true
 		r.draining = true
-		r.holdEnd = min(r.holdEnd, now+endSlack)
 	}
-	reply(nil)
+	o.readLater(now, reply)
 }
-
-// endSlack is how long a runner that has said that it ends may still run something.
-const endSlack = time.Second
--- a/internal/scheduler/losses.go
+++ b/internal/scheduler/losses.go
@@ -95,11 +95,12 @@
 			continue
 		}
 		o.loseAll(r)
-		if r.reply == nil && (r.ended || now-r.holdEnd > forgetSilent) && len(o.state.RunsOn(instance)) == 0 {
+		if silent && now-r.holdEnd > forgetSilent && r.reply == nil && len(o.state.RunsOn(instance)) == 0 {
 			delete(o.runners, instance)
 		}
 	}
 }
 
-// forgetSilent is how long a silent runner is kept after its hold.
+// forgetSilent is how long a silent runner is kept after its hold, so that one which has said that it ends and still
+// sends heartbeats is not taken for a new one.
 const forgetSilent = 30 * time.Second
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -39,6 +39,8 @@
 	clockSlack = 1.03
 	// confirmationAge is the oldest confirmation of leadership on which a heartbeat is still answered.
 	confirmationAge = 900 * time.Millisecond
+	// neverConfirmed is a time before all confirmations that count.
+	neverConfirmed = -confirmationAge
 	// readWait is how long a read waits for a confirmation of leadership.
 	readWait = 800 * time.Millisecond
 	// proposeAgain is the pause after a command that could not be proposed, as while leadership is being given away.
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -21,7 +21,7 @@
 	leading     bool
 	term        uint64
 	ledAt       time.Duration // when this leadership began
-	confirmedAt time.Duration
+	confirmedAt time.Duration // when the newest confirmation of this leadership was asked for
 	timeOfDayMs int64
 	timeOfDayAt time.Duration
 
@@ -90,13 +90,14 @@
 }
 
 // Lead is called when this process leads the shard and has applied an entry of its own term. timeOfDayMs is its
-// estimate of the time, ms since 1970.
+// estimate of the time, ms since 1970. That it leads says nothing of when: between the quorum's answers and now the
+// process may have been frozen, and replaced. So until Tick brings a confirmation there is none.
 func (o *Owner) Lead(now time.Duration, timeOfDayMs int64, term uint64) {
 	o.forget()
 	o.leading = true
 	o.term = term
 	o.ledAt = now
-	o.confirmedAt = now
+	o.confirmedAt = neverConfirmed
 	o.setTimeOfDay(now, timeOfDayMs)
 	for _, instance := range o.state.Runners() {
 		o.runners[instance] = o.newRunner(instance, now)
--- a/internal/scheduler/owner_test.go
+++ b/internal/scheduler/owner_test.go
@@ -121,7 +121,7 @@
 		w.submit(id, small())
 		first, _ := w.beat(beatOf("i1", 1))
 		w.owner.Follow()
-		w.owner.Lead(w.now, w.clock(), 8)
+		w.lead(8)
 		w.pass(hold)
 		orders, _ := w.beat(beatOf("i2", 1))
 		Expect(orders.Start).To(BeEmpty())
@@ -151,7 +151,7 @@
 		w.submit(id, small())
 		w.beat(beatOf("i1", 1))
 		w.owner.Follow()
-		w.owner.Lead(w.now, w.clock(), 8)
+		w.lead(8)
 		again := beatOf("i2", 1)
 		again.Address = beatOf("i1", 1).Address
 		orders, _ := w.beat(again)
--- a/internal/scheduler/reads_test.go
+++ b/internal/scheduler/reads_test.go
@@ -32,6 +32,8 @@
 	a.given, a.count, a.kind = true, count, failure.KindOf(err)
 }
 
+func (a *answer) acknowledged(err error) { a.given, a.kind = true, failure.KindOf(err) }
+
 func (a *answer) taken(known bool, err error) {
 	a.given, a.known, a.kind = true, known, failure.KindOf(err)
 }
@@ -42,8 +44,7 @@
 	bounds := options()
 	bounds.MaxPending = most
 	w.owner = scheduler.New(bounds, w.state)
-	w.owner.Lead(w.now, w.clock(), 7)
-	w.pass(0)
+	w.lead(7)
 	return w
 }
 
@@ -122,6 +123,9 @@
 		Entry("to refuse a hand-in for want of room", func() { w.submit(id, small()) },
 			func() { w.owner.Submit(w.now, submitOf(unknownID), got.taken) },
 			func() { Expect(got.kind).To(Equal(failure.Overloaded)) }),
+		Entry("to acknowledge that a runner ends", func() { w.beat(beatOf("i1", 1)) },
+			func() { w.owner.Deregister(w.now, "i1", got.acknowledged) },
+			func() { Expect(*got).To(Equal(answer{given: true})) }),
 	)
 
 	It("takes a hand-in for which there is room by the time of the confirmation", func() {
@@ -151,6 +155,7 @@
 		Entry("of a job", func() { w.owner.Status(w.now, id, got.status) }),
 		Entry("of a job that it does not know", func() { w.owner.Status(w.now, unknownID, got.status) }),
 		Entry("of a count", func() { w.owner.Pending(w.now, queue, got.pending) }),
+		Entry("of a runner that ends", func() { w.owner.Deregister(w.now, "i1", got.acknowledged) }),
 		Entry("of its room", func() { w.owner.Submit(w.now, submitOf(unknownID), got.taken) }),
 	)
 
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -30,10 +30,16 @@
 func newWorld() *world {
 	w := &world{state: jobs.New(jobs.Options{}), now: time.Second}
 	w.owner = scheduler.New(options(), w.state)
-	w.owner.Lead(w.now, w.clock(), 7)
+	w.lead(7)
 	return w
 }
 
+// lead makes the owner lead in a term, with a confirmation of this moment.
+func (w *world) lead(term uint64) {
+	w.owner.Lead(w.now, w.clock(), term)
+	w.owner.Tick(w.now, w.clock(), w.now)
+}
+
 func options() scheduler.Options {
 	return scheduler.Options{HoldMax: hold, StopTime: 900 * time.Millisecond, GangWait: 3 * time.Second}
 }
