Never refuse for good an order that may have been taken

An order that builds on a version yet to come was refused with 412 too, and a copy of it that was late on the network was taken once that version was there: refused, and in force.

Ruled out: a digest that does not depend on the order of an object's members. Orders are resent unchanged, and reading 8 MB into maps for it would cost more memory than a small machine has; another order of members is another order.

--- a/internal/configuration/cost_test.go
+++ b/internal/configuration/cost_test.go
@@ -68,3 +68,26 @@
 		}
 	}
 }
+
+func BenchmarkSnapshot(b *testing.B) {
+	state := bigState(b, 20000)
+	for version := uint64(1); version <= takenOrders; version++ {
+		state.Execute(step(version))
+	}
+	var data []byte
+	b.Run("write", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			data, _ = state.Snapshot()
+		}
+		b.ReportMetric(float64(len(data)), "snapshot-bytes")
+	})
+	b.Run("read", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if err := NewState().Restore(data); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/configuration/image.go
+++ b/internal/configuration/image.go
@@ -34,7 +34,8 @@
 // snapshot is a State's form on disk.
 type snapshot struct {
 	Image image
-	Taken []taken
+	Taken []orderKey
+	Early []orderKey // absent from what earlier programs wrote
 }
 
 func (d *Document) image() *image {
@@ -118,7 +119,7 @@
 // Snapshot returns the state's form on disk.
 func (s *State) Snapshot() ([]byte, error) {
 	var buffer bytes.Buffer
-	err := gob.NewEncoder(&buffer).Encode(&snapshot{Image: *s.document.image(), Taken: s.taken})
+	err := gob.NewEncoder(&buffer).Encode(&snapshot{Image: *s.document.image(), Taken: s.taken, Early: s.early})
 	return buffer.Bytes(), errors.Wrap(err, "encode the configuration")
 }
 
@@ -132,6 +133,6 @@
 	if err != nil {
 		return err
 	}
-	*s = State{document: document, taken: decoded.Taken}
+	*s = State{document: document, taken: decoded.Taken, early: decoded.Early}
 	return nil
 }
--- /dev/null
+++ b/internal/configuration/resend_test.go
@@ -0,0 +1,185 @@
+package configuration
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/failure"
+)
+
+// step is the change that leads from a version to the next.
+func step(base uint64) Command { return update(base, fmt.Sprintf(`{"version":%d}`, base+1)) }
+
+// advance has a state take so many changes.
+func advance(state *State, changes int) {
+	GinkgoHelper()
+	for range changes {
+		Expect(state.Execute(step(state.Document().Version())).Kind).To(Equal(failure.None))
+	}
+}
+
+// reread returns the state as another process has it from a snapshot.
+func reread(state *State) *State {
+	GinkgoHelper()
+	data, err := state.Snapshot()
+	Expect(err).NotTo(HaveOccurred())
+	restored := NewState()
+	Expect(restored.Restore(data)).To(Succeed())
+	return restored
+}
+
+var _ = Describe("an order that is sent again", func() {
+	moved := aRoute("r-1", "one.example", "/one/", "b")
+	orders := map[string]Command{
+		"a replacement": replace(5, whole(7, routeOne)),
+		"an update":     update(5, `{"version":7,"upsert":{"routes":[`+moved+`]}}`),
+		"a removal":     update(5, `{"version":7,"remove":{"routes":["r-2"]}}`),
+	}
+	others := map[string]Command{
+		"the same number, other content":         replace(5, whole(7, routeTwo)),
+		"another number":                         replace(5, whole(8, routeOne)),
+		"the same body as the other kind":        update(5, whole(7, routeOne, routeTwo)),
+		"the same body on an older version":      replace(0, whole(7, routeOne)),
+		"an invalid one of the same number":      replace(5, whole(7, aRoute("r", "h", "/", "?"))),
+		"an order that cannot be read":           replace(5, `{"version":7`),
+		"the same members in another order":      replace(5, `{"limits":`+someLimits+`,"version":7}`),
+		"no kind of change":                      {Kind: "erase", Base: 5, Body: []byte(whole(7, routeOne))},
+		"an update of a later number, on the 5":  update(5, `{"version":4000}`),
+		"a removal of what is not there, on 5":   update(5, `{"version":9,"remove":{"routes":["nobody"]}}`),
+		"an empty one":                           update(5, ``),
+		"a number that is below the one it has":  update(5, `{"version":1}`),
+		"an upsert that has no effect in the 5":  update(5, `{"version":11,"upsert":{"routes":[`+routeOne+`]}}`),
+		"a replacement by what was there before": replace(5, whole(12, routeOne, routeTwo)),
+	}
+	for name, order := range orders {
+		for _, changes := range []int{0, 1, 100, 2000, takenOrders - 2} {
+			It(fmt.Sprintf("is acknowledged and changes nothing: %s, after %d others", name, changes), func() {
+				state := standard()
+				Expect(state.Execute(order)).To(Equal(Result{Version: 7}))
+				advance(state, changes)
+				for _, each := range []*State{state, reread(state), reread(reread(state))} {
+					before := string(each.Document().JSON())
+					Expect(each.Execute(order)).To(Equal(Result{Version: 7}))
+					for other, command := range others {
+						result := each.Execute(command)
+						Expect(result.Kind).To(Equal(failure.Conflict), other)
+						Expect(result.Version).To(Equal(uint64(7+changes)), other)
+					}
+					Expect(each.Execute(order)).To(Equal(Result{Version: 7}))
+					Expect(string(each.Document().JSON())).To(Equal(before))
+				}
+			})
+		}
+	}
+
+	It("is the same with other white space, and another one with its members in another order", func() {
+		state := standard()
+		Expect(state.Execute(update(5, `{"version":7,"remove":{"routes":["r-2"]}}`)).Kind).To(Equal(failure.None))
+		advance(state, 3)
+		spaced := update(5, " {\n\t\"version\" : 7 ,\r\n \"remove\":{ \"routes\":[ \"r-2\" ] } }\n")
+		Expect(state.Execute(spaced)).To(Equal(Result{Version: 7}))
+		turned := update(5, `{"remove":{"routes":["r-2"]},"version":7}`)
+		Expect(state.Execute(turned).Kind).To(Equal(failure.Conflict))
+		inText := update(5, `{"version":7,"remove":{"routes":["r- 2"]}}`)
+		Expect(state.Execute(inText).Kind).To(Equal(failure.Conflict), "space within a text is no white space")
+	})
+
+	It("is the same whichever operator sends it", func() {
+		state := standard()
+		order := replace(5, whole(7, routeTwo))
+		Expect(state.Execute(order)).To(Equal(Result{Version: 7}))
+		Expect(state.Execute(replace(5, whole(7, routeTwo)))).To(Equal(Result{Version: 7}))
+	})
+
+	It("is not the replacement that has its effect", func() {
+		state := standard()
+		Expect(state.Execute(update(5, `{"version":7,"remove":{"routes":["r-2"]}}`)).Kind).To(Equal(failure.None))
+		whole := replace(5, string(state.Document().JSON()))
+		Expect(state.Execute(whole).Kind).To(Equal(failure.Conflict))
+		advance(state, 1)
+		Expect(state.Execute(whole).Kind).To(Equal(failure.Conflict))
+	})
+
+	It("is another order on another base", func() {
+		state := standard()
+		advance(state, 2)
+		for _, base := range []uint64{0, 1, 4, 6, 7} {
+			Expect(state.Execute(update(base, `{"version":6}`)).Kind).NotTo(Equal(failure.None), "on %d", base)
+		}
+		Expect(state.Execute(update(5, `{"version":6}`))).To(Equal(Result{Version: 6}))
+	})
+
+	It("stays invalid if it was, also where it would be valid later", func() {
+		state := standard()
+		needsLater := replace(5, whole(7, aRoute("r-9", "h", "/", "c"))) // service c comes with the next change
+		Expect(state.Execute(needsLater).Kind).To(Equal(failure.Invalid))
+		addition := update(5, `{"version":6,"upsert":{"services":[{"name":"c"}]}}`)
+		Expect(state.Execute(addition).Kind).To(Equal(failure.None))
+		Expect(state.Execute(needsLater).Kind).To(Equal(failure.Conflict))
+		advance(state, 2)
+		Expect(state.Execute(needsLater).Kind).To(Equal(failure.Conflict))
+		Expect(reread(state).Execute(needsLater).Kind).To(Equal(failure.Conflict))
+	})
+
+	It("stays lost if it lost a race", func() {
+		state := standard()
+		Expect(state.Execute(replace(5, whole(7, routeOne))).Kind).To(Equal(failure.None))
+		loser := replace(5, whole(7, routeTwo))
+		for range 3 {
+			Expect(state.Execute(loser).Kind).To(Equal(failure.Conflict))
+			state = reread(state)
+			advance(state, 1)
+		}
+		Expect(state.Execute(replace(5, whole(7, routeOne)))).To(Equal(Result{Version: 7}))
+	})
+
+	It("stays refused if it was refused before the version it builds on", func() {
+		state := standard()
+		hasty := update(7, `{"version":9}`)
+		Expect(state.Execute(hasty).Kind).To(Equal(failure.Conflict))
+		Expect(state.Execute(update(5, `{"version":7}`)).Kind).To(Equal(failure.None))
+		for _, each := range []*State{state, reread(state)} {
+			Expect(each.Execute(hasty).Kind).To(Equal(failure.Conflict), "a copy that was late")
+			Expect(each.Execute(update(7, `{"version":10}`))).To(Equal(Result{Version: 10}), "another on that version")
+			Expect(each.Execute(hasty).Kind).To(Equal(failure.Conflict))
+			Expect(each.early).To(BeEmpty())
+		}
+	})
+
+	It("is never refused for good where too many are early to remember each", func() {
+		state := standard()
+		for version := range uint64(earlyOrders) {
+			Expect(state.Execute(step(100 + version)).Kind).To(Equal(failure.Conflict))
+		}
+		late := update(6, `{"version":7}`)
+		Expect(state.Execute(late).Kind).To(Equal(failure.Unavailable))
+		Expect(state.early).To(HaveLen(earlyOrders))
+		Expect(state.Execute(step(100)).Kind).To(Equal(failure.Conflict), "one that is remembered")
+		advance(state, 1)
+		Expect(state.Execute(late)).To(Equal(Result{Version: 7}))
+	})
+
+	It("finds its way among eight that are under way at once", func() {
+		state := standard()
+		var underWay []Command
+		for i := range 8 {
+			underWay = append(underWay, replace(5, whole(7, aRoute(fmt.Sprintf("r-%d", i), "h", "/", "a"))))
+		}
+		for round := range 4 {
+			for i := range underWay {
+				at := (i + 3*round) % len(underWay)
+				result := state.Execute(underWay[at])
+				if at == 0 {
+					Expect(result).To(Equal(Result{Version: 7}), "the first to come, in round %d", round)
+				} else {
+					Expect(result.Kind).To(Equal(failure.Conflict), "order %d in round %d", at, round)
+				}
+			}
+			if round > 0 {
+				advance(state, 1)
+			}
+		}
+	})
+})
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -25,6 +25,7 @@
 	Gone                // no such job
 	Stale               // the caller's configuration is older than the owner's; certainly nothing was done
 	Moved               // the job's queue belongs to another shard now; certainly nothing was done
+	Forgotten           // it was done or it was not, and no later try will tell which
 	kinds
 )
 
@@ -49,6 +50,7 @@
 	Gone:           {"gone", http.StatusGone, false, "the job is unknown, or was forgotten after its time"},
 	Stale:          {"stale", http.StatusServiceUnavailable, true, "nothing: the frontend catches up by itself"},
 	Moved:          {"moved", http.StatusServiceUnavailable, true, "nothing: the frontend catches up by itself"},
+	Forgotten:      {"forgotten", http.StatusGatewayTimeout, false, "read the configuration: is the change in it?"},
 }
 
 // AnswerTo returns the answer for k; an unknown kind is answered as UnknownOutcome.
