List the root certificates among the packages that a clean build needs

Cause: with an empty module cache the build downloads its modules over TLS; without root certificates it ends with 'certificate signed by unknown authority'. The list had only what compiles and links. Ruled out: vendored modules (the build would need no download, but other projects' sources would stand in this tree).

--- a/test/ci/packages_test.go
+++ b/test/ci/packages_test.go
@@ -30,7 +30,7 @@
 	}
 
 	allowed := closure(installed, listed)
-	used := build(t, line, programs(t, allowed))
+	used := append(build(t, line, programs(t, allowed)), rootCertificate(t))
 	files := filesOf(t, allowed)
 	for _, file := range used {
 		assert.True(t, files[file], "the build uses %s, which is of none of the packages listed", file)
@@ -215,6 +215,21 @@
 	return used
 }
 
+// rootCertificate returns one of the files by which the tool chain trusts a module proxy: where the module cache is empty,
+// the build downloads its modules over TLS. The cache is not emptied here, so the file is looked for instead.
+func rootCertificate(t *testing.T) string {
+	links, err := filepath.Glob("/etc/ssl/certs/*.pem")
+	require.NoError(t, err)
+	for _, link := range links {
+		real, err := filepath.EvalSymlinks(link)
+		if err == nil && strings.HasPrefix(real, "/usr/share/ca-certificates/") {
+			return real
+		}
+	}
+	require.Fail(t, "no root certificates of Debian are installed")
+	return ""
+}
+
 // ofTheToolChain tells of files that come with Go, or that the build has made.
 func ofTheToolChain(t *testing.T, path, scratch string) bool {
 	for _, folder := range []string{runtime.GOROOT(), scratch, os.TempDir()} {
