Measure the time to full redundancy after a lost disk

The test cluster plays a wiped machine, a planned replacement and a machine that is gone for good with control's own timing, and measures the time from the fresh process's start until its identity votes in place of the old one in all groups with all that was committed on its disk, and for how long of that one more lost disk (all others losing power) would leave a group that cannot elect anybody by what the disks hold.

--- /dev/null
+++ b/internal/replica/exposure_test.go
@@ -0,0 +1,90 @@
+package replica
+
+import (
+	"time"
+
+	"ospreypond/internal/consensus"
+)
+
+// disks is what would be left if all machines lost power now.
+type disks map[consensus.MemberID]*machine
+
+// disksOf are the disks of the machines that are not gone for good.
+func (c *cluster) disksOf(gone *machine) disks {
+	left := disks{}
+	for _, m := range c.machines {
+		if m != gone && len(m.durable) > 0 {
+			left[m.engine.self.ID] = m
+		}
+	}
+	return left
+}
+
+// oneLossIsFatal tells whether the loss of some one disk, while all other machines lose power, would leave a group
+// without any member that can be elected.
+func (d disks) oneLossIsFatal(groups int) bool {
+	for lost := range d {
+		for id := range GroupID(groups) {
+			if !d.electable(id, lost) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// electable tells whether a member of the group can be elected without the disk of one.
+func (d disks) electable(id GroupID, lost consensus.MemberID) bool {
+	for candidate, m := range d {
+		if candidate != lost && d.wins(id, candidate, m, lost) {
+			return true
+		}
+	}
+	return false
+}
+
+// wins tells whether a candidate gets a quorum by the membership that its own disk holds.
+func (d disks) wins(id GroupID, candidate consensus.MemberID, m *machine, lost consensus.MemberID) bool {
+	own := m.durable[id]
+	members := m.engine.byID[id].node.MembersAt(own.index)
+	for _, voters := range electorates(members) {
+		votes, stands := 0, false
+		for _, voter := range voters {
+			stands = stands || voter == candidate
+			other := d[voter]
+			if voter != lost && other != nil && own.covers(other.durable[id]) {
+				votes++
+			}
+		}
+		if !stands || votes <= len(voters)/2 {
+			return false
+		}
+	}
+	return true
+}
+
+// electorates are the sets of voters of which each must have a quorum.
+func electorates(members []consensus.Member) [][]consensus.MemberID {
+	var voters []consensus.MemberID
+	for _, member := range members {
+		if !member.Learner {
+			voters = append(voters, member.ID)
+		}
+	}
+	return [][]consensus.MemberID{voters}
+}
+
+// stopwatch sums up the time during which a condition held.
+type stopwatch struct {
+	at     time.Duration
+	held   bool
+	summed time.Duration
+}
+
+// look tells how things are from now on.
+func (s *stopwatch) look(now time.Duration, holds bool) {
+	if s.held {
+		s.summed += now - s.at
+	}
+	s.at, s.held = now, holds
+}
--- a/internal/replica/machine_test.go
+++ b/internal/replica/machine_test.go
@@ -75,6 +75,15 @@
 	diskDelay time.Duration
 	wakeAt    time.Duration
 	life      int
+	durable   map[GroupID]logEnd // how far the logs on the disk reach
+}
+
+// logEnd is the newest entry of a log.
+type logEnd struct{ index, term uint64 }
+
+// covers tells whether a log that ends here is at least as new as another.
+func (l logEnd) covers(other logEnd) bool {
+	return l.term > other.term || l.term == other.term && l.index >= other.index
 }
 
 // start starts the machine's process on what its disk holds.
@@ -102,6 +111,9 @@
 		Logger:     log.With(m.cluster.logger, "at", log.Valuer(func() any { return m.cluster.now() }), "node", m.name),
 		Seed:       m.cluster.random.Uint64(),
 		draw:       func() (consensus.MemberID, error) { return consensus.MemberID(m.cluster.random.Uint64()), nil },
+
+		HeartbeatInterval: m.cluster.heartbeat,
+		ElectionTimeout:   m.cluster.election,
 	})
 	if err != nil {
 		return err
@@ -123,11 +135,22 @@
 			return
 		}
 		figures, err := engine.writer.write(w)
+		if err == nil {
+			m.noteDurable(w)
+		}
 		m.wake()
 		engine.Do(func() { engine.writer.finish(w, figures, err) })
 	})
 }
 
+// noteDurable keeps how far the logs on the disk reach.
+func (m *machine) noteDurable(w *work) {
+	for _, t := range w.touched {
+		m.durable[t.group.id] = logEnd{index: t.index, term: t.term}
+	}
+	m.cluster.writes++
+}
+
 func (m *machine) background(job func() func()) {
 	engine, life := m.engine, m.life
 	m.cluster.at(3*m.diskDelay, func() {
@@ -187,4 +210,5 @@
 func (m *machine) wipe() {
 	m.kill()
 	m.files = &vfstest.Mem{}
+	m.durable = map[GroupID]logEnd{}
 }
