Let elections wait for disks that are slow

With all disks at 30 times their usual 9 ms a vote takes longer than an election timeout of 320 ms: the candidate's own term and vote wait for the write under way and their own, and so does the voter's answer. Ruled out: the learners' catching up (with a leader in all groups they do).

A member that has stood or voted now leaves an election the time of four writes more, as long as its own writes take of late, at most half a second each. How soon a silent leader is noticed stays as it is. The same holds for a leader that is giving its leadership away, and a candidate whose election is under way encourages nobody else.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -64,13 +64,27 @@
 // campaign stands for election in a new term.
 func (n *Node) campaign(forced bool) {
 	n.becomeFollower(n.term+1, None)
-	n.resetElectionDeadline()
+	n.awaitElection()
 	n.role = roleCandidate
 	n.vote = n.config.ID
 	n.ballot.forced = forced
 	n.requestVotes()
 }
 
+// writesOfElection is how many writes an election may have to wait for, one after the other: at the candidate and then at
+// a voter the write that is under way, and the one with the vote.
+const writesOfElection = 4
+
+// awaitElection sets when to stand next, after a vote of this member's: an election that is under way gets the time that
+// the disks need. Else members with disks slower than about half an election timeout would disturb each other for ever.
+func (n *Node) awaitElection() {
+	n.resetElectionDeadline()
+	n.electionDeadline += writesOfElection * n.writeTime
+}
+
+// SetWriteTime tells how long a write to this member's disk takes of late.
+func (n *Node) SetWriteTime(took time.Duration) { n.writeTime = took }
+
 // requestVotes asks every voter that has not said yes. A request for a vote leaves only once this member's own term and
 // vote are on disk: otherwise it could come back and be elected twice in one term.
 func (n *Node) requestVotes() {
@@ -112,8 +126,8 @@
 
 // answerPreVote says whether this member would vote for another, without promising anything.
 func (n *Node) answerPreVote(message *Message) {
-	if n.hearsLeader() {
-		return
+	if n.hearsLeader() || n.role == roleCandidate {
+		return // an election that is under way has until the candidate's own deadline
 	}
 	response := Message{Kind: MessagePreVoteResponse, To: message.From}
 	if message.Term > n.term && n.upToDate(message) {
@@ -144,7 +158,7 @@
 // giveVote votes for a candidate.
 func (n *Node) giveVote(candidate MemberID) {
 	n.becomeFollower(n.term, None)
-	n.resetElectionDeadline()
+	n.awaitElection()
 	if n.vote == None {
 		n.vote = candidate
 		n.pending.hardState = true
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -33,6 +33,7 @@
 	verified    uint64 // last index known to agree with the leader of this term
 
 	campaignAllowed  bool
+	writeTime        time.Duration // how long a write to this member's disk takes of late
 	electionDeadline time.Duration // when to stand
 	leaderHeardAt    time.Duration // counts only while a leader is known
 	ballot           ballot
@@ -202,14 +203,23 @@
 		n.incoming = nil
 	}
 	if n.role == roleLeader {
-		n.leadership = leadership{}
-		n.resetElectionDeadline()
+		n.endLeadership()
 	}
 	n.role = roleFollower
 	n.leader = leader
 	n.ballot = ballot{}
 }
 
+// endLeadership forgets what only a leader has. One that was giving its leadership away leaves its heir time for the votes.
+func (n *Node) endLeadership() {
+	if n.leadership.transferee != None {
+		n.awaitElection()
+	} else {
+		n.resetElectionDeadline()
+	}
+	n.leadership = leadership{}
+}
+
 // followLeader notes that the leader of this term was heard. It tells false where that cannot be.
 func (n *Node) followLeader(from MemberID) bool {
 	if n.role == roleLeader {
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Transfer gives the leadership to another voter once it has caught up. Until then, or until an election timeout has
-// passed, proposals are refused.
+// Transfer gives the leadership to another voter once it has caught up. Until then, or until an election timeout and the
+// time that the disks need for votes have passed, proposals are refused.
 func (n *Node) Transfer(now time.Duration, to MemberID) error {
 	n.advance(now)
 	if n.role != roleLeader {
@@ -17,7 +17,7 @@
 		return nil
 	}
 	n.leadership.transferee = to
-	n.leadership.transferUntil = now + n.config.ElectionTimeout
+	n.leadership.transferUntil = now + n.config.ElectionTimeout + writesOfElection*n.writeTime
 	n.sendAppends(peer)
 	n.handOver()
 	return nil
--- a/internal/replica/disk_test.go
+++ b/internal/replica/disk_test.go
@@ -158,6 +158,29 @@
 		c.check()
 	})
 
+	It("does not keep a group from a leader when all disks are slow, so that a vote takes longer than an election timeout", func() {
+		for seed := range uint64(10) {
+			c := newCluster(seed, 5)
+			c.heartbeat, c.election = 75*time.Millisecond, 320*time.Millisecond
+			c.startFirst(3)
+			c.awaitLeaders()
+			c.run(2 * time.Second)
+			for _, m := range c.machines {
+				m.diskDelay = 270 * time.Millisecond
+			}
+			c.work(2 * time.Second)
+			c.machines[c.random.IntN(3)].kill()
+			c.work(500 * time.Millisecond)
+			Expect(c.until(6*time.Second, c.allLed)).To(BeTrue(), "every group has a leader again")
+			terms := c.terms()
+			c.work(10 * time.Second)
+			Expect(c.until(2*time.Second, c.allLed)).To(BeTrue())
+			for id, term := range c.terms() {
+				Expect(term).To(BeNumerically("<=", terms[id]+1), "and keeps it, but for one planned move")
+			}
+		}
+	})
+
 	It("counts as lost when synced data is damaged, and the machine joins as a new one", func() {
 		c := newCluster(13, 2)
 		c.startFirst(3)
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -24,6 +24,16 @@
 	failing bool          // the last write failed
 	retryAt time.Duration // no earlier than this is anything written
 	probeAt time.Duration
+	took    time.Duration // how long writes take: the slowest of late, fading
+}
+
+// noteTime keeps how long writes take, and tells the groups, whose elections wait for votes to be written. What a sick
+// disk takes is no measure.
+func (w *writer) noteTime(took time.Duration) {
+	w.health.took = min(max(took, w.health.took*7/8), slowWrite)
+	for _, g := range w.engine.groups {
+		g.node.SetWriteTime(w.health.took)
+	}
 }
 
 // check looks whether the present write takes too long.
@@ -59,6 +69,7 @@
 
 // wrote takes note of a write that succeeded.
 func (w *writer) wrote(took time.Duration) {
+	w.noteTime(took)
 	w.health.failing = false
 	w.health.retryAt = 0
 	if !w.health.sick {
