Make contexts end by any clock

clockwork.WithDeadline and WithTimeout end a context by the clock they are given only if it is one of clockwork's own fakes; for any other clock they fall back to the real time. A clock of another kind, as the simulation of whole clusters wants for each of its machines, so could not bound a request. Package deadline asks a clock that makes contexts by itself, and goes to clockwork as before for all others: nothing changes for the real clock and for the fakes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"ospreypond/internal/deadline"
 	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
 )
@@ -102,7 +103,7 @@
 		answerFault(w, http.StatusMethodNotAllowed, "method_not_allowed", "allowed here: POST")
 		return
 	}
-	ctx, cancel := clockwork.WithTimeout(r.Context(), s.clock, exchangeTime)
+	ctx, cancel := deadline.WithTimeout(r.Context(), s.clock, exchangeTime)
 	defer cancel()
 	if verb == verbHeartbeat {
 		s.serveHeartbeat(ctx, w, r, instance)
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -4,8 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
+	"ospreypond/internal/deadline"
 	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
 )
@@ -275,7 +274,7 @@
 
 // ask carries a heartbeat to the owner.
 func (l *loop) ask(request *protocol.HeartbeatRequest) (*protocol.Orders, error) {
-	ctx, cancel := clockwork.WithTimeout(l.ctx, l.service.clock, exchangeTime)
+	ctx, cancel := deadline.WithTimeout(l.ctx, l.service.clock, exchangeTime)
 	defer cancel()
 	var response *protocol.HeartbeatResponse
 	err := l.service.attempt(ctx, request.Shard, func(ctx context.Context) (err error) {
--- /dev/null
+++ b/internal/deadline/deadline_test.go
@@ -0,0 +1,54 @@
+package deadline_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/deadline"
+)
+
+// asked is a clock that notes the deadlines it is asked for.
+type asked struct {
+	*clockwork.FakeClock
+	deadlines []time.Time
+}
+
+func (a *asked) WithDeadline(parent context.Context, at time.Time) (context.Context, context.CancelFunc) {
+	a.deadlines = append(a.deadlines, at)
+	return context.WithCancel(parent)
+}
+
+func TestAClockThatMakesContextsMakesThem(t *testing.T) {
+	g := NewWithT(t)
+	clock := &asked{FakeClock: clockwork.NewFakeClock()}
+	at := clock.Now().Add(time.Minute)
+	_, cancelDeadline := deadline.WithDeadline(context.Background(), clock, at)
+	defer cancelDeadline()
+	_, cancelTimeout := deadline.WithTimeout(context.Background(), clock, time.Hour)
+	defer cancelTimeout()
+	g.Expect(clock.deadlines).To(Equal([]time.Time{at, clock.Now().Add(time.Hour)}))
+}
+
+func TestOtherClocksEndContextsAsBefore(t *testing.T) {
+	g := NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	first, cancelFirst := deadline.WithDeadline(context.Background(), clock, clock.Now().Add(time.Minute))
+	defer cancelFirst()
+	second, cancelSecond := deadline.WithTimeout(context.Background(), clock, time.Minute)
+	defer cancelSecond()
+	g.Expect(first.Done()).NotTo(BeClosed())
+	clock.Advance(time.Minute)
+	for _, ctx := range []context.Context{first, second} {
+		<-ctx.Done()
+		g.Expect(errors.Is(ctx.Err(), context.DeadlineExceeded)).To(BeTrue())
+	}
+
+	ended, cancelEnded := deadline.WithTimeout(context.Background(), clockwork.NewRealClock(), -time.Second)
+	defer cancelEnded()
+	g.Expect(ended.Err()).To(MatchError(context.DeadlineExceeded))
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/jonboulle/clockwork"
 
+	"ospreypond/internal/deadline"
 	"ospreypond/internal/protocol"
 )
 
@@ -62,7 +63,7 @@
 		options.Logger = log.NewNopLogger()
 	}
 	bound := func(ctx context.Context, span time.Duration) (context.Context, context.CancelFunc) {
-		return clockwork.WithTimeout(ctx, options.Clock, span)
+		return deadline.WithTimeout(ctx, options.Clock, span)
 	}
 	d := &Directory{
 		options: options,
--- a/internal/frontend/find.go
+++ b/internal/frontend/find.go
@@ -5,8 +5,7 @@
 	"net/http"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
+	"ospreypond/internal/deadline"
 	"ospreypond/internal/failure"
 )
 
@@ -27,7 +26,7 @@
 		return found, nil
 	}
 	if !fresh {
-		ctx, cancel := clockwork.WithDeadline(ctx, s.Clock, arrived.Add(budget(clientWait(r), 0, askTry)))
+		ctx, cancel := deadline.WithDeadline(ctx, s.Clock, arrived.Add(budget(clientWait(r), 0, askTry)))
 		defer cancel()
 		fresh = s.confirm(ctx, s.exact)
 		if found, ok = s.lookup(r); ok {
@@ -53,7 +52,7 @@
 		return true
 	}
 	s.Directory.Refresh()
-	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, confirmWait)
+	ctx, cancel := deadline.WithTimeout(ctx, s.Clock, confirmWait)
 	defer cancel()
 	ticker := s.Clock.NewTicker(confirmPoll)
 	defer ticker.Stop()
--- a/internal/frontend/handin.go
+++ b/internal/frontend/handin.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"ospreypond/internal/deadline"
 	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
 )
@@ -96,7 +96,7 @@
 
 // awaitNewer waits a little for a view above version, and reports whether there is time to try again.
 func (s *Service) awaitNewer(ctx context.Context, version uint64) bool {
-	waiting, cancel := clockwork.WithTimeout(ctx, s.Clock, stalePause)
+	waiting, cancel := deadline.WithTimeout(ctx, s.Clock, stalePause)
 	defer cancel()
 	return s.Views.newerThan(waiting, version) || !over(ctx)
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -13,6 +13,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/jonboulle/clockwork"
+
+	"ospreypond/internal/deadline"
 )
 
 // Times of an orderly stop, from SIGTERM.
@@ -139,7 +141,7 @@
 	s.stopping.Store(true)
 	s.service.Drain()
 	<-s.clock.After(min(noticeTime, s.grace/2))
-	ctx, cancel := clockwork.WithDeadline(context.Background(), s.clock, began.Add(s.grace-closeMargin))
+	ctx, cancel := deadline.WithDeadline(context.Background(), s.clock, began.Add(s.grace-closeMargin))
 	defer cancel()
 	s.clients.close()
 	err := s.shutDown(ctx)
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"ospreypond/internal/deadline"
 	"ospreypond/internal/failure"
 )
 
@@ -147,5 +148,5 @@
 // within returns a context that ends when the request has used its time.
 func (s *Service) within(r *http.Request, arrived time.Time, target target, most time.Duration) (context.Context, context.CancelFunc) {
 	allowed := budget(clientWait(r), target.route.Timeout, most)
-	return clockwork.WithDeadline(r.Context(), s.Clock, arrived.Add(allowed))
+	return deadline.WithDeadline(r.Context(), s.Clock, arrived.Add(allowed))
 }
