Assemble frontends and agents in one place

What a frontend's and an agent's process is made of (directory, service, owners) was put together within Run, beside the listeners. frontend.Relay, so far for programs that hand jobs in by themselves, takes all options and is what Run uses too; agent.Relay is its like. Both can run over any Caller and clock, so that the simulation can run what ships.

--- a/internal/administration/submit.go
+++ b/internal/administration/submit.go
@@ -34,7 +34,7 @@
 	}
 	following, stop := context.WithCancel(context.Background())
 	defer stop()
-	relay := frontend.NewRelay(c.transport, c.addresses, "administration")
+	relay := frontend.NewRelay(frontend.RelayOptions{Client: c.transport, Addresses: c.addresses, Node: "administration"})
 	go relay.Run(following)
 	return repeat(
 		func() error { return handIn(ctx, relay, route.Host, route.PathPrefix+id, body) },
--- /dev/null
+++ b/internal/agent/relay.go
@@ -0,0 +1,67 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/go-kit/log"
+	"github.com/jonboulle/clockwork"
+
+	"ospreypond/internal/directory"
+	"ospreypond/internal/protocol"
+)
+
+// RelayOptions are what a Relay is made of.
+type RelayOptions struct {
+	Client    directory.Caller
+	Addresses []string // internal addresses of control processes to begin at
+	Node      string   // this machine's name
+	Service   string   // of the runner on this machine; empty: unknown
+	Calls     bool     // the runner is called, instead of answered
+	App       string   // where it is called; empty: at the address in its heartbeats
+	Clock     clockwork.Clock
+	Logger    log.Logger
+}
+
+// Relay carries a runner's calls as an agent does, without listening: an agent's process and the simulation are made of
+// it.
+type Relay struct {
+	*Service
+	Known *directory.Directory // what is known of shards' owners
+}
+
+// NewRelay returns a Relay. It needs Run.
+func NewRelay(options RelayOptions) *Relay {
+	known := directory.New(directory.Options{
+		Client: options.Client,
+		Seeds:  options.Addresses,
+		Node:   options.Node,
+		Clock:  options.Clock,
+		Logger: options.Logger,
+		Wait:   watchWait,
+	})
+	service := NewService(Options{
+		Owners:  owners{known},
+		Service: options.Service,
+		Clock:   options.Clock,
+		Calls:   options.Calls,
+		App:     options.App,
+	})
+	return &Relay{Service: service, Known: known}
+}
+
+// Run follows the shards' owners until ctx ends.
+func (r *Relay) Run(ctx context.Context) { r.Known.Run(ctx) }
+
+// owners carries messages by a directory.
+type owners struct{ *directory.Directory }
+
+// Heartbeat carries a heartbeat. An attempt without an answer isn't repeated here, so that it is known whose answer
+// comes back.
+func (o owners) Heartbeat(ctx context.Context, r *protocol.HeartbeatRequest) (*protocol.HeartbeatResponse, error) {
+	return directory.Call[protocol.HeartbeatRequest, protocol.HeartbeatResponse](ctx, o.Directory, r.Shard, r, false)
+}
+
+// Deregister tells of a planned end.
+func (o owners) Deregister(ctx context.Context, r *protocol.DeregisterRequest) (*protocol.DeregisterResponse, error) {
+	return directory.Call[protocol.DeregisterRequest, protocol.DeregisterResponse](ctx, o.Directory, r.Shard, r, true)
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -14,8 +14,6 @@
 	"github.com/pkg/errors"
 
 	"ospreypond/internal/boot"
-	"ospreypond/internal/directory"
-	"ospreypond/internal/protocol"
 	"ospreypond/internal/seeds"
 	"ospreypond/internal/transport"
 )
@@ -44,27 +42,23 @@
 	// The directory goes on until the last exchange is over, which is after ctx has ended.
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
-	known := directory.New(directory.Options{
-		Client: client,
-		Seeds:  settings.SeedInternalAddresses(),
-		Node:   settings.NodeName,
-		Logger: logger,
-		Wait:   watchWait,
+	relay := NewRelay(RelayOptions{
+		Client:    client,
+		Addresses: settings.SeedInternalAddresses(),
+		Node:      settings.NodeName,
+		Service:   settings.Service,
+		Calls:     settings.Commands == boot.CommandsInvocation,
+		App:       settings.App,
+		Logger:    logger,
 	})
-	go known.Run(serving)
+	defer relay.Close()
+	go relay.Run(serving)
 	follower := seeds.NewFollower(seeds.Options{Path: os.Getenv(boot.Variable), Seeds: settings.SeedInternalAddresses(),
-		Directory: known, StaleAfter: 2 * watchWait, Logger: logger})
+		Directory: relay.Known, StaleAfter: 2 * watchWait, Logger: logger})
 	go follower.Run(serving, hangups)
 
-	service := NewService(Options{
-		Owners:  owners{known},
-		Service: settings.Service,
-		Calls:   settings.Commands == boot.CommandsInvocation,
-		App:     settings.App,
-	})
-	defer service.Close()
 	level.Info(logger).Log("msg", "agent is up", "node", settings.NodeName, "service", settings.Service)
-	return serve(ctx, listener, service)
+	return serve(ctx, listener, relay)
 }
 
 // serve serves on listener until ctx ends and what is out is finished.
@@ -89,17 +83,3 @@
 	}
 	return nil
 }
-
-// owners carries messages by a directory.
-type owners struct{ *directory.Directory }
-
-// Heartbeat carries a heartbeat. An attempt without an answer isn't repeated here, so that it is known whose answer
-// comes back.
-func (o owners) Heartbeat(ctx context.Context, r *protocol.HeartbeatRequest) (*protocol.HeartbeatResponse, error) {
-	return directory.Call[protocol.HeartbeatRequest, protocol.HeartbeatResponse](ctx, o.Directory, r.Shard, r, false)
-}
-
-// Deregister tells of a planned end.
-func (o owners) Deregister(ctx context.Context, r *protocol.DeregisterRequest) (*protocol.DeregisterResponse, error) {
-	return directory.Call[protocol.DeregisterRequest, protocol.DeregisterResponse](ctx, o.Directory, r.Shard, r, true)
-}
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"ospreypond/internal/boot"
-	"ospreypond/internal/directory"
 	"ospreypond/internal/seeds"
 	"ospreypond/internal/transport"
 )
@@ -32,26 +31,18 @@
 	// The directory goes on until the last request is answered, which is after ctx has ended.
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
-	views := NewViews()
-	known := directory.New(directory.Options{
-		Client:          client,
-		Seeds:           settings.SeedInternalAddresses(),
-		Node:            settings.NodeName,
-		Logger:          logger,
-		Wait:            watchWait(settings.Bounds.ConfigApply),
-		OnConfiguration: (&documents{views: views, logger: logger}).take,
+	relay := NewRelay(RelayOptions{
+		Client:    client,
+		Addresses: settings.SeedInternalAddresses(),
+		Node:      settings.NodeName,
+		Bounds:    Bounds{ConfigApply: settings.Bounds.ConfigApply, MaxSkew: settings.Bounds.MaxSkew},
+		Logger:    logger,
 	})
-	go known.Run(serving)
+	go relay.Run(serving)
 	follower := seeds.NewFollower(seeds.Options{Path: os.Getenv(boot.Variable), Seeds: settings.SeedInternalAddresses(),
-		Directory: known, Logger: logger})
+		Directory: relay.Known, Logger: logger})
 	go follower.Run(serving, hangups)
 
-	service := NewService(Options{
-		Directory: confirmed{known, views},
-		Owners:    owners{known},
-		Views:     views,
-		Bounds:    Bounds{ConfigApply: settings.Bounds.ConfigApply, MaxSkew: settings.Bounds.MaxSkew},
-	})
 	level.Info(logger).Log("msg", "frontend is up", "node", settings.NodeName, "clients", settings.Listen[boot.ListenFrontend])
-	return NewServer(service, settings.Bounds.Grace, logger).Run(ctx, clients, readiness)
+	return NewServer(relay.Service, settings.Bounds.Grace, logger).Run(ctx, clients, readiness)
 }
