Run the shipped directory, frontend and agent in the simulation

internal/simulation/cluster had copies of them, written for the world's one goroutine: another watch (no HeldMs, no pacing, other pauses), another search for a shard's owner, another answer to a request that finds no time.

Now frontend.Relay and agent.Relay themselves run there, goroutines and all: their http.Handlers get the clients' and runners' requests as on the wire (JSON bodies, deadlines in headers), a directory.Caller carries their calls over the simulated network, and a clock for each machine makes their timers and deadlines. After each input the world waits until all goroutines are blocked and only then carries out what they asked for, ordered by the request that it belongs to. So one input at a time is on its way in a process, frozen machines hold back answers and timers alike, and a killed life's goroutines end without effect once its successor starts. The copies are gone.

Ruled out: bubble time for the shells' clocks (machines freeze one by one), and decisions moved into cores without goroutines (the shells' waits for confirmations, owners and newer views are most of what is to be proved).

--- a/internal/simulation/client.go
+++ b/internal/simulation/client.go
@@ -7,12 +7,13 @@
 	"ospreypond/internal/protocol"
 )
 
-// Frontend is what clients call. The reply is called at most once; without it the client hears nothing.
+// Frontend is what clients call. The reply is called at most once; without it the client hears nothing. Each call returns
+// what tells the frontend that the client has left.
 type Frontend interface {
-	HandIn(queue QueueName, id string, job *protocol.JobSpec, deadline time.Duration, reply func(status int))
-	State(queue QueueName, id string, deadline time.Duration, reply func(status int, state string))
-	Cancel(queue QueueName, id string, deadline time.Duration, reply func(status int))
-	Pending(queue QueueName, deadline time.Duration, reply func(status int, pending int))
+	HandIn(queue QueueName, id string, job *protocol.JobSpec, deadline time.Duration, reply func(status int)) (left func())
+	State(queue QueueName, id string, deadline time.Duration, reply func(status int, state string)) (left func())
+	Cancel(queue QueueName, id string, deadline time.Duration, reply func(status int)) (left func())
+	Pending(queue QueueName, deadline time.Duration, reply func(status int, pending int)) (left func())
 }
 
 // Clients hand jobs in, ask after them and cancel them.
@@ -48,8 +49,9 @@
 	return job
 }
 
-// call makes one call of a client to some frontend. Silence ends it at the client's deadline.
-func (c *Clients) call(try *Try, deadline time.Duration, ask func(f Frontend, answer func(status int, state string)),
+// call makes one call of a client to some frontend. Silence ends it at the client's deadline: the client leaves, of which
+// the frontend hears.
+func (c *Clients) call(try *Try, deadline time.Duration, ask func(f Frontend, answer func(status int, state string)) (left func()),
 	done func(status int)) {
 	machine := c.pick()
 	try.Machine, try.Life, try.Sent, try.Answered = machine.Name, machine.life, c.World.now, Never
@@ -60,7 +62,13 @@
 			done(status)
 		}
 	}
-	c.World.After(deadline, func() { finish(0) })
+	left := func() {}
+	c.World.After(deadline, func() {
+		if !over {
+			finish(0)
+			c.World.After(ClientDelay, func() { left() })
+		}
+	})
 	c.World.After(c.delay(), func() {
 		frontend := c.Frontend(machine)
 		if frontend == nil {
@@ -70,7 +78,7 @@
 		life := machine.life
 		machine.callers = append(machine.callers, func() { c.World.After(c.delay(), func() { finish(0) }) })
 		machine.inLife(life, func() {
-			ask(frontend, func(status int, state string) {
+			leave := ask(frontend, func(status int, state string) {
 				c.World.After(c.delay(), func() {
 					if over || machine.life != life {
 						return
@@ -79,6 +87,10 @@
 					finish(status)
 				})
 			})
+			left = func() { machine.inLife(life, leave) }
+			if over {
+				leave() // while the machine stood still
+			}
 		})
 	})
 }
@@ -111,8 +123,8 @@
 		deadline = c.World.Between(5*time.Millisecond, 300*time.Millisecond)
 	}
 	held := &Try{}
-	c.call(held, deadline, func(f Frontend, answer func(int, string)) {
-		f.HandIn(job.Queue, job.ID, &job.Spec, c.Deadline, func(status int) { answer(status, "") })
+	c.call(held, deadline, func(f Frontend, answer func(int, string)) func() {
+		return f.HandIn(job.Queue, job.ID, &job.Spec, c.Deadline, func(status int) { answer(status, "") })
 	}, func(status int) {
 		job.HandIns[position] = *held
 		if status/100 == 2 {
@@ -145,8 +157,8 @@
 	job.Cancels = append(job.Cancels, Try{})
 	position := len(job.Cancels) - 1
 	held := &Try{}
-	c.call(held, c.Deadline, func(f Frontend, answer func(int, string)) {
-		f.Cancel(job.Queue, job.ID, c.Deadline, func(status int) { answer(status, "") })
+	c.call(held, c.Deadline, func(f Frontend, answer func(int, string)) func() {
+		return f.Cancel(job.Queue, job.ID, c.Deadline, func(status int) { answer(status, "") })
 	}, func(status int) {
 		job.Cancels[position] = *held
 		if status/100 != 2 && status != 410 && tries < c.Retries {
@@ -161,8 +173,8 @@
 	job.Asks = append(job.Asks, Try{})
 	position := len(job.Asks) - 1
 	held := &Try{}
-	c.call(held, c.Deadline, func(f Frontend, answer func(int, string)) {
-		f.State(job.Queue, job.ID, c.Deadline, answer)
+	c.call(held, c.Deadline, func(f Frontend, answer func(int, string)) func() {
+		return f.State(job.Queue, job.ID, c.Deadline, answer)
 	}, func(status int) {
 		job.Asks[position] = *held
 		if done != nil {
@@ -204,8 +216,8 @@
 // Count asks a frontend for a queue's count.
 func (c *Clients) Count(queue QueueName) {
 	held := &Try{}
-	c.call(held, c.Deadline, func(f Frontend, answer func(int, string)) {
-		f.Pending(queue, c.Deadline, func(status, _ int) { answer(status, "") })
+	c.call(held, c.Deadline, func(f Frontend, answer func(int, string)) func() {
+		return f.Pending(queue, c.Deadline, func(status, _ int) { answer(status, "") })
 	}, func(int) {
 		c.Ledger.Counts = append(c.Ledger.Counts, Count{Queue: queue, Try: *held})
 	})
--- a/internal/simulation/cluster/cluster.go
+++ b/internal/simulation/cluster/cluster.go
@@ -22,8 +22,9 @@
 	byID       map[consensus.MemberID]*simulation.Machine
 	byName     map[string]*simulation.Machine
 	controls   map[*simulation.Machine]*process
-	frontends  map[*simulation.Machine]*frontend
-	agents     map[*simulation.Machine]*agent
+	frontends  map[*simulation.Machine]*frontendPort
+	agents     map[*simulation.Machine]*agentPort
+	shells     map[*simulation.Machine]*shell
 	applied    map[appliedAt]appliedEntry
 	diverged   []string // replicas that applied different entries
 }
@@ -43,7 +44,8 @@
 func New(d *simulation.Deployment) *Cluster {
 	c := &Cluster{world: d.World, deployment: d, size: d.Size, byID: map[consensus.MemberID]*simulation.Machine{},
 		byName: map[string]*simulation.Machine{}, controls: map[*simulation.Machine]*process{},
-		frontends: map[*simulation.Machine]*frontend{}, agents: map[*simulation.Machine]*agent{},
+		frontends: map[*simulation.Machine]*frontendPort{}, agents: map[*simulation.Machine]*agentPort{},
+		shells:  map[*simulation.Machine]*shell{},
 		applied: map[appliedAt]appliedEntry{}}
 	c.first = append(c.first, d.Cores...)
 	for _, m := range d.Cores {
--- a/internal/simulation/cluster/cluster_test.go
+++ b/internal/simulation/cluster/cluster_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -16,7 +17,11 @@
 // Days make much garbage and hold little: collecting it less often halves their time.
 const garbagePercent = 400
 
+// suite is the test that days are played in: a bubble wants one.
+var suite *testing.T
+
 func TestCluster(t *testing.T) {
+	suite = t
 	defer debug.SetGCPercent(debug.SetGCPercent(garbagePercent))
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "cluster")
@@ -54,7 +59,7 @@
 	for range players {
 		group.Go(func() {
 			for seed := range days {
-				if outcome := Run(seed, options); outcome.Failed() {
+				if outcome := playDay(seed, options); outcome.Failed() {
 					mutex.Lock()
 					failures = append(failures, outcome.String())
 					explain(outcome)
@@ -67,6 +72,12 @@
 	Expect(failures).To(BeEmpty())
 }
 
+// playDay plays one day in a bubble of its own, which tells when the shells' goroutines have settled.
+func playDay(seed uint64, options Options) (outcome *Outcome) {
+	synctest.Test(suite, func(*testing.T) { outcome = Run(seed, options) })
+	return outcome
+}
+
 // explain tells all of the job that SIMULATION_JOB names, if any.
 func explain(outcome *Outcome) {
 	if id := os.Getenv("SIMULATION_JOB"); id != "" {
@@ -113,7 +124,7 @@
 
 	It("run the same from the same seed", func() {
 		for seed := range uint64(3) {
-			Expect(Run(seed+1, Options{}).Fingerprint()).To(Equal(Run(seed+1, Options{}).Fingerprint()))
+			Expect(playDay(seed+1, Options{}).Fingerprint()).To(Equal(playDay(seed+1, Options{}).Fingerprint()))
 		}
 	})
 })
--- a/internal/simulation/cluster/operator.go
+++ b/internal/simulation/cluster/operator.go
@@ -83,3 +83,11 @@
 	}
 	try()
 }
+
+// unread is the status of a question: one without an answer has done nothing.
+func unread(err error) int {
+	if failure.KindOf(err) == failure.UnknownOutcome {
+		return failure.AnswerTo(failure.Unavailable).Status
+	}
+	return failure.AnswerTo(failure.KindOf(err)).Status
+}
--- a/internal/simulation/cluster/run.go
+++ b/internal/simulation/cluster/run.go
@@ -59,9 +59,12 @@
 	return text.String()
 }
 
-// Fingerprint is a number that differs where two runs differ in what runners did and when.
+// Fingerprint is a number that differs where two runs differ in what runners did or clients were told, and when.
 func (r *Outcome) Fingerprint() uint64 {
 	hash := fnv.New64a()
+	for _, job := range r.Ledger.JobOrder {
+		fmt.Fprintln(hash, job.ID, job.HandIns, job.Asks, job.Cancels)
+	}
 	for _, run := range r.Ledger.Runs {
 		fmt.Fprintln(hash, run.Text, run.Run, run.Runner.Instance, run.Started, run.Ended, run.How)
 	}
@@ -85,6 +88,7 @@
 	deployment := simulation.NewDeployment(world, size, bounds)
 	c := New(deployment)
 	deployment.Play(day)
+	c.endShells()
 	return c.report(seed, day)
 }
 
--- /dev/null
+++ b/internal/simulation/cluster/shell_clock.go
@@ -0,0 +1,157 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"ospreypond/internal/simulation"
+)
+
+// shellClock is the steady clock of a shell's machine. Its timers fire in the life of the process only, and not while
+// the machine stands still. It implements deadline.Clock.
+type shellClock struct{ shell *shell }
+
+// clockStart is what a shell's clock shows when the process starts.
+var clockStart = time.UnixMilli(simulation.EpochMs)
+
+// Now returns the machine's steady time.
+func (c shellClock) Now() time.Time { return clockStart.Add(c.shell.machine.Steady()) }
+
+// Since returns the time since t.
+func (c shellClock) Since(t time.Time) time.Duration { return c.Now().Sub(t) }
+
+// Until returns the time until t.
+func (c shellClock) Until(t time.Time) time.Duration { return t.Sub(c.Now()) }
+
+// Sleep waits for a time.
+func (c shellClock) Sleep(d time.Duration) { <-c.After(d) }
+
+// After returns a channel that brings the time once d has passed.
+func (c shellClock) After(d time.Duration) <-chan time.Time { return c.NewTimer(d).Chan() }
+
+// NewTimer returns a timer that brings the time once d has passed.
+func (c shellClock) NewTimer(d time.Duration) clockwork.Timer {
+	t := c.newTimer(nil)
+	t.fired = t.tell
+	t.Reset(d)
+	return t
+}
+
+// AfterFunc calls f in a goroutine of its own once d has passed.
+func (c shellClock) AfterFunc(d time.Duration, f func()) clockwork.Timer {
+	t := c.newTimer(func() { go f() })
+	t.Reset(d)
+	return t
+}
+
+// NewTicker returns a ticker that brings the time every d.
+func (c shellClock) NewTicker(d time.Duration) clockwork.Ticker {
+	t := c.newTimer(nil)
+	t.fired = func() {
+		t.tell()
+		t.Reset(d)
+	}
+	t.Reset(d)
+	return ticker{t}
+}
+
+// WithDeadline returns a context that ends with its parent, by its cancel function or at a time.
+func (c shellClock) WithDeadline(parent context.Context, at time.Time) (context.Context, context.CancelFunc) {
+	if earlier, ok := parent.Deadline(); ok && earlier.Before(at) {
+		return context.WithCancel(parent)
+	}
+	inner, cancel := context.WithCancelCause(parent)
+	t := c.newTimer(func() { cancel(context.DeadlineExceeded) })
+	t.Reset(c.Until(at))
+	return &deadlineContext{inner, at}, func() {
+		t.Stop()
+		cancel(context.Canceled)
+	}
+}
+
+// deadlineContext is a context that ends at a time of a shell's clock.
+type deadlineContext struct {
+	context.Context
+	at time.Time
+}
+
+// Deadline returns when the context ends.
+func (c *deadlineContext) Deadline() (time.Time, bool) { return c.at, true }
+
+// Err returns why the context has ended, nil if it has not.
+func (c *deadlineContext) Err() error {
+	if context.Cause(c.Context) == context.DeadlineExceeded {
+		return context.DeadlineExceeded
+	}
+	return c.Context.Err()
+}
+
+// timer is a timer of a shell. The shell's mutex guards what changes.
+type timer struct {
+	shell   *shell
+	channel chan time.Time
+	fired   func() // called by the world's goroutine
+	running bool
+	starts  uint64 // an event of an earlier start does nothing
+}
+
+func (c shellClock) newTimer(fired func()) *timer {
+	return &timer{shell: c.shell, channel: make(chan time.Time, 1), fired: fired}
+}
+
+// Chan returns the channel on which the time comes.
+func (t *timer) Chan() <-chan time.Time { return t.channel }
+
+// Reset starts the timer and tells whether it was running.
+func (t *timer) Reset(d time.Duration) bool {
+	was, start := t.mark(true)
+	t.shell.want(ofTimers, func() { t.shell.machine.After(d, func() { t.fire(start) }) })
+	return was
+}
+
+// Stop stops the timer and tells whether it was running.
+func (t *timer) Stop() bool {
+	was, _ := t.mark(false)
+	return was
+}
+
+func (t *timer) mark(running bool) (was bool, start uint64) {
+	t.shell.mutex.Lock()
+	defer t.shell.mutex.Unlock()
+	was = t.running
+	t.running = running
+	t.starts++
+	return was, t.starts
+}
+
+// fire is called by the world's goroutine when the time of a start has come.
+func (t *timer) fire(start uint64) {
+	t.shell.mutex.Lock()
+	due := t.running && t.starts == start
+	if due {
+		t.running = false
+	}
+	t.shell.mutex.Unlock()
+	if due {
+		t.shell.enter(t.fired)
+	}
+}
+
+// tell brings the time, unless the last one has not been taken yet.
+func (t *timer) tell() {
+	select {
+	case t.channel <- shellClock{t.shell}.Now():
+	default:
+	}
+}
+
+// ticker is a timer that starts again by itself.
+type ticker struct{ *timer }
+
+// Reset starts the ticker anew; the shells don't, and its period stays.
+func (t ticker) Reset(d time.Duration) { t.timer.Reset(d) }
+
+// Stop stops the ticker.
+func (t ticker) Stop() { t.timer.Stop() }
--- /dev/null
+++ b/internal/simulation/cluster/shell_test.go
@@ -0,0 +1,164 @@
+package cluster
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/protocol"
+	"ospreypond/internal/simulation"
+)
+
+// shellBed is one machine with a shell, and a deployment around it whose control processes are off.
+type shellBed struct {
+	*WithT
+	world   *simulation.World
+	cluster *Cluster
+	machine *simulation.Machine
+	shell   *shell
+}
+
+// inBubble runs a test of a shell in a bubble.
+func inBubble(t *testing.T, body func(b *shellBed)) {
+	synctest.Test(t, func(t *testing.T) {
+		world := simulation.NewWorld(1)
+		deployment := simulation.NewDeployment(world, simulation.SmallSize(), DayBounds())
+		b := &shellBed{WithT: NewWithT(t), world: world, cluster: New(deployment), machine: deployment.Sides[0]}
+		b.machine.Start = func() { b.shell = b.cluster.newShell(b.machine) }
+		b.machine.Boot()
+		defer b.cluster.endShells()
+		body(b)
+	})
+}
+
+func (b *shellBed) clock() shellClock { return shellClock{b.shell} }
+
+func TestTimersFireByTheWorldsTime(t *testing.T) {
+	inBubble(t, func(b *shellBed) {
+		var fired []time.Duration
+		b.shell.run(func(context.Context) {
+			<-b.clock().After(time.Second)
+			fired = append(fired, b.world.Now())
+			ticker := b.clock().NewTicker(100 * time.Millisecond)
+			for range 2 {
+				<-ticker.Chan()
+				fired = append(fired, b.world.Now())
+			}
+			ticker.Stop()
+			stopped := b.clock().AfterFunc(time.Second, func() { fired = append(fired, 0) })
+			stopped.Stop()
+		})
+		b.world.Run(5 * time.Second)
+		b.Expect(fired).To(Equal([]time.Duration{time.Second, 1100 * time.Millisecond, 1200 * time.Millisecond}))
+	})
+}
+
+func TestAMachineThatStandsStillKeepsItsTimersUntilItGoesOn(t *testing.T) {
+	inBubble(t, func(b *shellBed) {
+		var fired time.Duration
+		b.shell.run(func(context.Context) {
+			<-b.clock().After(time.Second)
+			fired = b.world.Now()
+		})
+		b.world.At(500*time.Millisecond, b.machine.Freeze)
+		b.world.At(3*time.Second, b.machine.Thaw)
+		b.world.Run(2 * time.Second)
+		b.Expect(fired).To(BeZero())
+		b.world.Run(4 * time.Second)
+		b.Expect(fired).To(Equal(3 * time.Second))
+	})
+}
+
+func TestNothingOfAKilledProcessHasAnEffect(t *testing.T) {
+	inBubble(t, func(b *shellBed) {
+		var effects int
+		ended := make(chan error, 2)
+		earlier := b.shell
+		earlier.run(func(ctx context.Context) {
+			shellClock{earlier}.AfterFunc(2*time.Second, func() { effects++ })
+			err := caller{earlier}.Do(ctx, "core-0", &protocol.StatusRequest{Shard: 1}, &protocol.StatusResponse{})
+			earlier.want(ofProcess, func() { effects++ })
+			ended <- err
+			ended <- caller{earlier}.Do(ctx, "core-0", &protocol.StatusRequest{Shard: 1}, &protocol.StatusResponse{})
+		})
+		b.machine.Kill()
+		b.world.Run(time.Second)
+		b.Expect(ended).NotTo(Receive())
+		b.machine.Boot()
+		b.Expect(failure.KindOf(<-ended)).To(Equal(failure.UnknownOutcome), "the call was out")
+		b.Expect(failure.KindOf(<-ended)).To(Equal(failure.Unavailable), "the call was not made")
+		b.world.Run(10 * time.Second)
+		b.Expect(effects).To(BeZero())
+	})
+}
+
+func TestADeadlineEndsAContextByTheMachinesTime(t *testing.T) {
+	inBubble(t, func(b *shellBed) {
+		ends := map[string]time.Duration{}
+		await := func(name string, ctx context.Context, want error) {
+			go func() {
+				<-ctx.Done()
+				if ctx.Err() == want {
+					b.shell.want(ofProcess, func() { ends[name] = b.world.Now() })
+				}
+			}()
+		}
+		b.shell.run(func(ctx context.Context) {
+			long, _ := b.clock().WithDeadline(ctx, b.clock().Now().Add(2*time.Second))
+			await("long", long, context.DeadlineExceeded)
+			short, _ := b.clock().WithDeadline(long, b.clock().Now().Add(time.Second))
+			await("short", short, context.DeadlineExceeded)
+			bounded, _ := b.clock().WithDeadline(short, b.clock().Now().Add(time.Hour))
+			at, _ := bounded.Deadline()
+			b.Expect(b.clock().Until(at)).To(Equal(time.Second))
+			given, cancel := b.clock().WithDeadline(ctx, b.clock().Now().Add(time.Hour))
+			await("cancelled", given, context.Canceled)
+			b.clock().AfterFunc(500*time.Millisecond, cancel)
+		})
+		b.world.Run(5 * time.Second)
+		b.Expect(ends).To(Equal(map[string]time.Duration{"cancelled": 500 * time.Millisecond, "short": time.Second, "long": 2 * time.Second}))
+	})
+}
+
+func TestWhatRequestsWantIsDoneInTheOrderInWhichTheyCame(t *testing.T) {
+	inBubble(t, func(b *shellBed) {
+		const requests = 20
+		var order []int
+		open := make(chan struct{})
+		for number := range requests {
+			handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				<-open
+				w.WriteHeader(http.StatusAccepted)
+			})
+			b.shell.serve(handler, &http.Request{}, func(a *answer) {
+				b.Expect(a.status).To(Equal(http.StatusAccepted))
+				order = append(order, number)
+			})
+		}
+		b.Expect(order).To(BeEmpty())
+		b.shell.enter(func() { close(open) })
+		b.Expect(order).To(HaveLen(requests))
+		for number := range requests {
+			b.Expect(order[number]).To(Equal(number))
+		}
+	})
+}
+
+func TestACallToNobodyEndsWithAnError(t *testing.T) {
+	inBubble(t, func(b *shellBed) {
+		kinds := map[string]failure.Kind{}
+		for _, address := range []string{"core-0", "elsewhere"} {
+			b.shell.run(func(ctx context.Context) {
+				err := caller{b.shell}.Do(ctx, address, &protocol.StatusRequest{Shard: 1}, &protocol.StatusResponse{})
+				b.shell.want(ofProcess, func() { kinds[address] = failure.KindOf(err) })
+			})
+		}
+		b.world.Run(time.Second)
+		b.Expect(kinds).To(Equal(map[string]failure.Kind{"core-0": failure.Unavailable, "elsewhere": failure.Unavailable}))
+	})
+}
--- a/internal/simulation/runner.go
+++ b/internal/simulation/runner.go
@@ -8,9 +8,9 @@
 	"ospreypond/internal/protocol"
 )
 
-// Agent is what a runner calls on its machine.
+// Agent is what a runner calls on its machine. A heartbeat returns what tells the agent that the runner has left.
 type Agent interface {
-	Heartbeat(beat *protocol.Heartbeat, reply func(orders *protocol.Orders, err error))
+	Heartbeat(beat *protocol.Heartbeat, reply func(orders *protocol.Orders, err error)) (left func())
 	Deregister(service, instance string, reply func(err error))
 }
 
@@ -53,6 +53,7 @@
 	out       bool // a heartbeat is out
 	early     bool // an end came meanwhile
 	giveUp    *Timer
+	closeBeat func() // tells the agent that the runner waits no longer for its newest answer
 
 	draining    bool
 	leaves      time.Duration // true time of its end while draining
@@ -107,6 +108,7 @@
 	r.beatTimer.Stop()
 	r.giveUp.Stop()
 	r.lapse.Stop()
+	r.hangUp()
 	life := r.instance
 	life.Down = r.world.now
 	r.instance = nil
--- a/internal/simulation/runner_beat.go
+++ b/internal/simulation/runner_beat.go
@@ -38,7 +38,7 @@
 func (r *Runner) beat() {
 	life, sent := r.instance, r.world.now
 	r.sequence++
-	r.out = true
+	r.out, r.closeBeat = true, nil
 	settled := false
 	settle := func(next time.Duration) {
 		if settled || r.instance != life {
@@ -54,7 +54,10 @@
 		r.beatIn(next)
 	}
 	wait := time.Duration(float64(answerTime) / r.ClockRate)
-	r.giveUp = r.world.After(wait, func() { settle(r.retryPause()) })
+	r.giveUp = r.world.After(wait, func() {
+		r.hangUp()
+		settle(r.retryPause())
+	})
 	report := r.report()
 	agent := r.Agent()
 	if agent == nil {
@@ -64,7 +67,7 @@
 	machine, agentLife := r.Machine, r.Machine.life
 	r.world.After(LoopbackDelay, func() {
 		machine.inLife(agentLife, func() {
-			agent.Heartbeat(report, func(orders *protocol.Orders, err error) {
+			left := agent.Heartbeat(report, func(orders *protocol.Orders, err error) {
 				r.world.After(LoopbackDelay, func() {
 					if settled || r.instance != life {
 						return
@@ -81,10 +84,21 @@
 					settle(next)
 				})
 			})
+			r.closeBeat = func() { machine.inLife(agentLife, left) }
 		})
 	})
 }
 
+// hangUp has the agent hear, if a heartbeat is out, that the runner does not wait for its answer.
+func (r *Runner) hangUp() {
+	if !r.out || r.closeBeat == nil {
+		return
+	}
+	leave := r.closeBeat
+	r.closeBeat = nil
+	r.world.After(LoopbackDelay, leave)
+}
+
 // retryPause is the pause after a heartbeat that failed.
 func (r *Runner) retryPause() time.Duration {
 	return r.world.Between(50*time.Millisecond, 300*time.Millisecond)
