Begin nothing for an operator that has left, and let links carry the largest order

Cause: a loop that was frozen until the operator had left answered 503, 'nothing was done', and proposed the order afterwards. Frames were as large as the largest order, so that an order of nearly that size could be proposed at the owner and not replicated, forwarded, read back or watched; sent again elsewhere, it was refused with 413 by a link, though it may have been taken. A process that could not answer a call for want of room, or did not know it, said Overloaded or Invalid, which end a call for good (429, 400), where another process may answer it. Change: a try that has been given up is not begun any more, and one whose loop gave no word is in doubt. Frames may be 16 MB. What a link cannot carry is tried elsewhere; the transport's own limits say Unavailable. Seen to fail: the new tests with each of these taken back, one at a time.

--- a/internal/control/caller.go
+++ b/internal/control/caller.go
@@ -47,7 +47,10 @@
 }
 
 // untilClear tries until the answer is clear, or pause tells that there is no time for another try. What may have been
-// done once is told so, whatever later tries say, unless one of them is clear.
+// done once is told so, whatever later tries say, unless one of them is clear. Only the log's own word is a refusal: an
+// entry that came to nothing stands behind all that earlier tries may have left there. What one process or link cannot
+// do now, another may. A process that is asked for the owner passes nothing on: two that each take the other for the
+// owner send an order to and fro only by the tries of the one that serves the operator.
 func untilClear[Resp any](try func() (*Resp, error), pause func() bool) (*Resp, error) {
 	var doubt error
 	for {
@@ -57,7 +60,7 @@
 			return response, nil
 		case failure.UnknownOutcome:
 			doubt = err
-		case failure.NotLeader, failure.Unavailable:
+		case failure.NotLeader, failure.Unavailable, failure.TooLarge:
 		case failure.Overloaded:
 			return nil, firstOf(doubt, err) // nothing came of this try; what comes of an earlier one is open
 		default:
@@ -72,7 +75,7 @@
 // attemptTimeFor is how long one try may take for an order of that many bytes. A second try is a second entry in the
 // log: for a large order it must not come while the first one is on its way to the disks.
 func attemptTimeFor(bytes int) time.Duration {
-	return attemptTime + time.Duration(bytes/operatorBytesAMs)*time.Millisecond
+	return attemptTime + sizeTime(bytes)
 }
 
 func firstOf(doubt, err error) error {
@@ -82,45 +85,39 @@
 	return err
 }
 
+// localTry is what became of a try once this process's loop has looked at it.
+type localTry[Resp any] struct {
+	owner    string // internal address of the owner; empty: this process, or nobody
+	response *Resp
+	err      error
+}
+
 func tryConfigurationOwner[Req, Resp any](ctx context.Context, c *Control, most time.Duration, request *Req, local func(string, *Req, func(*Resp, error))) (*Resp, error) {
-	type outcome struct {
-		response *Resp
-		err      error
-	}
-	type place struct {
-		here    bool
-		address string
-	}
-	found := make(chan place, 1)
-	answered := make(chan outcome, 1)
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	tried := make(chan localTry[Resp], 1)
 	c.engine.Do(func() {
+		if ctx.Err() != nil {
+			return // the try has been given up, as after a freeze: nothing is begun for it any more
+		}
 		if c.configuration.leading {
-			found <- place{here: true}
-			local("", request, func(response *Resp, err error) { answered <- outcome{response, err} })
+			local("", request, func(response *Resp, err error) { tried <- localTry[Resp]{response: response, err: err} })
 			return
 		}
-		found <- place{address: c.leaderHint(c.configuration.group())}
+		owner := c.leaderHint(c.configuration.group())
+		if owner == "" {
+			tried <- localTry[Resp]{err: failure.New(failure.NotLeader, "the owner is not known")}
+			return
+		}
+		tried <- localTry[Resp]{owner: owner}
 	})
 	select {
-	case owner := <-found:
-		if owner.here {
-			break
-		}
-		if owner.address == "" {
-			return nil, failure.New(failure.NotLeader, "the owner is not known")
+	case <-ctx.Done(): // the loop may have begun it a moment ago
+		return nil, failure.New(failure.UnknownOutcome, "there is no outcome in time")
+	case try := <-tried:
+		if try.owner == "" {
+			return try.response, try.err
 		}
-		attempt, cancel := context.WithTimeout(ctx, most)
-		defer cancel()
-		return transport.Call[Req, Resp](attempt, c.client, owner.address, request)
-	case <-ctx.Done():
-		return nil, failure.New(failure.Unavailable, "the process is busy")
-	}
-	select {
-	case o := <-answered:
-		return o.response, o.err
-	case <-ctx.Done():
-		return nil, failure.New(failure.UnknownOutcome, "the order is not committed in time")
-	case <-time.After(most):
-		return nil, failure.New(failure.UnknownOutcome, "the order is not committed in time")
+		return transport.Call[Req, Resp](ctx, c.client, try.owner, request)
 	}
 }
--- a/internal/control/caller_test.go
+++ b/internal/control/caller_test.go
@@ -32,6 +32,8 @@
 	Entry("no room for a later try says nothing of the first", []failure.Kind{failure.UnknownOutcome, failure.Overloaded}, failure.UnknownOutcome),
 	Entry("no room from the start", []failure.Kind{failure.NotLeader, failure.Overloaded}, failure.Overloaded),
 	Entry("in doubt, then no leader", []failure.Kind{failure.UnknownOutcome, failure.NotLeader}, failure.UnknownOutcome),
+	Entry("no link that can carry it says nothing of an earlier try", []failure.Kind{failure.UnknownOutcome, failure.TooLarge}, failure.UnknownOutcome),
+	Entry("no link that can carry it: the owner itself may take it", []failure.Kind{failure.TooLarge, failure.None}, failure.None),
 	Entry("no leader", []failure.Kind{failure.NotLeader, failure.NotLeader}, failure.Unavailable),
 	Entry("forgotten", []failure.Kind{failure.UnknownOutcome, failure.Forgotten}, failure.Forgotten),
 )
--- a/internal/control/configuration_shard.go
+++ b/internal/control/configuration_shard.go
@@ -132,7 +132,7 @@
 func (s *configurationShard) propose(command configuration.Command, reply func(*protocol.ConfigureResponse, error)) {
 	data, err := configuration.EncodeCommand(command)
 	if err != nil {
-		reply(nil, failure.New(failure.Invalid, err.Error()))
+		reply(nil, failure.New(failure.Unavailable, err.Error()))
 		return
 	}
 	s.engine.Propose(s.group(), data, func(result any, err error) {
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -161,8 +161,11 @@
 }
 
 // orderTime is how long an order of that many bytes may take.
-func orderTime(bytes int) time.Duration {
-	return operatorTime + time.Duration(bytes/operatorBytesAMs)*time.Millisecond
+func orderTime(bytes int) time.Duration { return operatorTime + sizeTime(bytes) }
+
+// sizeTime is how much longer an order takes for its size.
+func sizeTime(bytes int) time.Duration {
+	return time.Duration(bytes/operatorBytesAMs) * time.Millisecond
 }
 
 func (o *Operator) refuseOrder(writer http.ResponseWriter, kind string, err error) {
--- a/internal/transport/handle.go
+++ b/internal/transport/handle.go
@@ -61,7 +61,7 @@
 		}
 		if s.running.Add(1) > int64(s.options.MaxHandlers) {
 			s.running.Add(-1)
-			a.answer(nil, failure.Newf(failure.Overloaded, "%d calls are being handled", s.options.MaxHandlers))
+			a.answer(nil, failure.Newf(failure.Unavailable, "%d calls are being handled", s.options.MaxHandlers))
 			return nil
 		}
 		go run(s, a, request, f)
--- a/internal/transport/options.go
+++ b/internal/transport/options.go
@@ -16,7 +16,7 @@
 
 // Standard values of the options.
 const (
-	StandardMaxFrameBytes  = 8 << 20
+	StandardMaxFrameBytes  = 16 << 20
 	StandardMaxQueueBytes  = 2 << 20
 	StandardMaxConnections = 1024
 	StandardMaxOutstanding = 4096
@@ -35,8 +35,8 @@
 	MaxFrameBytes  int           // larger frames close the connection (incoming) or are refused (outgoing)
 	MaxQueueBytes  int           // a connection with more answers than this waiting to be written is closed
 	MaxConnections int           // at one time; further ones are closed at once
-	MaxOutstanding int           // calls without an answer on one connection; further ones are answered Overloaded
-	MaxHandlers    int           // goroutines of Handle at one time; further calls are answered Overloaded
+	MaxOutstanding int           // calls without an answer on one connection; further ones are answered Unavailable
+	MaxHandlers    int           // goroutines of Handle at one time; further calls are answered Unavailable
 	WriteTimeout   time.Duration // a peer that takes nothing for so long is cut
 }
 
