Check all options of a local system before anything is made

Cause: the folder was made before the network was checked, and the test of a network that is not loopback named a fixed folder: where a file of that name stood, the test failed with another error. A second test listened in a fixed network.

Change: network, folder, program and backup are checked first, and nothing is made if one is wrong; a program that cannot be run is named at once, not after five starts. Each test has a folder and a network of its own, and the faults' table wants that nothing was made.

--- a/internal/cli/system_test.go
+++ b/internal/cli/system_test.go
@@ -59,7 +59,7 @@
 	Entry(nil, "jobs list h/p --control a:1", "one argument too many"),
 	Entry(nil, "state", "a command is missing"),
 	Entry(nil, "state verify", "DIR is missing"),
-	Entry(nil, "state inspect /tmp -o xml", "--output"),
+	Entry(nil, "state inspect folder -o xml", "--output"),
 	Entry(nil, "backup --control a:1", "FILE is missing"),
 	Entry(nil, "restore", "FILE is missing"),
 	Entry(nil, "restore x", "--dir is missing"),
--- a/internal/local/command/command_test.go
+++ b/internal/local/command/command_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -23,16 +25,22 @@
 	return status, stdout.String(), stderr.String()
 }
 
-var _ = DescribeTable("faults end with an exit code of their kind",
+var _ = DescribeTable("faults end with an exit code of their kind, and make nothing",
 	func(line string, expected int, said string) {
-		status, _, err := command(line)
+		parent := GinkgoT().TempDir()
+		// DIR stands for a folder that does not exist, PROGRAM for a file that can be run.
+		placeholders := strings.NewReplacer("DIR", filepath.Join(parent, "system"), "PROGRAM", os.Args[0])
+		status, _, err := command(placeholders.Replace(line))
 		Expect(status).To(Equal(expected), err)
 		Expect(err).To(ContainSubstring(said))
+		Expect(filepath.Glob(filepath.Join(parent, "*"))).To(BeEmpty())
 	},
 	Entry("no folder", "", 2, "ospreylocal: --dir is missing\nSee 'ospreylocal --help'."),
-	Entry("an argument too many", "now --dir x", 2, `unknown command "now"`),
-	Entry("an unknown flag", "--dir x --why", 2, "unknown flag: --why"),
-	Entry("a network that is not loopback", "--dir /tmp/x --network 10.0.0", 1, `network "10.0.0" is not of the form 127.N.N`),
+	Entry("an argument too many", "now --dir DIR", 2, `unknown command "now"`),
+	Entry("an unknown flag", "--dir DIR --why", 2, "unknown flag: --why"),
+	Entry("a network that is not loopback", "--dir DIR --network 10.0.0", 1, `network "10.0.0" is not of the form 127.N.N`),
+	Entry("a program that is not there", "--dir DIR --program DIR/none", 1, "the program of the processes: "),
+	Entry("a backup that is not there", "--dir DIR --program PROGRAM --restore DIR/none", 1, "no such file or directory"),
 )
 
 var _ = It("shows help with examples", func() {
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -48,6 +49,7 @@
 // System is a local system.
 type System struct {
 	options   Options
+	backup    *archive.Archive // to start from, or nil
 	machines  []*machine
 	processes []*process
 	starter   *starter
@@ -57,7 +59,10 @@
 // Run starts the system, tells what stands where, and keeps it going until ctx ends; then all is ended in order.
 func Run(ctx context.Context, options Options) error {
 	s := &System{options: options}
-	if err := s.openFolder(); err != nil {
+	if err := s.checkOptions(); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(s.options.Dir, 0o700); err != nil {
 		return err
 	}
 	lock, err := s.lock()
@@ -118,23 +123,30 @@
 	}
 }
 
-// openFolder makes the folder, and its name one that holds everywhere.
-func (s *System) openFolder() error {
+// checkOptions checks the options and takes what they say. It makes and changes nothing.
+func (s *System) checkOptions() error {
 	dir, err := filepath.Abs(s.options.Dir)
 	if err != nil {
 		return err
 	}
 	s.options.Dir = dir
-	return os.MkdirAll(dir, 0o700)
+	if info, err := os.Stat(dir); err == nil && !info.IsDir() {
+		return errors.Errorf("%s is not a folder", dir)
+	}
+	if s.machines, err = machinesOf(dir, s.options.Network); err != nil {
+		return err
+	}
+	if _, err := exec.LookPath(s.options.Program); err != nil {
+		return errors.Wrap(err, "the program of the processes")
+	}
+	if s.options.Restore != "" {
+		s.backup, err = archive.Read(s.options.Restore)
+	}
+	return err
 }
 
 // prepare writes what the processes start from.
 func (s *System) prepare() error {
-	machines, err := machinesOf(s.options.Dir, s.options.Network)
-	if err != nil {
-		return err
-	}
-	s.machines = machines
 	first := s.isFirst()
 	if !first {
 		if err := s.checkNetwork(); err != nil {
@@ -144,7 +156,7 @@
 	if err := checkFree(s.machines); err != nil {
 		return err
 	}
-	if s.options.Restore != "" {
+	if s.backup != nil {
 		if !first {
 			return errors.Errorf("folder %s holds a system already; a backup is restored into a new one", s.options.Dir)
 		}
@@ -155,7 +167,7 @@
 			return err
 		}
 	}
-	if s.options.Restore != "" {
+	if s.backup != nil {
 		return s.restore()
 	}
 	return nil
@@ -192,12 +204,8 @@
 
 // restore puts a backup into the first control process's folder; the others join it.
 func (s *System) restore() error {
-	backup, err := archive.Read(s.options.Restore)
-	if err != nil {
-		return err
-	}
 	m := ofRole(s.machines, "control")[0]
-	return backup.Restore(m.dataDir(), archive.Process{Node: m.name, Zone: m.zone, Address: m.address(internalPort)})
+	return s.backup.Restore(m.dataDir(), archive.Process{Node: m.name, Zone: m.zone, Address: m.address(internalPort)})
 }
 
 // startRole keeps the processes of a role running; the result stops them.
--- a/internal/local/machines_test.go
+++ b/internal/local/machines_test.go
@@ -1,16 +1,34 @@
 package local
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ospreypond/internal/administration/archive"
 	"ospreypond/internal/administration/document"
 	"ospreypond/internal/boot"
 )
 
+// freeNetwork returns a network of loopback in which nobody listens at the machines' addresses.
+func freeNetwork() string {
+	GinkgoHelper()
+	for range 100 {
+		network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256))
+		machines, err := machinesOf("", network)
+		Expect(err).NotTo(HaveOccurred())
+		if checkFree(machines) == nil {
+			return network
+		}
+	}
+	Fail("no network of loopback is free")
+	return ""
+}
+
 var _ = Describe("the machines", func() {
 	It("have settings files that their roles take", func() {
 		dir := GinkgoT().TempDir()
@@ -39,17 +57,27 @@
 
 	It("start for the first time only while no control process has left anything", func() {
 		dir := GinkgoT().TempDir()
-		s := &System{options: Options{Dir: dir, Network: "127.9.8"}}
+		network := freeNetwork()
+		s := &System{options: Options{Dir: dir, Network: network, Program: os.Args[0]}}
+		Expect(s.checkOptions()).To(Succeed())
 		Expect(s.prepare()).To(Succeed())
 		Expect(s.isFirst()).To(BeTrue())
 		Expect(os.MkdirAll(filepath.Join(dir, "control-2", "data"), 0o700)).To(Succeed())
 		Expect(s.isFirst()).To(BeTrue())
 		Expect(os.WriteFile(filepath.Join(dir, "control-2", "data", "identity"), nil, 0o600)).To(Succeed())
 		Expect(s.isFirst()).To(BeFalse())
-		s.options.Restore = "any"
+		s.backup = &archive.Archive{}
 		Expect(s.prepare()).To(MatchError(ContainSubstring("holds a system already")))
 		s.options.Network = "127.9.7"
-		Expect(s.prepare()).To(MatchError(ContainSubstring("holds a system with control-1 at 127.9.8.11; use its --network")))
+		Expect(s.checkOptions()).To(Succeed())
+		Expect(s.prepare()).To(MatchError(ContainSubstring("holds a system with control-1 at " + network + ".11; use its --network")))
+	})
+
+	It("are refused with a file in the folder's place", func() {
+		file := filepath.Join(GinkgoT().TempDir(), "file")
+		Expect(os.WriteFile(file, nil, 0o600)).To(Succeed())
+		s := &System{options: Options{Dir: file, Network: "127.9.9", Program: os.Args[0]}}
+		Expect(s.checkOptions()).To(MatchError(ContainSubstring(file + " is not a folder")))
 	})
 
 	It("belong to one system at a time", func() {
