Give control processes under test a loopback address of their own

Cause: the tests of internal/administration and internal/control drew a port of 127.0.0.1, closed it, and had a control process listen there: meanwhile a connection of any other program could take it, and in internal/administration the two ports, drawn one after the other, could be the same. The process then never owns its shards. A further test gave a start 50 heartbeats, whatever the time; it now has the patience of the others.

--- a/internal/administration/running_test.go
+++ b/internal/administration/running_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"path/filepath"
 	"time"
@@ -22,12 +23,18 @@
 
 const startPatience = 20 * time.Second
 
-// freePort returns a port of loopback that nobody listens at.
-func freePort() int {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// freePorts returns an address of loopback drawn at random, and two ports of it that nobody uses. At 127.0.0.1 another
+// program's connection could take a port before the process under test listens at it.
+func freePorts() (ip string, first, second int) {
+	GinkgoHelper()
+	ip = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	one, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	Expect(err).NotTo(HaveOccurred())
+	defer one.Close()
+	two, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
+	defer two.Close()
+	return ip, one.Addr().(*net.TCPAddr).Port, two.Addr().(*net.TCPAddr).Port
 }
 
 // process is a control process that runs in this one.
@@ -39,14 +46,14 @@
 
 // runControl runs a control process, alone in its system, until the test ends or stop is called.
 func runControl(dir string, bootstrap bool) *process {
-	internal := freePort()
+	ip, internal, operator := freePorts()
 	settings := &boot.Settings{
 		NodeName:      "n1",
-		IP:            "127.0.0.1",
+		IP:            ip,
 		Zone:          "z",
-		Listen:        map[string]string{boot.ListenControl: fmt.Sprintf("127.0.0.1:%d", freePort())},
+		Listen:        map[string]string{boot.ListenControl: fmt.Sprintf("%s:%d", ip, operator)},
 		InternalPorts: [2]int{internal, internal},
-		Seeds:         []string{"127.0.0.1:1"}, // of itself: the ports are the same on all machines
+		Seeds:         []string{net.JoinHostPort(ip, "1")}, // of itself: the ports are the same on all machines
 		Bootstrap:     bootstrap,
 		Bounds:        boot.StandardBounds(),
 		DataDir:       dir,
@@ -112,12 +119,13 @@
 
 	It("answers what the commands ask", func() {
 		Expect(p.client.Status(soon(patience), id)).To(Equal(protocol.JobQueued))
-		orders := p.beat(1, func(*protocol.Heartbeat) {})
-		sequence := uint64(1)
-		for len(orders.Start) == 0 && sequence < 50 {
+		var orders *protocol.Orders
+		sequence := uint64(0)
+		Eventually(func() []protocol.StartOrder {
 			sequence++
 			orders = p.beat(sequence, func(*protocol.Heartbeat) {})
-		}
+			return orders.Start
+		}, patience, time.Millisecond).ShouldNot(BeEmpty())
 		Expect(orders.Start).To(HaveLen(3))
 
 		runners, err := p.client.Runners(soon(patience))
--- a/internal/control/peers_test.go
+++ b/internal/control/peers_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -65,25 +67,28 @@
 	})
 })
 
-// freePorts are two ports of this machine that nobody uses.
-func freePorts() (first, second int) {
-	one, err := net.Listen("tcp", "127.0.0.1:0")
+// freePorts returns an address of loopback drawn at random, and two ports of it that nobody uses. At 127.0.0.1 another
+// program's connection could take a port before the process under test listens at it.
+func freePorts() (ip string, first, second int) {
+	GinkgoHelper()
+	ip = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	one, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	Expect(err).NotTo(HaveOccurred())
 	defer one.Close()
-	two, err := net.Listen("tcp", "127.0.0.1:0")
+	two, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	Expect(err).NotTo(HaveOccurred())
 	defer two.Close()
-	return one.Addr().(*net.TCPAddr).Port, two.Addr().(*net.TCPAddr).Port
+	return ip, one.Addr().(*net.TCPAddr).Port, two.Addr().(*net.TCPAddr).Port
 }
 
 var _ = Describe("a control process", func() {
 	It("goes on after SIGHUP, with or without other seeds", func() {
 		folder := GinkgoT().TempDir()
 		path := filepath.Join(folder, "boot.json")
-		internal, operator := freePorts()
-		text := fmt.Sprintf(`{"nodeName":"n","role":"r","ip":"127.0.0.1","zone":"z","internalPorts":[%d,%d],`+
-			`"listen":{"control":"127.0.0.1:%d"},"seeds":["127.0.0.1:1"],"dataDir":%q}`,
-			internal, internal, operator, filepath.Join(folder, "data"))
+		ip, internal, operator := freePorts()
+		text := fmt.Sprintf(`{"nodeName":"n","role":"r","ip":%q,"zone":"z","internalPorts":[%d,%d],`+
+			`"listen":{"control":"%s:%d"},"seeds":["127.0.0.1:1"],"dataDir":%q}`,
+			ip, internal, internal, ip, operator, filepath.Join(folder, "data"))
 		Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
 		GinkgoT().Setenv(boot.Variable, path)
 		settings, err := boot.Load(path)
@@ -93,7 +98,7 @@
 		ended := make(chan error, 1)
 		go func() { ended <- Run(ctx, settings, log.NewNopLogger()) }()
 		answers := func() error {
-			conn, err := net.Dial("tcp", fmt.Sprintf("127.0.0.1:%d", operator))
+			conn, err := net.Dial("tcp", net.JoinHostPort(ip, strconv.Itoa(operator)))
 			if err == nil {
 				conn.Close()
 			}
