--- a/internal/egress/answer.go
+++ b/internal/egress/answer.go
@@ -13,6 +13,12 @@
 	"ospreypond/policy"
 )
 
+// maxLine bounds one line of an answer and maxAnswer all of it; by the protocol no body exceeds 64 KiB.
+const (
+	maxLine   = 128 << 10
+	maxAnswer = 256 << 10
+)
+
 // line is one object of an answer.
 type line struct {
 	ID     string             `json:"id"`
--- /dev/null
+++ b/internal/egress/probe.go
@@ -0,0 +1,45 @@
+package egress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"ospreypond/internal/exchange"
+	"ospreypond/policy"
+)
+
+// Probe asks a target for its load. It uses the same connections as hops.
+func (e *Egress) Probe(ctx context.Context, target string) exchange.HopEnd {
+	end := exchange.HopEnd{Report: policy.NoReport}
+	c := call{e: e}
+	resp, err := c.do(ctx, target, func() error { return nil }, func(base string) (*http.Request, error) {
+		req, err := http.NewRequest(http.MethodGet, base+"/stats", once(nil))
+		if err == nil {
+			req.ContentLength = 0
+			req.Header["User-Agent"] = nil
+		}
+		return req, err
+	})
+	if err != nil {
+		if end.Outcome = c.broken(ctx); errors.Is(err, errNoSockets) {
+			end.Outcome = policy.Moot
+		}
+		return end
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLine))
+	switch {
+	case err != nil:
+		end.Outcome = c.broken(ctx)
+	case resp.StatusCode == http.StatusOK:
+		c.rest()
+		end.Outcome, end.Report = policy.OK, textReport(e.tuned.Load().settings, string(body))
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		end.Outcome = policy.Full
+	default:
+		end.Outcome = policy.Failed
+	}
+	return end
+}
