Split the gangs' core by concern

Pure moves into config.go, messages.go, readwrite.go (what is read and written in the register) and members.go. No other line differs.

--- /dev/null
+++ b/internal/gang/readwrite.go
@@ -0,0 +1,131 @@
+package gang
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Listed takes in which gangs the register has, and their versions; what changed is read.
+func (c *Core) Listed(now time.Time, versions map[string]Version) {
+	c.now = now
+	for _, name := range slices.Sorted(maps.Keys(versions)) {
+		g := c.gangs[name]
+		if g == nil {
+			if len(c.gangs) >= c.cfg.MostGangs {
+				c.faults = append(c.faults, &LimitError{name, "gangs", c.cfg.MostGangs, "let ended ones be removed from the register, or raise the bound"})
+				continue
+			}
+			g = &gang{}
+			c.gangs[name] = g
+		}
+		if g.writing == nil && (!g.seen || g.version != versions[name]) {
+			c.read(name, g)
+		}
+	}
+	for name, g := range c.gangs {
+		if _, there := versions[name]; !there && g.writing == nil && g.seen && c.now.Sub(g.asked) > c.cfg.Start {
+			c.abandon(name, g)
+			delete(c.gangs, name)
+		}
+	}
+}
+
+func (c *Core) read(name string, g *gang) {
+	g.stale, g.asked = true, c.now
+	c.out = append(c.out, Action{Kind: Read, Gang: name})
+}
+
+// Got takes in a record as it was read.
+func (c *Core) Got(now time.Time, name string, version Version, r Record) {
+	c.now = now
+	g := c.gangs[name]
+	if g == nil || g.writing != nil && !g.stale {
+		return
+	}
+	if r.Name = name; r.Check() != nil {
+		c.faults = append(c.faults, r.Check())
+		c.abandon(name, g)
+		g.rec, g.version, g.seen, g.stale, g.writing = r, version, false, false, nil
+		return
+	}
+	if w := g.writing; w != nil && w.Mark == r.Mark { // the write whose answer was lost took effect
+		c.took(name, g, version)
+		return
+	}
+	g.writing = nil
+	c.adopt(name, g, version, r)
+}
+
+// adopt takes a record as what holds. Members of another generation than its, or held by another, are this one's no more.
+func (c *Core) adopt(name string, g *gang, version Version, r Record) {
+	if g.rec.Phase != r.Phase || g.rec.Generation != r.Generation || !g.seen {
+		g.began = c.now
+	}
+	if g.version != version {
+		g.changed = c.now
+	}
+	g.rec, g.version, g.seen, g.stale = r, version, true, false
+	if g.mine != 0 && (r.Generation != g.mine || r.Holder != c.cfg.Me || r.Phase == Waiting || r.Phase.Ended()) {
+		c.abandon(name, g)
+	}
+}
+
+// abandon stops what this dispatcher still has out of a gang.
+func (c *Core) abandon(name string, g *gang) {
+	for i, m := range g.members {
+		if !m.over() {
+			c.out = append(c.out, Action{Kind: Stop, Gang: name, Member: i, Generation: g.mine})
+		}
+	}
+	g.members, g.mine = nil, 0
+}
+
+// Wrote takes in how a write ended.
+func (c *Core) Wrote(now time.Time, name string, o Outcome, version Version) {
+	c.now = now
+	g := c.gangs[name]
+	if g == nil || g.writing == nil {
+		return
+	}
+	switch o {
+	case Written:
+		c.took(name, g, version)
+	case Conflict, Unknown:
+		if o == Conflict {
+			g.writing = nil
+		}
+		c.read(name, g) // what is there now tells
+	}
+}
+
+// took has a write of this dispatcher's be what holds, and does what follows from it.
+func (c *Core) took(name string, g *gang, version Version) {
+	w := *g.writing
+	g.writing = nil
+	c.adopt(name, g, version, w)
+	if w.Phase == Starting {
+		g.mine, g.members, g.savedAt = w.Generation, make([]member, len(w.Needs)), c.now
+		for i, runner := range w.Placement {
+			c.out = append(c.out, Action{Kind: Send, Gang: name, Member: i, Generation: w.Generation, Runner: runner, From: w.Checkpoint})
+		}
+	}
+}
+
+// write goes one step of the table on, by a conditional write. change fills in what else is new.
+func (c *Core) write(name string, g *gang, why Cause, change func(r *Record)) {
+	r := g.rec
+	r.Needs, r.Placement = slices.Clone(r.Needs), slices.Clone(r.Placement)
+	r.Phase, r.Why, r.Holder = next(r.Phase, why), string(why), c.cfg.Me
+	if change != nil {
+		change(&r)
+	}
+	if r.Phase == Waiting {
+		r.Placement = nil
+	}
+	c.marks++
+	r.Mark = fmt.Sprintf("%s/%d/%d", c.cfg.Me.Name, c.cfg.Me.Life, c.marks)
+	g.writing, g.asked = &r, c.now
+	c.out = append(c.out, Action{Kind: Write, Gang: name, Record: &r, If: g.version})
+}
