Cut no client's request that is being read when a frontend stops

http.Server.Shutdown closes a connection that it holds to be idle while its next request is being read, and drops a request that was just read when it began (in net/http's serve loop: shuttingDown, return). A hand-in or a question read late in the stop was cut with the process, at the latest 0.7 s before SIGKILL. A new connection without a request held the stop up until then.

Ruled out: keeping Shutdown and waiting longer before it (the race stays); SetKeepAlivesEnabled(false), which closes idle connections by the same books.

Change: the entrance keeps its connections and ends each between two requests, by a read deadline that a read which has got bytes does not see; requests' contexts end 0.15 s before the cut, so that each is answered with what is known of it; an answer says that it is its connection's last if the stop began before it is written; a client that has connected and sent nothing is waited for 0.5 s.

Tests: connection_test.go forces each order (reads held back after the kernel gave the bytes).

--- a/internal/frontend/answer.go
+++ b/internal/frontend/answer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 
 	"ospreypond/internal/failure"
 )
@@ -33,6 +34,23 @@
 	w.Write(body) // a client that has left is no concern
 }
 
+// closingWriter says with an answer that it is the last of its connection, if the process is stopping by then.
+type closingWriter struct {
+	http.ResponseWriter
+	draining *atomic.Bool
+}
+
+// WriteHeader sends the answer's head.
+func (w *closingWriter) WriteHeader(status int) {
+	if w.draining.Load() {
+		w.Header()["Connection"] = closeOnce
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the server's writer, which the server's own functions want.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // answerError sends what a client is told for err's kind.
 func answerError(w http.ResponseWriter, err error) {
 	told := failure.AnswerTo(failure.KindOf(err))
--- /dev/null
+++ b/internal/frontend/connection_test.go
@@ -0,0 +1,278 @@
+package frontend
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/protocol"
+)
+
+// heldListener accepts connections whose reads can be held back after the bytes have come.
+type heldListener struct {
+	net.Listener
+	holding atomic.Bool
+	held    chan struct{} // has an element for each read that is held back
+	release chan struct{} // closed: they go on
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConnection{Conn: accepted, listener: l}, nil
+}
+
+type heldConnection struct {
+	net.Conn
+	listener *heldListener
+}
+
+// Read stands for a thread that the kernel has given the bytes and that then has to wait for the processor.
+func (c *heldConnection) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	if count > 0 && c.listener.holding.Load() {
+		c.listener.held <- struct{}{}
+		<-c.listener.release
+	}
+	return count, err
+}
+
+// newHeldStand is newStand with a heldListener for clients.
+func newHeldStand() (*stand, *heldListener) {
+	s := &stand{bed: newBed(), ended: make(chan error, 1)}
+	s.server = NewServer(s.service, 6*time.Second, log.NewNopLogger())
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	clients, err := listen(ctx, "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	readiness, err := listen(ctx, "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s.clients, s.readiness = clients.Addr().String(), readiness.Addr().String()
+	listener := &heldListener{Listener: clients, held: make(chan struct{}, 10), release: make(chan struct{})}
+	go func() { s.ended <- s.server.Run(ctx, listener, readiness) }()
+	DeferCleanup(stop)
+	return s, listener
+}
+
+// stopAccepting has the process stop and lets time pass until it ends its connections.
+func (s *stand) stopAccepting() {
+	s.stop()
+	Eventually(s.server.stopping.Load).Should(BeTrue()) // its waits stand on the clock
+	s.clock.Advance(noticeTime)
+	Eventually(s.server.clients.isEnding).Should(BeTrue())
+}
+
+var _ = Describe("a request at a stop", func() {
+	const head = "GET /a/ HTTP/1.1\r\nHost: ficu95"
+	const rest = ".example\r\n\r\n"
+
+	DescribeTable("is answered if it was read and not yet looked at when connections ended",
+		func(before int, first, second string) {
+			s, listener := newHeldStand()
+			client := s.connect()
+			for range before {
+				client.send("GET", "/a/", "")
+				status, last := client.receive()
+				Expect(status).To(Equal(200))
+				Expect(last).To(BeFalse())
+			}
+			listener.holding.Store(true)
+			_, err := client.Write([]byte(first))
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(listener.held).Should(Receive())
+			s.stopAccepting()
+			s.clock.Advance(firstRequestTime)
+			Consistently(s.ended, 30*time.Millisecond).ShouldNot(Receive())
+			listener.holding.Store(false)
+			close(listener.release)
+			_, err = client.Write([]byte(second))
+			Expect(err).NotTo(HaveOccurred())
+			status, last := client.receive()
+			Expect(status).To(Equal(200))
+			Expect(last).To(BeTrue())
+			Eventually(s.ended).Should(Receive(BeNil()))
+		},
+		Entry("whole on a new connection", 0, head+rest, ""),
+		Entry("in part on a new connection", 0, head, rest),
+		Entry("whole on one that has served before", 1, head+rest, ""),
+		Entry("in part on one that has served before", 1, head, rest),
+	)
+
+	DescribeTable("is answered if its last bytes come after connections ended",
+		func(before int) {
+			s := newStand()
+			client := s.connect()
+			for range before {
+				client.send("GET", "/a/", "")
+				client.receive()
+			}
+			_, err := client.Write([]byte(head))
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(s.server.clients.busy).Should(Equal(1))
+			s.stopAccepting()
+			_, err = client.Write([]byte(rest))
+			Expect(err).NotTo(HaveOccurred())
+			status, last := client.receive()
+			Expect(status).To(Equal(200))
+			Expect(last).To(BeTrue())
+			Eventually(s.ended).Should(Receive(BeNil()))
+		},
+		Entry("on a new connection", 0),
+		Entry("on one that has served before", 2),
+	)
+
+	It("is answered if it began before the one before it was answered", func() {
+		s := newStand()
+		release := make(chan struct{})
+		s.owners.submit = func(context.Context, *protocol.SubmitRequest) error {
+			<-release
+			return nil
+		}
+		client := s.connect()
+		client.send("POST", "/a/"+jobID, oneStep)
+		Eventually(s.owners.calls).Should(ContainElement("submit 1"))
+		_, err := client.Write([]byte(head[:1]))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(s.server.clients.early).Should(Equal(1))
+		close(release)
+		status, last := client.receive()
+		Expect(status).To(Equal(200))
+		Expect(last).To(BeFalse())
+		s.stopAccepting()
+		_, err = client.Write([]byte(head[1:] + rest))
+		Expect(err).NotTo(HaveOccurred())
+		status, last = client.receive()
+		Expect(status).To(Equal(200))
+		Expect(last).To(BeTrue())
+		Eventually(s.ended).Should(Receive(BeNil()))
+	})
+
+	It("is answered before the process ends, however late it was read whole and whoever is silent", func() {
+		s := newStand()
+		s.owners.submit = func(ctx context.Context, _ *protocol.SubmitRequest) error {
+			<-ctx.Done()
+			return failure.New(failure.UnknownOutcome, "no answer")
+		}
+		client := s.connect()
+		body := oneStep
+		whole := "POST /a/" + jobID + " HTTP/1.1\r\nHost: ficu95.example\r\nContent-Length: "
+		whole += strconv.Itoa(len(body)) + "\r\n\r\n" + body
+		_, err := client.Write([]byte(whole[:len(head)]))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(s.server.clients.busy).Should(Equal(1))
+		s.stopAccepting()
+		end := 6*time.Second - closeMargin
+		s.clock.Advance(end - answerMargin - noticeTime - 200*time.Millisecond)
+		_, err = client.Write([]byte(whole[len(head):]))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(s.owners.calls).Should(ContainElement("submit 1"))
+		Consistently(s.ended, 30*time.Millisecond).ShouldNot(Receive())
+		s.clock.Advance(200 * time.Millisecond)
+		status, last := client.receive()
+		Expect(status).To(Equal(failure.AnswerTo(failure.UnknownOutcome).Status))
+		Expect(last).To(BeTrue())
+		Eventually(s.ended).Should(Receive(BeNil()))
+	})
+
+	It("that has not begun on a new connection is waited for a little, and not for the whole time", func() {
+		s := newStand()
+		client := s.connect()
+		Eventually(s.server.clients.count).Should(Equal(1))
+		s.stopAccepting()
+		Consistently(s.ended, 30*time.Millisecond).ShouldNot(Receive())
+		s.clock.Advance(firstRequestTime)
+		Eventually(s.ended).Should(Receive(BeNil()))
+		_, err := client.reader.ReadByte()
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("is not read on a connection that has ended", func() {
+		s := newStand()
+		client := s.connect()
+		client.send("GET", "/a/", "")
+		client.receive()
+		s.stopAccepting()
+		Eventually(s.ended).Should(Receive(BeNil()))
+		_, err := client.reader.ReadByte()
+		Expect(err).To(HaveOccurred())
+		Expect(s.owners.calls()).To(Equal([]string{"pending 1"}))
+	})
+})
+
+var _ = Describe("a new configuration's limits", func() {
+	It("cut no request that is being read or answered", func() {
+		s := newStand()
+		release := make(chan struct{})
+		s.owners.submit = func(context.Context, *protocol.SubmitRequest) error {
+			<-release
+			return nil
+		}
+		answering, reading := s.connect(), s.connect()
+		answering.send("POST", "/a/"+jobID, oneStep)
+		Eventually(s.owners.calls).Should(ContainElement("submit 1"))
+		_, err := reading.Write([]byte("GET /a/ HTTP/1.1\r\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(s.server.clients.busy).Should(Equal(2))
+
+		next := view(8, map[string]*Route{"/a/": route("/a/", 1)})
+		next.Limits.MaxHeaderBytes = 1 << 10
+		Expect(s.views.Set(next)).To(BeTrue())
+		Eventually(s.server.limitsInForce).Should(HaveField("MaxHeaderBytes", 1<<10))
+		close(release)
+		status, last := answering.receive()
+		Expect(status).To(Equal(200))
+		Expect(last).To(BeFalse())
+		_, err = reading.Write([]byte("Host: ficu95.example\r\n\r\n"))
+		Expect(err).NotTo(HaveOccurred())
+		status, last = reading.receive()
+		Expect(status).To(Equal(200))
+		Expect(last).To(BeFalse())
+	})
+})
+
+// busy returns on how many connections a request is being read or answered.
+func (e *entrance) busy() int {
+	return e.that(func(c *clientConnection) bool { return c.busy })
+}
+
+// early returns on how many connections the next request has begun beside one that is being answered.
+func (e *entrance) early() int {
+	return e.that(func(c *clientConnection) bool { return c.early })
+}
+
+// that returns how many connections are such.
+func (e *entrance) that(such func(c *clientConnection) bool) int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	count := 0
+	for connection := range e.open {
+		connection.mutex.Lock()
+		if such(connection) {
+			count++
+		}
+		connection.mutex.Unlock()
+	}
+	return count
+}
+
+// count returns how many connections are open.
+func (e *entrance) count() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return len(e.open)
+}
+
+func (s *Server) limitsInForce() Limits {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.limits
+}
--- a/internal/frontend/handin.go
+++ b/internal/frontend/handin.go
@@ -23,7 +23,7 @@
 var acceptedBody = []byte("{}")
 
 // serveHandIn takes a job.
-func (s *Service) serveHandIn(w http.ResponseWriter, r *http.Request, arrived time.Time, target target) {
+func (s *Service) serveHandIn(w *closingWriter, r *http.Request, arrived time.Time, target target) {
 	body, err := readBody(w, r, target.view.Limits.orDefaults().MaxBodyBytes)
 	if err != nil {
 		answerError(w, err)
@@ -44,13 +44,13 @@
 }
 
 // readBody returns a request's body of at most limit bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+func readBody(w *closingWriter, r *http.Request, limit int64) ([]byte, error) {
 	tooLarge := failure.Newf(failure.TooLarge, "a body may have at most %d bytes", limit)
 	if r.ContentLength > limit {
 		w.Header()["Connection"] = closeOnce // what is still to come is not read
 		return nil, tooLarge
 	}
-	reader := http.MaxBytesReader(w, r.Body, limit)
+	reader := http.MaxBytesReader(w.Unwrap(), r.Body, limit)
 	body, err := readAll(reader, r.ContentLength)
 	if err == nil {
 		return body, nil
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -19,20 +22,30 @@
 // entrance accepts connections and hands each to whichever door is open, so that servers with other limits can take
 // over without the listener being closed.
 type entrance struct {
-	listener    net.Listener
 	connections chan net.Conn
 	closed      chan struct{}
 	once        sync.Once
+
+	mutex    sync.Mutex
+	listener net.Listener // nil before run
+	open     map[*clientConnection]struct{}
+	ending   bool          // connections end with their present request
+	empty    chan struct{} // closed once ending is true and no connection is open
 }
 
-func newEntrance(listener net.Listener) *entrance {
-	return &entrance{listener: listener, connections: make(chan net.Conn), closed: make(chan struct{})}
+func newEntrance() *entrance {
+	return &entrance{
+		connections: make(chan net.Conn),
+		closed:      make(chan struct{}),
+		open:        map[*clientConnection]struct{}{},
+		empty:       make(chan struct{}),
+	}
 }
 
 // run accepts until the entrance is closed.
-func (e *entrance) run() {
+func (e *entrance) run(listener net.Listener) {
 	for {
-		connection, err := e.listener.Accept()
+		connection, err := listener.Accept()
 		if err == nil {
 			e.hand(connection)
 			continue
@@ -45,7 +58,8 @@
 	}
 }
 
-func (e *entrance) hand(connection net.Conn) {
+func (e *entrance) hand(accepted net.Conn) {
+	connection := e.add(accepted)
 	select {
 	case e.connections <- connection:
 	case <-e.closed:
@@ -53,14 +67,102 @@
 	}
 }
 
+func (e *entrance) add(accepted net.Conn) *clientConnection {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	connection := &clientConnection{Conn: accepted, entrance: e}
+	e.open[connection] = struct{}{}
+	return connection
+}
+
+// remove notes that a connection is closed.
+func (e *entrance) remove(closed *clientConnection) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	delete(e.open, closed)
+	e.checkEmpty()
+}
+
+// changed is told by a server what its connections do.
+func (e *entrance) changed(changed net.Conn, state http.ConnState) {
+	connection, ok := changed.(*clientConnection)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		connection.begin()
+	case http.StateIdle:
+		connection.rest(e.isEnding())
+	}
+}
+
+func (e *entrance) isEnding() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.ending
+}
+
+// end ends each connection between two requests: at once where none is being read or answered, else after that one. The
+// entrance must be closed. Connections on which the client has never sent anything are left until endUnasked.
+func (e *entrance) end() {
+	for _, connection := range e.beginEnding() {
+		connection.endIdle(false)
+	}
+}
+
+// endUnasked ends the connections on which the client has never sent anything.
+func (e *entrance) endUnasked() {
+	for _, connection := range e.beginEnding() {
+		connection.endIdle(true)
+	}
+}
+
+// beginEnding returns the open connections; others that come to rest from now on end by themselves.
+func (e *entrance) beginEnding() []*clientConnection {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !e.ending {
+		e.ending = true
+		e.checkEmpty()
+	}
+	return slices.Collect(maps.Keys(e.open))
+}
+
+// checkEmpty closes empty if it is time. The mutex is held.
+func (e *entrance) checkEmpty() {
+	if !e.ending || len(e.open) > 0 {
+		return
+	}
+	select {
+	case <-e.empty:
+	default:
+		close(e.empty)
+	}
+}
+
+// start begins to accept on listener.
+func (e *entrance) start(listener net.Listener) {
+	e.mutex.Lock()
+	e.listener = listener
+	e.mutex.Unlock()
+	go e.run(listener)
+}
+
 // close ends accepting.
 func (e *entrance) close() {
 	e.once.Do(func() {
 		close(e.closed)
-		e.listener.Close()
+		e.present().Close()
 	})
 }
 
+func (e *entrance) present() net.Listener {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.listener
+}
+
 // door is a listener of one server.
 type door struct {
 	entrance *entrance
@@ -87,4 +189,4 @@
 }
 
 // Addr returns the entrance's address.
-func (d *door) Addr() net.Addr { return d.entrance.listener.Addr() }
+func (d *door) Addr() net.Addr { return d.entrance.present().Addr() }
--- a/internal/frontend/moves_test.go
+++ b/internal/frontend/moves_test.go
@@ -134,10 +134,12 @@
 	It("gives a stale hand-in up when no newer one comes", func() {
 		b := newBed()
 		b.owners.submit = func(context.Context, *protocol.SubmitRequest) error { return kind(failure.Stale) }
-		answered := b.begin(request("POST", "/a/"+jobID, oneStep))
+		r := request("POST", "/a/"+jobID, oneStep)
+		r.Header.Set(DeadlineHeader, "200") // its time is over before another try is due
+		answered := b.begin(r)
 		Eventually(b.owners.calls).Should(HaveLen(1))
 		b.waiting(2)
-		b.clock.Advance(handInTry)
+		b.clock.Advance(budget(200*time.Millisecond, 0, handInTry))
 		var w *httptest.ResponseRecorder
 		Eventually(answered).Should(Receive(&w))
 		Expect(w.Code).To(Equal(503))
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -23,6 +23,8 @@
 	noticeTime = 2300 * time.Millisecond
 	// closeMargin is kept before the platform's SIGKILL for ending what is still open.
 	closeMargin = 700 * time.Millisecond
+	// firstRequestTime is how long a client that has connected and sent nothing is waited for after noticeTime.
+	firstRequestTime = 500 * time.Millisecond
 	// defaultGrace stands for the time from SIGTERM to SIGKILL where it isn't known.
 	defaultGrace = 6 * time.Second
 )
@@ -41,8 +43,12 @@
 	grace    time.Duration
 	stopping atomic.Bool
 
-	mutex   sync.Mutex
+	requests    context.Context // of all requests; it ends when they must be answered at once
+	endRequests context.CancelFunc
+
 	clients *entrance
+
+	mutex   sync.Mutex
 	limits  Limits
 	servers []*http.Server // of clients; the last one takes new connections
 	open    *door
@@ -54,7 +60,9 @@
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	return &Server{service: service, logger: logger, clock: service.Clock, grace: grace}
+	s := &Server{service: service, logger: logger, clock: service.Clock, grace: grace, clients: newEntrance()}
+	s.requests, s.endRequests = context.WithCancel(context.Background())
+	return s
 }
 
 // Run serves clients on the one listener and readiness on the other until ctx ends, then stops in order: it says that
@@ -63,8 +71,7 @@
 	s.asking = &http.Server{Handler: http.HandlerFunc(s.serveReadiness), ReadTimeout: bodyTime,
 		IdleTimeout: defaultIdleTimeout, ErrorLog: silent()}
 	go s.asking.Serve(readiness)
-	s.clients = newEntrance(clients)
-	go s.clients.run()
+	s.clients.start(clients)
 	s.apply()
 	s.follow(ctx)
 	return s.stop()
@@ -108,6 +115,8 @@
 		ReadTimeout:       limits.HeaderTimeout + bodyTime,
 		IdleTimeout:       limits.IdleTimeout,
 		ErrorLog:          silent(),
+		BaseContext:       func(net.Listener) context.Context { return s.requests },
+		ConnState:         s.clients.changed,
 	}
 	s.servers = append(s.servers, server)
 	go server.Serve(s.open)
@@ -134,33 +143,45 @@
 	return !s.stopping.Load() && s.service.Views.Current() != nil && s.service.Directory.Fresh(s.service.calm)
 }
 
-// stop ends serving in order. No request that was read is cut, unless it lasts until shortly before SIGKILL.
+// stop ends serving in order. Each request that was read whole gets its answer: what is still in work shortly before the
+// end is answered with what is known of it by then, as is what comes later.
 func (s *Server) stop() error {
 	level.Info(s.logger).Log("msg", "stopping: not ready from now on")
-	began := s.clock.Now()
+	defer s.endRequests()
+	end := s.grace - closeMargin
+	ctx, cancel := deadline.WithTimeout(context.Background(), s.clock, end)
+	defer cancel()
+	s.clock.AfterFunc(end-answerMargin, s.endRequests)
+	noticed := s.clock.After(min(noticeTime, s.grace/2))
 	s.stopping.Store(true)
 	s.service.Drain()
-	<-s.clock.After(min(noticeTime, s.grace/2))
-	ctx, cancel := deadline.WithDeadline(context.Background(), s.clock, began.Add(s.grace-closeMargin))
-	defer cancel()
+	<-noticed
 	s.clients.close()
-	err := s.shutDown(ctx)
+	err := s.finish(ctx)
 	s.asking.Close()
 	level.Info(s.logger).Log("msg", "stopped", "cut", err != nil)
 	return err
 }
 
-// shutDown closes idle connections, waits for the requests that are in work, and closes what is left when ctx ends.
-func (s *Server) shutDown(ctx context.Context) error {
+// finish ends connections as soon as no request is being read or answered on them, and cuts what is left when ctx ends.
+func (s *Server) finish(ctx context.Context) error {
+	unasked := s.clock.AfterFunc(firstRequestTime, s.clients.endUnasked)
+	defer unasked.Stop()
+	s.clients.end()
+	defer s.closeServers()
+	select {
+	case <-s.clients.empty:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// closeServers ends the servers of clients and their connections.
+func (s *Server) closeServers() {
 	s.mutex.Lock()
-	servers := s.servers
-	s.mutex.Unlock()
-	var first error
-	for _, server := range servers {
-		if err := server.Shutdown(ctx); err != nil {
-			server.Close()
-			first = err
-		}
+	defer s.mutex.Unlock()
+	for _, server := range s.servers {
+		_ = server.Close() // its listener is a door, which closes without an error
 	}
-	return first
 }
--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -116,7 +116,7 @@
 		Eventually(s.owners.calls).Should(ContainElement("submit 1"))
 
 		s.stop()
-		s.waiting(2) // the notice and the hand-in's deadline
+		Eventually(s.server.stopping.Load).Should(BeTrue()) // its waits stand on the clock
 		Expect(s.ready()).To(Equal(503))
 		kept.send("GET", "/a/", "")
 		status, last = kept.receive()
@@ -156,7 +156,7 @@
 		busy.send("POST", "/a/"+jobID, oneStep)
 		Eventually(s.owners.calls).Should(ContainElement("submit 1"))
 		s.stop()
-		s.waiting(2)
+		Eventually(s.server.stopping.Load).Should(BeTrue())
 		s.clock.Advance(noticeTime)
 		Consistently(s.ended, 30*time.Millisecond).ShouldNot(Receive())
 		s.clock.Advance(6*time.Second - closeMargin - noticeTime)
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -86,10 +86,8 @@
 func (s *Service) Drain() { s.draining.Store(true) }
 
 // ServeHTTP answers one request.
-func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.draining.Load() {
-		w.Header()["Connection"] = closeOnce
-	}
+func (s *Service) ServeHTTP(writer http.ResponseWriter, r *http.Request) {
+	w := &closingWriter{ResponseWriter: writer, draining: &s.draining}
 	arrived := s.Clock.Now()
 	view := s.Views.Current()
 	if view == nil {
@@ -105,7 +103,7 @@
 }
 
 // serve hands the request to its verb.
-func (s *Service) serve(w http.ResponseWriter, r *http.Request, arrived time.Time, target target) {
+func (s *Service) serve(w *closingWriter, r *http.Request, arrived time.Time, target target) {
 	if target.id == "" {
 		if r.Method != http.MethodGet {
 			refuseMethod(w, "GET")
