Refuse at a frontend for good only what no unseen configuration may allow

Cause: a frontend whose configuration was old answered 404 or 400 for a path below a queue's prefix, though a newer version may have a queue with a longer prefix there, and 413 by the old limit, both without looking whether it was confirmed. 410 was said on a confirmation of up to configApplyMs before the question: a job handed in elsewhere meanwhile, to the shard that a newer version gives its queue, was gone for it; a client that cancels takes 410 for an acknowledgement. A body that did not arrive whole was answered 400, though a slow link makes no job wrong; the same at the agent. A request for a confirmation that came while a watch had just left was lost, and the client was told 503. Two processes that each take the other for the owner were asked in turn for ever, and never a third; an owner without confirmation sent those who watch back to itself. After two hints in a row a call pauses and follows the next one, and every other time asks the others in turn; an owner never names itself. Seen to fail: the new tests with each of these taken back, one at a time.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -187,6 +189,15 @@
 		Entry("too large", post(instance, "heartbeat", `{"service":"`+strings.Repeat("x", maxBodyBytes)+`"}`), 413),
 	)
 
+	It("that do not arrive whole may come again", func() {
+		b := newBed("")
+		r := post(instance, "heartbeat", "")
+		r.Body = io.NopCloser(io.MultiReader(strings.NewReader(`{"service":`), iotest.ErrReader(io.ErrUnexpectedEOF)))
+		r.ContentLength = 100
+		Expect(answerOf(b.begin(r)).Code).To(Equal(503))
+		Expect(b.owners.attempts).NotTo(Receive())
+	})
+
 	DescribeTable("that the owner refuses for good are answered so at once",
 		func(k failure.Kind, status int) {
 			b := newBed("")
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -120,7 +120,8 @@
 	if errors.As(err, &over) {
 		return nil, failure.Newf(failure.TooLarge, "a body may have at most %d bytes", maxBodyBytes)
 	}
-	return nil, failure.Newf(failure.Invalid, "the body can't be read: %v", err)
+	// A slow or broken link makes no message wrong: it may be sent again.
+	return nil, failure.Newf(failure.Unavailable, "the body did not arrive whole: %v", err)
 }
 
 // readAll is io.ReadAll with room for the size that is announced, as far as that is usual.
--- a/internal/control/configuration_shard.go
+++ b/internal/control/configuration_shard.go
@@ -80,11 +80,17 @@
 
 func (s *configurationShard) group() replica.GroupID { return uint32(protocol.ConfigurationShard) }
 
+// leader is where the owner is thought to be, if that is not this process: one whose leadership is not confirmed sends
+// nobody back to itself.
 func (s *configurationShard) leader() string {
 	if s.engine == nil {
 		return ""
 	}
-	return s.engine.LeaderAddress(s.group())
+	address := s.engine.LeaderAddress(s.group())
+	if address == s.engine.Self().Address {
+		return ""
+	}
+	return address
 }
 
 // serviceOf returns the service that the newest document here gives a queue.
--- a/internal/control/ownerloop_test.go
+++ b/internal/control/ownerloop_test.go
@@ -96,6 +96,15 @@
 	})
 })
 
+var _ = Describe("an owner of the configuration", func() {
+	It("names no other, and not itself, to those it refuses", func() {
+		a := newAlone()
+		named := make(chan string, 1)
+		a.engine.Do(func() { named <- a.control.configuration.leader() })
+		Expect(<-named).To(BeEmpty())
+	})
+})
+
 var _ = Describe("the largest order", func() {
 	It("fits in whatever carries it between processes", func() {
 		order := bytes.Repeat([]byte{' '}, operatorBodyBytes)
--- a/internal/directory/attempts.go
+++ b/internal/directory/attempts.go
@@ -18,6 +18,7 @@
 	unknown   error // an attempt may have done something
 	refused   error // newest error that says that nothing was done for want of an owner
 	hints     int   // followed in a row
+	paused    bool  // the newest hint after too many in a row was followed, after a pause
 	pauses    int
 	silent    string // newest process whose answer did not come; a hint to it is not followed
 }
@@ -54,6 +55,9 @@
 	}
 }
 
+// follow goes where a process says that the owner is. After some hints in a row it pauses first, since an owner may not
+// know yet that it is; and every other time it asks the others in turn, since those that gave the hints may go on taking
+// each other for the owner.
 func (a *attempts) follow(target, leader string) step {
 	if leader == "" || leader == target || leader == a.silent {
 		a.silent = "" // once: it may just have been slow
@@ -63,7 +67,11 @@
 		a.hints++
 		return step{target: leader}
 	}
-	return step{target: leader, pause: a.pause()}
+	a.paused = !a.paused
+	if a.paused {
+		return step{target: leader, pause: a.pause()}
+	}
+	return step{pause: a.pause()}
 }
 
 // pause returns how long to wait; it grows with each.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -103,6 +103,9 @@
 	return !confirmed.IsZero() && d.options.Clock.Since(confirmed) <= within
 }
 
+// ConfirmedSince tells whether what is known here was in force at some moment not before that time.
+func (d *Directory) ConfirmedSince(at time.Time) bool { return !d.ConfirmedAt().Before(at) }
+
 // Owner returns the internal address of a shard's owner, as far as known, or "".
 func (d *Directory) Owner(shard protocol.ShardID) string {
 	d.mutex.Lock()
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -31,6 +31,7 @@
 	target   string
 	failures int  // in a row
 	hints    int  // followed in a row
+	paused   bool // the newest hint after too many in a row was followed, after a pause
 	whole    bool // ask for a snapshot
 	short    bool // ask for an answer at once
 }
@@ -189,10 +190,11 @@
 	d.view.learn(protocol.ConfigurationShard, from)
 }
 
-// fail picks whom to ask after a failure, and waits.
+// fail picks whom to ask after a failure, and waits. Hints are followed as attempts.follow does.
 func (d *Directory) fail(ctx context.Context, w *watch, err error) {
 	leader := failure.LeaderOf(err)
-	if leader != "" && leader != w.target && w.hints < mostHints {
+	hint := leader != "" && leader != w.target
+	if hint && w.hints < mostHints {
 		w.hints++
 		w.target = leader
 		return
@@ -200,7 +202,8 @@
 	w.hints = 0
 	w.failures++
 	d.tell(w, err)
-	if leader != "" {
+	w.paused = hint && !w.paused
+	if w.paused {
 		w.target = leader
 	} else {
 		d.passOver(protocol.ConfigurationShard, w.target)
@@ -218,7 +221,7 @@
 	if w.failures >= tellAfter {
 		_ = level.Info(d.options.Logger).Log("message", "the configuration's owner answers", "peer", w.target)
 	}
-	w.failures, w.hints = 0, 0
+	w.failures, w.hints, w.paused = 0, 0, false
 }
 
 // tell logs that the owner cannot be found, once in a row of failures.
--- a/internal/directory/watch_test.go
+++ b/internal/directory/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -59,6 +60,7 @@
 
 	It("asks for a snapshot, then for what is newer", func() {
 		Expect(d.Fresh(time.Hour)).To(BeFalse())
+		Expect(d.ConfirmedSince(s.clock.Now().Add(-time.Hour))).To(BeFalse())
 		first := s.next()
 		Expect(first.address).To(Equal("a"))
 		Expect(*request(first)).To(Equal(protocol.WatchRequest{WaitMs: 1000, Node: d.options.Node, Changes: true}))
@@ -87,6 +89,8 @@
 		s.next()
 		Expect(d.Fresh(time.Second)).To(BeTrue())
 		Expect(d.Fresh(time.Second - 1)).To(BeFalse())
+		Expect(d.ConfirmedSince(first.at)).To(BeTrue())
+		Expect(d.ConfirmedSince(first.at.Add(1))).To(BeFalse())
 	})
 
 	DescribeTable("counts as fresh from the confirmation's asking, as far as that is certain",
@@ -176,6 +180,31 @@
 		Expect(d.Owner(protocol.ConfigurationShard)).To(Equal("b"))
 	})
 
+	It("leaves two that go on naming each other", func() {
+		asked := map[string]int{}
+		for range 12 {
+			got := s.next()
+			asked[got.address]++
+			switch got.address {
+			case "a":
+				got.answer(nil, notLeader("b"))
+			case "b":
+				got.answer(nil, notLeader("a"))
+			default:
+				got.answer(answer(1, "one"), nil)
+				s.next()
+				Expect(d.Owner(protocol.ConfigurationShard)).To(Equal("c"))
+				return
+			}
+		}
+		Fail(fmt.Sprint("the third is never asked: ", asked))
+	})
+
+	It("leaves one that names itself and refuses", func() {
+		s.next().answer(nil, notLeader("a"))
+		Expect(s.next().address).To(Equal("b"))
+	})
+
 	It("tries another at once when one is silent", func() {
 		first := s.next()
 		s.clock.Advance(defaultWait + watchSlack - 1)
--- a/internal/frontend/ask.go
+++ b/internal/frontend/ask.go
@@ -80,14 +80,14 @@
 }
 
 // askEach asks the shards that may have the job, the present one first, until one has it. That none has it, Gone, is
-// said only if each has said so and no unseen version names another.
+// said only if each has said so and no version that was in force when the request came names another.
 func (s *Service) askEach(ctx context.Context, arrived time.Time, r *http.Request, to target, ask func(protocol.ShardID, string) error) error {
 	for {
 		err := askShards(ctx, to, ask)
 		if failure.KindOf(err) != failure.Gone {
 			return err
 		}
-		if !s.confirm(ctx, s.exact) {
+		if !s.confirmSince(ctx, arrived) {
 			return failure.New(failure.Unavailable, "it is not known whether a newer configuration has moved this queue")
 		}
 		newest, findErr := s.find(ctx, arrived, r)
--- a/internal/frontend/documents.go
+++ b/internal/frontend/documents.go
@@ -40,9 +40,16 @@
 
 // Fresh tells whether what is in force here was confirmed within the last while.
 func (c confirmed) Fresh(within time.Duration) bool {
-	if !c.Directory.Fresh(within) {
-		return false
-	}
+	return c.Directory.Fresh(within) && c.inForce()
+}
+
+// ConfirmedSince tells whether what is in force here was confirmed for some moment not before that time.
+func (c confirmed) ConfirmedSince(at time.Time) bool {
+	return c.Directory.ConfirmedSince(at) && c.inForce()
+}
+
+// inForce tells whether the version that the directory has confirmed is in force here, or a newer one.
+func (c confirmed) inForce() bool {
 	known := c.Directory.Version()
 	current := c.views.Current()
 	return current != nil && current.Version >= known
--- a/internal/frontend/find.go
+++ b/internal/frontend/find.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"ospreypond/internal/deadline"
@@ -16,39 +17,64 @@
 	id    string // what follows the prefix
 }
 
-// find returns a request's target by the newest view. That there is no such queue is said only if no unseen version
-// may have it.
+// find returns a request's target by the newest view. That there is no such queue, or nothing at the path below it, is
+// said only if no unseen version may have it: a newer one may have a queue with a longer prefix.
 func (s *Service) find(ctx context.Context, arrived time.Time, r *http.Request) (target, error) {
 	// Freshness is looked at before the view: a confirmation tells about the view that was in force when it came.
 	fresh := s.Directory.Fresh(s.exact)
-	found, ok := s.lookup(r)
-	if ok {
+	found, err := s.lookup(r)
+	if err == nil {
 		return found, nil
 	}
 	if !fresh {
 		ctx, cancel := deadline.WithDeadline(ctx, s.Clock, arrived.Add(budget(clientWait(r), 0, askTry)))
 		defer cancel()
 		fresh = s.confirm(ctx, s.exact)
-		if found, ok = s.lookup(r); ok {
+		if found, err = s.lookup(r); err == nil {
 			return found, nil
 		}
 	}
 	if fresh {
-		return target{}, failure.New(failure.NoRoute, "no queue has this host and path")
+		return target{}, err
 	}
 	return target{}, failure.New(failure.Unavailable, "it is not known whether a newer configuration has this queue")
 }
 
-func (s *Service) lookup(r *http.Request) (target, bool) {
+// lookup returns what the newest view has at a request's path.
+func (s *Service) lookup(r *http.Request) (target, error) {
 	view := s.Views.Current()
 	route, id, ok := view.Table.Lookup(r.Host, r.URL.Path)
-	return target{view: view, route: route, id: id}, ok
+	if !ok {
+		return target{}, failure.New(failure.NoRoute, "no queue has this host and path")
+	}
+	if id != "" && !validID(id) {
+		return target{}, badID(id)
+	}
+	return target{view: view, route: route, id: id}, nil
+}
+
+// badID tells what is wrong with a path after its prefix: below a job there is nothing.
+func badID(id string) error {
+	if strings.Contains(id, "/") {
+		return failure.New(failure.NoRoute, "there is nothing at this path")
+	}
+	return failure.Newf(failure.Invalid, "a job's name has %d hex digits", idDigits)
 }
 
 // confirm asks for a confirmation that isn't older than within, waits for it for a short time and reports whether it
 // is there. Views seen after it are at least as new as the confirmation.
 func (s *Service) confirm(ctx context.Context, within time.Duration) bool {
-	if s.Directory.Fresh(within) {
+	return s.await(ctx, func() bool { return s.Directory.Fresh(within) })
+}
+
+// confirmSince is confirm for a confirmation of what is in force at or after a time.
+func (s *Service) confirmSince(ctx context.Context, at time.Time) bool {
+	return s.await(ctx, func() bool { return s.Directory.ConfirmedSince(at) })
+}
+
+// await asks for a confirmation until there is one as wanted, for a short time, and reports whether there is.
+func (s *Service) await(ctx context.Context, confirmed func() bool) bool {
+	if confirmed() {
 		return true
 	}
 	s.Directory.Refresh()
@@ -59,11 +85,12 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return s.Directory.Fresh(within)
+			return confirmed()
 		case <-ticker.Chan():
-			if s.Directory.Fresh(within) {
+			if confirmed() {
 				return true
 			}
+			s.Directory.Refresh() // a question that was on its way already may have left too early
 		}
 	}
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -14,7 +14,11 @@
 	// Fresh tells whether the owner of the configuration confirmed, in answer to a question sent at most within ago, that
 	// the newest configuration handed over here is the one in force.
 	Fresh(within time.Duration) bool
-	// Refresh asks the owner of the configuration at once, without waiting for the answer.
+	// ConfirmedSince tells whether the owner confirmed that what was handed over here was in force at some moment not
+	// before that time.
+	ConfirmedSince(at time.Time) bool
+	// Refresh asks the owner of the configuration at once, without waiting for the answer. A question sent a moment ago
+	// is left alone.
 	Refresh()
 }
 
@@ -80,3 +84,6 @@
 	Table   Table
 	Limits  Limits
 }
+
+// maxBodyBytes is how large a body may be.
+func (v *View) maxBodyBytes() int64 { return v.Limits.orDefaults().MaxBodyBytes }
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -41,6 +41,9 @@
 	return d.age <= within
 }
 
+// ConfirmedSince takes all that is asked for to have come just now.
+func (d *fakeDirectory) ConfirmedSince(time.Time) bool { return d.Fresh(0) }
+
 func (d *fakeDirectory) Refresh() {
 	d.mutex.Lock()
 	d.refreshes++
--- a/internal/frontend/handin.go
+++ b/internal/frontend/handin.go
@@ -24,9 +24,9 @@
 
 // serveHandIn takes a job.
 func (s *Service) serveHandIn(w http.ResponseWriter, r *http.Request, arrived time.Time, target target) {
-	body, err := readBody(w, r, target.view.Limits.orDefaults().MaxBodyBytes)
+	body, err := readBody(w, r, target.view.maxBodyBytes())
 	if err != nil {
-		answerError(w, err)
+		answerError(w, s.unlessAllowed(r, arrived, target, err))
 		return
 	}
 	spec, err := parseSpec(body)
@@ -43,6 +43,19 @@
 	answer(w, http.StatusOK, acceptedBody)
 }
 
+// unlessAllowed returns why a body was not taken. That it is too large is said only if no unseen version may allow it.
+func (s *Service) unlessAllowed(r *http.Request, arrived time.Time, target target, err error) error {
+	if failure.KindOf(err) != failure.TooLarge {
+		return err
+	}
+	ctx, cancel := s.within(r, arrived, target, handInTry)
+	defer cancel()
+	if !s.confirm(ctx, s.exact) || s.Views.Current().maxBodyBytes() > target.view.maxBodyBytes() {
+		return failure.New(failure.Unavailable, "a newer configuration may allow a body of this size")
+	}
+	return err
+}
+
 // readBody returns a request's body of at most limit bytes.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	tooLarge := failure.Newf(failure.TooLarge, "a body may have at most %d bytes", limit)
@@ -59,7 +72,8 @@
 	if errors.As(err, &over) {
 		return nil, tooLarge
 	}
-	return nil, failure.Newf(failure.Invalid, "the body can't be read: %v", err)
+	// A slow or broken link makes no job wrong: it may be sent again.
+	return nil, failure.Newf(failure.Unavailable, "the body did not arrive whole: %v", err)
 }
 
 // readAll is io.ReadAll with room for the size that is announced, as far as that is usual.
@@ -98,7 +112,13 @@
 func (s *Service) awaitNewer(ctx context.Context, version uint64) bool {
 	waiting, cancel := deadline.WithTimeout(ctx, s.Clock, stalePause)
 	defer cancel()
-	return s.Views.newerThan(waiting, version) || !over(ctx)
+	return s.Views.newerThan(waiting, version) || !s.late(ctx)
+}
+
+// late tells whether ctx has ended, or is about to by the clock.
+func (s *Service) late(ctx context.Context) bool {
+	deadline, bounded := ctx.Deadline()
+	return over(ctx) || bounded && s.Clock.Until(deadline) <= 0
 }
 
 // confirmForHandIn refuses a job only if the configuration is so old that its queue may long have been dropped; the
--- a/internal/frontend/moves_test.go
+++ b/internal/frontend/moves_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptest"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -150,6 +151,7 @@
 				b := newBed()
 				b.directory.age = age
 				b.owners.status = func(context.Context, *protocol.StatusRequest) (string, error) { return "", kind(failure.Gone) }
+				b.owners.cancel = func(context.Context, *protocol.CancelRequest) error { return kind(failure.Gone) }
 				want := otherwise
 				if confirmed {
 					b.directory.onRefresh = func() { b.directory.setAge(0) }
@@ -171,11 +173,74 @@
 		},
 		Entry("no such queue", "POST", "/z/"+jobID, oneStep, 1900*time.Millisecond, 404, 503),
 		Entry("no such job", "GET", "/a/"+jobID, "", 1900*time.Millisecond, 410, 503),
+		Entry("no such job, confirmed just before the question", "GET", "/a/"+jobID, "", time.Millisecond, 410, 503),
+		Entry("no such job to cancel, confirmed just before", "DELETE", "/a/"+jobID, "", time.Millisecond, 410, 503),
+		Entry("nothing below a queue", "GET", "/a/x/"+jobID, "", 1900*time.Millisecond, 404, 503),
+		Entry("a short id", "GET", "/a/5c0e", "", 1900*time.Millisecond, 400, 503),
+		Entry("a large body", "POST", "/a/"+jobID, `{"spec":"`+strings.Repeat("x", 1000)+`"}`, 1900*time.Millisecond, 413, 503),
 		Entry("a count", "GET", "/a/", "", 1900*time.Millisecond, 200, 503),
 		Entry("a hand-in just after the usual time", "POST", "/a/"+jobID, oneStep, 2500*time.Millisecond, 200, 200),
 		Entry("a hand-in long after it", "POST", "/a/"+jobID, oneStep, 6*time.Second, 200, 503),
 	)
 
+	DescribeTable("serves by the newer version that a confirmation brings",
+		func(method, path, body string, status int, asked ...string) {
+			b := newBed()
+			b.directory.age = 1900 * time.Millisecond
+			b.directory.onRefresh = func() {
+				newer := view(9, map[string]*Route{"/a/": route("/a/", 1), "/a/x/": route("/a/x/", 4)})
+				newer.Limits.MaxBodyBytes = 3000
+				b.views.Set(newer)
+				b.directory.setAge(0)
+			}
+			var w *httptest.ResponseRecorder
+			answered := b.begin(request(method, path, body))
+			Eventually(func() bool {
+				b.clock.Advance(confirmPoll)
+				select {
+				case w = <-answered:
+					return true
+				default:
+					return false
+				}
+			}).WithPolling(time.Millisecond).Should(BeTrue())
+			Expect(w.Code).To(Equal(status))
+			Expect(b.owners.calls()).To(HaveExactElements(asked))
+		},
+		Entry("a job of a queue with a longer prefix", "GET", "/a/x/"+jobID, "", 200, "status 4"),
+		Entry("a count of a queue with a longer prefix", "GET", "/a/x/", "", 200, "pending 4"),
+		Entry("a hand-in to a queue with a longer prefix", "POST", "/a/x/"+jobID, oneStep, 200, "submit 4"),
+		Entry("a body that was too large: it is to come again", "POST", "/a/"+jobID,
+			`{"spec":"`+strings.Repeat("x", 1000)+`","steps":[{"count":1}]}`, 503),
+	)
+
+	It("goes on asking for a confirmation while a question is out that left before the request came", func() {
+		b := newBed()
+		b.directory.age = time.Millisecond
+		b.owners.status = func(context.Context, *protocol.StatusRequest) (string, error) { return "", kind(failure.Gone) }
+		const ignored = 5
+		refreshes := 0
+		b.directory.onRefresh = func() {
+			refreshes++
+			if refreshes > ignored {
+				b.directory.setAge(0)
+			}
+		}
+		var w *httptest.ResponseRecorder
+		answered := b.begin(request("GET", "/a/"+jobID, ""))
+		Eventually(func() bool {
+			b.clock.Advance(confirmPoll)
+			select {
+			case w = <-answered:
+				return true
+			default:
+				return false
+			}
+		}).WithPolling(time.Millisecond).Should(BeTrue())
+		Expect(w.Code).To(Equal(410))
+		Expect(refreshes).To(Equal(ignored + 1))
+	})
+
 	It("does not wait for a confirmation in calm", func() {
 		b := newBed()
 		b.directory.age = 1700 * time.Millisecond
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -114,10 +114,6 @@
 		s.servePending(w, r, arrived, target)
 		return
 	}
-	if !validID(target.id) {
-		answerError(w, badID(target.id))
-		return
-	}
 	switch r.Method {
 	case http.MethodPost:
 		s.serveHandIn(w, r, arrived, target)
@@ -130,16 +126,6 @@
 	}
 }
 
-// badID tells what is wrong with a path after its prefix: below a job there is nothing.
-func badID(id string) error {
-	for i := range len(id) {
-		if id[i] == '/' {
-			return failure.New(failure.NoRoute, "there is nothing at this path")
-		}
-	}
-	return failure.Newf(failure.Invalid, "a job's name has %d hex digits", idDigits)
-}
-
 func refuseMethod(w http.ResponseWriter, allowed string) {
 	w.Header().Set("Allow", allowed)
 	answerFault(w, http.StatusMethodNotAllowed, "method_not_allowed", "allowed here: "+allowed)
--- a/internal/frontend/service_test.go
+++ b/internal/frontend/service_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
+	"testing/iotest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -50,6 +52,15 @@
 		Expect(newBed().do(r).Code).To(Equal(413))
 	})
 
+	It("asks for a body again that did not arrive whole", func() {
+		r := request("POST", "/a/"+jobID, "")
+		r.Body = io.NopCloser(io.MultiReader(strings.NewReader(`{"spec":`), iotest.ErrReader(io.ErrUnexpectedEOF)))
+		r.ContentLength = int64(len(oneStep))
+		b := newBed()
+		Expect(b.do(r).Code).To(Equal(503))
+		Expect(b.owners.calls()).To(BeEmpty())
+	})
+
 	It("refuses a text above its bound", func() {
 		spec := &protocol.JobSpec{Spec: strings.Repeat("x", maxSpecBytes+1), Steps: []protocol.Step{{Count: 1}}}
 		Expect(failure.KindOf(checkSpec(spec))).To(Equal(failure.Invalid))
