--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -112,10 +112,6 @@
 		s.servePending(w, r, arrived, target)
 		return
 	}
-	if !validID(target.id) {
-		answerError(w, badID(target.id))
-		return
-	}
 	switch r.Method {
 	case http.MethodPost:
 		s.serveHandIn(w, r, arrived, target)
@@ -128,16 +124,6 @@
 	}
 }
 
-// badID tells what is wrong with a path after its prefix: below a job there is nothing.
-func badID(id string) error {
-	for i := range len(id) {
-		if id[i] == '/' {
-			return failure.New(failure.NoRoute, "there is nothing at this path")
-		}
-	}
-	return failure.Newf(failure.Invalid, "a job's name has %d hex digits", idDigits)
-}
-
 func refuseMethod(w http.ResponseWriter, allowed string) {
 	w.Header().Set("Allow", allowed)
 	answerFault(w, http.StatusMethodNotAllowed, "method_not_allowed", "allowed here: "+allowed)
