--- a/internal/cli/traffic.go
+++ b/internal/cli/traffic.go
@@ -19,7 +19,7 @@
 	var format, from, to string
 	c := &cobra.Command{Use: "export DIR", Short: "Print recorded traffic as CSV or JSON lines", Args: cobra.ExactArgs(1),
 		Long: "Print the requests that 'serve --record DIR' recorded, in the order of their arrival, while no dispatcher records\n" +
-			"there. In CSV a request's hops are one field: target;sent_us;took_us;outcome, set apart by spaces.",
+			"there. In CSV a request's attempts are one field, hops: target;sent_us;took_us;outcome, set apart by spaces.",
 		RunE: func(c *cobra.Command, args []string) error {
 			if !slices.Contains(traffic.Formats, traffic.Format(format)) {
 				return usageError{fmt.Errorf("--format: %q is none of %v", format, traffic.Formats)}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -193,7 +193,7 @@
 
 // SocketBudget splits the allowed descriptors between clients and egress targets; some are left for
 // discovery, the listener and the runtime. Clients hold at most a third with requests; a little more lets those
-// that say nothing be told from those. Hops need the most: second copies, and connections kept for the next.
+// that say nothing be told from those. Attempts need the most: second copies, and connections kept for the next.
 func (c *Config) SocketBudget() (clients, targets int) {
 	clients = c.Limits.Sockets * 3 / 8
 	return clients, c.Limits.Sockets - minSockets/2 - clients - LingerRoom(clients)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -143,7 +143,7 @@
 	assert.Equal(t, 1, next.Policy.MaxAttempts, "fewer attempts are taken")
 }
 
-// Clients get more than the third that requests may hold; hops get the larger part.
+// Clients get more than the third that requests may hold; attempts get the larger part.
 func TestSocketBudget(t *testing.T) {
 	for _, n := range []int{64, 256, 1024} {
 		c := &Config{Limits: Limits{Sockets: n}}
--- a/internal/egress/hop.go
+++ b/internal/egress/attempt.go
@@ -22,25 +22,25 @@
 	settleLimit = 20 * time.Millisecond
 )
 
-// Hop makes one attempt. It returns as soon as there is a result for the client, and reads the rest of the answer
+// Attempt makes one attempt at a request. It returns as soon as there is a result for the client, and reads the rest of the answer
 // behind the caller's back. Any other end is told once the attempt can have no effect any more on an open connection:
 // its answer was read to the end, or the connection is closed.
-func (e *Egress) Hop(outer context.Context, h *exchange.Hop) exchange.HopEnd {
-	// The caller ends its context when the hop has ended, but the connection is good for another hop only once
+func (e *Egress) Attempt(outer context.Context, attempt *exchange.Attempt) exchange.AttemptEnd {
+	// The caller ends its context when the attempt has ended, but the connection is good for another attempt only once
 	// the answer was read to its end. So the call has a context of its own.
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(outer))
 	detach := context.AfterFunc(outer, func() { cancel(context.Cause(outer)) })
-	end := exchange.HopEnd{Report: policy.NoReport}
+	end := exchange.AttemptEnd{Report: policy.NoReport}
 
-	c := call{e: e, job: true, until: h.Deadline}
+	c := call{e: e, job: true, until: attempt.Deadline}
 	gate := func() error {
-		if !e.table.Open(h.Target) {
+		if !e.table.Open(attempt.Target) {
 			return errNotOpen
 		}
-		return h.Begin(time.Now())
+		return attempt.Begin(time.Now())
 	}
-	resp, err := c.do(ctx, h.Target, gate, func(base string) (*http.Request, error) {
-		return hopRequest(base, h)
+	resp, err := c.do(ctx, attempt.Target, gate, func(base string) (*http.Request, error) {
+		return attemptRequest(base, attempt)
 	})
 	if err != nil {
 		if end.Outcome = c.broken(ctx); errors.Is(err, errNoSockets) {
@@ -48,7 +48,7 @@
 		}
 		detach()
 		cancel(nil)
-		e.log.WithError(err).WithFields(logrus.Fields{"target": h.Target, "request": h.Request.ID,
+		e.log.WithError(err).WithFields(logrus.Fields{"target": attempt.Target, "request": attempt.Request.ID,
 			"outcome": end.Outcome}).Debug("hop brought no answer")
 		return end
 	}
@@ -57,13 +57,13 @@
 	}
 	lines := newLines(resp.Body)
 	if resp.StatusCode == http.StatusOK {
-		e.follow(ctx, h, lines, &c, &end)
+		e.follow(ctx, attempt, lines, &c, &end)
 	} else {
 		end.Outcome = refused(resp)
 		end.Rejected = end.Outcome == policy.Cancelled
 		end.Doubtful = end.Outcome == policy.Full && c.own().hadJob()
 		if resp.StatusCode != http.StatusInternalServerError && end.Outcome != policy.Full && e.warned.due(time.Now()) {
-			e.log.WithFields(logrus.Fields{"target": h.Target, "request": h.Request.ID, "status": resp.StatusCode}).
+			e.log.WithFields(logrus.Fields{"target": attempt.Target, "request": attempt.Request.ID, "status": resp.StatusCode}).
 				Warn("target answered with an unexpected status")
 		}
 	}
@@ -75,9 +75,9 @@
 	return end
 }
 
-// hopRequest builds what the target gets: the client's request, unchanged. How long we wait is told at the last moment.
-func hopRequest(base string, h *exchange.Hop) (*http.Request, error) {
-	r := h.Request
+// attemptRequest builds what the target gets: the client's request, unchanged. How long we wait is told at the last moment.
+func attemptRequest(base string, attempt *exchange.Attempt) (*http.Request, error) {
+	r := attempt.Request
 	req, err := http.NewRequest(r.Method, base+r.Target, once(r.Body))
 	if err != nil {
 		return nil, err
@@ -107,9 +107,9 @@
 	return policy.Failed
 }
 
-// follow reads an answer's lines up to the one that ends the hop. A line that names another request or none, or a
+// follow reads an answer's lines up to the one that ends the attempt. A line that names another request or none, or a
 // result that is not there, is no runner's word on this one: its connection is closed, and it may have run.
-func (e *Egress) follow(ctx context.Context, h *exchange.Hop, lines *lines, c *call, end *exchange.HopEnd) {
+func (e *Egress) follow(ctx context.Context, attempt *exchange.Attempt, lines *lines, c *call, end *exchange.AttemptEnd) {
 	for {
 		l, err := lines.next()
 		if err != nil {
@@ -118,9 +118,9 @@
 			}
 			return
 		}
-		if l.ID != h.Request.ID || l.State == "done" && !l.hasResult() {
+		if l.ID != attempt.Request.ID || l.State == "done" && !l.hasResult() {
 			if e.warned.due(time.Now()) {
-				e.log.WithFields(logrus.Fields{"target": h.Target, "request": h.Request.ID, "got": l.ID, "state": l.State}).
+				e.log.WithFields(logrus.Fields{"target": attempt.Target, "request": attempt.Request.ID, "got": l.ID, "state": l.State}).
 					Error("target's answer is spoilt")
 			}
 			end.Outcome = policy.Failed
@@ -132,9 +132,9 @@
 		}
 		switch l.State {
 		case "started":
-			h.News(policy.JobStarted)
+			attempt.News(policy.JobStarted)
 		case "running":
-			h.News(policy.JobProgress)
+			attempt.News(policy.JobProgress)
 		case "done":
 			end.Outcome, end.Result = policy.OK, l.result()
 			return
--- a/internal/egress/connections.go
+++ b/internal/egress/connections.go
@@ -11,7 +11,7 @@
 	// idleShare is the part of the runner's own limit for which an idle connection is kept. A runner closes at
 	// that limit, and what is written as it does ends as a reset.
 	idleShare = 0.85
-	// idlePerTarget is more than one target's share of the hops at once: a connection closed only because too
+	// idlePerTarget is more than one target's share of the attempts at once: a connection closed only because too
 	// many are idle costs the runner a handshake when it is opened again.
 	idlePerTarget = 256
 )
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -1,4 +1,4 @@
-// Package egress speaks to the runners, the egress targets: it makes hops and probes over HTTP and says how
+// Package egress speaks to the runners, the egress targets: it makes attempts and probes over HTTP and says how
 // each ended. It decides nothing.
 package egress
 
@@ -21,7 +21,7 @@
 	errNoSockets = errors.New("out of sockets for egress targets")
 )
 
-// Egress makes hops and probes. It is safe for use by several goroutines.
+// Egress makes attempts and probes. It is safe for use by several goroutines.
 type Egress struct {
 	table  *routetable.Table
 	tuned  atomic.Pointer[tuning]
@@ -54,7 +54,7 @@
 	return e
 }
 
-// Retune goes by c's settings from now on: by them reports are read, connections dialled, and idle ones kept. Hops under
+// Retune goes by c's settings from now on: by them reports are read, connections dialled, and idle ones kept. Attempts under
 // way are not touched.
 func (e *Egress) Retune(c *config.Config) {
 	next := newTuning(c)
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -54,12 +54,12 @@
 	return l.Addr().String()
 }
 
-func hop(ctx context.Context, e *Egress, body []byte) exchange.HopEnd {
-	return e.Hop(ctx, &exchange.Hop{Target: "w", Deadline: time.Now().Add(time.Minute), News: func(policy.EventKind) {}, Begin: func(time.Time) error { return nil },
+func attempt(ctx context.Context, e *Egress, body []byte) exchange.AttemptEnd {
+	return e.Attempt(ctx, &exchange.Attempt{Target: "w", Deadline: time.Now().Add(time.Minute), News: func(policy.EventKind) {}, Begin: func(time.Time) error { return nil },
 		Request: &exchange.Request{ID: "id", Method: "POST", Target: "/c", IdempotencyKey: "k", Body: body}})
 }
 
-// Guards against a dial that outruns a drain: the route was open when the hop began and is not when its first
+// Guards against a dial that outruns a drain: the route was open when the attempt began and is not when its first
 // byte would go out.
 func TestSlowDialDoesNotOutrunADrain(t *testing.T) {
 	got := make(chan int, 1)
@@ -75,11 +75,11 @@
 		list(table, addr, "DRAINING")
 		return c, err
 	}
-	assert.Equal(t, policy.Moot, hop(context.Background(), e, []byte("x")).Outcome)
+	assert.Equal(t, policy.Moot, attempt(context.Background(), e, []byte("x")).Outcome)
 	assert.Zero(t, <-got, "bytes at a runner that drains")
 }
 
-// A hop whose bytes are out is never called unsent. Its headers and body go out in one write: when they went
+// An attempt whose bytes are out is never called unsent. Its headers and body go out in one write: when they went
 // apart, a runner that had read the headers and broke off made this end one time as unsent, another as reset.
 func TestBreakAfterTheRequestIsAReset(t *testing.T) {
 	addr := serve(t, func(c net.Conn) {
@@ -88,7 +88,7 @@
 		_ = c.Close()
 	})
 	e, _ := testEgress(t, addr)
-	assert.Equal(t, policy.Reset, hop(context.Background(), e, []byte("x")).Outcome)
+	assert.Equal(t, policy.Reset, attempt(context.Background(), e, []byte("x")).Outcome)
 }
 
 func TestRefusedConnection(t *testing.T) {
@@ -96,7 +96,7 @@
 	require.NoError(t, err)
 	require.NoError(t, l.Close())
 	e, _ := testEgress(t, l.Addr().String())
-	assert.Equal(t, policy.ConnectFailed, hop(context.Background(), e, nil).Outcome)
+	assert.Equal(t, policy.ConnectFailed, attempt(context.Background(), e, nil).Outcome)
 	assert.Zero(t, e.open.Load())
 }
 
@@ -111,17 +111,17 @@
 }
 
 // Guards against runners that drop idle connections sooner than the settings say, in silence: once a kept one
-// broke under a request, only younger ones are used, and a hop passes over the others without a resend.
+// broke under a request, only younger ones are used, and an attempt passes over the others without a resend.
 func TestKeptConnectionsThatBreak(t *testing.T) {
 	e, _ := testEgress(t, serve(t, oneAnswer))
-	require.Equal(t, policy.OK, hop(context.Background(), e, nil).Outcome)
+	require.Equal(t, policy.OK, attempt(context.Background(), e, nil).Outcome)
 	require.Eventually(t, func() bool { // until the connection is in the pool and was used
-		return hop(context.Background(), e, nil).Outcome == policy.Reset
+		return attempt(context.Background(), e, nil).Outcome == policy.Reset
 	}, 20*time.Second, time.Millisecond)
 	assert.Less(t, e.kept.limit(time.Now()), e.kept.most)
 	e.kept.least = 0
 	for range 20 {
-		assert.Equal(t, policy.OK, hop(context.Background(), e, nil).Outcome)
+		assert.Equal(t, policy.OK, attempt(context.Background(), e, nil).Outcome)
 	}
 }
 
@@ -143,7 +143,7 @@
 func (deaf) Write([]byte) (int, error) { return 0, syscall.ECONNRESET }
 
 // Guards against a network that resets single connections: a request that was not written whole goes on
-// another within its hop, so that its runner does not look as if it were down. One that is down is found out.
+// another within its attempt, so that its runner does not look as if it were down. One that is down is found out.
 func TestDialsAgainWhatWasNotWritten(t *testing.T) {
 	addr := serve(t, oneAnswer)
 	for name, bad := range map[string]func(net.Conn) (net.Conn, error){
@@ -163,7 +163,7 @@
 				}
 				return &conn{Conn: c, closed: func() {}}, nil
 			}
-			assert.Equal(t, want, hop(context.Background(), e, nil).Outcome, "%s %d times", name, times)
+			assert.Equal(t, want, attempt(context.Background(), e, nil).Outcome, "%s %d times", name, times)
 		}
 	}
 }
@@ -172,7 +172,7 @@
 func TestOutOfSocketsIsNotTheTargetsFault(t *testing.T) {
 	e, _ := testEgress(t, "127.0.0.1:1")
 	e.budget = 0
-	assert.Equal(t, policy.Moot, hop(context.Background(), e, nil).Outcome)
+	assert.Equal(t, policy.Moot, attempt(context.Background(), e, nil).Outcome)
 	assert.Equal(t, policy.Moot, e.Probe(context.Background(), "w").Outcome)
 }
 
@@ -194,12 +194,12 @@
 		_, _ = c.Read(make([]byte, 4096))
 		_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
 	}))
-	end := hop(context.Background(), e, nil)
+	end := attempt(context.Background(), e, nil)
 	assert.True(t, end.Rejected)
 	assert.Equal(t, policy.Cancelled, end.Outcome)
 }
 
-// A hop has one end also where its cancelling and its answer cross, and a result that came is not lost.
+// An attempt has one end also where its cancelling and its answer cross, and a result that came is not lost.
 func TestCancelRacesTheAnswer(t *testing.T) {
 	var arrived, mayHaveRun atomic.Int64
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -220,7 +220,7 @@
 			time.Sleep(time.Duration(n) * 5 * time.Microsecond)
 			cancel()
 		})
-		end := hop(ctx, e, nil)
+		end := attempt(ctx, e, nil)
 		switch end.Outcome {
 		case policy.OK:
 			assert.Equal(t, "r", string(end.Result))
@@ -241,7 +241,7 @@
 	e, _ := testEgress(t, addr)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
-	assert.Equal(t, policy.TimedOut, hop(ctx, e, nil).Outcome)
+	assert.Equal(t, policy.TimedOut, attempt(ctx, e, nil).Outcome)
 }
 
 // A result goes to the client with the answer's last line; the rest is read for the connection's sake.
@@ -257,7 +257,7 @@
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
 	e, _ := testEgress(t, l.Addr().String())
-	end := hop(context.Background(), e, nil)
+	end := attempt(context.Background(), e, nil)
 	close(release)
 	assert.Equal(t, policy.OK, end.Outcome)
 	assert.Equal(t, `{"a":1}`, string(end.Result))
--- a/internal/egress/endings_test.go
+++ b/internal/egress/endings_test.go
@@ -69,7 +69,7 @@
 			allowed = no // while it was being dialled
 			return c, err
 		}
-		end := e.Hop(context.Background(), &exchange.Hop{Target: "w", Deadline: time.Now().Add(time.Minute),
+		end := e.Attempt(context.Background(), &exchange.Attempt{Target: "w", Deadline: time.Now().Add(time.Minute),
 			Begin:   func(time.Time) error { return allowed },
 			Request: &exchange.Request{ID: "id", Method: "POST", Target: "/c", Body: []byte("x")}})
 		assert.Equal(t, policy.Moot, end.Outcome, "it never ran: %v", no)
@@ -77,7 +77,7 @@
 	}
 }
 
-// A hop whose time ran out, or that was called off, before its request was whole on the wire never ran.
+// An attempt whose time ran out, or that was called off, before its request was whole on the wire never ran.
 func TestUnsentWhenItsTimeIsOverIsMoot(t *testing.T) {
 	for name, cause := range map[string]error{"time": context.DeadlineExceeded, "called off": context.Canceled} {
 		e, _ := testEgress(t, "127.0.0.1:1")
@@ -87,7 +87,7 @@
 			<-dial.Done()
 			return nil, dial.Err()
 		}
-		assert.Equal(t, policy.Moot, hop(ctx, e, nil).Outcome, name)
+		assert.Equal(t, policy.Moot, attempt(ctx, e, nil).Outcome, name)
 	}
 }
 
@@ -149,14 +149,14 @@
 				gone <- err
 			})
 			e, _ := testEgress(t, runner)
-			end := hop(context.Background(), e, []byte("x"))
+			end := attempt(context.Background(), e, []byte("x"))
 			assert.Equal(t, tt.want, end.Outcome)
 			assert.Empty(t, end.Result)
 			assert.False(t, end.Doubtful, "nothing came on its connection before")
 			if tt.kept { // unless this machine takes longer than settleLimit to read what is there
 				for tries := 0; e.open.Load() == 0 && tries < 20; tries++ {
 					e, _ = testEgress(t, runner)
-					require.Equal(t, tt.want, hop(context.Background(), e, []byte("x")).Outcome)
+					require.Equal(t, tt.want, attempt(context.Background(), e, []byte("x")).Outcome)
 				}
 				assert.Equal(t, int64(1), e.open.Load())
 				return
@@ -197,9 +197,9 @@
 						_, _ = io.WriteString(c, chunked(true, doneLine))
 					}
 				}))
-				_ = hop(context.Background(), e, nil)
+				_ = attempt(context.Background(), e, nil)
 				for range 20 {
-					end := hop(context.Background(), e, nil)
+					end := attempt(context.Background(), e, nil)
 					if end.Outcome == policy.Full { // the machine was so slow that it came after the next request
 						require.True(t, end.Doubtful, "the second answer to the request before is no proof")
 						continue
@@ -228,7 +228,7 @@
 	assert.True(t, c.abandon(turn), "it was never written")
 }
 
-// Settings that are taken while the program runs hold for the next hop: reports are read and kept connections used by them.
+// Settings that are taken while the program runs hold for the next attempt: reports are read and kept connections used by them.
 func TestRetune(t *testing.T) {
 	var conns atomic.Int64
 	e, _ := testEgress(t, serve(t, func(c net.Conn) {
@@ -239,7 +239,7 @@
 		}
 	}))
 	for range 9 {
-		end := hop(context.Background(), e, nil)
+		end := attempt(context.Background(), e, nil)
 		require.Equal(t, policy.OK, end.Outcome)
 		require.Equal(t, 3.0, end.Report.FreeSlots)
 	}
@@ -249,7 +249,7 @@
 	next.Settings.FamilyInfo.ReportX1 = "free slots"
 	e.Retune(next)
 	for range 9 {
-		end := hop(context.Background(), e, nil)
+		end := attempt(context.Background(), e, nil)
 		require.Equal(t, policy.OK, end.Outcome)
 		require.Equal(t, policy.NoReport, end.Report, "x0 means nothing now")
 	}
@@ -303,11 +303,11 @@
 		}
 	}))
 	assert.Equal(t, policy.Full, e.Probe(context.Background(), "w").Outcome)
-	fresh := hop(context.Background(), e, nil)
+	fresh := attempt(context.Background(), e, nil)
 	assert.Equal(t, policy.Full, fresh.Outcome)
 	assert.False(t, fresh.Doubtful)
 	assert.Eventually(t, func() bool { // as soon as the connection was used again
-		end := hop(context.Background(), e, nil)
+		end := attempt(context.Background(), e, nil)
 		return end.Outcome == policy.Full && end.Doubtful
 	}, time.Minute, time.Millisecond)
 }
@@ -335,7 +335,7 @@
 	}
 	deadline := time.Now().Add(wait)
 	for range 2 { // on a new connection, and on the kept one
-		end := e.Hop(context.Background(), &exchange.Hop{Target: "w", Deadline: deadline, News: func(policy.EventKind) {},
+		end := e.Attempt(context.Background(), &exchange.Attempt{Target: "w", Deadline: deadline, News: func(policy.EventKind) {},
 			Begin: func(time.Time) error { return nil }, Request: &exchange.Request{ID: "id", Method: "POST", Target: "/c"}})
 		require.Equal(t, policy.OK, end.Outcome)
 		assert.LessOrEqual(t, <-told, wait-dialing)
--- a/internal/exchange/actions.go
+++ b/internal/exchange/actions.go
@@ -30,8 +30,8 @@
 		switch {
 		case a.Kind == policy.Send:
 			x.send(j, a)
-		case a.Kind == policy.Cancel && a.Attempt < len(j.hops):
-			j.hops[a.Attempt].cancel()
+		case a.Kind == policy.Cancel && a.Attempt < len(j.attempts):
+			j.attempts[a.Attempt].cancel()
 		case a.Kind == policy.Refuse:
 			x.reply(j, Answer{Kind: Shed, RetryAfter: a.RetryAfter})
 		case a.Kind == policy.Fail:
@@ -50,9 +50,9 @@
 	}
 }
 
-// send starts a hop. Its goroutine brings exactly one end.
+// send starts an attempt. Its goroutine brings exactly one end.
 func (x *Exchange) send(j *job, a *policy.Action) {
-	n, target := len(j.hops), a.Worker // a is overwritten by the next step
+	n, target := len(j.attempts), a.Worker // a is overwritten by the next step
 	limit := j.r.Deadline
 	if a.Timeout != 0 {
 		if t := time.Now().Add(a.Timeout); t.Before(limit) {
@@ -66,11 +66,11 @@
 			by = t
 		}
 	}
-	h := &hop{cancel: cancel, start: &start{by: by}, target: target, sent: time.Now()}
-	j.hops = append(j.hops, h)
+	state := &attempt{cancel: cancel, start: &start{by: by}, target: target, sent: time.Now()}
+	j.attempts = append(j.attempts, state)
 	j.out++
 	if j.answered || j.mod.set.MaxAttempts > 0 && n >= j.mod.set.MaxAttempts {
-		x.hopEnded(j, n, target, HopEnd{Outcome: policy.Moot, Report: policy.NoReport})
+		x.attemptEnded(j, n, target, AttemptEnd{Outcome: policy.Moot, Report: policy.NoReport})
 		return
 	}
 	news := func(k policy.EventKind) {
@@ -80,35 +80,35 @@
 			}
 		})
 	}
-	hop := &Hop{Target: target, Request: j.r, Deadline: limit, News: news, Begin: h.start.begin}
+	order := &Attempt{Target: target, Request: j.r, Deadline: limit, News: news, Begin: state.start.begin}
 	go func() {
-		end := x.guard(func() HopEnd { return x.egress.Hop(ctx, hop) })
-		x.do(func() { x.hopEnded(j, n, target, end) })
+		end := x.guard(func() AttemptEnd { return x.egress.Attempt(ctx, order) })
+		x.do(func() { x.attemptEnded(j, n, target, end) })
 	}()
 }
 
 // guard turns a panic on the way out into an end that proves nothing, so that the request is still answered.
-func (x *Exchange) guard(f func() HopEnd) (end HopEnd) {
+func (x *Exchange) guard(f func() AttemptEnd) (end AttemptEnd) {
 	defer func() {
 		if p := recover(); p != nil {
 			x.log.WithField("panic", p).WithField("stack", string(debug.Stack())).Error("hop panicked")
-			end = HopEnd{Outcome: policy.Failed, Report: policy.NoReport}
+			end = AttemptEnd{Outcome: policy.Failed, Report: policy.NoReport}
 		}
 	}()
 	return f()
 }
 
-// hopEnded takes in the one end of a hop. The first result goes to the client at once.
-func (x *Exchange) hopEnded(j *job, n int, target string, end HopEnd) {
-	h := j.hops[n]
-	h.cancel()
-	h.took, h.over, h.outcome = time.Since(h.sent), true, end.Outcome
+// attemptEnded takes in the one end of an attempt. The first result goes to the client at once.
+func (x *Exchange) attemptEnded(j *job, n int, target string, end AttemptEnd) {
+	state := j.attempts[n]
+	state.cancel()
+	state.took, state.over, state.outcome = time.Since(state.sent), true, end.Outcome
 	j.out--
 	if x.jobs[j.id] != j { // the module was replaced meanwhile
 		return
 	}
 	x.log.WithFields(logrus.Fields{"request": j.r.ID, "target": target, "outcome": end.Outcome,
-		"took": time.Since(h.sent)}).Debug("hop ended")
+		"took": time.Since(state.sent)}).Debug("hop ended")
 	if end.Rejected {
 		x.reply(j, Answer{Kind: Rejected})
 	}
@@ -116,7 +116,7 @@
 		x.reply(j, Answer{Kind: Served, Result: end.Result})
 	}
 	j.mod.events = append(j.mod.events, policy.Event{Kind: policy.AttemptEnded, ID: j.id, Attempt: n, Worker: target,
-		Outcome: end.Outcome, Doubtful: end.Doubtful, Elapsed: time.Since(h.sent), Complete: j.answered, Report: end.Report})
+		Outcome: end.Outcome, Doubtful: end.Doubtful, Elapsed: time.Since(state.sent), Complete: j.answered, Report: end.Report})
 	x.forget(j)
 }
 
@@ -126,7 +126,7 @@
 	sent := time.Now()
 	go func() {
 		defer cancel()
-		end := x.guard(func() HopEnd { return x.egress.Probe(ctx, target) })
+		end := x.guard(func() AttemptEnd { return x.egress.Probe(ctx, target) })
 		elapsed := time.Since(sent)
 		x.log.WithFields(logrus.Fields{"target": target, "outcome": end.Outcome, "took": elapsed,
 			"free": end.Report.FreeSlots}).Debug("probe ended")
--- a/internal/exchange/hop.go
+++ b/internal/exchange/attempt.go
@@ -8,9 +8,9 @@
 	"ospreypond/policy"
 )
 
-// hop is one attempt as the exchange's goroutine sees it. What a connection's goroutine asks as it is about to write
+// attempt is an attempt as the exchange's goroutine sees it. What a connection's goroutine asks as it is about to write
 // the first byte stands in start.
-type hop struct {
+type attempt struct {
 	cancel  context.CancelFunc
 	start   *start
 	target  string
@@ -20,8 +20,8 @@
 	outcome policy.Outcome
 }
 
-// start decides, under its lock, between a hop's first byte and the end of its request: whichever comes first. So a
-// hop that is still being dialled when its client leaves can always be given up, also where what was sent can't be.
+// start decides, under its lock, between an attempt's first byte and the end of its request: whichever comes first. So an
+// attempt that is still being dialled when its client leaves can always be given up, also where what was sent can't be.
 type start struct {
 	mu      sync.Mutex
 	by      time.Time // the first byte goes out before that
@@ -29,7 +29,7 @@
 	revoked bool
 }
 
-// begin is Hop.Begin.
+// begin is Attempt.Begin.
 func (s *start) begin(now time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -43,7 +43,7 @@
 	return nil
 }
 
-// revoke keeps the hop from beginning, and from beginning again on another connection. It tells whether it never began.
+// revoke keeps the attempt from beginning, and from beginning again on another connection. It tells whether it never began.
 func (s *start) revoke() (unbegun bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/exchange/hop_test.go
+++ b/internal/exchange/attempt_test.go
@@ -12,16 +12,16 @@
 	"ospreypond/policy"
 )
 
-// dialling is an Egress whose hops have no byte on the wire until the test lets them begin.
+// dialling is an Egress whose attempts have no byte on the wire until the test lets them begin.
 type dialling struct {
 	*targets
 	began chan error // what Begin said
 	let   chan bool
-	ended chan error // how the hop's context ended, if it did
+	ended chan error // how the attempt's context ended, if it did
 }
 
-func (e *dialling) Hop(ctx context.Context, h *Hop) HopEnd {
-	e.hops <- h
+func (e *dialling) Attempt(ctx context.Context, h *Attempt) AttemptEnd {
+	e.attempts <- h
 	if <-e.let {
 		e.began <- h.Begin(time.Now())
 	}
@@ -30,7 +30,7 @@
 		return end
 	case <-ctx.Done():
 		e.ended <- context.Cause(ctx)
-		return HopEnd{Outcome: policy.Moot, Report: policy.NoReport}
+		return AttemptEnd{Outcome: policy.Moot, Report: policy.NoReport}
 	}
 }
 
@@ -40,7 +40,7 @@
 	return x, d
 }
 
-// A hop that is still being dialled when its client leaves is given up, also where what was sent can't be called off:
+// An attempt that is still being dialled when its client leaves is given up, also where what was sent can't be called off:
 // its first byte is refused. One that began before goes on there.
 func TestLeavingGivesUpWhatHasNotBegun(t *testing.T) {
 	set := testSettings()
@@ -50,7 +50,7 @@
 			x, e := runDialling(t, set)
 			ctx, leave := context.WithCancel(context.Background())
 			c := submit(ctx, x, request(time.Minute))
-			h := <-e.hops
+			h := <-e.attempts
 			e.let <- begunFirst
 			if begunFirst {
 				require.NoError(t, <-e.began)
@@ -63,7 +63,7 @@
 				require.Eventually(t, func() bool { return h.Begin(time.Now()) == ErrRevoked }, patience, time.Millisecond,
 					"not again on another connection")
 				assert.Empty(t, e.ended, "it can't be called off")
-				e.ends <- HopEnd{Outcome: policy.OK, Report: policy.NoReport}
+				e.ends <- AttemptEnd{Outcome: policy.OK, Report: policy.NoReport}
 			}
 			assert.ErrorIs(t, h.Begin(time.Now()), ErrRevoked)
 		})
@@ -78,19 +78,19 @@
 	x, e := runDialling(t, set)
 	c := submit(context.Background(), x, request(time.Minute))
 	sent := time.Now()
-	first := <-e.hops
+	first := <-e.attempts
 	decided := time.Now() // the module sent it between the two, however busy the machine is
 	e.let <- true
 	require.NoError(t, <-e.began)
 	assert.NoError(t, first.Begin(sent.Add(40*time.Second)), "the first attempt has the client's time")
 	assert.ErrorIs(t, first.Begin(sent.Add(61*time.Second)), ErrTooLate)
-	e.ends <- HopEnd{Outcome: policy.Reset, Report: policy.NoReport}
-	again := <-e.hops
+	e.ends <- AttemptEnd{Outcome: policy.Reset, Report: policy.NoReport}
+	again := <-e.attempts
 	assert.NoError(t, again.Begin(sent.Add(29*time.Second)))
 	assert.ErrorIs(t, again.Begin(decided.Add(30*time.Second)), ErrTooLate)
 	e.let <- true
 	require.NoError(t, <-e.began)
-	e.ends <- HopEnd{Outcome: policy.OK, Report: policy.NoReport}
+	e.ends <- AttemptEnd{Outcome: policy.OK, Report: policy.NoReport}
 	assert.Equal(t, Served, answerOf(t, c).Kind)
 }
 
@@ -110,12 +110,12 @@
 	assert.Equal(t, Left, answerOf(t, c).Kind)
 	close(over)
 	time.Sleep(20 * time.Millisecond)
-	assert.Empty(t, e.hops)
+	assert.Empty(t, e.attempts)
 }
 
-// All orders of a hop's tries, the end of its request and the time that passes: what was revoked or is late never begins,
+// All orders of an attempt's tries, the end of its request and the time that passes: what was revoked or is late never begins,
 // and exactly what never began is called off.
-func TestAllOrdersOfAHopsBeginning(t *testing.T) {
+func TestAllOrdersOfAnAttemptsBeginning(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(100, 0)
 		s := &start{by: now.Add(time.Second)}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,5 +1,5 @@
 // Package exchange is where the side of the clients and the side of the runners meet, and nowhere else. One
-// goroutine owns the decision module: it turns arrivals, ends of hops, news of the list and timers into the
+// goroutine owns the decision module: it turns arrivals, ends of attempts, news of the list and timers into the
 // module's events and carries out the actions that come back. Any protocol that fills in a Request and waits
 // for its Answer gets the same decisions under the same rules.
 package exchange
@@ -55,7 +55,7 @@
 	stepAt  time.Duration // of the last step
 }
 
-// job is a request that was taken, until it has its answer and all its hops have ended.
+// job is a request that was taken, until it has its answer and all its attempts have ended.
 type job struct {
 	id       uint32
 	mod      *module // the one that decides on it, with the settings it started with
@@ -66,8 +66,8 @@
 	kind     AnswerKind
 	at       time.Time // of the answer
 	net      *time.Timer
-	hops     []*hop
-	out      int // hops that have not ended
+	attempts []*attempt
+	out      int // attempts that have not ended
 }
 
 // New returns an exchange round a fresh decision module. Attach must be called before Run.
@@ -100,9 +100,9 @@
 	if x.watch == nil {
 		return
 	}
-	e := Ended{Request: j.r, Answer: j.kind, Answered: j.at, Hops: make([]EndedHop, len(j.hops))}
-	for i, h := range j.hops {
-		e.Hops[i] = EndedHop{Target: h.target, Sent: h.sent, Took: h.took, Over: h.over, Outcome: h.outcome}
+	e := Ended{Request: j.r, Answer: j.kind, Answered: j.at, Attempts: make([]EndedAttempt, len(j.attempts))}
+	for i, attempt := range j.attempts {
+		e.Attempts[i] = EndedAttempt{Target: attempt.target, Sent: attempt.sent, Took: attempt.took, Over: attempt.over, Outcome: attempt.outcome}
 	}
 	x.watch.Ended(e)
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -16,26 +16,28 @@
 
 const patience = 20 * time.Second
 
-// targets is an Egress whose hops end as the test says.
+// targets is an Egress whose attempts end as the test says.
 type targets struct {
-	hops chan *Hop
-	ends chan HopEnd
+	attempts chan *Attempt
+	ends     chan AttemptEnd
 }
 
-func (e *targets) Hop(ctx context.Context, h *Hop) HopEnd {
+func (e *targets) Attempt(ctx context.Context, h *Attempt) AttemptEnd {
 	h.News(policy.JobStarted)
-	e.hops <- h
+	e.attempts <- h
 	select {
 	case end := <-e.ends:
 		return end
 	case <-ctx.Done():
-		return HopEnd{Outcome: policy.Cancelled, Report: policy.NoReport}
+		return AttemptEnd{Outcome: policy.Cancelled, Report: policy.NoReport}
 	}
 }
-func (e *targets) Probe(context.Context, string) HopEnd { return HopEnd{Report: policy.NoReport} }
-func (e *targets) CloseIdle(string)                     {}
-func (e *targets) Prune()                               {}
-func (e *targets) Subscribe()                           {}
+func (e *targets) Probe(context.Context, string) AttemptEnd {
+	return AttemptEnd{Report: policy.NoReport}
+}
+func (e *targets) CloseIdle(string) {}
+func (e *targets) Prune()           {}
+func (e *targets) Subscribe()       {}
 
 func testSettings() policy.Settings {
 	return policy.Settings{Schedulers: 1, Period: time.Millisecond, TellsStart: true, Cancel: true, MaxAttempts: 4,
@@ -56,7 +58,7 @@
 	log.SetOutput(io.Discard)
 	x, err := New(set, 1, log)
 	require.NoError(t, err)
-	e := &targets{hops: make(chan *Hop, 16), ends: make(chan HopEnd, 16)}
+	e := &targets{attempts: make(chan *Attempt, 16), ends: make(chan AttemptEnd, 16)}
 	x.Attach(before(e), e)
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
@@ -90,8 +92,8 @@
 func TestServes(t *testing.T) {
 	x, e := run(t, testSettings())
 	c := submit(context.Background(), x, request(time.Minute))
-	assert.Equal(t, "w", (<-e.hops).Target)
-	e.ends <- HopEnd{Outcome: policy.OK, Result: []byte("made"), Report: policy.NoReport}
+	assert.Equal(t, "w", (<-e.attempts).Target)
+	e.ends <- AttemptEnd{Outcome: policy.OK, Result: []byte("made"), Report: policy.NoReport}
 	assert.Equal(t, Answer{Kind: Served, Result: []byte("made")}, answerOf(t, c))
 }
 
@@ -99,7 +101,7 @@
 func TestPanicInTheModule(t *testing.T) {
 	x, e := run(t, testSettings())
 	c := submit(context.Background(), x, request(time.Minute))
-	<-e.hops
+	<-e.attempts
 	x.do(func() { // the module has no kind for this worker, and trips over it
 		m := x.mods[len(x.mods)-1]
 		m.events = append(m.events, policy.Event{Kind: policy.AttemptEnded, ID: 1, Report: policy.NoReport,
@@ -110,8 +112,8 @@
 	next := request(time.Minute)
 	next.ID = "next"
 	c = submit(context.Background(), x, next)
-	<-e.hops
-	e.ends <- HopEnd{Outcome: policy.OK, Report: policy.NoReport}
+	<-e.attempts
+	e.ends <- AttemptEnd{Outcome: policy.OK, Report: policy.NoReport}
 	assert.Equal(t, Served, answerOf(t, c).Kind)
 }
 
@@ -121,7 +123,7 @@
 	set.AnswerSlack = 0
 	x, e := run(t, set)
 	c := submit(context.Background(), x, request(100*time.Millisecond))
-	<-e.hops
+	<-e.attempts
 	x.do(func() { x.mods[len(x.mods)-1].d, _ = policy.New(x.set, 2) }) // it knows of nothing
 	assert.Equal(t, Broken, answerOf(t, c).Kind)
 }
@@ -131,12 +133,12 @@
 func TestRepeatedID(t *testing.T) {
 	x, e := run(t, testSettings())
 	c := submit(context.Background(), x, request(time.Minute))
-	<-e.hops
+	<-e.attempts
 	assert.Equal(t, Repeated, answerOf(t, submit(context.Background(), x, request(time.Minute))).Kind)
-	e.ends <- HopEnd{Outcome: policy.OK, Report: policy.NoReport}
+	e.ends <- AttemptEnd{Outcome: policy.OK, Report: policy.NoReport}
 	assert.Equal(t, Served, answerOf(t, c).Kind)
 	assert.Equal(t, Repeated, answerOf(t, submit(context.Background(), x, request(time.Minute))).Kind)
-	assert.Empty(t, e.hops)
+	assert.Empty(t, e.attempts)
 }
 
 // The ids of answered requests are forgotten in order, so that memory stays bounded.
@@ -162,33 +164,33 @@
 		r := request(time.Minute)
 		r.ID = fmt.Sprint(n)
 		c := submit(context.Background(), x, r)
-		<-e.hops
-		e.ends <- HopEnd{Outcome: policy.Cancelled, Rejected: true, Report: policy.NoReport}
+		<-e.attempts
+		e.ends <- AttemptEnd{Outcome: policy.Cancelled, Rejected: true, Report: policy.NoReport}
 		assert.Equal(t, Rejected, answerOf(t, c).Kind)
 	}
-	assert.Empty(t, e.hops, "sent again")
+	assert.Empty(t, e.attempts, "sent again")
 }
 
-// A client that leaves ends its hop, whose one end still comes; nothing stays behind.
+// A client that leaves ends its attempt, whose one end still comes; nothing stays behind.
 func TestClientLeaves(t *testing.T) {
 	x, e := run(t, testSettings())
 	ctx, leave := context.WithCancel(context.Background())
 	c := submit(ctx, x, request(time.Minute))
-	<-e.hops
+	<-e.attempts
 	leave()
 	assert.Equal(t, Left, answerOf(t, c).Kind)
 	require.Eventually(t, func() bool {
 		left := make(chan int, 1)
 		x.do(func() { left <- len(x.jobs) })
 		return <-left == 0
-	}, patience, time.Millisecond, "the hop was not called off")
+	}, patience, time.Millisecond, "the attempt was not called off")
 }
 
 // At a stop what may have run is failed, what never ran is refused, and what still comes is refused at once.
 func TestClose(t *testing.T) {
 	x, e := run(t, testSettings())
 	out := submit(context.Background(), x, request(time.Minute))
-	<-e.hops
+	<-e.attempts
 	x.Close()
 	assert.Equal(t, Failed, answerOf(t, out).Kind)
 	next := request(time.Minute)
@@ -196,7 +198,7 @@
 	assert.Equal(t, Shed, answerOf(t, submit(context.Background(), x, next)).Kind)
 }
 
-// The first end counts: a hop that is sent after its request was answered is moot, and one that ends again
+// The first end counts: an attempt that is sent after its request was answered is moot, and one that ends again
 // changes nothing.
 func TestSendAfterTheAnswerIsMoot(t *testing.T) {
 	x, _ := run(t, testSettings())
--- a/internal/exchange/jobs.go
+++ b/internal/exchange/jobs.go
@@ -56,9 +56,9 @@
 	}
 	j.answered, j.kind, j.at = true, a.Kind, time.Now()
 	j.net.Stop()
-	for _, h := range j.hops { // what has not begun must not, for nobody waits for it
-		if !h.over && h.start.revoke() {
-			h.cancel()
+	for _, attempt := range j.attempts { // what has not begun must not, for nobody waits for it
+		if !attempt.over && attempt.start.revoke() {
+			attempt.cancel()
 		}
 	}
 	j.answer <- a
--- a/internal/exchange/module_test.go
+++ b/internal/exchange/module_test.go
@@ -16,7 +16,7 @@
 func TestRetuneKeepsWhatIsUnderWay(t *testing.T) {
 	x, e := run(t, testSettings())
 	old := submit(context.Background(), x, request(time.Minute))
-	assert.Equal(t, "w", (<-e.hops).Target)
+	assert.Equal(t, "w", (<-e.attempts).Target)
 
 	set := testSettings()
 	set.MaxAttempts = 1
@@ -31,15 +31,15 @@
 	})
 	// The old request's first attempt was turned away unstarted: under its own settings it may try again,
 	// though the new ones allow one attempt only and know no class "c".
-	e.ends <- HopEnd{Outcome: policy.Full, Report: policy.NoReport}
-	again := <-e.hops
+	e.ends <- AttemptEnd{Outcome: policy.Full, Report: policy.NoReport}
+	again := <-e.attempts
 	assert.Equal(t, "r", again.Request.ID)
-	e.ends <- HopEnd{Outcome: policy.OK, Result: []byte("old"), Report: policy.NoReport}
+	e.ends <- AttemptEnd{Outcome: policy.OK, Result: []byte("old"), Report: policy.NoReport}
 	assert.Equal(t, Answer{Kind: Served, Result: []byte("old")}, answerOf(t, old))
 
 	got := submit(context.Background(), x, fresh)
-	assert.Equal(t, "fresh", (<-e.hops).Request.ID, "a request of the new class is sent")
-	e.ends <- HopEnd{Outcome: policy.OK, Result: []byte("new"), Report: policy.NoReport}
+	assert.Equal(t, "fresh", (<-e.attempts).Request.ID, "a request of the new class is sent")
+	e.ends <- AttemptEnd{Outcome: policy.OK, Result: []byte("new"), Report: policy.NoReport}
 	assert.Equal(t, Answer{Kind: Served, Result: []byte("new")}, answerOf(t, got))
 	eventually(t, func() bool {
 		n := make(chan int)
--- a/internal/exchange/restart.go
+++ b/internal/exchange/restart.go
@@ -41,14 +41,14 @@
 	}
 }
 
-// breakAll answers everything open as failed through this program and calls off its hops.
+// breakAll answers everything open as failed through this program and calls off its attempts.
 func (x *Exchange) breakAll() {
 	for _, j := range x.jobs {
 		x.reply(j, Answer{Kind: Broken})
-		for _, h := range j.hops {
-			h.cancel()
+		for _, attempt := range j.attempts {
+			attempt.cancel()
 		}
-		if x.jobs[j.id] == j { // its hops' ends will find it gone
+		if x.jobs[j.id] == j { // its attempts' ends will find it gone
 			delete(x.jobs, j.id)
 			j.mod.open--
 			x.tell(j)
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -51,25 +51,25 @@
 	RetryAfter time.Duration // with Shed: when to come back; 0: no advice
 }
 
-// Hop is one attempt at a request on one egress target.
-type Hop struct {
+// Attempt is one try of a request on one egress target.
+type Attempt struct {
 	Target   string
 	Request  *Request
 	Deadline time.Time                // when the dispatcher stops waiting
 	News     func(k policy.EventKind) // told of policy.JobStarted and policy.JobProgress
-	// Begin is asked each time the hop's first byte is about to be written, under the lock of its connection. On an
+	// Begin is asked each time the attempt's first byte is about to be written, under the lock of its connection. On an
 	// error, which is ErrRevoked or ErrTooLate, nothing may be written, now or later.
 	Begin func(now time.Time) error
 }
 
-// Why a hop may not begin any more. It never ran then.
+// Why an attempt may not begin any more. It never ran then.
 var (
 	ErrRevoked = errors.New("the request has its answer, or its client has left")
-	ErrTooLate = errors.New("the time by which the hop had to begin is over")
+	ErrTooLate = errors.New("the time by which the attempt had to begin is over")
 )
 
-// HopEnd is how a hop or a probe ended.
-type HopEnd struct {
+// AttemptEnd is how an attempt or a probe ended.
+type AttemptEnd struct {
 	Outcome policy.Outcome
 	// Rejected: the target found the request itself unusable, which says nothing about the target. Outcome is
 	// policy.Cancelled.
@@ -77,15 +77,15 @@
 	// Doubtful: the outcome says that the attempt never ran, by a word that names no request, on a connection that
 	// brought jobs' answers before. A second answer to one of those may pass for it, however late.
 	Doubtful bool
-	Result   []byte // with policy.OK of a hop
+	Result   []byte // with policy.OK of an attempt
 	Report   policy.Report
 }
 
-// Egress is the side of the egress targets. Hop and Probe block until the end is known; they end early when
+// Egress is the side of the egress targets. Attempt and Probe block until the end is known; they end early when
 // their context does.
 type Egress interface {
-	Hop(ctx context.Context, h *Hop) HopEnd
-	Probe(ctx context.Context, target string) HopEnd
+	Attempt(ctx context.Context, attempt *Attempt) AttemptEnd
+	Probe(ctx context.Context, target string) AttemptEnd
 	CloseIdle(target string)
 	Prune() // drops the state of targets that are gone
 }
@@ -95,17 +95,17 @@
 	Subscribe()
 }
 
-// Ended is a request with its answer and all its hops, when the last of them has ended. Hops that ran when the module
+// Ended is a request with its answer and all its attempts, when the last of them has ended. Attempts that ran when the module
 // was replaced, or when the program stopped, have no end.
 type Ended struct {
 	Request  *Request
 	Answer   AnswerKind
 	Answered time.Time
-	Hops     []EndedHop
+	Attempts []EndedAttempt
 }
 
-// EndedHop is one hop of an Ended.
-type EndedHop struct {
+// EndedAttempt is one attempt of an Ended.
+type EndedAttempt struct {
 	Target  string
 	Sent    time.Time
 	Took    time.Duration
--- a/internal/routetable/routetable_test.go
+++ b/internal/routetable/routetable_test.go
@@ -28,7 +28,7 @@
 	table.Apply(&List{Seq: 4, Hosts: []Host{a, {Host: "b", Health: "DELETED"}}})
 	assert.False(t, table.Open("a"))
 	_, ok := table.Lookup("a")
-	assert.True(t, ok, "what drains still ends its hops")
+	assert.True(t, ok, "what drains still ends its attempts")
 	_, ok = table.Lookup("b")
 	assert.False(t, ok)
 	assert.Equal(t, int64(4), table.Seq())
--- a/internal/traffic/export.go
+++ b/internal/traffic/export.go
@@ -16,7 +16,7 @@
 // Format is a form to export in.
 type Format string
 
-// The formats. CSV has one line a request; its hops are one field, "target;sent_us;took_us;outcome" set apart by spaces.
+// The formats. CSV has one line a request; its attempts are one field, hops, "target;sent_us;took_us;outcome" set apart by spaces.
 const (
 	CSV   Format = "csv"
 	JSONL Format = "jsonl"
@@ -105,13 +105,13 @@
 func (w csvWriter) write(r Record) error {
 	number := func(n int64) string { return strconv.FormatInt(n, 10) }
 	float := func(x float64) string { return strconv.FormatFloat(x, 'g', -1, 64) }
-	hops := make([]string, len(r.Hops))
-	for i, h := range r.Hops {
-		hops[i] = fmt.Sprintf("%s;%d;%d;%s", h.Target, h.SentUs, h.TookUs, strings.ReplaceAll(h.Outcome, " ", "_"))
+	attempts := make([]string, len(r.Attempts))
+	for i, h := range r.Attempts {
+		attempts[i] = fmt.Sprintf("%s;%d;%d;%s", h.Target, h.SentUs, h.TookUs, strings.ReplaceAll(h.Outcome, " ", "_"))
 	}
 	return w.Write([]string{number(r.ArrivedUs), r.Class, r.Tenant, r.Key, r.Idempotency, strconv.FormatBool(r.Retry),
 		number(r.DeadlineUs), number(r.WorkUs), float(r.Slots), float(r.Memory), strconv.Itoa(r.BodyBytes), r.Answer,
-		number(r.AnsweredUs), strings.Join(hops, " ")})
+		number(r.AnsweredUs), strings.Join(attempts, " ")})
 }
 
 func (w csvWriter) flush() error {
--- a/internal/traffic/record.go
+++ b/internal/traffic/record.go
@@ -26,16 +26,16 @@
 	DeadlineUs  int64  `json:"deadline_us"` // from the arrival on
 	WorkUs      int64  `json:"work_us,omitempty"`
 	// Slots and Memory are what the request takes of its runner.
-	Slots      float64 `json:"slots,omitempty"`
-	Memory     float64 `json:"memory,omitempty"`
-	BodyBytes  int     `json:"body_bytes,omitempty"`
-	Answer     string  `json:"answer"`
-	AnsweredUs int64   `json:"answered_us"` // from the arrival on
-	Hops       []Hop   `json:"hops,omitempty"`
+	Slots      float64   `json:"slots,omitempty"`
+	Memory     float64   `json:"memory,omitempty"`
+	BodyBytes  int       `json:"body_bytes,omitempty"`
+	Answer     string    `json:"answer"`
+	AnsweredUs int64     `json:"answered_us"` // from the arrival on
+	Attempts   []Attempt `json:"hops,omitempty"`
 }
 
-// Hop is one attempt at a request on one runner.
-type Hop struct {
+// Attempt is one try of a request on one runner.
+type Attempt struct {
 	Target  string `json:"target"`
 	SentUs  int64  `json:"sent_us"` // from the request's arrival on
 	TookUs  int64  `json:"took_us,omitempty"`
@@ -64,12 +64,12 @@
 		Idempotency: r.IdempotencyKey, Retry: r.Retry, DeadlineUs: r.Deadline.Sub(r.Arrived).Microseconds(),
 		WorkUs: r.Work.Microseconds(), Slots: r.Slots, Memory: r.Memory, BodyBytes: len(r.Body), Answer: e.Answer.String(),
 		AnsweredUs: e.Answered.Sub(r.Arrived).Microseconds()}
-	for _, h := range e.Hops {
-		hop := Hop{Target: h.Target, SentUs: h.Sent.Sub(r.Arrived).Microseconds(), Outcome: "open"}
+	for _, h := range e.Attempts {
+		attempt := Attempt{Target: h.Target, SentUs: h.Sent.Sub(r.Arrived).Microseconds(), Outcome: "open"}
 		if h.Over {
-			hop.TookUs, hop.Outcome = h.Took.Microseconds(), h.Outcome.String()
+			attempt.TookUs, attempt.Outcome = h.Took.Microseconds(), h.Outcome.String()
 		}
-		rec.Hops = append(rec.Hops, hop)
+		rec.Attempts = append(rec.Attempts, attempt)
 	}
 	return rec
 }
--- a/internal/traffic/recorder_test.go
+++ b/internal/traffic/recorder_test.go
@@ -32,7 +32,7 @@
 	return exchange.Ended{Request: &exchange.Request{ID: fmt.Sprint(n), Class: "cobro", Tenant: "t", Key: "the-route",
 		IdempotencyKey: "the-key", Arrived: at, Deadline: at.Add(6 * time.Second), Work: 30 * time.Millisecond, Slots: 1,
 		Body: []byte("the body")}, Answer: exchange.Failed, Answered: at.Add(70 * time.Millisecond),
-		Hops: []exchange.EndedHop{{Target: "r1", Sent: at.Add(5 * time.Millisecond), Took: 60 * time.Millisecond, Over: true, Outcome: policy.Reset},
+		Attempts: []exchange.EndedAttempt{{Target: "r1", Sent: at.Add(5 * time.Millisecond), Took: 60 * time.Millisecond, Over: true, Outcome: policy.Reset},
 			{Target: "r2", Sent: at.Add(66 * time.Millisecond)}}}
 }
 
@@ -66,7 +66,7 @@
 	rec.Key, rec.Idempotency = "", ""
 	require.Equal(t, Record{ArrivedUs: 1_700_000_000_000_000, Class: "cobro", Tenant: "t", DeadlineUs: 6_000_000, WorkUs: 30_000,
 		Slots: 1, BodyBytes: 8, Answer: "failed", AnsweredUs: 70_000,
-		Hops: []Hop{{"r1", 5_000, 60_000, "reset"}, {"r2", 66_000, 0, "open"}}}, rec)
+		Attempts: []Attempt{{"r1", 5_000, 60_000, "reset"}, {"r2", 66_000, 0, "open"}}}, rec)
 
 	out.Reset()
 	n, err = Export(context.Background(), dir, CSV, time.UnixMicro(recs[2].ArrivedUs), time.UnixMicro(recs[4].ArrivedUs), &out)
--- a/test/integration/program_test.go
+++ b/test/integration/program_test.go
@@ -40,7 +40,7 @@
 	assert.Positive(t, rn.probes, "requests pay for probes")
 }
 
-// The connection of an answered hop is used again: a new one costs the runner work.
+// The connection of an answered attempt is used again: a new one costs the runner work.
 func TestConnectionsAreKept(t *testing.T) {
 	from := map[string]bool{}
 	var rn *runner
@@ -56,7 +56,7 @@
 	}
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
-	assert.Less(t, len(from), 10, "hops on %d connections", len(from))
+	assert.Less(t, len(from), 10, "attempts on %d connections", len(from))
 }
 
 func TestShedsWhatNeverRan(t *testing.T) {
@@ -69,7 +69,7 @@
 	assert.Less(t, time.Since(before), patience)
 }
 
-// Each way in which a hop can end, at the only runner, and what the client gets. Only what proves that the job
+// Each way in which an attempt can end, at the only runner, and what the client gets. Only what proves that the job
 // never ran may be refused or sent again; the class is one that allows nothing else.
 func TestOutcomes(t *testing.T) {
 	const short = 300 * time.Millisecond
@@ -199,7 +199,7 @@
 	assert.Equal(t, 1, next.count("id2"))
 }
 
-func TestClientThatLeavesEndsItsHop(t *testing.T) {
+func TestClientThatLeavesEndsItsAttempt(t *testing.T) {
 	left := make(chan struct{})
 	rn := newRunner(t, "r1", "z", func(_ http.ResponseWriter, r *http.Request) {
 		<-r.Context().Done()
@@ -214,7 +214,7 @@
 	select {
 	case <-left:
 	case <-time.After(patience):
-		t.Fatal("the hop goes on for nobody")
+		t.Fatal("the attempt goes on for nobody")
 	}
 }
 
