Call what requests are passed on to upstreams, not egress targets

Cause: 'egress target' was a house word for what proxies call an upstream.

The log line 'out of sockets for egress targets', which docs/oncall.md names, the field target= of log lines and the column of recorded traffic stay.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -191,7 +191,7 @@
 // and what it takes to react.
 func (c *Config) MemoryTarget() int64 { return int64(c.Limits.MemoryMB) << 20 / 4 * 3 }
 
-// SocketBudget splits the allowed descriptors between clients and egress targets; some are left for
+// SocketBudget splits the allowed descriptors between clients and upstreams; some are left for
 // discovery, the listener and the runtime. Clients hold at most a third with requests; a little more lets those
 // that say nothing be told from those. Attempts need the most: second copies, and connections kept for the next.
 func (c *Config) SocketBudget() (clients, targets int) {
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -22,7 +22,7 @@
 	quietLook   = 50 * time.Microsecond
 )
 
-// conn is a connection to an egress target that knows whether the present request was written to it.
+// conn is a connection to an upstream that knows whether the present request was written to it.
 // Guards against mistakes that http.Transport hides: taking a request for unsent whose bytes are on the
 // wire, writing one after its target began to drain, because the dial took long, and taking a second answer to the
 // request before for the answer to this one.
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -1,4 +1,4 @@
-// Package egress speaks to the runners, the egress targets: it makes attempts and probes over HTTP and says how
+// Package egress speaks to the upstreams, which are the runners: it makes attempts and probes over HTTP and says how
 // each ended. It decides nothing.
 package egress
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -82,7 +82,7 @@
 		ids: map[string]bool{}}, nil
 }
 
-// Attach connects the egress targets' side and discovery's side.
+// Attach connects the upstreams' side and discovery's side.
 func (x *Exchange) Attach(e Egress, d Directory) { x.egress, x.list = e, d }
 
 // Watch has o told how each request ended. It must be called before Run.
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -51,9 +51,9 @@
 	RetryAfter time.Duration // with Shed: when to come back; 0: no advice
 }
 
-// Attempt is one try of a request on one egress target.
+// Attempt is one try of a request on one upstream.
 type Attempt struct {
-	Target   string
+	Target   string // the upstream, by the name that the route table has for it
 	Request  *Request
 	Deadline time.Time                // when the dispatcher stops waiting
 	News     func(k policy.EventKind) // told of policy.JobStarted and policy.JobProgress
@@ -81,7 +81,7 @@
 	Report   policy.Report
 }
 
-// Egress is the side of the egress targets. Attempt and Probe block until the end is known; they end early when
+// Egress is the side of the upstreams. Attempt and Probe block until the end is known; they end early when
 // their context does.
 type Egress interface {
 	Attempt(ctx context.Context, attempt *Attempt) AttemptEnd
--- a/test/integration/world_test.go
+++ b/test/integration/world_test.go
@@ -48,7 +48,7 @@
 	os.Exit(code)
 }
 
-// runner is an egress target. It counts what reaches it.
+// runner is an upstream. It counts what reaches it.
 type runner struct {
 	name, addr, site string
 	mu               sync.Mutex
