Rename the package exchange to coordinator

Cause: 'exchange' was a house word for what couples clients, runners and the decision module and carries out what the module decides.

Nothing else.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -19,8 +19,8 @@
 
 	"ospreypond/internal/config"
 	"ospreypond/internal/console"
+	"ospreypond/internal/coordinator"
 	"ospreypond/internal/egress"
-	"ospreypond/internal/exchange"
 	"ospreypond/internal/ingress"
 	"ospreypond/internal/lifecycle"
 	"ospreypond/internal/routetable"
@@ -66,7 +66,7 @@
 		log.WithError(err).Error("the runners taken out before this process are not known")
 	}
 	table := routetable.New(banned...)
-	x, err := exchange.New(cfg.Policy, cfg.Seed, log)
+	x, err := coordinator.New(cfg.Policy, cfg.Seed, log)
 	if err != nil {
 		return err
 	}
@@ -199,7 +199,7 @@
 // retuner takes new settings: the exchange for the decisions, the egress for connections and reports, the ingress for the
 // names that requests may use.
 type retuner struct {
-	x       *exchange.Exchange
+	x       *coordinator.Exchange
 	runners *egress.Egress
 	server  *ingress.Server
 	peers   *peers
@@ -218,7 +218,7 @@
 }
 
 // drain stops taking requests and answers those taken: what is still open after the given time is ended.
-func drain(server *ingress.Server, x *exchange.Exchange, within time.Duration) error {
+func drain(server *ingress.Server, x *coordinator.Exchange, within time.Duration) error {
 	end := time.AfterFunc(within, x.Close)
 	defer end.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), within+closeGrace)
--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ospreypond/internal/config"
-	"ospreypond/internal/exchange"
+	"ospreypond/internal/coordinator"
 	"ospreypond/internal/fleet"
 	"ospreypond/internal/fleet/packet"
 	"ospreypond/internal/fleet/share"
@@ -41,7 +41,7 @@
 	node *udp.Node
 	own  int
 	size int // 0: numbers do not pass
-	x    *exchange.Exchange
+	x    *coordinator.Exchange
 	log  logrus.FieldLogger
 
 	once sync.Once
@@ -51,7 +51,7 @@
 }
 
 // joinFleet reads the file at path and prepares this dispatcher's part; start begins it. Without a path there is none.
-func joinFleet(path string, cfg *config.Config, x *exchange.Exchange, log *logrus.Logger) (*peers, error) {
+func joinFleet(path string, cfg *config.Config, x *coordinator.Exchange, log *logrus.Logger) (*peers, error) {
 	if path == "" {
 		return &peers{}, nil
 	}
--- a/internal/exchange/actions.go
+++ b/internal/coordinator/actions.go
@@ -1,4 +1,4 @@
-package exchange
+package coordinator
 
 // What the module's actions bring about.
 
--- a/internal/exchange/exchange.go
+++ b/internal/coordinator/exchange.go
@@ -2,7 +2,7 @@
 // goroutine owns the decision module: it turns arrivals, ends of attempts, news of the list and timers into the
 // module's events and carries out the actions that come back. Any protocol that fills in a Request and waits
 // for its Answer gets the same decisions under the same rules.
-package exchange
+package coordinator
 
 import (
 	"context"
--- a/internal/exchange/jobs.go
+++ b/internal/coordinator/jobs.go
@@ -1,4 +1,4 @@
-package exchange
+package coordinator
 
 // A request from its arrival to its answer.
 
--- a/internal/exchange/module_test.go
+++ b/internal/coordinator/module_test.go
@@ -1,4 +1,4 @@
-package exchange
+package coordinator
 
 import (
 	"context"
--- a/internal/egress/attempt.go
+++ b/internal/egress/attempt.go
@@ -9,7 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"ospreypond/internal/exchange"
+	"ospreypond/internal/coordinator"
 	"ospreypond/policy"
 )
 
@@ -25,12 +25,12 @@
 // Attempt makes one attempt at a request. It returns as soon as there is a result for the client, and reads the rest of the answer
 // behind the caller's back. Any other end is told once the attempt can have no effect any more on an open connection:
 // its answer was read to the end, or the connection is closed.
-func (e *Egress) Attempt(outer context.Context, attempt *exchange.Attempt) exchange.AttemptEnd {
+func (e *Egress) Attempt(outer context.Context, attempt *coordinator.Attempt) coordinator.AttemptEnd {
 	// The caller ends its context when the attempt has ended, but the connection is good for another attempt only once
 	// the answer was read to its end. So the call has a context of its own.
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(outer))
 	detach := context.AfterFunc(outer, func() { cancel(context.Cause(outer)) })
-	end := exchange.AttemptEnd{Report: policy.NoReport}
+	end := coordinator.AttemptEnd{Report: policy.NoReport}
 
 	c := call{e: e, job: true, until: attempt.Deadline}
 	gate := func() error {
@@ -76,7 +76,7 @@
 }
 
 // attemptRequest builds what the target gets: the client's request, unchanged. How long we wait is told at the last moment.
-func attemptRequest(base string, attempt *exchange.Attempt) (*http.Request, error) {
+func attemptRequest(base string, attempt *coordinator.Attempt) (*http.Request, error) {
 	r := attempt.Request
 	req, err := http.NewRequest(r.Method, base+r.Target, once(r.Body))
 	if err != nil {
@@ -109,7 +109,7 @@
 
 // follow reads an answer's lines up to the one that ends the attempt. A line that names another request or none, or a
 // result that is not there, is no runner's word on this one: its connection is closed, and it may have run.
-func (e *Egress) follow(ctx context.Context, attempt *exchange.Attempt, lines *lines, c *call, end *exchange.AttemptEnd) {
+func (e *Egress) follow(ctx context.Context, attempt *coordinator.Attempt, lines *lines, c *call, end *coordinator.AttemptEnd) {
 	for {
 		l, err := lines.next()
 		if err != nil {
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -16,7 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ospreypond/internal/config"
-	"ospreypond/internal/exchange"
+	"ospreypond/internal/coordinator"
 	"ospreypond/internal/routetable"
 	"ospreypond/policy"
 )
@@ -54,9 +54,9 @@
 	return l.Addr().String()
 }
 
-func attempt(ctx context.Context, e *Egress, body []byte) exchange.AttemptEnd {
-	return e.Attempt(ctx, &exchange.Attempt{Target: "w", Deadline: time.Now().Add(time.Minute), News: func(policy.EventKind) {}, Begin: func(time.Time) error { return nil },
-		Request: &exchange.Request{ID: "id", Method: "POST", Target: "/c", IdempotencyKey: "k", Body: body}})
+func attempt(ctx context.Context, e *Egress, body []byte) coordinator.AttemptEnd {
+	return e.Attempt(ctx, &coordinator.Attempt{Target: "w", Deadline: time.Now().Add(time.Minute), News: func(policy.EventKind) {}, Begin: func(time.Time) error { return nil },
+		Request: &coordinator.Request{ID: "id", Method: "POST", Target: "/c", IdempotencyKey: "k", Body: body}})
 }
 
 // Guards against a dial that outruns a drain: the route was open when the attempt began and is not when its first
--- a/internal/egress/endings_test.go
+++ b/internal/egress/endings_test.go
@@ -17,7 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ospreypond/internal/config"
-	"ospreypond/internal/exchange"
+	"ospreypond/internal/coordinator"
 	"ospreypond/policy"
 )
 
@@ -56,7 +56,7 @@
 
 // What the exchange says as the first byte is due holds however long the dial took: not a byte goes out.
 func TestFirstByteAsksTheExchange(t *testing.T) {
-	for _, no := range []error{exchange.ErrRevoked, exchange.ErrTooLate} {
+	for _, no := range []error{coordinator.ErrRevoked, coordinator.ErrTooLate} {
 		got := make(chan int, 1)
 		e, _ := testEgress(t, serve(t, func(c net.Conn) {
 			n, _ := c.Read(make([]byte, 100))
@@ -69,9 +69,9 @@
 			allowed = no // while it was being dialled
 			return c, err
 		}
-		end := e.Attempt(context.Background(), &exchange.Attempt{Target: "w", Deadline: time.Now().Add(time.Minute),
+		end := e.Attempt(context.Background(), &coordinator.Attempt{Target: "w", Deadline: time.Now().Add(time.Minute),
 			Begin:   func(time.Time) error { return allowed },
-			Request: &exchange.Request{ID: "id", Method: "POST", Target: "/c", Body: []byte("x")}})
+			Request: &coordinator.Request{ID: "id", Method: "POST", Target: "/c", Body: []byte("x")}})
 		assert.Equal(t, policy.Moot, end.Outcome, "it never ran: %v", no)
 		assert.Zero(t, <-got)
 	}
@@ -290,7 +290,7 @@
 	assert.True(t, c.abandon(turn), "it was never written")
 	assert.False(t, c.abandon(turn-1), "the one before is not this call's to speak of")
 	assert.False(t, final(errStray) || final(errTooOld) || final(nil))
-	assert.True(t, final(errNotOpen) && final(errors.Join(exchange.ErrRevoked)))
+	assert.True(t, final(errNotOpen) && final(errors.Join(coordinator.ErrRevoked)))
 }
 
 // A refusal that names no request is doubtful where its connection brought a job's answer before, and certain where it
@@ -335,8 +335,8 @@
 	}
 	deadline := time.Now().Add(wait)
 	for range 2 { // on a new connection, and on the kept one
-		end := e.Attempt(context.Background(), &exchange.Attempt{Target: "w", Deadline: deadline, News: func(policy.EventKind) {},
-			Begin: func(time.Time) error { return nil }, Request: &exchange.Request{ID: "id", Method: "POST", Target: "/c"}})
+		end := e.Attempt(context.Background(), &coordinator.Attempt{Target: "w", Deadline: deadline, News: func(policy.EventKind) {},
+			Begin: func(time.Time) error { return nil }, Request: &coordinator.Request{ID: "id", Method: "POST", Target: "/c"}})
 		require.Equal(t, policy.OK, end.Outcome)
 		assert.LessOrEqual(t, <-told, wait-dialing)
 	}
--- a/internal/egress/probe.go
+++ b/internal/egress/probe.go
@@ -6,13 +6,13 @@
 	"io"
 	"net/http"
 
-	"ospreypond/internal/exchange"
+	"ospreypond/internal/coordinator"
 	"ospreypond/policy"
 )
 
 // Probe asks a target for its load. It uses the same connections as attempts.
-func (e *Egress) Probe(ctx context.Context, target string) exchange.AttemptEnd {
-	end := exchange.AttemptEnd{Report: policy.NoReport}
+func (e *Egress) Probe(ctx context.Context, target string) coordinator.AttemptEnd {
+	end := coordinator.AttemptEnd{Report: policy.NoReport}
 	c := call{e: e}
 	resp, err := c.do(ctx, target, func() error { return nil }, func(base string) (*http.Request, error) {
 		req, err := http.NewRequest(http.MethodGet, base+"/stats", once(nil))
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -17,7 +17,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"ospreypond/internal/exchange"
+	"ospreypond/internal/coordinator"
 	"ospreypond/internal/lifecycle"
 	"ospreypond/policy"
 )
@@ -39,11 +39,11 @@
 	refusedRetry = time.Second
 )
 
-// Submitter takes requests and brings their final answers; exchange.Exchange is one.
+// Submitter takes requests and brings their final answers; coordinator.Exchange is one.
 type Submitter interface {
-	Submit(ctx context.Context, r *exchange.Request) exchange.Answer
+	Submit(ctx context.Context, r *coordinator.Request) coordinator.Answer
 	// Turned is told of a request that was answered without it.
-	Turned(r *exchange.Request, a exchange.Answer)
+	Turned(r *coordinator.Request, a coordinator.Answer)
 }
 
 // Server takes clients' requests.
@@ -227,7 +227,7 @@
 	_ = control.SetReadDeadline(time.Time{})
 	req.Arrived = time.Now()
 	req.Deadline = req.Arrived.Add(wait)
-	a := exchange.Answer{Kind: exchange.Shed, RetryAfter: s.retryAfter()}
+	a := coordinator.Answer{Kind: coordinator.Shed, RetryAfter: s.retryAfter()}
 	n := s.taken.Add(1)
 	defer s.taken.Add(-1)
 	if !s.tooMany(n) {
@@ -242,7 +242,7 @@
 
 // body reads a request's body, whose length must be told. What it takes of the memory for bodies is given back
 // by give. Guards against bodies that use up the memory together, or that never end.
-func (s *Server) body(w http.ResponseWriter, r *http.Request, req *exchange.Request) (give func(), fault *badRequest) {
+func (s *Server) body(w http.ResponseWriter, r *http.Request, req *coordinator.Request) (give func(), fault *badRequest) {
 	n := r.ContentLength
 	if n < 0 {
 		return s.chunkedBody(r, req)
@@ -265,7 +265,7 @@
 }
 
 // chunkedBody reads a body of unknown length, taking of the memory for bodies as it grows.
-func (s *Server) chunkedBody(r *http.Request, req *exchange.Request) (give func(), fault *badRequest) {
+func (s *Server) chunkedBody(r *http.Request, req *coordinator.Request) (give func(), fault *badRequest) {
 	var held int64
 	give = func() { s.held.Add(-held) }
 	piece := make([]byte, 4<<10)
@@ -299,7 +299,7 @@
 }
 
 // answer writes a request's final answer.
-func (s *Server) answer(w http.ResponseWriter, req *exchange.Request, a exchange.Answer) {
+func (s *Server) answer(w http.ResponseWriter, req *coordinator.Request, a coordinator.Answer) {
 	if s.closing() { // it may have begun since the request came
 		w.Header().Set("Connection", "close")
 	}
@@ -308,25 +308,25 @@
 			Debug("request ended")
 	}
 	switch a.Kind {
-	case exchange.Served:
+	case coordinator.Served:
 		w.Header().Set("Content-Type", "application/octet-stream")
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.Result)))
 		_, _ = w.Write(a.Result)
-	case exchange.Shed:
+	case coordinator.Shed:
 		if a.RetryAfter > 0 {
 			w.Header().Set("Retry-After", retryText(a.RetryAfter))
 		}
 		s.text(w, http.StatusServiceUnavailable, "refused; a retry is harmless")
-	case exchange.Failed:
+	case coordinator.Failed:
 		s.text(w, http.StatusBadGateway, "failed; it may have had its effect")
-	case exchange.Broken:
+	case coordinator.Broken:
 		s.text(w, http.StatusInternalServerError, "internal fault")
-	case exchange.Rejected:
+	case coordinator.Rejected:
 		s.text(w, http.StatusBadRequest, "a runner cannot use this request")
-	case exchange.Repeated:
+	case coordinator.Repeated:
 		w.Header().Set("Connection", "close")
 		s.text(w, http.StatusConflict, "X-Request-ID: a request with this id is open or was answered")
-	case exchange.Left: // nobody reads it, or one that has closed only its sending: net/http would say 200
+	case coordinator.Left: // nobody reads it, or one that has closed only its sending: net/http would say 200
 		w.Header().Set("Connection", "close")
 		s.text(w, http.StatusBadGateway, "the client has left")
 	}
--- a/internal/ingress/parse.go
+++ b/internal/ingress/parse.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"ospreypond/internal/exchange"
+	"ospreypond/internal/coordinator"
 )
 
 const (
@@ -65,7 +65,7 @@
 
 // head reads a request's line and headers. Its body and the times are the caller's to fill in; wait is how
 // long the client waits from its sending on. chunked tells whether the head on the wire allows a chunked body.
-func (s *Server) head(r *http.Request, chunked bool) (req *exchange.Request, wait time.Duration, fault *badRequest) {
+func (s *Server) head(r *http.Request, chunked bool) (req *coordinator.Request, wait time.Duration, fault *badRequest) {
 	// Guards against a request hidden in the body of another: with Transfer-Encoding there may be a
 	// Content-Length too, which net/http drops unseen, and the two may tell of different ends. framing saw
 	// the head on the wire.
@@ -90,7 +90,7 @@
 			return nil, 0, badHeader(name, "is there %d times", len(h.Values(name)))
 		}
 	}
-	req = &exchange.Request{ID: h.Get("X-Request-ID"), Class: class, Tenant: h.Get("X-Tenant-Id"), Slots: 1,
+	req = &coordinator.Request{ID: h.Get("X-Request-ID"), Class: class, Tenant: h.Get("X-Tenant-Id"), Slots: 1,
 		Method: r.Method, Target: r.RequestURI, Key: h.Get("X-Route-Key"),
 		IdempotencyKey: h.Get("Idempotency-Key"), ContentType: h.Get("Content-Type")}
 	if req.ID == "" {
@@ -150,7 +150,7 @@
 }
 
 // parseAttrs reads the further figures, name=value set apart by commas. Names that are not known are skipped.
-func parseAttrs(req *exchange.Request, s string) error {
+func parseAttrs(req *coordinator.Request, s string) error {
 	for part := range strings.SplitSeq(s, ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
 		var to *float64
--- a/internal/traffic/record.go
+++ b/internal/traffic/record.go
@@ -11,7 +11,7 @@
 	"fmt"
 	"time"
 
-	"ospreypond/internal/exchange"
+	"ospreypond/internal/coordinator"
 )
 
 // Record is one request as it is stored and exported. Times are whole microseconds. There are no bodies in it, and of
@@ -58,7 +58,7 @@
 }
 
 // newRecord returns a record with its keys in clear, which seal hides. It holds nothing of the request's body.
-func newRecord(e *exchange.Ended) Record {
+func newRecord(e *coordinator.Ended) Record {
 	r := e.Request
 	rec := Record{ArrivedUs: r.Arrived.UnixMicro(), Class: r.Class, Tenant: r.Tenant, Key: r.Key,
 		Idempotency: r.IdempotencyKey, Retry: r.Retry, DeadlineUs: r.Deadline.Sub(r.Arrived).Microseconds(),
--- a/internal/traffic/recorder.go
+++ b/internal/traffic/recorder.go
@@ -12,7 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"ospreypond/internal/exchange"
+	"ospreypond/internal/coordinator"
 	"ospreypond/internal/store"
 )
 
@@ -32,7 +32,7 @@
 	sayEvery = 10 * time.Second
 )
 
-// Recorder writes how requests ended. It is an exchange.Observer.
+// Recorder writes how requests ended. It is an coordinator.Observer.
 type Recorder struct {
 	s       *store.Store
 	space   *store.Space
@@ -94,7 +94,7 @@
 }
 
 // Ended takes in how a request ended. It never waits.
-func (r *Recorder) Ended(e exchange.Ended) {
+func (r *Recorder) Ended(e coordinator.Ended) {
 	// Made here, so that the request's body is not held on to; the hashes are the writer's work.
 	select {
 	case r.queue <- newRecord(&e):
--- a/internal/traffic/recorder_test.go
+++ b/internal/traffic/recorder_test.go
@@ -15,7 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
-	"ospreypond/internal/exchange"
+	"ospreypond/internal/coordinator"
 	"ospreypond/internal/store"
 	"ospreypond/internal/store/vfs/vfstest"
 	"ospreypond/policy"
@@ -27,12 +27,12 @@
 	return l
 }
 
-func ended(n int) exchange.Ended {
+func ended(n int) coordinator.Ended {
 	at := time.UnixMilli(1_700_000_000_000).Add(time.Duration(n) * time.Millisecond)
-	return exchange.Ended{Request: &exchange.Request{ID: fmt.Sprint(n), Class: "cobro", Tenant: "t", Key: "the-route",
+	return coordinator.Ended{Request: &coordinator.Request{ID: fmt.Sprint(n), Class: "cobro", Tenant: "t", Key: "the-route",
 		IdempotencyKey: "the-key", Arrived: at, Deadline: at.Add(6 * time.Second), Work: 30 * time.Millisecond, Slots: 1,
-		Body: []byte("the body")}, Answer: exchange.Failed, Answered: at.Add(70 * time.Millisecond),
-		Attempts: []exchange.EndedAttempt{{Target: "r1", Sent: at.Add(5 * time.Millisecond), Took: 60 * time.Millisecond, Over: true, Outcome: policy.Reset},
+		Body: []byte("the body")}, Answer: coordinator.Failed, Answered: at.Add(70 * time.Millisecond),
+		Attempts: []coordinator.EndedAttempt{{Target: "r1", Sent: at.Add(5 * time.Millisecond), Took: 60 * time.Millisecond, Over: true, Outcome: policy.Reset},
 			{Target: "r2", Sent: at.Add(66 * time.Millisecond)}}}
 }
 
