--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -66,29 +66,29 @@
 		log.WithError(err).Error("the runners taken out before this process are not known")
 	}
 	table := routetable.New(banned...)
-	x, err := coordinator.New(cfg.Policy, cfg.Seed, log)
+	coord, err := coordinator.New(cfg.Policy, cfg.Seed, log)
 	if err != nil {
 		return err
 	}
-	watcher := routetable.NewWatcher(table, cfg.Discovery, cfg.Hold(), cfg.DrainGrace(), x.News, log)
+	watcher := routetable.NewWatcher(table, cfg.Discovery, cfg.Hold(), cfg.DrainGrace(), coord.News, log)
 	clients, targets := cfg.SocketBudget()
 	runners := egress.New(table, cfg, targets, log)
-	x.Attach(runners, watcher)
+	coord.Attach(runners, watcher)
 	var ran sync.WaitGroup
 	if opt.Record != "" {
 		rec, err := traffic.Open(opt.Record, opt.Keep, log)
 		if err != nil {
 			return &StartError{"recording traffic", "mend the folder, or start without --record", err}
 		}
-		x.Watch(rec)
+		coord.Watch(rec)
 		defer func() {
-			life.Advance(lifecycle.Stopped) // whatever ended it, so that the exchange ends and tells of the last ones
+			life.Advance(lifecycle.Stopped) // whatever ended it, so that the coordinator ends and tells of the last ones
 			ran.Wait()
 			_ = rec.Close() // it logs what it could not write
 		}()
 	}
-	x.News(policy.Event{Kind: policy.ListRestored, Members: table.Apply(&cfg.Known)})
-	peers, err := joinFleet(opt.Fleet, cfg, x, log)
+	coord.News(policy.Event{Kind: policy.ListRestored, Members: table.Apply(&cfg.Known)})
+	peers, err := joinFleet(opt.Fleet, cfg, coord, log)
 	if err != nil {
 		return err
 	}
@@ -97,14 +97,14 @@
 	if err != nil {
 		return &StartError{`key "listen"`, "take an address of this machine that no other program has", err}
 	}
-	server := ingress.New(x, life, &cfg.Policy, clients, cfg.BodyBudget(), log)
+	server := ingress.New(coord, life, &cfg.Policy, clients, cfg.BodyBudget(), log)
 	files := &reloads{}
 	if cfg.Console != "" {
 		l, err := net.Listen("tcp", cfg.Console)
 		if err != nil {
 			return &StartError{`key "console"`, "take an address of this machine that no other program has", err}
 		}
-		ops := console.New(&operator{server: server, table: table, news: x.News, reloads: files, peers: peers, dir: os.TempDir(), log: log}, log)
+		ops := console.New(&operator{server: server, table: table, news: coord.News, reloads: files, peers: peers, dir: os.TempDir(), log: log}, log)
 		defer ops.Close()
 		go func() {
 			if err := ops.Serve(l); err != nil {
@@ -116,12 +116,12 @@
 	working := life.Until(lifecycle.Stopped)
 	watcher.Keep(!cfg.Policy.AskList)
 	go watcher.Run(working)
-	ran.Go(func() { x.Run(working) })
+	ran.Go(func() { coord.Run(working) })
 	peers.start()
 	defer peers.leave()
 	inForce := &atomic.Pointer[config.Config]{}
 	inForce.Store(cfg)
-	go reload(working, hups, inForce, getenv, watcher, retuner{x, runners, server, peers}, files, log)
+	go reload(working, hups, inForce, getenv, watcher, retuner{coord, runners, server, peers}, files, log)
 	if !cfg.Policy.AskList {
 		// What was pushed before counts as told from the first moment, and the list of the configuration may be old.
 		awaitList(watcher.First(), signals)
@@ -139,7 +139,7 @@
 	}
 	life.Advance(lifecycle.Draining)
 	peers.leave() // what it may use passes on; what it holds it still ends
-	err = drain(server, x, inForce.Load().StopWithin())
+	err = drain(server, coord, inForce.Load().StopWithin())
 	life.Advance(lifecycle.Stopped)
 	if err != nil {
 		log.WithError(err).Error("stopped with requests unanswered")
@@ -196,10 +196,10 @@
 	}
 }
 
-// retuner takes new settings: the exchange for the decisions, the egress for connections and reports, the ingress for the
+// retuner takes new settings: the coordinator for the decisions, the egress for connections and reports, the ingress for the
 // names that requests may use.
 type retuner struct {
-	x       *coordinator.Exchange
+	coord   *coordinator.Coordinator
 	runners *egress.Egress
 	server  *ingress.Server
 	peers   *peers
@@ -209,7 +209,7 @@
 	if err := r.peers.fits(next); err != nil {
 		return err
 	}
-	if err := r.x.Retune(next.Policy); err != nil {
+	if err := r.coord.Retune(next.Policy); err != nil {
 		return err
 	}
 	r.runners.Retune(next)
@@ -218,8 +218,8 @@
 }
 
 // drain stops taking requests and answers those taken: what is still open after the given time is ended.
-func drain(server *ingress.Server, x *coordinator.Exchange, within time.Duration) error {
-	end := time.AfterFunc(within, x.Close)
+func drain(server *ingress.Server, coord *coordinator.Coordinator, within time.Duration) error {
+	end := time.AfterFunc(within, coord.Close)
 	defer end.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), within+closeGrace)
 	defer cancel()
--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -38,20 +38,20 @@
 
 // peers is this dispatcher's part in a fleet; without one it does nothing, and all its methods may be called.
 type peers struct {
-	node *udp.Node
-	own  int
-	size int // 0: numbers do not pass
-	x    *coordinator.Exchange
-	log  logrus.FieldLogger
+	node  *udp.Node
+	own   int
+	size  int // 0: numbers do not pass
+	coord *coordinator.Coordinator
+	log   logrus.FieldLogger
 
 	once sync.Once
 	stop context.CancelFunc
 	done chan struct{}
-	held chan udp.Held // the newest, for the exchange
+	held chan udp.Held // the newest, for the coordinator
 }
 
 // joinFleet reads the file at path and prepares this dispatcher's part; start begins it. Without a path there is none.
-func joinFleet(path string, cfg *config.Config, x *coordinator.Exchange, log *logrus.Logger) (*peers, error) {
+func joinFleet(path string, cfg *config.Config, coord *coordinator.Coordinator, log *logrus.Logger) (*peers, error) {
 	if path == "" {
 		return &peers{}, nil
 	}
@@ -66,7 +66,7 @@
 	if cfg.Name == "" {
 		return nil, &FleetError{"name", "is empty", "give each dispatcher a name of its own in its configuration, or by LB_NAME"}
 	}
-	p := &peers{own: cfg.Settings.SlotNo, x: x, log: log, done: make(chan struct{}), held: make(chan udp.Held, 1)}
+	p := &peers{own: cfg.Settings.SlotNo, coord: coord, log: log, done: make(chan struct{}), held: make(chan udp.Held, 1)}
 	fc := fleet.Config{Interval: f.Interval, Seeds: f.Seeds, Seed: cfg.Seed}
 	if len(fc.Seeds) == 0 {
 		fc.Seeds = f.Roster
@@ -107,7 +107,7 @@
 		return
 	}
 	if p.size > 0 {
-		p.x.Share(nil, 0, p.size)
+		p.coord.Share(nil, 0, p.size)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
@@ -133,7 +133,7 @@
 	})
 }
 
-// hold takes what the fleet lets this dispatcher use. Only the newest waits for the exchange, so nothing blocks here.
+// hold takes what the fleet lets this dispatcher use. Only the newest waits for the coordinator, so nothing blocks here.
 func (p *peers) hold(h udp.Held) {
 	select {
 	case <-p.held:
@@ -142,7 +142,7 @@
 	p.held <- h
 }
 
-// pass tells the exchange what changed, and what would run out.
+// pass tells the coordinator what changed, and what would run out.
 func (p *peers) pass() {
 	var (
 		last  udp.Held
@@ -172,7 +172,7 @@
 		if !slices.Equal(h.Numbers, last.Numbers) {
 			p.log.WithFields(logrus.Fields{"numbers": h.Numbers, "living": h.Living}).Info("fleet: acting for other numbers")
 		}
-		p.x.Share(h.Numbers, h.Sure, h.Living)
+		p.coord.Share(h.Numbers, h.Sure, h.Living)
 		last, until, told = h, time.Now().Add(min(h.Sure, time.Hour)), true
 	}
 }
--- a/internal/app/operator.go
+++ b/internal/app/operator.go
@@ -23,7 +23,7 @@
 const bansFile = "ospreypond-bans.json"
 
 // operator carries out the console's calls on the running parts. Each call returns at once: the module is
-// told through the exchange's inbox from a goroutine of its own.
+// told through the coordinator's inbox from a goroutine of its own.
 type operator struct {
 	server *ingress.Server
 	table  *routetable.Table
--- a/internal/app/operator_test.go
+++ b/internal/app/operator_test.go
@@ -49,7 +49,7 @@
 	defer second.Close()
 }
 
-// Guards against a call that waits for a busy exchange: with the exchange's inbox stuck, every call of the console
+// Guards against a call that waits for a busy coordinator: with the coordinator's inbox stuck, every call of the console
 // is still answered at once, and the module is told once it takes news again.
 func TestCallsDoNotWaitForTheExchange(t *testing.T) {
 	table := routetable.New()
@@ -72,7 +72,7 @@
 		case err := <-done:
 			require.NoError(t, err)
 		case <-time.After(time.Second): // what a caller waits
-			t.Fatal("a call waited for the exchange")
+			t.Fatal("a call waited for the coordinator")
 		}
 	}
 	for range 2 { // the module hears of the ban and of its end
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -2,7 +2,7 @@
 // call to a connection. A 2xx answer is yes, any 4xx or 5xx no.
 //
 // Every call is answered from state that the caller's goroutine can read or change at once; none waits for the
-// exchange, so a busy dispatcher still answers its operators within their second. The server has its own tight
+// coordinator, so a busy dispatcher still answers its operators within their second. The server has its own tight
 // limits, so that callers who connect and never finish hold only their own goroutine.
 package console
 
--- a/internal/coordinator/actions.go
+++ b/internal/coordinator/actions.go
@@ -14,44 +14,44 @@
 )
 
 // act carries out one action of module m.
-func (x *Exchange) act(m *module, a *policy.Action) {
+func (c *Coordinator) act(m *module, a *policy.Action) {
 	switch a.Kind {
 	case policy.Send, policy.Cancel, policy.Refuse, policy.Fail:
-		j := x.jobs[a.ID]
+		j := c.jobs[a.ID]
 		if j != nil && j.mod != m {
 			j = nil // a number that another module gave out
 		}
 		if j == nil {
 			if a.Kind == policy.Send {
-				x.log.WithField("target", a.Worker).Error("decision module sent a request that it does not have")
+				c.log.WithField("target", a.Worker).Error("decision module sent a request that it does not have")
 			}
 			return
 		}
 		switch {
 		case a.Kind == policy.Send:
-			x.send(j, a)
+			c.send(j, a)
 		case a.Kind == policy.Cancel && a.Attempt < len(j.attempts):
 			j.attempts[a.Attempt].cancel()
 		case a.Kind == policy.Refuse:
-			x.reply(j, Answer{Kind: Shed, RetryAfter: a.RetryAfter})
+			c.reply(j, Answer{Kind: Shed, RetryAfter: a.RetryAfter})
 		case a.Kind == policy.Fail:
-			x.reply(j, Answer{Kind: Failed})
+			c.reply(j, Answer{Kind: Failed})
 		}
 	case policy.Arm:
 		heap.Push(&m.timers, timer{a.At, a.Token})
 	case policy.Probe:
-		x.probe(a.Worker)
+		c.probe(a.Worker)
 	case policy.Subscribe:
-		x.list.Subscribe()
+		c.list.Subscribe()
 	case policy.CloseIdle:
-		x.egress.CloseIdle(a.Worker)
+		c.egress.CloseIdle(a.Worker)
 	case policy.Log:
-		x.log.WithField("from", "policy").Info(a.Text)
+		c.log.WithField("from", "policy").Info(a.Text)
 	}
 }
 
 // send starts an attempt. Its goroutine brings exactly one end.
-func (x *Exchange) send(j *job, a *policy.Action) {
+func (c *Coordinator) send(j *job, a *policy.Action) {
 	n, target := len(j.attempts), a.Worker // a is overwritten by the next step
 	limit := j.r.Deadline
 	if a.Timeout != 0 {
@@ -59,10 +59,10 @@
 			limit = t
 		}
 	}
-	ctx, cancel := context.WithDeadline(x.ctx, limit)
+	ctx, cancel := context.WithDeadline(c.ctx, limit)
 	by := limit
 	if a.By != 0 {
-		if t := x.clock.time(a.By); t.Before(by) {
+		if t := c.clock.time(a.By); t.Before(by) {
 			by = t
 		}
 	}
@@ -70,28 +70,28 @@
 	j.attempts = append(j.attempts, state)
 	j.out++
 	if j.answered || j.mod.set.MaxAttempts > 0 && n >= j.mod.set.MaxAttempts {
-		x.attemptEnded(j, n, target, AttemptEnd{Outcome: policy.Moot, Report: policy.NoReport})
+		c.attemptEnded(j, n, target, AttemptEnd{Outcome: policy.Moot, Report: policy.NoReport})
 		return
 	}
 	news := func(k policy.EventKind) {
-		x.do(func() {
-			if j.out > 0 && x.jobs[j.id] == j {
+		c.do(func() {
+			if j.out > 0 && c.jobs[j.id] == j {
 				j.mod.events = append(j.mod.events, policy.Event{Kind: k, ID: j.id, Attempt: n, Worker: target})
 			}
 		})
 	}
 	order := &Attempt{Target: target, Request: j.r, Deadline: limit, News: news, Begin: state.start.begin}
 	go func() {
-		end := x.guard(func() AttemptEnd { return x.egress.Attempt(ctx, order) })
-		x.do(func() { x.attemptEnded(j, n, target, end) })
+		end := c.guard(func() AttemptEnd { return c.egress.Attempt(ctx, order) })
+		c.do(func() { c.attemptEnded(j, n, target, end) })
 	}()
 }
 
 // guard turns a panic on the way out into an end that proves nothing, so that the request is still answered.
-func (x *Exchange) guard(f func() AttemptEnd) (end AttemptEnd) {
+func (c *Coordinator) guard(f func() AttemptEnd) (end AttemptEnd) {
 	defer func() {
 		if p := recover(); p != nil {
-			x.log.WithField("panic", p).WithField("stack", string(debug.Stack())).Error("hop panicked")
+			c.log.WithField("panic", p).WithField("stack", string(debug.Stack())).Error("hop panicked")
 			end = AttemptEnd{Outcome: policy.Failed, Report: policy.NoReport}
 		}
 	}()
@@ -99,39 +99,39 @@
 }
 
 // attemptEnded takes in the one end of an attempt. The first result goes to the client at once.
-func (x *Exchange) attemptEnded(j *job, n int, target string, end AttemptEnd) {
+func (c *Coordinator) attemptEnded(j *job, n int, target string, end AttemptEnd) {
 	state := j.attempts[n]
 	state.cancel()
 	state.took, state.over, state.outcome = time.Since(state.sent), true, end.Outcome
 	j.out--
-	if x.jobs[j.id] != j { // the module was replaced meanwhile
+	if c.jobs[j.id] != j { // the module was replaced meanwhile
 		return
 	}
-	x.log.WithFields(logrus.Fields{"request": j.r.ID, "target": target, "outcome": end.Outcome,
+	c.log.WithFields(logrus.Fields{"request": j.r.ID, "target": target, "outcome": end.Outcome,
 		"took": time.Since(state.sent)}).Debug("hop ended")
 	if end.Rejected {
-		x.reply(j, Answer{Kind: Rejected})
+		c.reply(j, Answer{Kind: Rejected})
 	}
 	if end.Outcome == policy.OK {
-		x.reply(j, Answer{Kind: Served, Result: end.Result})
+		c.reply(j, Answer{Kind: Served, Result: end.Result})
 	}
 	j.mod.events = append(j.mod.events, policy.Event{Kind: policy.AttemptEnded, ID: j.id, Attempt: n, Worker: target,
 		Outcome: end.Outcome, Doubtful: end.Doubtful, Elapsed: time.Since(state.sent), Complete: j.answered, Report: end.Report})
-	x.forget(j)
+	c.forget(j)
 }
 
 // probe asks a target for its load.
-func (x *Exchange) probe(target string) {
-	ctx, cancel := context.WithTimeout(x.ctx, probeLimit)
+func (c *Coordinator) probe(target string) {
+	ctx, cancel := context.WithTimeout(c.ctx, probeLimit)
 	sent := time.Now()
 	go func() {
 		defer cancel()
-		end := x.guard(func() AttemptEnd { return x.egress.Probe(ctx, target) })
+		end := c.guard(func() AttemptEnd { return c.egress.Probe(ctx, target) })
 		elapsed := time.Since(sent)
-		x.log.WithFields(logrus.Fields{"target": target, "outcome": end.Outcome, "took": elapsed,
+		c.log.WithFields(logrus.Fields{"target": target, "outcome": end.Outcome, "took": elapsed,
 			"free": end.Report.FreeSlots}).Debug("probe ended")
-		x.do(func() {
-			x.toAll(policy.Event{Kind: policy.ProbeEnded, Worker: target, Outcome: end.Outcome, Elapsed: elapsed,
+		c.do(func() {
+			c.toAll(policy.Event{Kind: policy.ProbeEnded, Worker: target, Outcome: end.Outcome, Elapsed: elapsed,
 				Report: end.Report})
 		})
 	}()
--- a/internal/coordinator/attempt.go
+++ b/internal/coordinator/attempt.go
@@ -8,7 +8,7 @@
 	"ospreypond/policy"
 )
 
-// attempt is an attempt as the exchange's goroutine sees it. What a connection's goroutine asks as it is about to write
+// attempt is an attempt as the coordinator's goroutine sees it. What a connection's goroutine asks as it is about to write
 // the first byte stands in start.
 type attempt struct {
 	cancel  context.CancelFunc
--- a/internal/coordinator/attempt_test.go
+++ b/internal/coordinator/attempt_test.go
@@ -34,10 +34,10 @@
 	}
 }
 
-func runDialling(t *testing.T, set policy.Settings) (*Exchange, *dialling) {
+func runDialling(t *testing.T, set policy.Settings) (*Coordinator, *dialling) {
 	d := &dialling{began: make(chan error, 9), let: make(chan bool, 9), ended: make(chan error, 9)}
-	x, _ := runWith(t, set, func(e *targets) Egress { d.targets = e; return d })
-	return x, d
+	coordinator, _ := runWith(t, set, func(e *targets) Egress { d.targets = e; return d })
+	return coordinator, d
 }
 
 // An attempt that is still being dialled when its client leaves is given up, also where what was sent can't be called off:
@@ -47,9 +47,9 @@
 	set.Cancel = false
 	for name, begunFirst := range map[string]bool{"in the dial": false, "on the wire": true} {
 		t.Run(name, func(t *testing.T) {
-			x, e := runDialling(t, set)
+			coordinator, e := runDialling(t, set)
 			ctx, leave := context.WithCancel(context.Background())
-			c := submit(ctx, x, request(time.Minute))
+			c := submit(ctx, coordinator, request(time.Minute))
 			h := <-e.attempts
 			e.let <- begunFirst
 			if begunFirst {
@@ -75,8 +75,8 @@
 func TestRepeatBeginsWithinItsWindow(t *testing.T) {
 	set := testSettings()
 	set.Classes[0].Semantics, set.Classes[0].Scope, set.Classes[0].Window = policy.Keyed, policy.ScopeAll, 30*time.Second
-	x, e := runDialling(t, set)
-	c := submit(context.Background(), x, request(time.Minute))
+	coordinator, e := runDialling(t, set)
+	c := submit(context.Background(), coordinator, request(time.Minute))
 	sent := time.Now()
 	first := <-e.attempts
 	decided := time.Now() // the module sent it between the two, however busy the machine is
@@ -94,17 +94,17 @@
 	assert.Equal(t, Served, answerOf(t, c).Kind)
 }
 
-// A client that leaves while the exchange is busy is not waited for, and its request is never taken.
+// A client that leaves while the coordinator is busy is not waited for, and its request is never taken.
 func TestLeavingIsNoticedInTheInbox(t *testing.T) {
-	x, e := run(t, testSettings())
+	coordinator, e := run(t, testSettings())
 	busy, over := make(chan bool), make(chan bool)
-	x.do(func() { busy <- true; <-over })
+	coordinator.do(func() { busy <- true; <-over })
 	<-busy
 	for range inboxSize {
-		x.do(func() {})
+		coordinator.do(func() {})
 	}
 	ctx, leave := context.WithCancel(context.Background())
-	c := submit(ctx, x, request(time.Minute))
+	c := submit(ctx, coordinator, request(time.Minute))
 	time.Sleep(10 * time.Millisecond)
 	leave()
 	assert.Equal(t, Left, answerOf(t, c).Kind)
--- a/internal/coordinator/exchange.go
+++ b/internal/coordinator/coordinator.go
@@ -1,4 +1,4 @@
-// Package exchange is where the side of the clients and the side of the runners meet, and nowhere else. One
+// Package coordinator is where the side of the clients and the side of the runners meet, and nowhere else. One
 // goroutine owns the decision module: it turns arrivals, ends of attempts, news of the list and timers into the
 // module's events and carries out the actions that come back. Any protocol that fills in a Request and waits
 // for its Answer gets the same decisions under the same rules.
@@ -21,15 +21,15 @@
 	netAfter = 15 * time.Millisecond
 	// probeLimit is how long a probe is waited for.
 	probeLimit = 250 * time.Millisecond
-	// inboxSize is how much may wait for the exchange before those who bring it wait too.
+	// inboxSize is how much may wait for the coordinator before those who bring it wait too.
 	inboxSize = 1024
 	// idMemory is how many ids of answered requests are remembered: one that comes again is not a new request,
 	// and a runner that gets it takes it for a second copy.
 	idMemory = 4096
 )
 
-// Exchange connects ingress, egress and the route table to the decision module.
-type Exchange struct {
+// Coordinator connects ingress, egress and the route table to the decision module.
+type Coordinator struct {
 	set    policy.Settings
 	seed   uint64
 	egress Egress
@@ -61,7 +61,7 @@
 	mod      *module // the one that decides on it, with the settings it started with
 	r        *Request
 	due      time.Duration
-	answer   chan Answer // holds one, so that the exchange never waits for a client's side
+	answer   chan Answer // holds one, so that the coordinator never waits for a client's side
 	answered bool
 	kind     AnswerKind
 	at       time.Time // of the answer
@@ -70,69 +70,69 @@
 	out      int // attempts that have not ended
 }
 
-// New returns an exchange round a fresh decision module. Attach must be called before Run.
-func New(set policy.Settings, seed uint64, log logrus.FieldLogger) (*Exchange, error) {
+// New returns a coordinator round a fresh decision module. Attach must be called before Run.
+func New(set policy.Settings, seed uint64, log logrus.FieldLogger) (*Coordinator, error) {
 	d, err := policy.New(set, seed)
 	if err != nil {
 		return nil, fmt.Errorf("starting the decision module: %w", err)
 	}
-	return &Exchange{set: set, seed: seed, log: log, mods: []*module{{d: d, set: set}}, clock: newClock(),
+	return &Coordinator{set: set, seed: seed, log: log, mods: []*module{{d: d, set: set}}, clock: newClock(),
 		inbox: make(chan func(), inboxSize),
 		done:  make(chan struct{}), members: map[string]policy.Member{}, jobs: map[uint32]*job{},
 		ids: map[string]bool{}}, nil
 }
 
 // Attach connects the upstreams' side and discovery's side.
-func (x *Exchange) Attach(e Egress, d Directory) { x.egress, x.list = e, d }
+func (c *Coordinator) Attach(e Egress, d Directory) { c.egress, c.list = e, d }
 
 // Watch has o told how each request ended. It must be called before Run.
-func (x *Exchange) Watch(o Observer) { x.watch = o }
+func (c *Coordinator) Watch(o Observer) { c.watch = o }
 
 // Turned tells the observer of a request that was answered before it came here.
-func (x *Exchange) Turned(r *Request, a Answer) {
-	if x.watch != nil {
-		x.watch.Ended(Ended{Request: r, Answer: a.Kind, Answered: time.Now()})
+func (c *Coordinator) Turned(r *Request, a Answer) {
+	if c.watch != nil {
+		c.watch.Ended(Ended{Request: r, Answer: a.Kind, Answered: time.Now()})
 	}
 }
 
 // tell tells the observer of a job.
-func (x *Exchange) tell(j *job) {
-	if x.watch == nil {
+func (c *Coordinator) tell(j *job) {
+	if c.watch == nil {
 		return
 	}
 	e := Ended{Request: j.r, Answer: j.kind, Answered: j.at, Attempts: make([]EndedAttempt, len(j.attempts))}
 	for i, attempt := range j.attempts {
 		e.Attempts[i] = EndedAttempt{Target: attempt.target, Sent: attempt.sent, Took: attempt.took, Over: attempt.over, Outcome: attempt.outcome}
 	}
-	x.watch.Ended(e)
+	c.watch.Ended(e)
 }
 
-// do has f run by the exchange's goroutine. Once the exchange has ended it does nothing.
-func (x *Exchange) do(f func()) {
+// do has f run by the coordinator's goroutine. Once the coordinator has ended it does nothing.
+func (c *Coordinator) do(f func()) {
 	select {
-	case x.inbox <- f:
-	case <-x.done:
+	case c.inbox <- f:
+	case <-c.done:
 	}
 }
 
 // Submit takes a request and waits for its final answer, or for its client to leave, which ends ctx.
-func (x *Exchange) Submit(ctx context.Context, r *Request) Answer {
+func (c *Coordinator) Submit(ctx context.Context, r *Request) Answer {
 	j := &job{r: r, answer: make(chan Answer, 1)}
 	select {
-	case x.inbox <- func() { x.arrive(j) }:
-	case <-x.done:
+	case c.inbox <- func() { c.arrive(j) }:
+	case <-c.done:
 	case <-ctx.Done(): // it left while others were waited for
 		a := Answer{Kind: Left}
-		x.Turned(r, a)
+		c.Turned(r, a)
 		return a
 	}
 	select {
 	case a := <-j.answer:
 		return a
 	case <-ctx.Done():
-		x.do(func() { x.leave(j) })
+		c.do(func() { c.leave(j) })
 		return Answer{Kind: Left}
-	case <-x.done:
+	case <-c.done:
 		select {
 		case a := <-j.answer:
 			return a
@@ -143,32 +143,32 @@
 }
 
 // News takes in what discovery told.
-func (x *Exchange) News(e policy.Event) {
-	x.do(func() {
-		x.remember(&e)
-		x.toAll(e)
-		x.egress.Prune()
+func (c *Coordinator) News(e policy.Event) {
+	c.do(func() {
+		c.remember(&e)
+		c.toAll(e)
+		c.egress.Prune()
 	})
 }
 
 // Share takes in which numbers of those that the dispatchers' budgets are cut into this one acts for: all of them for so
 // long from now, after that only its own. living is how many dispatchers are held to be there.
-func (x *Exchange) Share(numbers []int, sure time.Duration, living int) {
+func (c *Coordinator) Share(numbers []int, sure time.Duration, living int) {
 	until := time.Duration(math.MaxInt64)
-	if now := x.clock.now(); sure < until-now {
+	if now := c.clock.now(); sure < until-now {
 		until = now + sure
 	}
-	x.do(func() {
-		x.fleet = &policy.Event{Kind: policy.FleetTold, Numbers: numbers, Until: until, Living: living}
-		x.toAll(*x.fleet)
+	c.do(func() {
+		c.fleet = &policy.Event{Kind: policy.FleetTold, Numbers: numbers, Until: until, Living: living}
+		c.toAll(*c.fleet)
 	})
 }
 
-// Close has every open request answered now, and every later one at once. The exchange goes on so that the
+// Close has every open request answered now, and every later one at once. The coordinator goes on so that the
 // answers get out.
-func (x *Exchange) Close() {
-	x.do(func() {
-		x.closing = true
-		x.toAll(policy.Event{Kind: policy.Closing})
+func (c *Coordinator) Close() {
+	c.do(func() {
+		c.closing = true
+		c.toAll(policy.Event{Kind: policy.Closing})
 	})
 }
--- a/internal/coordinator/exchange_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -46,25 +46,25 @@
 			Deadline: time.Minute}}}
 }
 
-func run(t *testing.T, set policy.Settings) (*Exchange, *targets) {
+func run(t *testing.T, set policy.Settings) (*Coordinator, *targets) {
 	t.Helper()
 	return runWith(t, set, func(e *targets) Egress { return e })
 }
 
 // runWith has an Egress of the test's own before the targets.
-func runWith(t *testing.T, set policy.Settings, before func(*targets) Egress) (*Exchange, *targets) {
+func runWith(t *testing.T, set policy.Settings, before func(*targets) Egress) (*Coordinator, *targets) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	x, err := New(set, 1, log)
+	coordinator, err := New(set, 1, log)
 	require.NoError(t, err)
 	e := &targets{attempts: make(chan *Attempt, 16), ends: make(chan AttemptEnd, 16)}
-	x.Attach(before(e), e)
+	coordinator.Attach(before(e), e)
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
-	x.News(policy.Event{Kind: policy.ListRestored, Members: []policy.Member{{Worker: "w", Kind: "k"}}})
-	go x.Run(ctx)
-	return x, e
+	coordinator.News(policy.Event{Kind: policy.ListRestored, Members: []policy.Member{{Worker: "w", Kind: "k"}}})
+	go coordinator.Run(ctx)
+	return coordinator, e
 }
 
 func request(wait time.Duration) *Request {
@@ -72,9 +72,9 @@
 	return &Request{ID: "r", Class: "c", Arrived: now, Deadline: now.Add(wait), Slots: 1, Work: time.Millisecond}
 }
 
-func submit(ctx context.Context, x *Exchange, r *Request) <-chan Answer {
+func submit(ctx context.Context, coordinator *Coordinator, r *Request) <-chan Answer {
 	c := make(chan Answer, 1)
-	go func() { c <- x.Submit(ctx, r) }()
+	go func() { c <- coordinator.Submit(ctx, r) }()
 	return c
 }
 
@@ -90,8 +90,8 @@
 }
 
 func TestServes(t *testing.T) {
-	x, e := run(t, testSettings())
-	c := submit(context.Background(), x, request(time.Minute))
+	coordinator, e := run(t, testSettings())
+	c := submit(context.Background(), coordinator, request(time.Minute))
 	assert.Equal(t, "w", (<-e.attempts).Target)
 	e.ends <- AttemptEnd{Outcome: policy.OK, Result: []byte("made"), Report: policy.NoReport}
 	assert.Equal(t, Answer{Kind: Served, Result: []byte("made")}, answerOf(t, c))
@@ -99,11 +99,11 @@
 
 // Guards against a module that panics: what is open is answered, and the next request is served.
 func TestPanicInTheModule(t *testing.T) {
-	x, e := run(t, testSettings())
-	c := submit(context.Background(), x, request(time.Minute))
+	coordinator, e := run(t, testSettings())
+	c := submit(context.Background(), coordinator, request(time.Minute))
 	<-e.attempts
-	x.do(func() { // the module has no kind for this worker, and trips over it
-		m := x.mods[len(x.mods)-1]
+	coordinator.do(func() { // the module has no kind for this worker, and trips over it
+		m := coordinator.mods[len(coordinator.mods)-1]
 		m.events = append(m.events, policy.Event{Kind: policy.AttemptEnded, ID: 1, Report: policy.NoReport,
 			Worker: "w", Outcome: policy.Failed})
 		m.d = nil
@@ -111,7 +111,7 @@
 	assert.Equal(t, Broken, answerOf(t, c).Kind)
 	next := request(time.Minute)
 	next.ID = "next"
-	c = submit(context.Background(), x, next)
+	c = submit(context.Background(), coordinator, next)
 	<-e.attempts
 	e.ends <- AttemptEnd{Outcome: policy.OK, Report: policy.NoReport}
 	assert.Equal(t, Served, answerOf(t, c).Kind)
@@ -121,37 +121,37 @@
 func TestOverdueRequestIsAnswered(t *testing.T) {
 	set := testSettings()
 	set.AnswerSlack = 0
-	x, e := run(t, set)
-	c := submit(context.Background(), x, request(100*time.Millisecond))
+	coordinator, e := run(t, set)
+	c := submit(context.Background(), coordinator, request(100*time.Millisecond))
 	<-e.attempts
-	x.do(func() { x.mods[len(x.mods)-1].d, _ = policy.New(x.set, 2) }) // it knows of nothing
+	coordinator.do(func() { coordinator.mods[len(coordinator.mods)-1].d, _ = policy.New(coordinator.set, 2) }) // it knows of nothing
 	assert.Equal(t, Broken, answerOf(t, c).Kind)
 }
 
 // Guards against a client that uses the id of another's request, while that one is open or after it: the first
 // goes on, and the second is neither served nor sent to a runner, which would take it for a second copy.
 func TestRepeatedID(t *testing.T) {
-	x, e := run(t, testSettings())
-	c := submit(context.Background(), x, request(time.Minute))
+	coordinator, e := run(t, testSettings())
+	c := submit(context.Background(), coordinator, request(time.Minute))
 	<-e.attempts
-	assert.Equal(t, Repeated, answerOf(t, submit(context.Background(), x, request(time.Minute))).Kind)
+	assert.Equal(t, Repeated, answerOf(t, submit(context.Background(), coordinator, request(time.Minute))).Kind)
 	e.ends <- AttemptEnd{Outcome: policy.OK, Report: policy.NoReport}
 	assert.Equal(t, Served, answerOf(t, c).Kind)
-	assert.Equal(t, Repeated, answerOf(t, submit(context.Background(), x, request(time.Minute))).Kind)
+	assert.Equal(t, Repeated, answerOf(t, submit(context.Background(), coordinator, request(time.Minute))).Kind)
 	assert.Empty(t, e.attempts)
 }
 
 // The ids of answered requests are forgotten in order, so that memory stays bounded.
 func TestIDsAreForgotten(t *testing.T) {
-	x, _ := run(t, testSettings())
+	coordinator, _ := run(t, testSettings())
 	left := make(chan bool, 2)
-	x.do(func() {
+	coordinator.do(func() {
 		for n := range idMemory + 1 {
-			x.ids[fmt.Sprint(n)] = true
-			x.retire(fmt.Sprint(n))
+			coordinator.ids[fmt.Sprint(n)] = true
+			coordinator.retire(fmt.Sprint(n))
 		}
-		left <- x.ids["0"]
-		left <- len(x.ids) == idMemory && x.ids["1"]
+		left <- coordinator.ids["0"]
+		left <- len(coordinator.ids) == idMemory && coordinator.ids["1"]
 	})
 	assert.False(t, <-left)
 	assert.True(t, <-left)
@@ -159,11 +159,11 @@
 
 // Guards against one client's faulty requests making a runner look sick: it gets the next request at once.
 func TestRejectedRequestIsNotTheTargetsFault(t *testing.T) {
-	x, e := run(t, testSettings())
+	coordinator, e := run(t, testSettings())
 	for n := range 3 {
 		r := request(time.Minute)
 		r.ID = fmt.Sprint(n)
-		c := submit(context.Background(), x, r)
+		c := submit(context.Background(), coordinator, r)
 		<-e.attempts
 		e.ends <- AttemptEnd{Outcome: policy.Cancelled, Rejected: true, Report: policy.NoReport}
 		assert.Equal(t, Rejected, answerOf(t, c).Kind)
@@ -173,44 +173,44 @@
 
 // A client that leaves ends its attempt, whose one end still comes; nothing stays behind.
 func TestClientLeaves(t *testing.T) {
-	x, e := run(t, testSettings())
+	coordinator, e := run(t, testSettings())
 	ctx, leave := context.WithCancel(context.Background())
-	c := submit(ctx, x, request(time.Minute))
+	c := submit(ctx, coordinator, request(time.Minute))
 	<-e.attempts
 	leave()
 	assert.Equal(t, Left, answerOf(t, c).Kind)
 	require.Eventually(t, func() bool {
 		left := make(chan int, 1)
-		x.do(func() { left <- len(x.jobs) })
+		coordinator.do(func() { left <- len(coordinator.jobs) })
 		return <-left == 0
 	}, patience, time.Millisecond, "the attempt was not called off")
 }
 
 // At a stop what may have run is failed, what never ran is refused, and what still comes is refused at once.
 func TestClose(t *testing.T) {
-	x, e := run(t, testSettings())
-	out := submit(context.Background(), x, request(time.Minute))
+	coordinator, e := run(t, testSettings())
+	out := submit(context.Background(), coordinator, request(time.Minute))
 	<-e.attempts
-	x.Close()
+	coordinator.Close()
 	assert.Equal(t, Failed, answerOf(t, out).Kind)
 	next := request(time.Minute)
 	next.ID = "next"
-	assert.Equal(t, Shed, answerOf(t, submit(context.Background(), x, next)).Kind)
+	assert.Equal(t, Shed, answerOf(t, submit(context.Background(), coordinator, next)).Kind)
 }
 
 // The first end counts: an attempt that is sent after its request was answered is moot, and one that ends again
 // changes nothing.
 func TestSendAfterTheAnswerIsMoot(t *testing.T) {
-	x, _ := run(t, testSettings())
+	coordinator, _ := run(t, testSettings())
 	got := make(chan policy.Event, 1)
-	x.do(func() {
-		m := x.mods[0]
+	coordinator.do(func() {
+		m := coordinator.mods[0]
 		j := &job{id: 7, r: request(time.Minute), answer: make(chan Answer, 1), net: time.NewTimer(time.Hour), out: 1,
 			mod: m}
-		x.jobs[7] = j
-		x.reply(j, Answer{Kind: Failed})
-		x.reply(j, Answer{Kind: Served})
-		x.act(m, &policy.Action{Kind: policy.Send, ID: 7, Worker: "w"})
+		coordinator.jobs[7] = j
+		coordinator.reply(j, Answer{Kind: Failed})
+		coordinator.reply(j, Answer{Kind: Served})
+		coordinator.act(m, &policy.Action{Kind: policy.Send, ID: 7, Worker: "w"})
 		got <- m.events[len(m.events)-1]
 		assert.Equal(t, Failed, (<-j.answer).Kind)
 	})
@@ -230,13 +230,13 @@
 func TestStepsKeepTheirDistance(t *testing.T) {
 	set := testSettings()
 	set.Period = 20 * time.Millisecond
-	x, _ := run(t, set)
+	coordinator, _ := run(t, set)
 	var steps []time.Duration
 	for range 40 {
 		c := make(chan time.Duration, 1)
-		x.do(func() {
-			x.toAll(policy.Event{Kind: policy.TimerFired})
-			c <- x.stepAt
+		coordinator.do(func() {
+			coordinator.toAll(policy.Event{Kind: policy.TimerFired})
+			c <- coordinator.stepAt
 		})
 		if at := <-c; len(steps) == 0 || steps[len(steps)-1] != at {
 			steps = append(steps, at)
--- a/internal/coordinator/jobs.go
+++ b/internal/coordinator/jobs.go
@@ -9,48 +9,48 @@
 )
 
 // arrive takes a request in and gives it the number by which the module knows it.
-func (x *Exchange) arrive(j *job) {
+func (c *Coordinator) arrive(j *job) {
 	r := j.r
 	// Guards against a client that uses the id of another's request: that one goes on as if nothing had come.
-	if x.ids[r.ID] {
+	if c.ids[r.ID] {
 		j.answered = true
 		j.answer <- Answer{Kind: Repeated}
-		x.Turned(r, Answer{Kind: Repeated})
+		c.Turned(r, Answer{Kind: Repeated})
 		return
 	}
-	x.ids[r.ID] = true
-	for x.nextID++; x.jobs[x.nextID] != nil; x.nextID++ {
+	c.ids[r.ID] = true
+	for c.nextID++; c.jobs[c.nextID] != nil; c.nextID++ {
 	}
-	j.id, j.due, j.mod = x.nextID, x.clock.at(r.Deadline), x.mods[len(x.mods)-1]
-	x.jobs[j.id] = j
+	j.id, j.due, j.mod = c.nextID, c.clock.at(r.Deadline), c.mods[len(c.mods)-1]
+	c.jobs[j.id] = j
 	j.mod.open++
-	j.net = time.AfterFunc(time.Until(r.Deadline)+x.set.AnswerSlack+netAfter, func() {
-		x.do(func() { x.overdue(j) })
+	j.net = time.AfterFunc(time.Until(r.Deadline)+c.set.AnswerSlack+netAfter, func() {
+		c.do(func() { c.overdue(j) })
 	})
 	j.mod.events = append(j.mod.events, policy.Event{Kind: policy.Request, ID: j.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key,
 		Work: r.Work, Slots: r.Slots, Memory: r.Memory, Retry: r.Retry, Report: policy.NoReport})
 }
 
 // overdue ends a request that the module has forgotten.
-func (x *Exchange) overdue(j *job) {
+func (c *Coordinator) overdue(j *job) {
 	if j.answered {
 		return
 	}
-	x.log.WithField("request", j.r.ID).Error("request overdue; answered as failed")
-	x.reply(j, Answer{Kind: Broken})
+	c.log.WithField("request", j.r.ID).Error("request overdue; answered as failed")
+	c.reply(j, Answer{Kind: Broken})
 	j.mod.events = append(j.mod.events, policy.Event{Kind: policy.ClientGone, ID: j.id})
 }
 
 // leave ends a request whose client has gone.
-func (x *Exchange) leave(j *job) {
+func (c *Coordinator) leave(j *job) {
 	if !j.answered {
-		x.reply(j, Answer{Kind: Left})
+		c.reply(j, Answer{Kind: Left})
 		j.mod.events = append(j.mod.events, policy.Event{Kind: policy.ClientGone, ID: j.id})
 	}
 }
 
 // reply gives j its final answer; only the first one counts.
-func (x *Exchange) reply(j *job, a Answer) {
+func (c *Coordinator) reply(j *job, a Answer) {
 	if j.answered {
 		return
 	}
@@ -62,25 +62,25 @@
 		}
 	}
 	j.answer <- a
-	x.retire(j.r.ID)
-	x.forget(j)
+	c.retire(j.r.ID)
+	c.forget(j)
 }
 
 // retire remembers the id of an answered request for a while.
-func (x *Exchange) retire(id string) {
-	if len(x.oldIDs) < idMemory {
-		x.oldIDs = append(x.oldIDs, id)
+func (c *Coordinator) retire(id string) {
+	if len(c.oldIDs) < idMemory {
+		c.oldIDs = append(c.oldIDs, id)
 		return
 	}
-	delete(x.ids, x.oldIDs[x.oldest])
-	x.oldIDs[x.oldest] = id
-	x.oldest = (x.oldest + 1) % idMemory
+	delete(c.ids, c.oldIDs[c.oldest])
+	c.oldIDs[c.oldest] = id
+	c.oldest = (c.oldest + 1) % idMemory
 }
 
-func (x *Exchange) forget(j *job) {
-	if j.answered && j.out == 0 && x.jobs[j.id] == j {
-		delete(x.jobs, j.id)
+func (c *Coordinator) forget(j *job) {
+	if j.answered && j.out == 0 && c.jobs[j.id] == j {
+		delete(c.jobs, j.id)
 		j.mod.open--
-		x.tell(j)
+		c.tell(j)
 	}
 }
--- a/internal/coordinator/loop.go
+++ b/internal/coordinator/loop.go
@@ -11,41 +11,41 @@
 
 // Run drives the module until ctx ends. A panic in the module costs the requests it held, which are answered
 // as broken, and the module starts over with the list that it had.
-func (x *Exchange) Run(ctx context.Context) {
-	defer close(x.done)
-	x.ctx = ctx
+func (c *Coordinator) Run(ctx context.Context) {
+	defer close(c.done)
+	c.ctx = ctx
 	wake := time.NewTimer(0)
 	defer wake.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			x.breakAll()
+			c.breakAll()
 			return
-		case f := <-x.inbox:
+		case f := <-c.inbox:
 			f()
 		case <-wake.C:
 		}
 		for more := true; more; {
 			select {
-			case f := <-x.inbox:
+			case f := <-c.inbox:
 				f()
 			default:
 				more = false
 			}
 		}
-		now := x.clock.now()
-		if x.due() <= now {
-			x.step(now)
+		now := c.clock.now()
+		if c.due() <= now {
+			c.step(now)
 		}
-		wake.Reset(min(x.due()-x.clock.now(), time.Hour))
+		wake.Reset(min(c.due()-c.clock.now(), time.Hour))
 	}
 }
 
 // due tells when the modules are to step next: no sooner than the settings' period after the last time.
-func (x *Exchange) due() time.Duration {
-	first := x.stepAt + x.set.Period
+func (c *Coordinator) due() time.Duration {
+	first := c.stepAt + c.set.Period
 	next := first + time.Hour
-	for _, m := range x.mods {
+	for _, m := range c.mods {
 		switch {
 		case len(m.events) > 0:
 			return first
@@ -58,41 +58,41 @@
 
 // step has each module decide on what has come in for it and does as it says. A module that took no new
 // requests since the settings changed is let go once its requests have ended.
-func (x *Exchange) step(now time.Duration) {
-	x.stepAt = now
-	for _, m := range x.mods {
+func (c *Coordinator) step(now time.Duration) {
+	c.stepAt = now
+	for _, m := range c.mods {
 		if !m.ready(now) {
 			continue
 		}
 		events := m.take(now)
 		for i := range events {
 			if e := &events[i]; e.Kind == policy.Request { // the client's time ran on while it waited here
-				if j := x.jobs[e.ID]; j != nil {
+				if j := c.jobs[e.ID]; j != nil {
 					e.Left = j.due - now
 				}
 			}
 		}
-		if !x.decide(m, now, events) {
+		if !c.decide(m, now, events) {
 			return // every module was replaced
 		}
-		for i := range x.actions {
-			x.act(m, &x.actions[i])
+		for i := range c.actions {
+			c.act(m, &c.actions[i])
 		}
 		m.done(events)
 	}
-	current := x.mods[len(x.mods)-1]
-	x.mods = slices.DeleteFunc(x.mods, func(m *module) bool { return m != current && m.open == 0 })
+	current := c.mods[len(c.mods)-1]
+	c.mods = slices.DeleteFunc(c.mods, func(m *module) bool { return m != current && m.open == 0 })
 }
 
 // decide runs a module; ok is false if it panicked and every module was replaced.
-func (x *Exchange) decide(m *module, now time.Duration, events []policy.Event) (ok bool) {
+func (c *Coordinator) decide(m *module, now time.Duration, events []policy.Event) (ok bool) {
 	defer func() {
 		if p := recover(); p != nil {
-			x.log.WithField("panic", p).WithField("stack", string(debug.Stack())).
+			c.log.WithField("panic", p).WithField("stack", string(debug.Stack())).
 				Error("decision module panicked; what it held is answered as failed and it starts over")
-			x.restart()
+			c.restart()
 		}
 	}()
-	x.actions = m.d.Step(now, events, x.actions[:0])
+	c.actions = m.d.Step(now, events, c.actions[:0])
 	return true
 }
--- a/internal/coordinator/module.go
+++ b/internal/coordinator/module.go
@@ -43,8 +43,8 @@
 }
 
 // toAll tells every module of what concerns no one job.
-func (x *Exchange) toAll(e policy.Event) {
-	for _, m := range x.mods {
+func (c *Coordinator) toAll(e policy.Event) {
+	for _, m := range c.mods {
 		m.events = append(m.events, e)
 	}
 }
@@ -53,14 +53,14 @@
 // once they are queued ahead of every request that is submitted later, so that whoever lets the new classes in
 // afterwards finds them decided on.
 // An error is one of settings that no module starts with.
-func (x *Exchange) Retune(set policy.Settings) error {
-	d, err := policy.New(set, x.seed)
+func (c *Coordinator) Retune(set policy.Settings) error {
+	d, err := policy.New(set, c.seed)
 	if err != nil {
 		return fmt.Errorf("starting the decision module: %w", err)
 	}
-	x.do(func() {
-		x.set = set
-		x.begin(d, set)
+	c.do(func() {
+		c.set = set
+		c.begin(d, set)
 	})
 	return nil
 }
--- a/internal/coordinator/module_test.go
+++ b/internal/coordinator/module_test.go
@@ -14,19 +14,19 @@
 // New settings: a request under way keeps its class and its attempts, a new one is decided on under the new
 // settings at once, and the module before is let go when its requests have ended.
 func TestRetuneKeepsWhatIsUnderWay(t *testing.T) {
-	x, e := run(t, testSettings())
-	old := submit(context.Background(), x, request(time.Minute))
+	coordinator, e := run(t, testSettings())
+	old := submit(context.Background(), coordinator, request(time.Minute))
 	assert.Equal(t, "w", (<-e.attempts).Target)
 
 	set := testSettings()
 	set.MaxAttempts = 1
 	set.Classes[0].Name = "d" // "c" is gone, "d" is new
-	require.NoError(t, x.Retune(set))
+	require.NoError(t, coordinator.Retune(set))
 	fresh := request(time.Minute)
 	fresh.ID, fresh.Class = "fresh", "d"
 	eventually(t, func() bool {
 		n := make(chan int)
-		x.do(func() { n <- len(x.mods) })
+		coordinator.do(func() { n <- len(coordinator.mods) })
 		return <-n == 2
 	})
 	// The old request's first attempt was turned away unstarted: under its own settings it may try again,
@@ -37,23 +37,23 @@
 	e.ends <- AttemptEnd{Outcome: policy.OK, Result: []byte("old"), Report: policy.NoReport}
 	assert.Equal(t, Answer{Kind: Served, Result: []byte("old")}, answerOf(t, old))
 
-	got := submit(context.Background(), x, fresh)
+	got := submit(context.Background(), coordinator, fresh)
 	assert.Equal(t, "fresh", (<-e.attempts).Request.ID, "a request of the new class is sent")
 	e.ends <- AttemptEnd{Outcome: policy.OK, Result: []byte("new"), Report: policy.NoReport}
 	assert.Equal(t, Answer{Kind: Served, Result: []byte("new")}, answerOf(t, got))
 	eventually(t, func() bool {
 		n := make(chan int)
-		x.do(func() { n <- len(x.mods) })
+		coordinator.do(func() { n <- len(coordinator.mods) })
 		return <-n == 1
 	})
 }
 
 func TestRetuneRefusesSettingsNoModuleTakes(t *testing.T) {
-	x, _ := run(t, testSettings())
+	coordinator, _ := run(t, testSettings())
 	set := testSettings()
 	set.Classes = nil
 	set.Period = -time.Second
-	assert.Error(t, x.Retune(set))
+	assert.Error(t, coordinator.Retune(set))
 }
 
 func eventually(t *testing.T, f func() bool) {
--- a/internal/coordinator/restart.go
+++ b/internal/coordinator/restart.go
@@ -7,23 +7,23 @@
 )
 
 // restart replaces the module. Guards against one bad decision taking every request on this dispatcher along.
-func (x *Exchange) restart() {
-	x.breakAll()
-	d, err := policy.New(x.set, x.seed)
+func (c *Coordinator) restart() {
+	c.breakAll()
+	d, err := policy.New(c.set, c.seed)
 	if err != nil {
-		x.log.WithError(err).Error("decision module does not start")
+		c.log.WithError(err).Error("decision module does not start")
 		return
 	}
-	x.jobs, x.mods = map[uint32]*job{}, nil
-	x.begin(d, x.set)
+	c.jobs, c.mods = map[uint32]*job{}, nil
+	c.begin(d, c.set)
 }
 
 // begin puts a new module in charge of new requests, told of the list as it stands.
-func (x *Exchange) begin(d *policy.Dispatcher, set policy.Settings) {
+func (c *Coordinator) begin(d *policy.Dispatcher, set policy.Settings) {
 	m := &module{d: d, set: set}
-	x.mods = append(x.mods, m)
+	c.mods = append(c.mods, m)
 	e := policy.Event{Kind: policy.ListRestored}
-	for _, m := range x.members {
+	for _, m := range c.members {
 		e.Members = append(e.Members, m)
 	}
 	slices.SortFunc(e.Members, func(a, b policy.Member) int {
@@ -33,38 +33,38 @@
 		return 1
 	})
 	m.events = append(m.events, e)
-	if x.fleet != nil {
-		m.events = append(m.events, *x.fleet)
+	if c.fleet != nil {
+		m.events = append(m.events, *c.fleet)
 	}
-	if x.closing {
+	if c.closing {
 		m.events = append(m.events, policy.Event{Kind: policy.Closing})
 	}
 }
 
 // breakAll answers everything open as failed through this program and calls off its attempts.
-func (x *Exchange) breakAll() {
-	for _, j := range x.jobs {
-		x.reply(j, Answer{Kind: Broken})
+func (c *Coordinator) breakAll() {
+	for _, j := range c.jobs {
+		c.reply(j, Answer{Kind: Broken})
 		for _, attempt := range j.attempts {
 			attempt.cancel()
 		}
-		if x.jobs[j.id] == j { // its attempts' ends will find it gone
-			delete(x.jobs, j.id)
+		if c.jobs[j.id] == j { // its attempts' ends will find it gone
+			delete(c.jobs, j.id)
 			j.mod.open--
-			x.tell(j)
+			c.tell(j)
 		}
 	}
 }
 
-func (x *Exchange) remember(e *policy.Event) {
+func (c *Coordinator) remember(e *policy.Event) {
 	if e.Kind == policy.ListReplaced || e.Kind == policy.ListRestored {
-		clear(x.members)
+		clear(c.members)
 	}
 	for _, m := range e.Members {
 		if m.State == policy.Gone {
-			delete(x.members, m.Worker)
+			delete(c.members, m.Worker)
 		} else {
-			x.members[m.Worker] = m
+			c.members[m.Worker] = m
 		}
 	}
 }
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -90,7 +90,7 @@
 	Prune() // drops the state of targets that are gone
 }
 
-// Directory is the side of discovery: it is asked to follow the list, and answers by Exchange.News.
+// Directory is the side of discovery: it is asked to follow the list, and answers by Coordinator.News.
 type Directory interface {
 	Subscribe()
 }
@@ -113,7 +113,7 @@
 	Outcome policy.Outcome
 }
 
-// Observer is told how requests ended. It is called from several goroutines, the exchange's own among them, and must
+// Observer is told how requests ended. It is called from several goroutines, the coordinator's own among them, and must
 // not wait for anything.
 type Observer interface {
 	Ended(Ended)
--- a/internal/egress/endings_test.go
+++ b/internal/egress/endings_test.go
@@ -54,7 +54,7 @@
 
 const doneLine = `{"id":"id","from":"w","state":"done","result":"r"}`
 
-// What the exchange says as the first byte is due holds however long the dial took: not a byte goes out.
+// What the coordinator says as the first byte is due holds however long the dial took: not a byte goes out.
 func TestFirstByteAsksTheExchange(t *testing.T) {
 	for _, no := range []error{coordinator.ErrRevoked, coordinator.ErrTooLate} {
 		got := make(chan int, 1)
--- a/internal/ingress/giveup.go
+++ b/internal/ingress/giveup.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 )
 
-// The reasons for which a request is given up before the exchange sees it, as counted and logged. Each is a
+// The reasons for which a request is given up before the coordinator sees it, as counted and logged. Each is a
 // constant here or a header's name from the fixed list that head checks, so the set stays small.
 const (
 	// On the wire, before the handler: net/http or the crowd ended the connection with a request begun on it.
@@ -34,7 +34,7 @@
 	firstOfKind = "a request was given up unheard" // logged at once the first time a reason comes
 )
 
-// GiveUps counts the requests given up before the exchange saw them, by reason. It is safe for concurrent use.
+// GiveUps counts the requests given up before the coordinator saw them, by reason. It is safe for concurrent use.
 type GiveUps struct {
 	mu     sync.Mutex
 	counts map[string]int64
--- a/internal/ingress/giveup_test.go
+++ b/internal/ingress/giveup_test.go
@@ -14,7 +14,7 @@
 	"ospreypond/internal/coordinator"
 )
 
-// Guards against requests that vanish unsaid: each one given up before the exchange sees it is counted once, under
+// Guards against requests that vanish unsaid: each one given up before the coordinator sees it is counted once, under
 // what went wrong, whether net/http, the crowd or the handler gave it up.
 func TestGiveUpsAreCountedByReason(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -39,7 +39,7 @@
 	refusedRetry = time.Second
 )
 
-// Submitter takes requests and brings their final answers; coordinator.Exchange is one.
+// Submitter takes requests and brings their final answers; coordinator.Coordinator is one.
 type Submitter interface {
 	Submit(ctx context.Context, r *coordinator.Request) coordinator.Answer
 	// Turned is told of a request that was answered without it.
@@ -91,7 +91,7 @@
 	return nil
 }
 
-// GiveUps counts the requests given up before the exchange saw them.
+// GiveUps counts the requests given up before the coordinator saw them.
 func (s *Server) GiveUps() *GiveUps { return s.giveUps }
 
 // names are the classes and tenants that requests may name.
