--- a/internal/egress/endings_test.go
+++ b/internal/egress/endings_test.go
@@ -17,7 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ospreypond/internal/config"
-	"ospreypond/internal/exchange"
+	"ospreypond/internal/coordinator"
 	"ospreypond/policy"
 )
 
@@ -54,9 +54,9 @@
 
 const doneLine = `{"id":"id","from":"w","state":"done","result":"r"}`
 
-// What the exchange says as the first byte is due holds however long the dial took: not a byte goes out.
+// What the coordinator says as the first byte is due holds however long the dial took: not a byte goes out.
 func TestFirstByteAsksTheExchange(t *testing.T) {
-	for _, no := range []error{exchange.ErrRevoked, exchange.ErrTooLate} {
+	for _, no := range []error{coordinator.ErrRevoked, coordinator.ErrTooLate} {
 		got := make(chan int, 1)
 		e, _ := testEgress(t, serve(t, func(c net.Conn) {
 			n, _ := c.Read(make([]byte, 100))
@@ -69,15 +69,15 @@
 			allowed = no // while it was being dialled
 			return c, err
 		}
-		end := e.Hop(context.Background(), &exchange.Hop{Target: "w", Deadline: time.Now().Add(time.Minute),
+		end := e.Attempt(context.Background(), &coordinator.Attempt{Target: "w", Deadline: time.Now().Add(time.Minute),
 			Begin:   func(time.Time) error { return allowed },
-			Request: &exchange.Request{ID: "id", Method: "POST", Target: "/c", Body: []byte("x")}})
+			Request: &coordinator.Request{ID: "id", Method: "POST", Target: "/c", Body: []byte("x")}})
 		assert.Equal(t, policy.Moot, end.Outcome, "it never ran: %v", no)
 		assert.Zero(t, <-got)
 	}
 }
 
-// A hop whose time ran out, or that was called off, before its request was whole on the wire never ran.
+// An attempt whose time ran out, or that was called off, before its request was whole on the wire never ran.
 func TestUnsentWhenItsTimeIsOverIsMoot(t *testing.T) {
 	for name, cause := range map[string]error{"time": context.DeadlineExceeded, "called off": context.Canceled} {
 		e, _ := testEgress(t, "127.0.0.1:1")
@@ -87,7 +87,7 @@
 			<-dial.Done()
 			return nil, dial.Err()
 		}
-		assert.Equal(t, policy.Moot, hop(ctx, e, nil).Outcome, name)
+		assert.Equal(t, policy.Moot, attempt(ctx, e, nil).Outcome, name)
 	}
 }
 
@@ -149,14 +149,14 @@
 				gone <- err
 			})
 			e, _ := testEgress(t, runner)
-			end := hop(context.Background(), e, []byte("x"))
+			end := attempt(context.Background(), e, []byte("x"))
 			assert.Equal(t, tt.want, end.Outcome)
 			assert.Empty(t, end.Result)
 			assert.False(t, end.Doubtful, "nothing came on its connection before")
 			if tt.kept { // unless this machine takes longer than settleLimit to read what is there
 				for tries := 0; e.open.Load() == 0 && tries < 20; tries++ {
 					e, _ = testEgress(t, runner)
-					require.Equal(t, tt.want, hop(context.Background(), e, []byte("x")).Outcome)
+					require.Equal(t, tt.want, attempt(context.Background(), e, []byte("x")).Outcome)
 				}
 				assert.Equal(t, int64(1), e.open.Load())
 				return
@@ -197,9 +197,9 @@
 						_, _ = io.WriteString(c, chunked(true, doneLine))
 					}
 				}))
-				_ = hop(context.Background(), e, nil)
+				_ = attempt(context.Background(), e, nil)
 				for range 20 {
-					end := hop(context.Background(), e, nil)
+					end := attempt(context.Background(), e, nil)
 					if end.Outcome == policy.Full { // the machine was so slow that it came after the next request
 						require.True(t, end.Doubtful, "the second answer to the request before is no proof")
 						continue
@@ -228,7 +228,7 @@
 	assert.True(t, c.abandon(turn), "it was never written")
 }
 
-// Settings that are taken while the program runs hold for the next hop: reports are read and kept connections used by them.
+// Settings that are taken while the program runs hold for the next attempt: reports are read and kept connections used by them.
 func TestRetune(t *testing.T) {
 	var conns atomic.Int64
 	e, _ := testEgress(t, serve(t, func(c net.Conn) {
@@ -239,7 +239,7 @@
 		}
 	}))
 	for range 9 {
-		end := hop(context.Background(), e, nil)
+		end := attempt(context.Background(), e, nil)
 		require.Equal(t, policy.OK, end.Outcome)
 		require.Equal(t, 3.0, end.Report.FreeSlots)
 	}
@@ -249,7 +249,7 @@
 	next.Settings.FamilyInfo.ReportX1 = "free slots"
 	e.Retune(next)
 	for range 9 {
-		end := hop(context.Background(), e, nil)
+		end := attempt(context.Background(), e, nil)
 		require.Equal(t, policy.OK, end.Outcome)
 		require.Equal(t, policy.NoReport, end.Report, "x0 means nothing now")
 	}
@@ -290,7 +290,7 @@
 	assert.True(t, c.abandon(turn), "it was never written")
 	assert.False(t, c.abandon(turn-1), "the one before is not this call's to speak of")
 	assert.False(t, final(errStray) || final(errTooOld) || final(nil))
-	assert.True(t, final(errNotOpen) && final(errors.Join(exchange.ErrRevoked)))
+	assert.True(t, final(errNotOpen) && final(errors.Join(coordinator.ErrRevoked)))
 }
 
 // A refusal that names no request is doubtful where its connection brought a job's answer before, and certain where it
@@ -303,11 +303,11 @@
 		}
 	}))
 	assert.Equal(t, policy.Full, e.Probe(context.Background(), "w").Outcome)
-	fresh := hop(context.Background(), e, nil)
+	fresh := attempt(context.Background(), e, nil)
 	assert.Equal(t, policy.Full, fresh.Outcome)
 	assert.False(t, fresh.Doubtful)
 	assert.Eventually(t, func() bool { // as soon as the connection was used again
-		end := hop(context.Background(), e, nil)
+		end := attempt(context.Background(), e, nil)
 		return end.Outcome == policy.Full && end.Doubtful
 	}, time.Minute, time.Millisecond)
 }
@@ -335,8 +335,8 @@
 	}
 	deadline := time.Now().Add(wait)
 	for range 2 { // on a new connection, and on the kept one
-		end := e.Hop(context.Background(), &exchange.Hop{Target: "w", Deadline: deadline, News: func(policy.EventKind) {},
-			Begin: func(time.Time) error { return nil }, Request: &exchange.Request{ID: "id", Method: "POST", Target: "/c"}})
+		end := e.Attempt(context.Background(), &coordinator.Attempt{Target: "w", Deadline: deadline, News: func(policy.EventKind) {},
+			Begin: func(time.Time) error { return nil }, Request: &coordinator.Request{ID: "id", Method: "POST", Target: "/c"}})
 		require.Equal(t, policy.OK, end.Outcome)
 		assert.LessOrEqual(t, <-told, wait-dialing)
 	}
