--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -41,10 +41,24 @@
 	r.holdEnd = max(r.holdEnd, now+time.Duration(float64(hold)*clockSlack))
 }
 
-// startOrders are all starts that the shard holds for the runner and that it does not list. One that an earlier answer
-// carried is sent again: that answer is void.
+// Bounds of the starts in one answer. An answer over 4 MiB is none for its runner, which would drop it again and again.
+const (
+	mostStartBytes = 3 << 20
+	startRowBytes  = 16 // of one start, beside its texts
+	escapedByte    = 6  // most bytes that JSON takes for one of a text
+)
+
+// startBytes is the most that a start takes in an answer.
+func startBytes(order *protocol.StartOrder) int {
+	return startRowBytes + escapedByte*(len(order.Task)+len(order.Spec)+len(order.Saved))
+}
+
+// startOrders are the starts that the shard holds for the runner and that it does not list, the oldest first, as many as
+// an answer may carry; the rest comes with the next one. One that an earlier answer carried is sent again: that answer is
+// void.
 func (o *Owner) startOrders(r *runner) []protocol.StartOrder {
 	var starts []protocol.StartOrder
+	bytes := 0
 	for _, task := range o.state.RunsOn(r.instance) {
 		key := runKey{task.ID, task.Run}
 		if task.Phase != jobs.Running || o.ending[key] || over(task.Group.Job.State) || r.draining {
@@ -56,9 +70,13 @@
 		if _, stopping := r.stops[key]; stopping {
 			continue
 		}
-		starts = append(starts, protocol.StartOrder{
+		order := protocol.StartOrder{
 			Task: task.ID.String(), Run: task.Run, Spec: task.Group.Job.Spec.Spec, Saved: task.Saved,
-		})
+		}
+		if bytes += startBytes(&order); bytes > mostStartBytes && len(starts) > 0 {
+			break
+		}
+		starts = append(starts, order)
 	}
 	return starts
 }
--- a/internal/scheduler/owner_test.go
+++ b/internal/scheduler/owner_test.go
@@ -154,6 +154,10 @@
 		w.lead(8)
 		again := beatOf("i2", 1)
 		again.Address = beatOf("i1", 1).Address
+		_, early := w.beat(again)
+		Expect(failure.KindOf(early)).To(Equal(failure.Conflict), "it may be older than the other")
+		w.pass(time.Second)
+		again.Sequence++
 		orders, _ := w.beat(again)
 		Expect(orders.Start).To(HaveLen(1))
 		Expect(orders.Start[0].Run).To(Equal(uint64(2)))
