--- /dev/null
+++ b/internal/configuration/digest.go
@@ -0,0 +1,71 @@
+package configuration
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Digest returns the same number for states that hold the same: the document as it is served, what is known of queues
+// that moved or were dropped, and the orders that are remembered. It does not depend on how the state came about, nor on
+// the process, as the bytes of a snapshot do (gob numbers types as it meets them).
+func (s *State) Digest() uint64 {
+	w := &digestWriter{hash: xxhash.New()}
+	w.image(s.document.image())
+	w.orders(s.taken)
+	w.orders(s.early)
+	return w.hash.Sum64()
+}
+
+// digestWriter hashes values one after the other, each with its length where it has one.
+type digestWriter struct{ hash *xxhash.Digest }
+
+func (w *digestWriter) number(value uint64) {
+	var encoded [8]byte
+	binary.LittleEndian.PutUint64(encoded[:], value)
+	_, _ = w.hash.Write(encoded[:]) // a hash takes everything
+}
+
+func (w *digestWriter) bytes(value []byte) {
+	w.number(uint64(len(value)))
+	_, _ = w.hash.Write(value)
+}
+
+func (w *digestWriter) text(value string) {
+	w.number(uint64(len(value)))
+	_, _ = w.hash.WriteString(value)
+}
+
+func (w *digestWriter) image(i *image) {
+	w.number(i.Version)
+	w.number(uint64(len(i.Sections)))
+	for _, section := range i.Sections {
+		w.text(section.Name)
+		w.number(uint64(len(section.Items)))
+		for _, raw := range section.Items {
+			w.bytes(raw)
+		}
+	}
+	w.queues(i.Moved)
+	w.queues(i.Dropped)
+}
+
+func (w *digestWriter) queues(queues []imageQueue) {
+	w.number(uint64(len(queues)))
+	for _, queue := range queues {
+		w.text(queue.Key)
+		w.number(queue.Dropped)
+		w.number(uint64(len(queue.Services)))
+		for _, service := range queue.Services {
+			w.text(service)
+		}
+	}
+}
+
+func (w *digestWriter) orders(orders []orderKey) {
+	w.number(uint64(len(orders)))
+	for _, order := range orders {
+		w.number(order.Base)
+		_, _ = w.hash.Write(order.Digest[:])
+	}
+}
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -30,7 +30,8 @@
 	active       bool          // has answered in this term
 	confirmedAt  time.Duration // newest SentAt it has answered in this term
 
-	transfer *outgoingSnapshot
+	transfer   *outgoingSnapshot
+	pieceBytes int // how much of a snapshot one message to it carries; 0: none was sent yet
 }
 
 // votes tells whether the member votes, be it in one configuration only.
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -8,6 +8,13 @@
 // maxRoomAtOnce bounds what is set aside for a snapshot on the word of its first piece, in bytes.
 const maxRoomAtOnce = 64 << 20
 
+// Bounds of a snapshot's pieces, besides Config.SnapshotPieceBytes. A piece keeps all later messages on its link waiting,
+// heartbeats among them: where it takes as long as a member's silence may last, the snapshot never arrives.
+const (
+	firstPieceBytes = 32 << 10
+	leastPieceBytes = 4 << 10
+)
+
 // outgoingSnapshot is a snapshot on its way to a member, one unanswered piece at a time.
 type outgoingSnapshot struct {
 	snapshot Snapshot
@@ -54,7 +61,10 @@
 	transfer := peer.transfer
 	whole := transfer.snapshot.Data
 	start := min(transfer.offset, uint64(len(whole)))
-	end := min(start+uint64(n.config.SnapshotPieceBytes), uint64(len(whole)))
+	if peer.pieceBytes == 0 {
+		peer.pieceBytes = min(firstPieceBytes, n.config.SnapshotPieceBytes)
+	}
+	end := min(start+uint64(peer.pieceBytes), uint64(len(whole)))
 	piece := transfer.snapshot
 	piece.Data = whole[start:end:end]
 	transfer.sentAt = n.now
@@ -74,6 +84,7 @@
 	for _, peer := range n.leadership.peers {
 		if peer.transfer != nil && n.now-peer.heardAt >= silentTransfer*n.config.ElectionTimeout {
 			peer.transfer = nil
+			n.shrinkPieces(peer)
 		}
 	}
 }
@@ -90,9 +101,20 @@
 		return
 	}
 	transfer.offset = message.Offset
+	switch took := n.now - transfer.sentAt; {
+	case took > n.config.ElectionTimeout:
+		n.shrinkPieces(peer)
+	case took < n.config.ElectionTimeout/2:
+		peer.pieceBytes = min(2*peer.pieceBytes, n.config.SnapshotPieceBytes)
+	}
 	n.sendPiece(peer)
 }
 
+// shrinkPieces makes the next pieces to a member smaller, since its link needs long for them.
+func (n *Node) shrinkPieces(peer *progress) {
+	peer.pieceBytes = max(peer.pieceBytes/2, min(leastPieceBytes, n.config.SnapshotPieceBytes))
+}
+
 // takeSnapshotPiece gathers a snapshot, and installs it with its last piece.
 func (n *Node) takeSnapshotPiece(message *Message) {
 	if message.Snapshot == nil || !n.followLeader(message.From) {
--- a/internal/control/configuration_shard.go
+++ b/internal/control/configuration_shard.go
@@ -61,6 +61,9 @@
 // Restore replaces the whole state.
 func (s *configurationShard) Restore(data []byte) error { return s.state.Restore(data) }
 
+// Digest tells in short what the state holds.
+func (s *configurationShard) Digest() uint64 { return s.state.Digest() }
+
 // Leading begins ownership.
 func (s *configurationShard) Leading(term uint64) {
 	level.Info(s.logger).Log("msg", "this process owns the shard", "term", term)
--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -58,6 +58,9 @@
 // Restore replaces the whole state.
 func (s *jobShard) Restore(data []byte) error { return s.state.Restore(data) }
 
+// Digest tells in short what the state holds.
+func (s *jobShard) Digest() uint64 { return s.state.Digest() }
+
 // Leading begins ownership.
 func (s *jobShard) Leading(term uint64) {
 	level.Info(s.logger).Log("msg", "this process owns the shard", "term", term)
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -49,6 +49,9 @@
 	sent      int
 	writes    int // to all disks
 	trace     func(from *machine, to string, envelope *Envelope)
+	drop      func(from, to *machine, envelope *Envelope) bool
+
+	newState func(id GroupID) realState // nil: the groups have ledgers alone
 }
 
 const (
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -30,6 +30,7 @@
 
 	proposals []proposal // in the order of their indexes, all of one term
 	confirms  []confirmation
+	digests   []digestRequest
 
 	newestIndex uint64 // of the newest entry that was handed to the disk
 	newestTerm  uint64
@@ -106,6 +107,7 @@
 	}
 	g.appliedIndex, g.appliedTerm = snapshot.Index, snapshot.Term
 	g.snapshots.begin(snapshot.Index, nil)
+	g.settleDigests()
 	_ = level.Info(g.engine.options.Logger).Log("msg", "snapshot installed", "group", g.id, "index", snapshot.Index,
 		"bytes", len(snapshot.Data))
 }
@@ -116,11 +118,13 @@
 	if entry.Kind == consensus.EntryMembership {
 		g.engine.manage = g.engine.now // the next change need not wait
 	}
-	if entry.Kind != consensus.EntryCommand {
-		return
+	if entry.Kind == consensus.EntryCommand {
+		result := g.machine.Apply(entry.Index, entry.Term, entry.Data)
+		g.settleProposal(entry, result)
+	}
+	if len(g.digests) > 0 {
+		g.settleDigests()
 	}
-	result := g.machine.Apply(entry.Index, entry.Term, entry.Data)
-	g.settleProposal(entry, result)
 }
 
 // watchLeadership tells the machine, and whoever waits, what became of the leadership. It tells whether anything did.
@@ -164,6 +168,7 @@
 
 // abandon answers all that waits when the engine ends.
 func (g *group) abandon() {
+	g.failDigests()
 	if g.leadingTerm != 0 {
 		g.stopLeading()
 	}
--- a/internal/replica/machine_test.go
+++ b/internal/replica/machine_test.go
@@ -69,6 +69,9 @@
 	files     *vfstest.Mem
 	engine    *Engine
 	ledgers   map[GroupID]*ledger
+	states    map[GroupID]realState
+	bandwidth float64                  // bytes a second of the links from and to it; 0: no bound
+	linkFree  map[string]time.Duration // when a link has carried all that was sent
 	up        bool
 	frozen    bool
 	isolated  bool
@@ -93,10 +96,15 @@
 
 func (m *machine) tryStart(bootstrap []string) error {
 	m.ledgers = map[GroupID]*ledger{}
+	m.states = map[GroupID]realState{}
 	machines := map[GroupID]StateMachine{}
 	for id := range GroupID(m.cluster.groups) {
 		m.ledgers[id] = &ledger{}
 		machines[id] = m.ledgers[id]
+		if m.cluster.newState != nil {
+			m.states[id] = m.cluster.newState(id)
+			machines[id] = &observedState{ledger: m.ledgers[id], state: m.states[id]}
+		}
 	}
 	engine, err := Open(Options{
 		FileSystem: m.files,
@@ -172,9 +180,14 @@
 	if m.cluster.trace != nil {
 		m.cluster.trace(m, address, envelope)
 	}
-	m.cluster.at(linkDelay, func() {
+	delay, carried := m.linkTo(address, envelope)
+	if !carried {
+		return
+	}
+	m.cluster.at(delay, func() {
 		for _, to := range m.cluster.machines {
-			if to.address == address && to.up && !to.isolated && !m.isolated {
+			dropped := m.cluster.drop != nil && m.cluster.drop(m, to, envelope)
+			if to.address == address && to.up && !to.isolated && !m.isolated && !dropped {
 				to.engine.Receive(envelope)
 				to.wake()
 			}
--- a/internal/replica/snapshots.go
+++ b/internal/replica/snapshots.go
@@ -20,7 +20,8 @@
 	wholeLogShare    = 8  // more than this of log, and the groups that keep the oldest segment are snapshotted
 	maxSegments      = 24 // the same
 
-	trailingBytes    = 256 << 10 // entries kept in memory before a snapshot, for members that are a little behind
+	trailingBytes    = 256 << 10 // entries kept in memory before a snapshot, for members that are a little behind or silent
+	heldBytes        = 4 << 20   // entries kept in memory at most for members that are fed or take a snapshot
 	entryOverhead    = 32        // about what an entry takes besides its data, in bytes
 	snapshotRetry    = 5 * time.Second
 	transferInterval = time.Second // between two snapshots made for members that need one
@@ -56,6 +57,7 @@
 
 // superintend does what a group needs now and then.
 func (g *group) superintend() {
+	g.settleDigests()
 	if g.engine.writer.health.sick {
 		g.node.SetCampaign(g.mayCampaign())
 	}
@@ -157,7 +159,7 @@
 	g.snapshots.index = snapshot.Index
 	g.snapshots.size = len(snapshot.Data)
 	g.snapshots.logBytes -= covered
-	g.node.Compact(snapshot.Index - min(trailingEntries(entries, covered), entries))
+	g.node.Compact(min(snapshot.Index-min(trailingEntries(entries, covered), entries), g.node.Wanted(heldBytes)))
 }
 
 // trailingEntries is how many entries before a snapshot stay in memory.
