Hold frontends to what they promise while their configuration is old

The design promises more: at no time is a queue denied, counted, or a job called unknown, by a configuration that was replaced longer ago than configApplyMs, since such answers wait for a confirmation. The auditor now checks that without the excuse (AuditPromises), next to all that it checked before.

No trouble brought it about either: a frontend was cut off from all of the core, so that it could answer nothing. With front_lags it is left one machine, which may own shards but not the configuration, while a queue moves, a new one is added and used, and others come and go. front_cut cuts off a frontend for sure (node_cut draws machines of all kinds).

--- a/internal/simulation/audit_configuration.go
+++ b/internal/simulation/audit_configuration.go
@@ -78,25 +78,26 @@
 	try   *Try
 	queue QueueName
 	found bool // the queue was there
+	count bool // a count was asked for, not a job handed in
 }
 
 func (a *auditor) sights() []sight {
 	var sights []sight
-	add := func(try *Try, queue QueueName) {
+	add := func(try *Try, queue QueueName, count bool) {
 		switch {
 		case try.Answered == Never:
 		case try.Status == 404:
-			sights = append(sights, sight{try, queue, false})
+			sights = append(sights, sight{try, queue, false, count})
 		case try.Status/100 == 2:
-			sights = append(sights, sight{try, queue, true})
+			sights = append(sights, sight{try, queue, true, count})
 		}
 	}
 	for i := range a.Counts {
-		add(&a.Counts[i].Try, a.Counts[i].Queue)
+		add(&a.Counts[i].Try, a.Counts[i].Queue, true)
 	}
 	for _, job := range a.JobOrder {
 		for i := range job.HandIns {
-			add(&job.HandIns[i], job.Queue)
+			add(&job.HandIns[i], job.Queue, false)
 		}
 	}
 	slices.SortStableFunc(sights, func(x, y sight) int { return int(x.try.Answered - y.try.Answered) })
--- a/internal/simulation/cluster/cluster_test.go
+++ b/internal/simulation/cluster/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -40,7 +41,7 @@
 var seeds = environment("SIMULATION_SEEDS", 60)
 
 // players is how many days are played side by side.
-const players = 4
+var players = max(4, runtime.GOMAXPROCS(0))
 
 // play plays days of the seeds from first on, or the one of SIMULATION_SEED, and fails with all that are wrong.
 func play(first, count uint64, options Options) {
@@ -118,6 +119,7 @@
 		Entry("jobs are cancelled while runners leave", "cancel", "scale_in", "spot"),
 		Entry("two operators race while the owner is lost", "config_race", "after_ack_kill", "ack_lost"),
 		Entry("all lose power while clocks jump", "core_herd_power", "clock_step", "burst"),
+		Entry("queues move while a frontend's configuration is old", "front_lags", "config_move", "burst"),
 		Entry("a disk is full while runners fail", "disk_full", "srv_errors", "poison"),
 		Entry("a core machine is replaced while a queue moves", "replace_core", "config_move", "config_change"),
 	)
--- a/internal/simulation/cluster/run.go
+++ b/internal/simulation/cluster/run.go
@@ -147,7 +147,7 @@
 func (c *Cluster) report(seed uint64, day simulation.Day) *Outcome {
 	ledger := c.deployment.Ledger
 	report := &Outcome{Seed: seed, Day: day, Ledger: ledger, Diverged: c.diverged, Jobs: len(ledger.JobOrder), Runs: len(ledger.Runs)}
-	report.Violations = simulation.Audit(ledger)
+	report.Violations = append(simulation.Audit(ledger), simulation.AuditPromises(ledger)...)
 	for _, job := range ledger.JobOrder {
 		if job.Accepted == simulation.Never {
 			continue
--- a/internal/simulation/day.go
+++ b/internal/simulation/day.go
@@ -115,12 +115,17 @@
 	if d.World.now >= until {
 		return
 	}
+	const recent = 6
+	d.countOneOf(recent)
+	d.World.After(probeEvery, func() { d.probe(until) })
+}
+
+// countOneOf asks for the count on the route that one of the newest configurations has added.
+func (d *Deployment) countOneOf(newest int) {
 	if records := d.Ledger.Configuration; len(records) > 0 {
-		const recent = 6
-		record := records[len(records)-1-d.World.Random.IntN(min(recent, len(records)))]
+		record := records[len(records)-1-d.World.Random.IntN(min(newest, len(records)))]
 		d.Clients.Count(QueueName{ProbeHost, fmt.Sprintf("/v%d/", record.Version)})
 	}
-	d.World.After(probeEvery, func() { d.probe(until) })
 }
 
 // lastWords asks for each job's state, reads the configuration back, and looks for jobs that stand still.
--- a/internal/simulation/deployment.go
+++ b/internal/simulation/deployment.go
@@ -172,8 +172,13 @@
 }
 
 func (d *Deployment) handInOne() {
+	class := drawClass(d.World)
+	d.handIn(class, QueueName{ClientHost, "/" + class.Route + "/"})
+}
+
+// handIn makes up a job of a class and hands it in to a queue.
+func (d *Deployment) handIn(class *Class, queue QueueName) {
 	w := d.World
-	class := drawClass(w)
 	kinds := []string{"a", "b"}
 	spec, work := drawJob(w, class, d.Racks, kinds)
 	work.Poisoned = w.Chance(d.poison)
@@ -181,7 +186,7 @@
 	if w.Chance(max(class.Cancelled, d.hurry)) {
 		cancelAfter = w.Between(200*time.Millisecond, 6*time.Second)
 	}
-	d.Clients.HandIn(QueueName{ClientHost, "/" + class.Route + "/"}, spec, work, cancelAfter)
+	d.Clients.HandIn(queue, spec, work, cancelAfter)
 }
 
 func drawClass(w *World) *Class {
--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -164,6 +164,16 @@
 	}
 }
 
+// AddQueue adds a queue of that name, which is otherwise like another one.
+func AddQueue(name, like string) func(next *Document) []string {
+	return func(next *Document) []string {
+		added := *next.route(like)
+		added.Name, added.PathPrefix = name, "/"+name+"/"
+		next.Routes = append(next.Routes, added)
+		return []string{name}
+	}
+}
+
 // Bad sends a configuration that must be refused.
 func (o *Operator) Bad(how string) {
 	if o.current == nil || o.busy > 0 {
--- a/internal/simulation/trouble.go
+++ b/internal/simulation/trouble.go
@@ -14,6 +14,7 @@
 func TroubleKinds() []TroubleKind {
 	kinds := append(planKinds(), runnerKinds()...)
 	kinds = append(kinds, machineKinds()...)
+	kinds = append(kinds, frontKinds()...)
 	return append(kinds, coreKinds()...)
 }
 
