--- a/internal/simulation/cluster/history_test.go
+++ b/internal/simulation/cluster/history_test.go
@@ -402,7 +402,7 @@
 			var group sync.WaitGroup
 			for first := range uint64(players) {
 				group.Go(func() {
-					for seed := first; seed < 1+seeds/days; seed += players {
+					for seed := first; seed < 1+seeds/days; seed += uint64(players) {
 						seen := observe(9000+seed, Options{Troubles: troubles, Together: true, Closing: "none"})
 						found := seen.faults()
 						mutex.Lock()
