Let the test of a killed append accept that no store was made yet

Cause: on a busy machine the program is killed, 20 ms after its start at the earliest, before it has made the store; dump then rightly says that there is none, and the test failed. Ruled out: a later kill (it is to come at any moment). Now that answer is accepted only while the program has acknowledged nothing; everything else is as strict as before.

--- a/test/integration/store_test.go
+++ b/test/integration/store_test.go
@@ -53,6 +53,15 @@
 	return all
 }
 
+// dumpOfKilled is dump for a program that may have been killed before it made the store: then it has told of nothing.
+func dumpOfKilled(t *testing.T, dir string, told int) map[string]record {
+	if _, errs, status := run("", "store", "dump", dir); status != 0 && strings.Contains(errs, "there is none") {
+		require.Zero(t, told, errs)
+		return nil
+	}
+	return dump(t, dir)
+}
+
 // killRounds is how often the appending program is killed; STORE_KILLS sets it for a long run.
 func killRounds(t *testing.T) int {
 	if s := os.Getenv("STORE_KILLS"); s != "" {
@@ -107,7 +116,7 @@
 		<-done
 		_ = cmd.Wait()
 		kill.Stop()
-		got := dump(t, dir)
+		got := dumpOfKilled(t, dir, len(acked))
 		for k, v := range acked {
 			require.Equal(t, v, string(got[k].Value), "round %d, key %s", round, k)
 		}
