--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -10,6 +10,9 @@
 	granted  []MemberID // voters that said yes, this member included once its vote is on disk
 	forced   bool       // stands because the leader told it to
 	repeatAt time.Duration
+	// undecidedUntil is for how long the answers of voters with disks like this member's may be on their way: until then a
+	// candidate encourages nobody else.
+	undecidedUntil time.Duration
 }
 
 // grant notes that a member said yes.
@@ -68,6 +71,7 @@
 	n.role = roleCandidate
 	n.vote = n.config.ID
 	n.ballot.forced = forced
+	n.ballot.undecidedUntil = n.now + writesOfElection*n.writeTime
 	n.requestVotes()
 }
 
@@ -126,8 +130,8 @@
 
 // answerPreVote says whether this member would vote for another, without promising anything.
 func (n *Node) answerPreVote(message *Message) {
-	if n.hearsLeader() || n.role == roleCandidate {
-		return // an election that is under way has until the candidate's own deadline
+	if n.hearsLeader() || n.now < n.ballot.undecidedUntil {
+		return
 	}
 	response := Message{Kind: MessagePreVoteResponse, To: message.From}
 	if message.Term > n.term && n.upToDate(message) {
