Replace a lost voter in one change, on proof that it is gone

A lost voter was removed first and its successor promoted afterwards, and a wiped machine counted as lost only after a second of silence.

- The successor takes the lost voter's place in one change, by joint consensus.
What was remembered between the two changes is gone, and with it what a new leader in between had to guess.
- At the same address one answer is proof: the successor has answered something that this leader sent in this term after it last heard the lost one.
Neither late envelopes nor late wishes of earlier identities can give it.
The machine's name at another address is none; there the second of silence stays.
- A learner whose machine answers as another is dropped then, and never promoted; before, a mere wish was enough to drop it.

The table of the plan says these rules in place of the two steps; a wish no longer drops a learner (an answer does, stricter).

--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -196,3 +196,15 @@
 	}
 	return n.log.last() - peer.match, peer.heardAt, true
 }
+
+// ReachedAt tells a leader when the newest message left that a member has answered in this term; 0 if none. Unlike the time
+// of an answer it doesn't depend on how late the answer came.
+func (n *Node) ReachedAt(id MemberID) time.Duration {
+	if n.role != roleLeader {
+		return 0
+	}
+	if peer := n.peer(id); peer != nil {
+		return peer.confirmedAt
+	}
+	return 0
+}
--- a/internal/replica/exposure_test.go
+++ b/internal/replica/exposure_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"ospreypond/internal/consensus"
@@ -47,31 +48,13 @@
 func (d disks) wins(id GroupID, candidate consensus.MemberID, m *machine, lost consensus.MemberID) bool {
 	own := m.durable[id]
 	members := m.engine.byID[id].node.MembersAt(own.index)
-	for _, voters := range electorates(members) {
-		votes, stands := 0, false
-		for _, voter := range voters {
-			stands = stands || voter == candidate
-			other := d[voter]
-			if voter != lost && other != nil && own.covers(other.durable[id]) {
-				votes++
-			}
-		}
-		if !stands || votes <= len(voters)/2 {
-			return false
-		}
-	}
-	return true
-}
-
-// electorates are the sets of voters of which each must have a quorum.
-func electorates(members []consensus.Member) [][]consensus.MemberID {
-	var voters []consensus.MemberID
-	for _, member := range members {
-		if !member.Learner {
-			voters = append(voters, member.ID)
-		}
-	}
-	return [][]consensus.MemberID{voters}
+	stands := slices.ContainsFunc(members, func(member consensus.Member) bool {
+		return member.ID == candidate && !member.Learner
+	})
+	return stands && consensus.HasQuorum(members, func(voter consensus.MemberID) bool {
+		other := d[voter]
+		return voter != lost && other != nil && own.covers(other.durable[id])
+	})
 }
 
 // stopwatch sums up the time during which a condition held.
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -39,9 +39,9 @@
 
 	snapshots    snapshotState
 	joiners      map[consensus.MemberID]joiner
-	replacing    consensus.MemberID // the learner in whose favour a voter was removed
-	leaderSeenAt time.Duration      // when there was last a leader
-	handedOverAt time.Duration      // when leadership was last offered to another
+	catchUps     map[consensus.MemberID]*catchUp // of the members, while this process leads
+	leaderSeenAt time.Duration                   // when there was last a leader
+	handedOverAt time.Duration                   // when leadership was last offered to another
 }
 
 func newGroup(e *Engine, id GroupID, machine StateMachine, restored consensus.Restored) *group {
@@ -66,6 +66,7 @@
 	}
 	g.snapshots.begin(g.appliedIndex, restored.Entries)
 	g.joiners = map[consensus.MemberID]joiner{}
+	g.catchUps = map[consensus.MemberID]*catchUp{}
 	e.peers.learn(g.node.Status().Members, e.now)
 	return g
 }
@@ -147,8 +148,8 @@
 
 func (g *group) startLeading(term uint64) {
 	g.leadingTerm = term
-	g.replacing = consensus.None
 	clear(g.joiners)
+	clear(g.catchUps)
 	_ = level.Info(g.engine.options.Logger).Log("msg", "leading", "group", g.id, "term", term)
 	if g.observer != nil {
 		g.observer.Leading(term)
--- a/internal/replica/joins.go
+++ b/internal/replica/joins.go
@@ -109,7 +109,11 @@
 // reviewMembership makes the next change of the membership, if one is due.
 func (g *group) reviewMembership() {
 	status := g.node.Status()
-	if g.leadingTerm == 0 || status.Transferee != consensus.None || g.engine.shifts.resigning {
+	if g.leadingTerm == 0 {
+		return
+	}
+	g.followMembers(status.Members)
+	if status.ChangePending || status.Transferee != consensus.None || g.engine.shifts.resigning {
 		return
 	}
 	plan := planMembership(g.membershipView(status.Members))
@@ -117,26 +121,18 @@
 		return
 	}
 	if err := g.node.ProposeMembers(g.engine.now, plan.members); err != nil {
-		return // another change is on its way; the next look finds this one again
+		return // the next look finds this change again
 	}
-	g.replacing = plan.replacing
 	_ = level.Info(g.engine.options.Logger).Log("msg", "membership changes", "group", g.id, "change", plan.reason)
 }
 
 // membershipView is what the plan is made from.
 func (g *group) membershipView(members []consensus.Member) membershipView {
-	now := g.engine.now
-	view := membershipView{self: g.engine.self, replacing: g.replacing}
-	last := g.node.Status().LastIndex
+	view := membershipView{self: g.engine.self}
 	for _, member := range members {
-		behind, heardAt, known := g.node.Lagging(member.ID)
-		seen := memberView{Member: member, behind: behind, silent: now - heardAt, unheard: g.engine.peers.unheard(member.ID, now),
-			leaving: !g.engine.peers.willing(member.ID, now)}
-		if !known || behind >= last {
-			seen.behind = unknownLag // it has acknowledged nothing, however short the log is
-		}
-		view.members = append(view.members, seen)
+		view.members = append(view.members, g.memberView(member))
 	}
+	now := g.engine.now
 	for id, j := range g.joiners {
 		granted := slices.ContainsFunc(members, func(m consensus.Member) bool { return m.ID == id && sameMachine(m, j.member) })
 		if granted || now-j.at > joinerLifetime {
@@ -148,3 +144,21 @@
 	slices.SortFunc(view.joiners, func(a, b consensus.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return view
 }
+
+// memberView is what this leader knows of one member.
+func (g *group) memberView(member consensus.Member) memberView {
+	now := g.engine.now
+	_, answeredAt, _ := g.node.Lagging(member.ID)
+	known := g.engine.peers.get(member.ID)
+	return memberView{
+		Member:    member,
+		age:       g.ageOf(member.ID),
+		silent:    now - answeredAt,
+		unheard:   g.engine.peers.unheard(member.ID, now),
+		leaving:   !g.engine.peers.willing(member.ID, now),
+		location:  cmp.Or(g.engine.peers.address(member.ID), member.Address),
+		movedAt:   known.movedAt,
+		heardAt:   known.heardAt,
+		reachedAt: g.node.ReachedAt(member.ID),
+	}
+}
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -10,47 +10,53 @@
 )
 
 const (
-	caughtUpLag        = 64                      // entries that a member that has caught up may lack
+	caughtUpAge        = 2 * slowWrite           // a learner has caught up that holds all that was committed this long ago
 	aliveSilence       = 700 * time.Millisecond  // a member silent for less is alive
-	wipedSilence       = time.Second             // a member unheard for this whose machine has come back as another is lost
-	wipedTermSilence   = 300 * time.Millisecond  // the same, counted from the start of the leader's term
+	succeededSilence   = time.Second             // a member unheard for this whose machine's name is another's counts as gone
+	succeededTerm      = 300 * time.Millisecond  // the same, counted from the start of the leader's term
 	replaceableSilence = 3 * time.Second         // a voter silent for this gives its place to a learner
 	surplusSilence     = 1500 * time.Millisecond // a voter silent for this is dropped if an even number vote
 	learnerSilence     = 30 * time.Second        // a learner silent for this is dropped
 	voterSilence       = time.Minute             // a voter silent for this is dropped if enough others remain
 	enoughVoters       = 3                       // no voter is dropped without replacement if fewer would remain
-	unknownLag         = math.MaxUint64
+	unknownAge         = time.Duration(math.MaxInt64)
 )
 
 // membershipView is what a leader knows when it looks at the membership.
 type membershipView struct {
-	self      consensus.Member
-	members   []memberView
-	joiners   []consensus.Member
-	replacing consensus.MemberID // learner in whose favour a voter was removed
+	self    consensus.Member
+	members []memberView
+	joiners []consensus.Member
 }
 
+// memberView is what a leader knows of one member. Times are its own.
 type memberView struct {
 	consensus.Member
-	behind  uint64
+	age     time.Duration // since the newest moment of which it is known to hold on disk all that was committed
 	silent  time.Duration // since its newest answer in this term, or since the term's start
 	unheard time.Duration // since anything came from it, in whatever group
 	leaving bool          // it has just said that it does not want to lead: it ends soon, or its disk is sick
+
+	location  string        // where it was last heard to be
+	movedAt   time.Duration // when that became known
+	heardAt   time.Duration // when anything last came from it, in whatever group
+	reachedAt time.Duration // when the newest message left that it has answered in this term; 0: none
 }
 
 // membershipPlan is the next membership; with nil members nothing is to be changed.
 type membershipPlan struct {
-	members   []consensus.Member
-	replacing consensus.MemberID
-	reason    string
+	members []consensus.Member
+	reason  string
 }
 
-// planMembership decides on the next single change.
+// planMembership decides on the next change. Consensus carries out each as a whole: a change of more than one voter needs
+// majorities of the voters before it and of those after it.
 func planMembership(view membershipView) membershipPlan {
 	steps := []func(membershipView) (membershipPlan, bool){
 		correctMember,
-		dropLearner,
+		replaceVoter,
 		promoteLearner,
+		dropLearner,
 		addLearner,
 		dropVoter,
 		dropSurplusVoter,
@@ -60,7 +66,7 @@
 			return plan
 		}
 	}
-	return membershipPlan{replacing: view.replacing}
+	return membershipPlan{}
 }
 
 // correctMember takes over what a member says of its machine.
@@ -79,14 +85,40 @@
 	return membershipPlan{}, false
 }
 
+// replaceVoter gives the place of a lost voter to a learner that has caught up, in one change.
+func replaceVoter(view membershipView) (membershipPlan, bool) {
+	for _, learner := range view.promotable() {
+		lost, found := view.lostVoter(learner)
+		if !found || !view.alive(view.voters()) || !view.staysAlive(lost, learner.ID) {
+			continue
+		}
+		plan := view.with(voting(learner))
+		plan.members = slices.DeleteFunc(plan.members, func(m consensus.Member) bool { return m.ID == lost })
+		plan.reason = fmt.Sprintf("voter %x gives its place to %x", uint64(lost), uint64(learner.ID))
+		return plan, true
+	}
+	return membershipPlan{}, false
+}
+
+// promoteLearner lets a learner vote that has caught up. While it is not sure that the voter whose machine it has is lost,
+// it waits.
+func promoteLearner(view membershipView) (membershipPlan, bool) {
+	for _, learner := range view.promotable() {
+		waits := slices.ContainsFunc(view.voters(), func(voter memberView) bool { return voter.sameMachineAs(learner) })
+		if waits || view.alive(view.voters()) && !view.staysAlive(consensus.None, learner.ID) {
+			continue
+		}
+		plan := view.with(voting(learner))
+		plan.reason = fmt.Sprintf("learner %x votes", uint64(learner.ID))
+		return plan, true
+	}
+	return membershipPlan{}, false
+}
+
 // dropLearner drops a learner that is gone for good.
 func dropLearner(view membershipView) (membershipPlan, bool) {
 	for _, member := range view.members {
-		if !member.Learner {
-			continue
-		}
-		replaced := member.wiped() && slices.ContainsFunc(view.joiners, member.succeededBy)
-		if replaced || member.silent >= learnerSilence {
+		if member.Learner && (view.succeeded(member) || member.silent >= learnerSilence) {
 			plan := view.without(member.ID)
 			plan.reason = fmt.Sprintf("learner %x is gone", uint64(member.ID))
 			return plan, true
@@ -109,34 +141,6 @@
 	return membershipPlan{}, false
 }
 
-// promoteLearner lets a learner vote that has caught up. A voter whose place it takes goes first; while it is not sure
-// that the one whose machine it has is lost, the learner waits.
-func promoteLearner(view membershipView) (membershipPlan, bool) {
-	for _, member := range view.members {
-		if !member.Learner || !member.caughtUp() || member.leaving {
-			continue
-		}
-		if view.replacing != member.ID {
-			if lost, found := view.lostVoter(member); found && view.canSpare(lost) {
-				plan := view.without(lost)
-				plan.replacing = member.ID
-				plan.reason = fmt.Sprintf("voter %x gives its place to %x", uint64(lost), uint64(member.ID))
-				return plan, true
-			}
-			if slices.ContainsFunc(view.voters(), func(voter memberView) bool { return voter.succeededBy(member.Member) }) {
-				continue
-			}
-		}
-		voter := member.Member
-		voter.Learner = false
-		plan := view.with(voter)
-		plan.replacing = consensus.None
-		plan.reason = fmt.Sprintf("learner %x votes", uint64(member.ID))
-		return plan, true
-	}
-	return membershipPlan{}, false
-}
-
 // dropVoter drops a voter that is gone for good, if enough remain: its machine votes as another, or it has long been
 // silent.
 func dropVoter(view membershipView) (membershipPlan, bool) {
@@ -145,11 +149,8 @@
 		return membershipPlan{}, false
 	}
 	for _, member := range voters {
-		succeeded := member.wiped() && slices.ContainsFunc(voters, func(other memberView) bool {
-			return member.succeededBy(other.Member)
-		})
-		gone := succeeded || member.silent >= voterSilence
-		if gone && member.ID != view.self.ID && view.canSpare(member.ID) {
+		gone := view.succeeded(member) || member.silent >= voterSilence
+		if gone && member.ID != view.self.ID && view.staysAlive(member.ID, consensus.None) {
 			plan := view.without(member.ID)
 			plan.reason = fmt.Sprintf("voter %x is gone", uint64(member.ID))
 			return plan, true
@@ -167,7 +168,7 @@
 	}
 	for _, member := range voters {
 		away := member.leaving || member.silent >= surplusSilence
-		if away && member.ID != view.self.ID && view.canSpare(member.ID) {
+		if away && member.ID != view.self.ID && view.staysAlive(member.ID, consensus.None) {
 			plan := view.without(member.ID)
 			plan.reason = fmt.Sprintf("voter %x is one too many", uint64(member.ID))
 			return plan, true
@@ -176,47 +177,90 @@
 	return membershipPlan{}, false
 }
 
-// lostVoter is the voter whose place a learner takes: the one its machine was before, else the one silent for longest.
+// promotable are the learners that may vote.
+func (v *membershipView) promotable() []memberView {
+	var learners []memberView
+	for _, member := range v.members {
+		if member.Learner && member.caughtUp() && !member.leaving && !v.succeeded(member) {
+			learners = append(learners, member)
+		}
+	}
+	return learners
+}
+
+// lostVoter is the voter whose place a learner takes: the one its machine was before, else one that leaves, else the one
+// silent for longest.
 func (v *membershipView) lostVoter(learner memberView) (consensus.MemberID, bool) {
 	lost, silent := consensus.None, replaceableSilence
+	leaves := false
 	for _, member := range v.voters() {
-		if member.ID == v.self.ID {
-			continue
-		}
-		if member.succeededBy(learner.Member) && member.wiped() {
+		switch {
+		case member.ID == v.self.ID:
+		case member.succeededBy(learner):
 			return member.ID, true
-		}
-		if member.silent >= silent {
+		case member.leaving && member.alive():
+			lost, leaves = member.ID, true
+		case !leaves && member.silent >= silent:
 			lost, silent = member.ID, member.silent
 		}
 	}
 	return lost, lost != consensus.None
 }
 
-// canSpare tells whether the voters that remain without one have a quorum that is alive.
-func (v *membershipView) canSpare(id consensus.MemberID) bool {
-	voters, alive := 0, 0
-	for _, member := range v.voters() {
-		if member.ID == id {
-			continue
+// succeeded tells whether a member is gone because another has its machine.
+func (v *membershipView) succeeded(member memberView) bool {
+	return slices.ContainsFunc(v.members, member.succeededBy)
+}
+
+// staysAlive tells whether the voters without one and with another have a majority that is alive.
+func (v *membershipView) staysAlive(without, with consensus.MemberID) bool {
+	var voters []memberView
+	for _, member := range v.members {
+		if member.ID != without && (!member.Learner || member.ID == with) {
+			voters = append(voters, member)
 		}
-		voters++
+	}
+	return v.alive(voters)
+}
+
+// alive tells whether a majority of voters is alive.
+func (v *membershipView) alive(voters []memberView) bool {
+	alive := 0
+	for _, member := range voters {
 		if member.ID == v.self.ID || member.alive() {
 			alive++
 		}
 	}
-	return alive > voters/2
+	return alive > len(voters)/2
 }
 
-func (m *memberView) caughtUp() bool {
-	return m.behind <= caughtUpLag && m.alive()
-}
+func (m *memberView) caughtUp() bool { return m.age <= caughtUpAge && m.alive() }
 
 func (m *memberView) alive() bool { return max(m.silent, m.unheard) < aliveSilence }
 
-// wiped tells whether a member is silent enough to be lost, if its machine has come back as another.
-func (m *memberView) wiped() bool {
-	return m.silent >= wipedTermSilence && m.unheard >= wipedSilence
+// sameMachineAs tells whether another identity runs where this member ran.
+func (m memberView) sameMachineAs(other memberView) bool {
+	if m.ID == other.ID {
+		return false
+	}
+	return m.location == other.location || m.Node != "" && m.Node == other.Node
+}
+
+// succeededBy tells whether a member is gone because another identity has its machine.
+//
+// At the same address one answer is proof: the other has answered something that this leader sent to the address after
+// the member was last heard, so that at some moment after that the address was the other's. Wishes to join and envelopes
+// of identities that are gone answer nothing that was sent of late, however late they come.
+//
+// The machine's name at another address is none, since both processes may be there: then the member must be silent too.
+func (m memberView) succeededBy(other memberView) bool {
+	if !m.sameMachineAs(other) {
+		return false
+	}
+	if m.location == other.location && other.reachedAt > max(m.heardAt, other.movedAt) {
+		return true
+	}
+	return m.Node != "" && m.Node == other.Node && other.alive() && m.silent >= succeededTerm && m.unheard >= succeededSilence
 }
 
 func (v *membershipView) voters() []memberView {
@@ -229,12 +273,11 @@
 	return voters
 }
 
-// succeededBy tells whether another identity runs where this member ran: its disk was lost.
-func (m memberView) succeededBy(other consensus.Member) bool {
-	if m.ID == other.ID {
-		return false
-	}
-	return m.Address == other.Address || m.Node != "" && m.Node == other.Node
+// voting is a learner as a voter.
+func voting(learner memberView) consensus.Member {
+	voter := learner.Member
+	voter.Learner = false
+	return voter
 }
 
 func (v *membershipView) has(id consensus.MemberID) bool {
@@ -243,7 +286,7 @@
 
 // with is the membership with a member added or changed.
 func (v *membershipView) with(changed consensus.Member) membershipPlan {
-	plan := membershipPlan{replacing: v.replacing}
+	plan := membershipPlan{}
 	for _, member := range v.members {
 		if member.ID != changed.ID {
 			plan.members = append(plan.members, member.Member)
@@ -259,7 +302,7 @@
 
 // without is the membership without a member.
 func (v *membershipView) without(id consensus.MemberID) membershipPlan {
-	plan := membershipPlan{replacing: v.replacing}
+	plan := membershipPlan{}
 	for _, member := range v.members {
 		if member.ID != id {
 			plan.members = append(plan.members, member.Member)
--- a/internal/replica/membership_test.go
+++ b/internal/replica/membership_test.go
@@ -11,16 +11,41 @@
 
 // seen makes a member as a leader sees it.
 func seen(id consensus.MemberID, node string, silent time.Duration) memberView {
+	address := node + ":1"
 	return memberView{
-		Member:  consensus.Member{ID: id, Node: node, Zone: "z", Address: node + ":1"},
-		silent:  silent,
-		unheard: silent,
+		Member:   consensus.Member{ID: id, Node: node, Zone: "z", Address: address},
+		silent:   silent,
+		unheard:  silent,
+		location: address,
+		heardAt:  viewTime - silent,
 	}
 }
 
-func learning(m memberView, behind uint64) memberView {
+// viewTime is when a leader looks, by its own time.
+const viewTime = time.Hour
+
+// learning is a member that does not vote, and held on disk at that age all that was committed.
+func learning(m memberView, age time.Duration) memberView {
 	m.Learner = true
-	m.behind = behind
+	m.age = age
+	return m
+}
+
+// reached is a member that has answered something that the leader sent so long ago.
+func reached(m memberView, ago time.Duration) memberView {
+	m.reachedAt = viewTime - ago
+	return m
+}
+
+// at is a member that is elsewhere.
+func at(m memberView, address string) memberView {
+	m.Address, m.location = address, address
+	return m
+}
+
+// moved is a member that was elsewhere until so long ago.
+func moved(m memberView, ago time.Duration) memberView {
+	m.movedAt = viewTime - ago
 	return m
 }
 
@@ -52,82 +77,100 @@
 	}
 
 	DescribeTable("decides on one change",
-		func(members []memberView, joiners []consensus.Member, replacing int, expected []int, expectedReplacing int) {
-			plan := planMembership(membershipView{
-				self:      members[0].Member,
-				members:   members,
-				joiners:   joiners,
-				replacing: consensus.MemberID(replacing),
-			})
+		func(members []memberView, joiners []consensus.Member, expected []int) {
+			plan := planMembership(membershipView{self: members[0].Member, members: members, joiners: joiners})
 			Expect(votes(plan)).To(Equal(expected))
-			Expect(plan.replacing).To(Equal(consensus.MemberID(expectedReplacing)))
 		},
-		Entry("none when all is well", three(now), nil, 0, nil, 0),
-		Entry("none for a voter that is away while nobody can take its place", three(long), nil, 0, nil, 0),
+		Entry("none when all is well", three(now), nil, nil),
+		Entry("none for a voter that is away while nobody can take its place", three(long), nil, nil),
 		Entry("a joiner becomes a learner",
-			three(now), []consensus.Member{claim(4, "d")}, 0, []int{1, 2, 3, -4}, 0),
+			three(now), []consensus.Member{claim(4, "d")}, []int{1, 2, 3, -4}),
 		Entry("of two joiners one",
-			three(now), []consensus.Member{claim(4, "d"), claim(5, "e")}, 0, []int{1, 2, 3, -4}, 0),
+			three(now), []consensus.Member{claim(4, "d"), claim(5, "e")}, []int{1, 2, 3, -4}),
 		Entry("a member's wish changes nothing",
-			three(now), []consensus.Member{claim(2, "b")}, 0, nil, 0),
+			three(now), []consensus.Member{claim(2, "b")}, nil),
 		Entry("a member's new address is taken over",
-			three(now), []consensus.Member{{ID: 2, Node: "b", Zone: "z", Address: "elsewhere"}}, 0, []int{1, 2, 3}, 0),
+			three(now), []consensus.Member{{ID: 2, Node: "b", Zone: "z", Address: "elsewhere"}}, []int{1, 2, 3}),
 		Entry("a learner that has caught up votes",
-			append(three(now), learning(seen(4, "d", now), 3)), nil, 0, []int{1, 2, 3, 4}, 0),
+			append(three(now), learning(seen(4, "d", now), now)), nil, []int{1, 2, 3, 4}),
 		Entry("one that has not does not",
-			append(three(now), learning(seen(4, "d", now), caughtUpLag+1)), nil, 0, nil, 0),
+			append(three(now), learning(seen(4, "d", now), caughtUpAge+1)), nil, nil),
 		Entry("one that is silent does not",
-			append(three(now), learning(seen(4, "d", soon), 0)), nil, 0, nil, 0),
+			append(three(now), learning(seen(4, "d", soon), 0)), nil, nil),
 		Entry("one that has acknowledged nothing does not",
-			append(three(now), learning(seen(4, "d", now), unknownLag)), nil, 0, nil, 0),
-		Entry("a wiped voter goes before its successor votes",
-			append(three(soon), learning(seen(4, "c", now), 0)), nil, 0, []int{1, 2, -4}, 4),
-		Entry("its successor waits while it is not sure that it is wiped",
-			append(three(now), learning(seen(4, "c", now), 0)), nil, 0, nil, 0),
-		Entry("then the successor votes",
-			[]memberView{seen(1, "a", 0), seen(2, "b", now), learning(seen(4, "c", now), 0)}, nil, 4, []int{1, 2, 4}, 0),
+			append(three(now), learning(seen(4, "d", now), unknownAge)), nil, nil),
+
+		Entry("a wiped voter gives its place as soon as another answers at its address",
+			append(three(2*now), reached(learning(seen(4, "c", now), 0), now)), nil, []int{1, 2, 4}),
+		Entry("but not for an answer to what was sent before it was last heard",
+			append(three(now), reached(learning(seen(4, "c", now), 0), 2*now)), nil, nil),
+		Entry("nor to what was sent in the same moment",
+			append(three(now), reached(learning(seen(4, "c", now), 0), now)), nil, nil),
+		Entry("nor to what was sent while the other was elsewhere",
+			append(three(3*now), moved(reached(learning(at(seen(4, "d", now), "c:1"), 0), 2*now), now)), nil, nil),
+		Entry("nor to a successor that has not caught up",
+			append(three(long), reached(learning(seen(4, "c", now), unknownAge), now)), nil, nil),
+		Entry("nor to one that answers no more",
+			append(three(long), reached(learning(seen(4, "c", soon), 0), soon)), nil, nil),
+		Entry("nor if it has moved itself",
+			append([]memberView{seen(1, "a", 0), seen(2, "b", now), at(seen(3, "c", 2*now), "elsewhere:1")},
+				reached(learning(at(seen(4, "d", now), "c:1"), 0), now)), nil, []int{1, 2, 3, 4}),
+		Entry("at another address the machine's name alone is no proof: the successor waits while the voter is heard",
+			append(three(now), reached(learning(at(seen(4, "c", now), "new:1"), 0), 0)), nil, nil),
+		Entry("and then gets its place",
+			append(three(soon), reached(learning(at(seen(4, "c", now), "new:1"), 0), 0)), nil, []int{1, 2, 4}),
+
 		Entry("a voter that is away for short keeps its place",
-			append(three(soon), learning(seen(4, "d", now), 0)), nil, 0, []int{1, 2, 3, 4}, 0),
+			append(three(soon), learning(seen(4, "d", now), 0)), nil, []int{1, 2, 3, 4}),
 		Entry("one that is away for long loses it",
-			append(three(long), learning(seen(4, "d", now), 0)), nil, 0, []int{1, 2, -4}, 4),
+			append(three(long), learning(seen(4, "d", now), 0)), nil, []int{1, 2, 4}),
+		Entry("one that leaves loses it at once",
+			[]memberView{seen(1, "a", 0), seen(2, "b", now), leaving(seen(3, "c", now)), learning(seen(4, "d", now), 0)},
+			nil, []int{1, 2, 4}),
+		Entry("one that leaves rather than one that is away",
+			[]memberView{seen(1, "a", 0), seen(2, "b", now), leaving(seen(3, "c", now)), seen(4, "d", now), seen(5, "e", long),
+				learning(seen(6, "f", now), 0)}, nil, []int{1, 2, 4, 5, 6}),
+		Entry("the one whose machine it has rather than one that leaves",
+			[]memberView{seen(1, "a", 0), seen(2, "b", now), leaving(seen(3, "c", now)), seen(4, "d", now), seen(5, "e", long),
+				reached(learning(seen(6, "e", now), 0), now)}, nil, []int{1, 2, 3, 4, 6}),
 		Entry("only one voter goes for one learner",
-			[]memberView{seen(1, "a", 0), seen(2, "b", now), seen(3, "c", now), seen(5, "e", long),
-				learning(seen(4, "d", now), 0)}, nil, 4, []int{1, 2, 3, 5, 4}, 0),
+			[]memberView{seen(1, "a", 0), seen(2, "b", now), seen(3, "c", now), seen(5, "e", long), seen(6, "f", long+1),
+				learning(seen(4, "d", now), 0)}, nil, []int{1, 2, 3, 5, 4}),
 		Entry("none goes when the others would have no quorum",
 			[]memberView{seen(1, "a", 0), seen(2, "b", long), seen(3, "c", long), learning(seen(4, "d", now), 0)},
-			nil, 0, []int{1, 2, 3, 4}, 0),
+			nil, []int{1, 2, 3, 4}),
 		Entry("the leader itself never goes",
 			[]memberView{seen(1, "a", long), seen(2, "b", now), seen(3, "c", now), learning(seen(4, "d", now), 0)},
-			nil, 0, []int{1, 2, 3, 4}, 0),
+			nil, []int{1, 2, 3, 4}),
 		Entry("a learner that is silent for long is dropped",
-			append(three(now), learning(seen(4, "d", 31*time.Second), 0)), nil, 0, []int{1, 2, 3}, 0),
-		Entry("one whose machine joins as another is dropped sooner",
-			append(three(now), learning(seen(4, "d", soon), 0)), []consensus.Member{claim(5, "d")}, 0, []int{1, 2, 3}, 0),
-		Entry("but not while it answers",
-			append(three(now), learning(seen(4, "d", now), 99)), []consensus.Member{claim(5, "d")}, 0,
-			[]int{1, 2, 3, -4, -5}, 0),
+			append(three(now), learning(seen(4, "d", 31*time.Second), 0)), nil, []int{1, 2, 3}),
+		Entry("a wish of its machine's next identity takes that in beside it",
+			append(three(now), learning(seen(4, "d", soon), 0)), []consensus.Member{claim(5, "d")}, []int{1, 2, 3, -4, -5}),
+		Entry("and once that answers the learner is dropped",
+			append(three(now), learning(seen(4, "d", 2*now), 0), reached(learning(seen(5, "d", now), unknownAge), now)),
+			[]consensus.Member{claim(6, "e")}, []int{1, 2, 3, -5}),
 		Entry("a voter that is gone for good is dropped if three remain",
-			append(three(now), seen(4, "d", 61*time.Second)), nil, 0, []int{1, 2, 3}, 0),
+			append(three(now), seen(4, "d", 61*time.Second)), nil, []int{1, 2, 3}),
 		Entry("also of five",
-			append(three(now), seen(4, "d", now), seen(5, "e", 61*time.Second)), nil, 0, []int{1, 2, 3, 4}, 0),
+			append(three(now), seen(4, "d", now), seen(5, "e", 61*time.Second)), nil, []int{1, 2, 3, 4}),
 		Entry("not before",
-			append(three(now), seen(4, "d", now), seen(5, "e", 59*time.Second)), nil, 0, nil, 0),
-		Entry("not if fewer remain", three(61*time.Second), nil, 0, nil, 0),
+			append(three(now), seen(4, "d", now), seen(5, "e", 59*time.Second)), nil, nil),
+		Entry("not if fewer remain", three(61*time.Second), nil, nil),
 		Entry("of an even number one that is away goes before long",
-			append(three(soon), seen(4, "d", now)), nil, 0, []int{1, 2, 4}, 0),
+			append(three(soon), seen(4, "d", now)), nil, []int{1, 2, 4}),
 		Entry("or that leaves",
-			append(three(now), leaving(seen(4, "d", now))), nil, 0, []int{1, 2, 3}, 0),
+			append(three(now), leaving(seen(4, "d", now))), nil, []int{1, 2, 3}),
 		Entry("but not for a moment's silence",
-			append(three(time.Second), seen(4, "d", now)), nil, 0, nil, 0),
+			append(three(time.Second), seen(4, "d", now)), nil, nil),
 		Entry("nor where the others would have no quorum",
-			[]memberView{seen(1, "a", 0), seen(2, "b", long), seen(3, "c", long), seen(4, "d", long)}, nil, 0, nil, 0),
+			[]memberView{seen(1, "a", 0), seen(2, "b", long), seen(3, "c", long), seen(4, "d", long)}, nil, nil),
 		Entry("of an odd number none goes",
-			append(three(soon), seen(4, "d", now), leaving(seen(5, "e", now))), nil, 0, nil, 0),
-		Entry("nor of two", []memberView{seen(1, "a", 0), seen(2, "b", long)}, nil, 0, nil, 0),
+			append(three(soon), seen(4, "d", now), leaving(seen(5, "e", now))), nil, nil),
+		Entry("nor of two", []memberView{seen(1, "a", 0), seen(2, "b", long)}, nil, nil),
 		Entry("a learner that leaves does not vote",
-			append(three(now), learning(leaving(seen(4, "d", now)), 0)), nil, 0, nil, 0),
+			append(three(now), learning(leaving(seen(4, "d", now)), 0)), nil, nil),
 		Entry("a voter whose machine votes as another is dropped soon",
-			append(three(soon), seen(4, "c", now)), nil, 0, []int{1, 2, 4}, 0),
+			append(three(soon), reached(seen(4, "c", now), now)), nil, []int{1, 2, 4}),
 	)
 
 	It("counts a member as alive only if something was heard from it, however young the term", func() {
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -15,6 +15,7 @@
 type peer struct {
 	address     string
 	told        bool          // the address comes from the process itself, not from a membership
+	movedAt     time.Duration // when the address became known
 	heardAt     time.Duration // the newest envelope
 	steadySince time.Duration // heard since then without a longer silence, and never reluctant
 	reluctantAt time.Duration
@@ -44,16 +45,24 @@
 	for _, member := range members {
 		known := p.get(member.ID)
 		if !known.told || now-known.heardAt > toldLifetime {
-			known.address, known.told = member.Address, false
+			known.moveTo(member.Address, now)
+			known.told = false
 		}
 	}
 }
 
+func (p *peer) moveTo(address string, now time.Duration) {
+	if p.address != address {
+		p.address, p.movedAt = address, now
+	}
+}
+
 // heard takes note of an envelope.
 func (p *peers) heard(envelope *Envelope, now time.Duration) {
 	known := p.get(envelope.From)
 	if envelope.Address != "" {
-		known.address, known.told = envelope.Address, true
+		known.moveTo(envelope.Address, now)
+		known.told = true
 	}
 	if known.heardAt == 0 || now-known.heardAt > steadyGap || envelope.Reluctant {
 		known.steadySince = now
--- a/internal/replica/shifts.go
+++ b/internal/replica/shifts.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -14,6 +15,7 @@
 	groupShift     = 10 * time.Second        // between two moves of one group's leadership for spread
 	engineShift    = time.Second             // between two moves for spread of any group
 	handOverPeriod = 1500 * time.Millisecond // between two tries to give a leadership away for good
+	leadableLag    = 64                      // entries that a member may lack to which a leadership moves for spread
 	resignPatience = 1500 * time.Millisecond // how long Resign waits
 )
 
@@ -87,7 +89,7 @@
 
 // heir is the voter that is alive and willing and lacks least; None if there is none.
 func (g *group) heir(members []consensus.Member) consensus.MemberID {
-	heir, least := consensus.None, uint64(unknownLag)
+	heir, least := consensus.None, uint64(math.MaxUint64)
 	for _, member := range members {
 		if member.Learner || member.ID == g.engine.self.ID {
 			continue
@@ -137,7 +139,7 @@
 	}
 	preferred := voters[int(g.id)%len(voters)]
 	behind, heardAt, known := g.node.Lagging(preferred)
-	ready := known && behind <= caughtUpLag && g.mayTake(preferred, heardAt)
+	ready := known && behind <= leadableLag && g.mayTake(preferred, heardAt)
 	steady := e.peers.steady(preferred, e.now) >= steadyEnough
 	if preferred == e.self.ID || !ready || !steady {
 		return consensus.None
--- a/internal/replica/turn.go
+++ b/internal/replica/turn.go
@@ -73,6 +73,9 @@
 			continue
 		}
 		g.node.Step(*message, e.now)
+		if g.awaitsLearner(message) {
+			e.manage = e.now
+		}
 	}
 	for i := range envelope.Joins {
 		e.takeJoin(&envelope.Joins[i])
