Let a process that ends go only when its entries and its place are safe

Before its end a process gave its leaderships away, and went.

It now asks the leaders of all groups, in two phases. They say yes once its place is taken if anybody is there to take it, and else once a quorum of the others follows what is committed; then it takes part in nothing more, so that nothing more is committed on its word, and goes once a quorum of the others has on disk all that it has. Of two that leave at once one goes first. It waits three quarters of graceS at most, then says which groups could not spare it and ends all the same.

A leadership that was offered to one that leaves itself is offered again after 0.5 s instead of 1.5 s, a new leader counts the silence that its process has heard already, and a leader drops a learner that a late wish has put at its own address.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -28,7 +28,11 @@
 const (
 	heartbeatInterval = 75 * time.Millisecond
 	electionTimeout   = 320 * time.Millisecond
-	resignTime        = 1500 * time.Millisecond
+	// leaveShare is the share of graceS for which a process that ends waits until it can be spared, in quarters; the rest is
+	// for what ends after it.
+	leaveShare = 3
+	// leaveMargin is how long after that the engine's word is waited for.
+	leaveMargin = 200 * time.Millisecond
 )
 
 // Control is one running control process.
@@ -44,7 +48,7 @@
 	ownersToldAt  time.Duration // when the feed was last told members and owners
 }
 
-// Run serves until ctx ends, then gives away what this process owns and returns.
+// Run serves until ctx ends, then leaves the replica groups and returns.
 func Run(ctx context.Context, settings *boot.Settings, logger log.Logger) error {
 	hangups := seeds.Hangups()
 	c := &Control{settings: settings, logger: logger, shards: map[protocol.ShardID]*jobShard{}}
@@ -140,7 +144,7 @@
 		return errors.Wrap(err, "the replicas ended")
 	case <-ctx.Done():
 	}
-	c.resign()
+	c.leave()
 	httpServer.Close()
 	stopEngine()
 	<-engineEnd
@@ -154,14 +158,16 @@
 		Directory: peers{c.engine}, Logger: c.logger})
 }
 
-// resign gives away what this process owns, and waits until that is done, for a while.
-func (c *Control) resign() {
-	level.Info(c.logger).Log("msg", "giving away leadership before the end")
+// leave gives away what this process owns, and waits until the others hold all that it holds and its place is taken if
+// somebody is there to take it; at most for three quarters of graceS.
+func (c *Control) leave() {
+	level.Info(c.logger).Log("msg", "leaving the replica groups before the end")
+	patience := c.settings.Bounds.Grace * leaveShare / 4
 	done := make(chan struct{})
-	c.engine.Do(func() { c.engine.Resign(func() { close(done) }) })
+	c.engine.Do(func() { c.engine.Leave(patience, func() { close(done) }) })
 	select {
 	case <-done:
-	case <-time.After(resignTime):
+	case <-time.After(patience + leaveMargin):
 	}
 }
 
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -27,9 +27,13 @@
 	lock   io.Closer
 	atDisk sync.WaitGroup // goroutines that write
 	shifts shifts
-	failed error         // the engine cannot go on
-	manage time.Duration // when membership and leadership are next looked at
-	joins  time.Duration // when joining is next asked for
+	// departure is this process's end by plan.
+	departure departure
+	// released are the members that were told by this process that they may leave, and when.
+	released map[consensus.MemberID]time.Duration
+	failed   error         // the engine cannot go on
+	manage   time.Duration // when membership and leadership are next looked at
+	joins    time.Duration // when joining is next asked for
 
 	inbox          inbox
 	spareEnvelopes []*Envelope
@@ -54,12 +58,13 @@
 	self.ID = opened.identity.ID
 	self.Learner = false
 	e := &Engine{
-		options: options,
-		self:    self,
-		started: options.Clock.Now(),
-		byID:    map[GroupID]*group{},
-		peers:   newPeers(self),
-		lock:    opened.lock,
+		options:  options,
+		self:     self,
+		started:  options.Clock.Now(),
+		byID:     map[GroupID]*group{},
+		peers:    newPeers(self),
+		lock:     opened.lock,
+		released: map[consensus.MemberID]time.Duration{},
 	}
 	e.inbox.wake = make(chan struct{}, 1)
 	e.outbox = newOutbox(e)
--- a/internal/replica/exposure_test.go
+++ b/internal/replica/exposure_test.go
@@ -44,14 +44,17 @@
 	return false
 }
 
-// wins tells whether a candidate gets a quorum by the membership that its own disk holds.
+// wins tells whether a candidate gets a quorum by the membership that its own disk holds. One that this leaves out stands
+// as well, without counting itself, as long as it doesn't know it to be committed.
 func (d disks) wins(id GroupID, candidate consensus.MemberID, m *machine, lost consensus.MemberID) bool {
 	own := m.durable[id]
-	members := m.engine.byID[id].node.MembersAt(own.index)
-	stands := slices.ContainsFunc(members, func(member consensus.Member) bool {
-		return member.ID == candidate && !member.Learner
-	})
-	return stands && consensus.HasQuorum(members, func(voter consensus.MemberID) bool {
+	node := m.engine.byID[id].node
+	members := node.MembersAt(own.index)
+	committed := node.MembersAt(min(own.index, node.Status().Commit))
+	if !slices.Contains(sortedVoters(members), candidate) && !slices.Contains(sortedVoters(committed), candidate) {
+		return false
+	}
+	return consensus.HasQuorum(members, func(voter consensus.MemberID) bool {
 		other := d[voter]
 		return voter != lost && other != nil && own.covers(other.durable[id])
 	})
--- a/internal/replica/joins.go
+++ b/internal/replica/joins.go
@@ -150,6 +150,10 @@
 	now := g.engine.now
 	_, answeredAt, _ := g.node.Lagging(member.ID)
 	known := g.engine.peers.get(member.ID)
+	reachedAt := g.node.ReachedAt(member.ID)
+	if member.ID == g.engine.self.ID {
+		reachedAt = now // nobody else is where this process is
+	}
 	return memberView{
 		Member:    member,
 		age:       g.ageOf(member.ID),
@@ -159,6 +163,6 @@
 		location:  cmp.Or(g.engine.peers.address(member.ID), member.Address),
 		movedAt:   known.movedAt,
 		heardAt:   known.heardAt,
-		reachedAt: g.node.ReachedAt(member.ID),
+		reachedAt: reachedAt,
 	}
 }
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -167,8 +167,8 @@
 		return membershipPlan{}, false
 	}
 	for _, member := range voters {
-		away := member.leaving || member.silent >= surplusSilence
-		if away && member.ID != view.self.ID && view.staysAlive(member.ID, consensus.None) {
+		goes := member.leaving || member.away() >= surplusSilence
+		if goes && member.ID != view.self.ID && view.staysAlive(member.ID, consensus.None) {
 			plan := view.without(member.ID)
 			plan.reason = fmt.Sprintf("voter %x is one too many", uint64(member.ID))
 			return plan, true
@@ -200,8 +200,8 @@
 			return member.ID, true
 		case member.leaving && member.alive():
 			lost, leaves = member.ID, true
-		case !leaves && member.silent >= silent:
-			lost, silent = member.ID, member.silent
+		case !leaves && member.away() >= silent:
+			lost, silent = member.ID, member.away()
 		}
 	}
 	return lost, lost != consensus.None
@@ -238,6 +238,15 @@
 
 func (m *memberView) alive() bool { return max(m.silent, m.unheard) < aliveSilence }
 
+// away is for how long a member has been silent. A new leader that it owes some answers may count what this process heard
+// from it before.
+func (m *memberView) away() time.Duration {
+	if m.silent < aliveSilence {
+		return m.silent
+	}
+	return max(m.silent, m.unheard)
+}
+
 // sameMachineAs tells whether another identity runs where this member ran.
 func (m memberView) sameMachineAs(other memberView) bool {
 	if m.ID == other.ID {
--- a/internal/replica/outbox.go
+++ b/internal/replica/outbox.go
@@ -31,6 +31,21 @@
 	envelope.Joins = append(envelope.Joins, join)
 }
 
+// leave adds a request to be let go.
+func (o *outbox) leave(address string, leave Leave) {
+	envelope := o.to(address)
+	envelope.Leaves = append(envelope.Leaves, leave)
+}
+
+// release adds the word that a member may leave.
+func (o *outbox) release(address string, release Release) {
+	if address == "" {
+		return
+	}
+	envelope := o.to(address)
+	envelope.Releases = append(envelope.Releases, release)
+}
+
 func (o *outbox) to(address string) *Envelope {
 	for i := range o.mail {
 		if o.mail[i].address == address {
--- a/internal/replica/repair_test.go
+++ b/internal/replica/repair_test.go
@@ -21,6 +21,7 @@
 	controlHeartbeat = 75 * time.Millisecond
 	controlElection  = 320 * time.Millisecond
 	controlGroups    = 5
+	controlPatience  = 4500 * time.Millisecond
 	fastDisk         = 9 * time.Millisecond
 	slowDisk         = 30 * fastDisk
 )
@@ -106,7 +107,7 @@
 				r.gone = r.lost
 			})
 		}
-		r.lost.engine.Do(func() { r.lost.engine.Resign(leave) })
+		r.lost.engine.Do(func() { r.lost.engine.Leave(controlPatience, leave) })
 		r.lost.wake()
 	})
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -48,6 +48,8 @@
 	Reluctant bool   // From does not want to lead: its disk is sick, or it ends soon
 	Messages  []consensus.Message
 	Joins     []Join
+	Leaves    []Leave
+	Releases  []Release
 }
 
 // Sender carries envelopes to other processes' Receive. Send must not wait; the envelope is the sender's from then on.
--- a/internal/replica/shifts.go
+++ b/internal/replica/shifts.go
@@ -14,7 +14,8 @@
 	steadyEnough   = 5 * time.Second         // for how long a preferred leader must have been heard
 	groupShift     = 10 * time.Second        // between two moves of one group's leadership for spread
 	engineShift    = time.Second             // between two moves for spread of any group
-	handOverPeriod = 1500 * time.Millisecond // between two tries to give a leadership away for good
+	handOverPeriod = 1500 * time.Millisecond // between two tries to give a leadership away because the disk is sick
+	resignPeriod   = 500 * time.Millisecond  // the same before the end, when there is no time to lose
 	leadableLag    = 64                      // entries that a member may lack to which a leadership moves for spread
 	resignPatience = 1500 * time.Millisecond // how long Resign waits
 )
@@ -61,9 +62,19 @@
 }
 
 func (e *Engine) finishResigning(led int) {
-	if !e.shifts.resigning || led > 0 && e.now < e.shifts.resignUntil {
+	if !e.shifts.resigning || len(e.shifts.resigned) == 0 {
 		return
 	}
+	ready := led == 0
+	if e.departure.begun {
+		ready = e.depart(led)
+	}
+	if !ready && e.now < e.shifts.resignUntil {
+		return
+	}
+	if !ready && e.departure.begun {
+		e.warnOfLeaving()
+	}
 	waiting := e.shifts.resigned
 	e.shifts.resigned = nil
 	for _, done := range waiting {
@@ -75,7 +86,11 @@
 func (g *group) giveAway() {
 	now := g.engine.now
 	status := g.node.Status()
-	tried := g.handedOverAt > 0 && now-g.handedOverAt < handOverPeriod
+	period := handOverPeriod
+	if g.engine.shifts.resigning {
+		period = resignPeriod
+	}
+	tried := g.handedOverAt > 0 && now-g.handedOverAt < period
 	if !status.IsLeader || status.Transferee != consensus.None || tried {
 		return
 	}
--- /dev/null
+++ b/internal/replica/succession_test.go
@@ -0,0 +1,335 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/consensus"
+)
+
+// controlCluster has machines with control's own timing, all of which vote.
+func controlCluster(seed uint64, members int) *cluster {
+	GinkgoHelper()
+	c := newCluster(seed, controlGroups)
+	c.heartbeat, c.election = controlHeartbeat, controlElection
+	c.startFirst(members)
+	c.awaitVoters(c.names()...)
+	c.work(2 * time.Second)
+	return c
+}
+
+// recordOf keeps all that a machine sends from now on, until stop is called.
+func (c *cluster) recordOf(m *machine) (record func() []*Envelope, stop func()) {
+	var sent []*Envelope
+	c.trace = func(from *machine, _ string, envelope *Envelope) {
+		if from == m {
+			sent = append(sent, envelope)
+		}
+	}
+	return func() []*Envelope { return sent }, func() { c.trace = nil }
+}
+
+// deliver brings an envelope to all machines but those at its sender's address.
+func (c *cluster) deliver(envelope *Envelope) {
+	for _, m := range c.machines {
+		if m.up && m.address != envelope.Address {
+			late := *envelope
+			m.engine.Receive(&late)
+			m.wake()
+		}
+	}
+}
+
+// votes tells whether an identity votes in all groups.
+func (c *cluster) votes(id consensus.MemberID) bool {
+	for group := range GroupID(c.groups) {
+		leader := c.leader(group)
+		if leader != nil && !slices.Contains(sortedVoters(leader.engine.Members(group)), id) {
+			return false
+		}
+	}
+	return true
+}
+
+// voted tells whether an identity votes in any group.
+func (c *cluster) voted(id consensus.MemberID) bool {
+	for group := range GroupID(c.groups) {
+		leader := c.leader(group)
+		if leader != nil && slices.Contains(sortedVoters(leader.engine.Members(group)), id) {
+			return true
+		}
+	}
+	return false
+}
+
+var _ = Describe("A machine that comes back without its disk", func() {
+	It("has its place again as soon as it answers and holds what is committed, however soon it is back", func() {
+		for seed := range uint64(20) {
+			c := controlCluster(seed, 3)
+			follower := c.machines[c.random.IntN(3)]
+			for id := range GroupID(controlGroups) {
+				if c.leader(id) == follower {
+					follower.engine.Do(func() { follower.engine.Resign(func() {}) })
+					follower.wake()
+				}
+			}
+			c.work(time.Second)
+			follower.wipe()
+			c.work(20 * time.Millisecond)
+			follower.start(nil)
+			Expect(c.until(400*time.Millisecond, c.settled(c.names()...))).To(BeTrue())
+		}
+	})
+
+	It("is not taken for lost on the word of identities that were lost before, however late it comes", func() {
+		for seed := range uint64(10) {
+			c := controlCluster(seed, 3)
+			m := c.machines[seed%3]
+			record, stop := c.recordOf(m)
+			c.work(500 * time.Millisecond)
+			oldest := m.engine.self.ID
+			m.wipe()
+			m.start(nil)
+			c.work(2 * time.Second)
+			second := m.engine.self.ID
+			m.wipe()
+			m.start(nil)
+			c.work(2 * time.Second)
+			stop()
+			present := m.engine.self.ID
+			Expect(c.votes(present)).To(BeTrue())
+			late := record()
+			for _, envelope := range late { // and a wish of each
+				for id := range GroupID(controlGroups) {
+					wish := Join{Group: id, Member: consensus.Member{ID: envelope.From, Node: m.name, Zone: "zone", Address: m.address}}
+					envelope.Joins = append(envelope.Joins, wish)
+				}
+			}
+			for range 200 {
+				c.deliver(late[c.random.IntN(len(late))])
+				c.work(time.Duration(c.random.IntN(20)) * time.Millisecond)
+				Expect(c.votes(present)).To(BeTrue(), "the present identity keeps its vote")
+				Expect(c.voted(oldest)).To(BeFalse())
+				Expect(c.voted(second)).To(BeFalse())
+			}
+			c.work(2 * time.Second)
+			c.awaitVoters(c.names()...)
+			Expect(c.isMember(oldest) || c.isMember(second)).To(BeFalse(), "what a late wish has brought in is dropped")
+		}
+	})
+
+	It("is taken in also while envelopes of its lost identity come in late and twice", func() {
+		for seed := range uint64(10) {
+			c := controlCluster(seed, 3)
+			m := c.machines[seed%3]
+			record, stop := c.recordOf(m)
+			c.work(500 * time.Millisecond)
+			m.wipe()
+			stop()
+			m.start(nil)
+			late := record()
+			for i := range 10 {
+				c.at(time.Duration(i)*20*time.Millisecond, func() { c.deliver(late[c.random.IntN(len(late))]) })
+			}
+			Expect(c.until(3*time.Second, c.settled(c.names()...))).To(BeTrue())
+		}
+	})
+
+	It("may be wiped again at any moment of its repair", func() {
+		for pause := 5 * time.Millisecond; pause < 400*time.Millisecond; pause += 15 * time.Millisecond {
+			c := controlCluster(uint64(pause), 3)
+			m := c.machines[c.random.IntN(3)]
+			m.wipe()
+			c.work(50 * time.Millisecond)
+			for range 3 {
+				m.start(nil)
+				c.run(pause)
+				m.wipe()
+			}
+			m.start(nil)
+			Expect(c.until(3*time.Second, c.settled(c.names()...))).To(BeTrue(), "after %v", pause)
+			c.work(100 * time.Millisecond)
+			c.converge()
+		}
+	})
+
+	It("finds the group when its seeds have changed", func() {
+		for seed := range uint64(6) {
+			c := controlCluster(seed, 5)
+			m := c.machines[0]
+			m.wipe()
+			c.seeds = []string{c.machines[4].address}
+			m.start(nil)
+			Expect(c.until(3*time.Second, c.settled(c.names()...))).To(BeTrue())
+		}
+	})
+
+	DescribeTable("loses nothing when all others lose power at any moment after it",
+		func(members, wiped int) {
+			for seed := range repairSeeds() * 5 {
+				c := controlCluster(seed, members)
+				c.commit(GroupID(seed%controlGroups), 1, 100)
+				first := c.random.IntN(members)
+				var lost []*machine
+				for i := range wiped {
+					lost = append(lost, c.machines[(first+i)%members])
+				}
+				for _, m := range lost {
+					m.wipe()
+				}
+				c.run(time.Duration(c.random.IntN(2)) * 50 * time.Millisecond)
+				for _, m := range lost {
+					m.start(nil)
+				}
+				c.work(time.Duration(c.random.IntN(400)) * time.Millisecond)
+				for _, m := range c.machines {
+					if !slices.Contains(lost, m) {
+						m.losePower()
+					}
+				}
+				c.run(time.Duration(c.random.IntN(1000)) * time.Millisecond)
+				for _, m := range c.machines {
+					if !m.up {
+						m.start(nil)
+					}
+				}
+				Expect(c.until(10*time.Second, c.settled(c.names()...))).To(BeTrue(), "seed %d", seed)
+				c.converge()
+			}
+		},
+		Entry("one of three", 3, 1),
+		Entry("one of five", 5, 1),
+		Entry("two of five", 5, 2),
+		Entry("two of nine", 9, 2),
+	)
+
+	It("is repaired although the leader is lost at any moment of it", func() {
+		for seed := range repairSeeds() * 8 {
+			c := controlCluster(seed, 3)
+			m := c.machines[c.random.IntN(3)]
+			m.wipe()
+			c.work(time.Duration(c.random.IntN(1500)) * time.Millisecond)
+			m.start(nil)
+			c.run(time.Duration(c.random.IntN(150)) * time.Millisecond)
+			leader := c.leader(0)
+			if leader == nil || leader == m {
+				continue
+			}
+			if seed%2 == 0 {
+				leader.losePower()
+			} else {
+				leader.isolated = true
+			}
+			c.work(time.Second)
+			if seed%2 == 0 {
+				leader.start(nil)
+			}
+			leader.isolated = false
+			Expect(c.until(6*time.Second, c.settled(c.names()...))).To(BeTrue(), "seed %d", seed)
+			c.converge()
+		}
+	})
+})
+
+var _ = Describe("A machine that was replaced while it was away", func() {
+	DescribeTable("disturbs nobody when it comes back, and is taken in again",
+		func(away, back func(m *machine)) {
+			for seed := range uint64(10) {
+				c := controlCluster(seed, 3)
+				m := c.machines[seed%3]
+				away(m)
+				c.work(4 * time.Second)
+				c.add("core-4", "10.0.0.4:7380").start(nil)
+				names := slices.DeleteFunc(c.names(), func(name string) bool { return name == m.name })
+				Expect(c.until(2*time.Second, c.settled(names...))).To(BeTrue())
+				c.run(25 * time.Second) // until leaderships are spread
+				terms := c.terms()
+				back(m)
+				c.work(time.Second)
+				Expect(c.terms()).To(Equal(terms))
+				c.awaitVoters(c.names()...)
+				c.converge()
+			}
+		},
+		Entry("cut off", func(m *machine) { m.isolated = true }, func(m *machine) { m.isolated = false }),
+		Entry("frozen", func(m *machine) { m.frozen = true }, func(m *machine) { m.frozen = false; m.wake() }),
+	)
+})
+
+var _ = Describe("A learner", func() {
+	for _, disk := range []time.Duration{fastDisk, 100 * time.Millisecond, slowDisk, 400 * time.Millisecond} {
+		It(fmt.Sprintf("is promoted under constant load with a disk of %v, and then holds what was committed a second before", disk), func() {
+			for seed := range uint64(5) {
+				c := controlCluster(seed, 3)
+				keepProposing(c)
+				c.run(2 * time.Second)
+				fresh := c.add("core-4", "10.0.0.4:7380")
+				fresh.diskDelay = disk
+				fresh.start(nil)
+				commits := map[GroupID][]logEnd{} // with the time in place of the term
+				promoted := map[GroupID]bool{}
+				Expect(c.until(6*time.Second, func() bool {
+					for id := range GroupID(controlGroups) {
+						leader := c.leader(id)
+						if leader == nil || promoted[id] {
+							continue
+						}
+						commits[id] = append(commits[id], logEnd{index: leader.engine.Status(id).Commit, term: uint64(c.now())})
+						if c.votesIn(id, fresh) {
+							promoted[id] = true
+							Expect(fresh.durable[id].index).To(BeNumerically(">=", committedBefore(commits[id], c.now()-caughtUpAge)))
+						}
+					}
+					return len(promoted) == controlGroups
+				})).To(BeTrue())
+			}
+		})
+	}
+
+	It("follows in rounds", func() {
+		followed := &catchUp{}
+		Expect(followed.age(time.Second)).To(Equal(unknownAge))
+		followed.look(0, 100, time.Second)
+		Expect(followed.age(time.Second)).To(Equal(unknownAge))
+		followed.look(99, 150, 2*time.Second)
+		Expect(followed.age(2*time.Second)).To(Equal(unknownAge), "64 entries or one: what was committed is not there")
+		followed.look(120, 200, 3*time.Second)
+		Expect(followed.age(3*time.Second)).To(Equal(2*time.Second), "what was committed after one second")
+		followed.look(199, 250, 4*time.Second)
+		Expect(followed.age(4 * time.Second)).To(Equal(3 * time.Second))
+		followed.look(200, 300, 5*time.Second)
+		Expect(followed.age(5 * time.Second)).To(Equal(2 * time.Second))
+		followed.look(300, 300, 6*time.Second)
+		Expect(followed.age(6*time.Second)).To(BeZero(), "all of it now")
+	})
+})
+
+// keepProposing proposes something in each group all 2 ms for as long as the cluster runs.
+func keepProposing(c *cluster) {
+	c.at(2*time.Millisecond, func() {
+		for id := range GroupID(c.groups) {
+			c.propose(id, 50, nil)
+		}
+		keepProposing(c)
+	})
+}
+
+// votesIn tells whether a machine's identity votes in a group.
+func (c *cluster) votesIn(id GroupID, m *machine) bool {
+	return slices.Contains(sortedVoters(c.leader(id).engine.Members(id)), m.engine.self.ID)
+}
+
+// committedBefore is the newest index that was committed at a time.
+func committedBefore(commits []logEnd, at time.Duration) uint64 {
+	committed := uint64(0)
+	for _, commit := range commits {
+		if time.Duration(commit.term) <= at {
+			committed = commit.index
+		}
+	}
+	return committed
+}
--- a/internal/replica/turn.go
+++ b/internal/replica/turn.go
@@ -65,6 +65,12 @@
 		return
 	}
 	e.peers.heard(envelope, e.now)
+	for i := range envelope.Releases {
+		e.takeRelease(&envelope.Releases[i])
+	}
+	if e.departure.quiet {
+		return
+	}
 	for i := range envelope.Messages {
 		message := &envelope.Messages[i]
 		g := e.byID[message.Group]
@@ -80,6 +86,9 @@
 	for i := range envelope.Joins {
 		e.takeJoin(&envelope.Joins[i])
 	}
+	for i := range envelope.Leaves {
+		e.takeLeave(envelope.From, &envelope.Leaves[i])
+	}
 }
 
 // drain carries out what the groups want until none wants anything.
