--- a/internal/replica/exposure_test.go
+++ b/internal/replica/exposure_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"ospreypond/internal/consensus"
@@ -43,35 +44,20 @@
 	return false
 }
 
-// wins tells whether a candidate gets a quorum by the membership that its own disk holds.
+// wins tells whether a candidate gets a quorum by the membership that its own disk holds. One that this leaves out stands
+// as well, without counting itself, as long as it doesn't know it to be committed.
 func (d disks) wins(id GroupID, candidate consensus.MemberID, m *machine, lost consensus.MemberID) bool {
 	own := m.durable[id]
-	members := m.engine.byID[id].node.MembersAt(own.index)
-	for _, voters := range electorates(members) {
-		votes, stands := 0, false
-		for _, voter := range voters {
-			stands = stands || voter == candidate
-			other := d[voter]
-			if voter != lost && other != nil && own.covers(other.durable[id]) {
-				votes++
-			}
-		}
-		if !stands || votes <= len(voters)/2 {
-			return false
-		}
-	}
-	return true
-}
-
-// electorates are the sets of voters of which each must have a quorum.
-func electorates(members []consensus.Member) [][]consensus.MemberID {
-	var voters []consensus.MemberID
-	for _, member := range members {
-		if !member.Learner {
-			voters = append(voters, member.ID)
-		}
+	node := m.engine.byID[id].node
+	members := node.MembersAt(own.index)
+	committed := node.MembersAt(min(own.index, node.Status().Commit))
+	if !slices.Contains(sortedVoters(members), candidate) && !slices.Contains(sortedVoters(committed), candidate) {
+		return false
 	}
-	return [][]consensus.MemberID{voters}
+	return consensus.HasQuorum(members, func(voter consensus.MemberID) bool {
+		other := d[voter]
+		return voter != lost && other != nil && own.covers(other.durable[id])
+	})
 }
 
 // stopwatch sums up the time during which a condition held.
--- a/internal/replica/shifts.go
+++ b/internal/replica/shifts.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,7 +14,9 @@
 	steadyEnough   = 5 * time.Second         // for how long a preferred leader must have been heard
 	groupShift     = 10 * time.Second        // between two moves of one group's leadership for spread
 	engineShift    = time.Second             // between two moves for spread of any group
-	handOverPeriod = 1500 * time.Millisecond // between two tries to give a leadership away for good
+	handOverPeriod = 1500 * time.Millisecond // between two tries to give a leadership away because the disk is sick
+	resignPeriod   = 500 * time.Millisecond  // the same before the end, when there is no time to lose
+	leadableLag    = 64                      // entries that a member may lack to which a leadership moves for spread
 	resignPatience = 1500 * time.Millisecond // how long Resign waits
 )
 
@@ -59,9 +62,19 @@
 }
 
 func (e *Engine) finishResigning(led int) {
-	if !e.shifts.resigning || led > 0 && e.now < e.shifts.resignUntil {
+	if !e.shifts.resigning || len(e.shifts.resigned) == 0 {
 		return
 	}
+	ready := led == 0
+	if e.departure.begun {
+		ready = e.depart(led)
+	}
+	if !ready && e.now < e.shifts.resignUntil {
+		return
+	}
+	if !ready && e.departure.begun {
+		e.warnOfLeaving()
+	}
 	waiting := e.shifts.resigned
 	e.shifts.resigned = nil
 	for _, done := range waiting {
@@ -73,7 +86,11 @@
 func (g *group) giveAway() {
 	now := g.engine.now
 	status := g.node.Status()
-	tried := g.handedOverAt > 0 && now-g.handedOverAt < handOverPeriod
+	period := handOverPeriod
+	if g.engine.shifts.resigning {
+		period = resignPeriod
+	}
+	tried := g.handedOverAt > 0 && now-g.handedOverAt < period
 	if !status.IsLeader || status.Transferee != consensus.None || tried {
 		return
 	}
@@ -87,7 +104,7 @@
 
 // heir is the voter that is alive and willing and lacks least; None if there is none.
 func (g *group) heir(members []consensus.Member) consensus.MemberID {
-	heir, least := consensus.None, uint64(unknownLag)
+	heir, least := consensus.None, uint64(math.MaxUint64)
 	for _, member := range members {
 		if member.Learner || member.ID == g.engine.self.ID {
 			continue
@@ -137,7 +154,7 @@
 	}
 	preferred := voters[int(g.id)%len(voters)]
 	behind, heardAt, known := g.node.Lagging(preferred)
-	ready := known && behind <= caughtUpLag && g.mayTake(preferred, heardAt)
+	ready := known && behind <= leadableLag && g.mayTake(preferred, heardAt)
 	steady := e.peers.steady(preferred, e.now) >= steadyEnough
 	if preferred == e.self.ID || !ready || !steady {
 		return consensus.None
