--- a/internal/replica/catchup_test.go
+++ b/internal/replica/catchup_test.go
@@ -217,6 +217,15 @@
 		end(c, away)
 	})
 
+	It("whose receiver is cut off until the sender begins with a newer one", func() {
+		c, away := begin(58, 2, 3000)
+		away.isolated = true
+		c.changeMany(100, 24<<10)
+		c.run(4 * time.Second)
+		away.isolated = false
+		end(c, away)
+	})
+
 	It("whose receiver starts again", func() {
 		c, away := begin(54, 2, 3000)
 		for range 3 {
@@ -254,6 +263,7 @@
 			writer := away.engine.writer
 			Expect(c.until(10*time.Second, func() bool { return writer.inflight != nil && len(writer.inflight.installs) > 0 })).To(BeTrue())
 			work := writer.inflight
+			identity := away.engine.self.ID
 			away.kill()
 			stop := away.files.Calls() + cut
 			away.files.SetOnCall(func(call vfstest.Call) vfstest.Fault { return vfstest.Fault{Off: call.N >= stop} })
@@ -262,6 +272,7 @@
 			Expect(err == nil || !finished).To(BeTrue(), "cut %d", cut)
 			away.files = away.files.Crash(c.random)
 			away.start(nil)
+			Expect(away.engine.self.ID).To(Equal(identity), "cut %d: its disk is sound", cut)
 			Expect(c.until(10*time.Second, away.has(c.version()))).To(BeTrue(), "cut %d: it catches up", cut)
 			c.agree()
 			if finished {
@@ -271,3 +282,37 @@
 		}
 	})
 })
+
+var _ = Describe("A member's own snapshot", func() {
+	// cutsOfPower is more calls than the disk gets from the snapshot's first byte to the removal of the log before it.
+	const cutsOfPower = 24
+
+	It("costs nothing of its state, wherever the power fails between its first byte and the cut of the log", func() {
+		c := newShippedCluster(61)
+		c.startFirst(3)
+		Expect(c.configure(manyRoutes(100)).Version).To(Equal(uint64(1)))
+		c.agree()
+		m := c.follower()
+		identity := m.engine.self.ID
+		written := 0
+		for cut := 1; cut <= cutsOfPower; cut++ {
+			for !m.engine.writing {
+				c.changeMany(1, 24<<10)
+			}
+			before, stop := m.engine.byID[configurationGroup].snapshots.index, m.files.Calls()+cut
+			m.files.SetOnCall(func(call vfstest.Call) vfstest.Fault { return vfstest.Fault{Off: call.N >= stop} })
+			c.run(150 * time.Millisecond)
+			if m.engine.byID[configurationGroup].snapshots.index > before {
+				written++
+			}
+			m.kill()
+			m.files = m.files.Crash(c.random)
+			m.start(nil)
+			Expect(m.engine.self.ID).To(Equal(identity), "cut %d: its disk is sound", cut)
+			c.agree()
+		}
+		Expect(written).To(BeNumerically(">", 2), "some snapshots were whole")
+		Expect(written).To(BeNumerically("<", cutsOfPower-2), "and some were not")
+		c.leadsWithAll(m)
+	})
+})
