--- a/internal/replica/catchup_test.go
+++ b/internal/replica/catchup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"syscall"
 	"time"
 
@@ -315,4 +316,27 @@
 		Expect(written).To(BeNumerically("<", cutsOfPower-2), "and some were not")
 		c.leadsWithAll(m)
 	})
+
+	It("cuts no log where it could not be written", func() {
+		c := newShippedCluster(62)
+		c.startFirst(3)
+		Expect(c.configure(manyRoutes(100)).Version).To(Equal(uint64(1)))
+		c.agree()
+		m := c.follower()
+		identity, refused := m.engine.self.ID, 0
+		m.files.SetOnCall(func(call vfstest.Call) vfstest.Fault {
+			if call.Op == "create" && strings.Contains(call.Name, "snapshot-") {
+				refused++
+				return vfstest.Fault{Err: syscall.ENOSPC}
+			}
+			return vfstest.Fault{}
+		})
+		c.changeMany(200, 24<<10)
+		c.run(2 * snapshotRetry)
+		Expect(refused).To(BeNumerically(">", 1))
+		m.losePower()
+		m.start(nil)
+		Expect(m.engine.self.ID).To(Equal(identity), "its disk is sound")
+		c.agree()
+	})
 })
