--- a/internal/simulation/cluster/cluster_test.go
+++ b/internal/simulation/cluster/cluster_test.go
@@ -120,6 +120,7 @@
 		Entry("two operators race while the owner is lost", "config_race", "after_ack_kill", "ack_lost"),
 		Entry("all lose power while clocks jump", "core_herd_power", "clock_step", "burst"),
 		Entry("queues move while a frontend's configuration is old", "front_lags", "config_move", "burst"),
+		Entry("runners leave without a word of it while they are cut off", "leave_undrained", "servers_cut", "leave_undrained"),
 		Entry("a disk is full while runners fail", "disk_full", "srv_errors", "poison"),
 		Entry("a core machine is replaced while a queue moves", "replace_core", "config_move", "config_change"),
 	)
--- a/internal/simulation/runner.go
+++ b/internal/simulation/runner.go
@@ -58,6 +58,7 @@
 	draining    bool
 	leaves      time.Duration // true time of its end while draining
 	slow        float64       // times as long; 0 or 1: as usual
+	lateShare   float64       // of heartbeats that come late
 	failShare   float64       // of starts that fail
 	hangShare   float64       // of starts that stand still
 	listStopped bool          // a stop for a run not there is listed as refused at once
@@ -155,6 +156,28 @@
 	r.world.After(longestGoodbye, end)
 }
 
+// LeaveUndrained makes the runner say goodbye without having said that it drains, serve on for a time, and end.
+func (r *Runner) LeaveUndrained(after time.Duration) {
+	life := r.instance
+	if life == nil || r.draining {
+		return
+	}
+	if agent := r.Agent(); agent != nil {
+		r.Machine.inLife(r.Machine.life, func() {
+			agent.Deregister(r.Service, life.Instance, func(err error) {
+				if err == nil && r.instance == life {
+					life.DrainAck = r.world.now
+				}
+			})
+		})
+	}
+	r.world.After(after, func() {
+		if r.instance == life {
+			r.Crash()
+		}
+	})
+}
+
 // SetSlow makes all work take x times as long; 1 is as usual.
 func (r *Runner) SetSlow(x float64) {
 	before := r.speed()
@@ -167,6 +190,9 @@
 // SetGrey makes shares of the starts fail or stand still.
 func (r *Runner) SetGrey(fail, hang float64) { r.failShare, r.hangShare = fail, hang }
 
+// SetLate makes a share of the heartbeats come late, up to seconds.
+func (r *Runner) SetLate(share float64) { r.lateShare = share }
+
 // speed is the work a ms gives.
 func (r *Runner) speed() float64 {
 	if r.slow > 1 {
--- a/internal/simulation/runner_beat.go
+++ b/internal/simulation/runner_beat.go
@@ -65,7 +65,7 @@
 		return
 	}
 	machine, agentLife := r.Machine, r.Machine.life
-	r.world.After(LoopbackDelay, func() {
+	r.world.After(r.beatDelay(), func() {
 		machine.inLife(agentLife, func() {
 			left := agent.Heartbeat(report, func(orders *protocol.Orders, err error) {
 				r.world.After(LoopbackDelay, func() {
@@ -84,7 +84,9 @@
 					settle(next)
 				})
 			})
-			r.closeBeat = func() { machine.inLife(agentLife, left) }
+			if r.instance == life && r.sequence == report.Sequence {
+				r.closeBeat = func() { machine.inLife(agentLife, left) }
+			}
 		})
 	})
 }
@@ -99,6 +101,15 @@
 	r.world.After(LoopbackDelay, leave)
 }
 
+// beatDelay is how long a heartbeat takes to the agent.
+func (r *Runner) beatDelay() time.Duration {
+	const least, most = 200 * time.Millisecond, 4 * time.Second
+	if r.world.Chance(r.lateShare) {
+		return r.world.Between(least, most)
+	}
+	return LoopbackDelay
+}
+
 // retryPause is the pause after a heartbeat that failed.
 func (r *Runner) retryPause() time.Duration {
 	return r.world.Between(50*time.Millisecond, 300*time.Millisecond)
--- a/internal/simulation/trouble.go
+++ b/internal/simulation/trouble.go
@@ -107,7 +107,11 @@
 		{"srv_hang", func(d *Deployment, lasts time.Duration) {
 			d.greyRunners("srv_hang", lasts, func(r *Runner) { r.SetGrey(0, 1) }, func(r *Runner) { r.SetGrey(0, 0) })
 		}},
+		{"srv_late", func(d *Deployment, lasts time.Duration) {
+			d.greyRunners("srv_late", lasts, func(r *Runner) { r.SetLate(0.3) }, func(r *Runner) { r.SetLate(0) })
+		}},
 		{"scale_in", (*Deployment).scaleIn},
+		{"leave_undrained", (*Deployment).leaveUndrained},
 		{"spot", (*Deployment).spot},
 		{"new_runners", func(d *Deployment, lasts time.Duration) {
 			d.note("new_runners", 0, true)
@@ -162,6 +166,18 @@
 	}
 }
 
+// leaveUndrained takes runners away that never say that they drain.
+func (d *Deployment) leaveUndrained(lasts time.Duration) {
+	for _, r := range d.someRunners(0.15) {
+		after := d.Ledger.Bounds.Drain + d.World.Between(500*time.Millisecond, 4*time.Second)
+		d.trouble(Trouble{From: d.World.now, To: d.World.now + after, Kind: "leave_undrained", Leaving: true})
+		r.LeaveUndrained(after)
+		if d.World.Chance(0.7) {
+			d.World.After(after+lasts, r.Start)
+		}
+	}
+}
+
 // spot takes runners away soon after a notice; others come later.
 func (d *Deployment) spot(lasts time.Duration) {
 	const notice = 2 * time.Second
