Let an engine be driven without goroutines

Cause: the simulation of whole clusters had a copy of the engine, since Engine.Run has a goroutine for the loop and one for the disk. The engine's own tests drive it in virtual time, by fields that only they reach. Change: replica.Driver is the supported way to do so. A sync applies what was written since the last one in place of copying the file; what an earlier sync failed to write so stays lost until it is written again, where a later sync of the same file wrote it before: stricter, and as vfs.File.Sync says.

--- /dev/null
+++ b/internal/replica/driver_test.go
@@ -0,0 +1,148 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/consensus"
+	"ospreypond/internal/store/vfs/vfstest"
+)
+
+// nowhere loses all that is sent.
+type nowhere struct{}
+
+func (nowhere) Send(string, *Envelope) {}
+
+// driven is an engine of one member under a driver whose disk waits to be told.
+type driven struct {
+	driver *Driver
+	ledger *ledger
+	clock  *clockwork.FakeClock
+	works  map[DiskWork][]func()
+	woken  int
+}
+
+func drive(files *vfstest.Mem) *driven {
+	d := &driven{ledger: &ledger{}, clock: clockwork.NewFakeClock(), works: map[DiskWork][]func(){}}
+	driver, err := OpenDriver(Options{
+		FileSystem: files,
+		Dir:        "data",
+		Groups:     map[GroupID]StateMachine{0: d.ledger},
+		Self:       consensus.Member{Node: "core", Address: "core"},
+		Bootstrap:  []string{"core"},
+		Sender:     nowhere{},
+		Clock:      d.clock,
+	}, DriverOptions{
+		Disk: func(kind DiskWork, work func()) { d.works[kind] = append(d.works[kind], work) },
+		Wake: func() { d.woken++ },
+	})
+	Expect(err).NotTo(HaveOccurred())
+	d.driver = driver
+	return d
+}
+
+// turn takes a turn, and lets the time pass that it asks for.
+func (d *driven) turn() {
+	GinkgoHelper()
+	pause, err := d.driver.Turn()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(pause).To(BeNumerically(">", 0))
+	d.clock.Advance(pause)
+}
+
+// perform does what waits for the disk.
+func (d *driven) perform(kind DiskWork) int {
+	works := d.works[kind]
+	d.works[kind] = nil
+	for _, work := range works {
+		work()
+	}
+	return len(works)
+}
+
+func (d *driven) lead() {
+	GinkgoHelper()
+	for turns := 0; d.ledger.leading == 0; turns++ {
+		Expect(turns).To(BeNumerically("<", 1000))
+		d.turn()
+		d.perform(DiskAppend)
+	}
+}
+
+// propose proposes a line and returns whether it is done.
+func (d *driven) propose(line string) *bool {
+	done := false
+	d.driver.Engine().Do(func() {
+		d.driver.Engine().Propose(0, []byte(line), func(_ any, err error) {
+			Expect(err).NotTo(HaveOccurred())
+			done = true
+		})
+	})
+	return &done
+}
+
+var _ = Describe("A driver", func() {
+	It("commits nothing before its holder has carried out the work for the disk", func() {
+		d := drive(&vfstest.Mem{})
+		d.lead()
+		d.turn()
+		d.perform(DiskAppend)
+		woken := d.woken
+		done := d.propose("line")
+		Expect(d.woken).To(Equal(woken + 1))
+		for range 20 {
+			d.turn()
+		}
+		Expect(*done).To(BeFalse())
+		Expect(d.perform(DiskAppend)).To(Equal(1))
+		d.turn()
+		Expect(*done).To(BeTrue())
+	})
+
+	It("writes a snapshot when it is told to", func() {
+		files := &vfstest.Mem{}
+		d := drive(files)
+		d.lead()
+		done := d.propose("line")
+		for !*done {
+			d.turn()
+			d.perform(DiskAppend)
+		}
+		begun := []bool{}
+		d.driver.Engine().Do(func() {
+			begun = append(begun, d.driver.Snapshot(0), d.driver.Snapshot(0))
+		})
+		d.turn()
+		Expect(begun).To(Equal([]bool{true, false}), "one at a time")
+		Expect(d.perform(DiskSnapshot)).To(Equal(1))
+		for range 5 {
+			d.turn()
+			d.perform(DiskAppend)
+		}
+		overview, _ := d.driver.Engine().Overview(0)
+		Expect(overview.SnapshotIndex).To(Equal(overview.Applied))
+		files.EndProcess()
+		next := drive(files)
+		Expect(next.ledger.Lines).To(Equal([]string{"line"}), "the next process starts from it")
+	})
+
+	It("draws the identity of an empty disk from its holder", func() {
+		const identity = 77
+		driver, err := OpenDriver(Options{
+			FileSystem: &vfstest.Mem{}, Dir: "data", Groups: map[GroupID]StateMachine{0: &ledger{}},
+			Self: consensus.Member{Address: "core"}, Sender: nowhere{}, Clock: clockwork.NewFakeClock(),
+		}, DriverOptions{
+			Disk:         func(DiskWork, func()) {},
+			Wake:         func() {},
+			DrawIdentity: func() (consensus.MemberID, error) { return identity, nil },
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(driver.Engine().Self().ID).To(BeEquivalentTo(identity))
+		pause, err := driver.Turn()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(pause).To(BeNumerically("<=", time.Second))
+	})
+})
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -47,6 +47,7 @@
 	envelopes []*Envelope
 	functions []func()
 	wake      chan struct{} // holds one if there is anything
+	notify    func()        // if set, called in place of filling wake
 }
 
 func newEngine(options Options, opened *disk) *Engine {
@@ -155,6 +156,10 @@
 }
 
 func (i *inbox) signal() {
+	if i.notify != nil {
+		i.notify()
+		return
+	}
 	select {
 	case i.wake <- struct{}{}:
 	default:
--- a/internal/replica/wal/wal.go
+++ b/internal/replica/wal/wal.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -192,10 +193,11 @@
 			groups = append(groups, group)
 		}
 	}
+	slices.Sort(groups)
 	return groups
 }
 
-// Pinning returns the groups whose entries keep the oldest segment; the newest segment is never kept by any.
+// Pinning returns the groups whose entries keep the oldest segment, in their order; the newest segment is never kept by any.
 func (l *Log) Pinning() []uint32 {
 	if len(l.segments) < 2 {
 		return nil
--- a/internal/store/vfs/vfstest/mem.go
+++ b/internal/store/vfs/vfstest/mem.go
@@ -159,6 +159,14 @@
 	return left
 }
 
+// EndProcess releases what the process holds that uses the file system, as when it is killed. What it wrote stays, whether
+// it was synced or not.
+func (m *Mem) EndProcess() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.locks)
+}
+
 // Files returns a copy of all files.
 func (m *Mem) Files() map[string][]byte {
 	m.mu.Lock()
@@ -391,7 +399,10 @@
 		}
 		return fault.Err
 	}
-	f.n.disk, f.n.pending = slices.Clone(f.n.now), nil
+	for _, c := range f.n.pending {
+		f.n.disk = c.apply(f.n.disk)
+	}
+	f.n.pending = f.n.pending[:0]
 	return nil
 }
 
