Split the control process from its goroutines, sockets and signals

Cause: Control opened the engine, its goroutines and its sockets in one go, and took the time from package time, so that the simulation of whole clusters had a copy of it. Change: New makes a Control from options: the engine, the shards, the owners, the feed, the ticker, the requests that are served (one list, by type, for the transport's server and for Handle) and the operator's handler. Time comes from a clockwork clock, contexts from package deadline. Other control processes are called by an interface that transport.Client meets. Nothing that a process answers has changed; the ticks now go through the shards in their order. ownerloop_test gives its Control a clock.

--- a/internal/control/administration.go
+++ b/internal/control/administration.go
@@ -11,7 +11,6 @@
 	"ospreypond/internal/protocol"
 	"ospreypond/internal/replica"
 	"ospreypond/internal/scheduler"
-	"ospreypond/internal/transport"
 )
 
 // Bounds of what is answered to operators.
@@ -38,14 +37,8 @@
 	readAt      time.Duration
 }
 
-// handleAdministration registers what operators may ask.
-func (c *Control) handleAdministration() {
-	a := &administrator{control: c, snapshots: map[uint64]*keptSnapshot{}}
-	transport.HandleAsync(c.server, a.report)
-	transport.HandleAsync(c.server, a.runners)
-	transport.HandleAsync(c.server, a.jobs)
-	transport.HandleAsync(c.server, a.snapshot)
-	transport.HandleAsync(c.server, a.resign)
+func newAdministrator(c *Control) *administrator {
+	return &administrator{control: c, snapshots: map[uint64]*keptSnapshot{}}
 }
 
 func (a *administrator) report(_ string, _ *administration.ReportRequest, reply func(*administration.Report, error)) {
@@ -283,7 +276,7 @@
 
 // watch drops snapshots that nobody reads on. One timer runs while any is kept.
 func (a *administrator) watch() {
-	time.AfterFunc(snapshotsKeptFor, func() { a.control.engine.Do(a.dropSnapshots) })
+	a.control.clock.AfterFunc(snapshotsKeptFor, func() { a.control.engine.Do(a.dropSnapshots) })
 }
 
 func (a *administrator) dropSnapshots() {
--- a/internal/control/caller.go
+++ b/internal/control/caller.go
@@ -5,9 +5,9 @@
 	"net/http"
 	"time"
 
+	"ospreypond/internal/deadline"
 	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
-	"ospreypond/internal/transport"
 )
 
 const (
@@ -20,7 +20,12 @@
 
 var _ OwnerCaller = (*ownerCaller)(nil)
 
-func (c *Control) operator() http.Handler { return NewOperator(&ownerCaller{c}, c.logger) }
+// Operator is the handler of the operator's interface.
+func (c *Control) Operator() http.Handler {
+	operator := NewOperator(&ownerCaller{c}, c.logger)
+	operator.Clock = c.clock
+	return operator
+}
 
 // Configure passes an order on.
 func (o *ownerCaller) Configure(ctx context.Context, request *protocol.ConfigureRequest) (*protocol.ConfigureResponse, error) {
@@ -36,12 +41,10 @@
 func callConfigurationOwner[Req, Resp any](ctx context.Context, c *Control, most time.Duration, request *Req, local func(string, *Req, func(*Resp, error))) (*Resp, error) {
 	try := func() (*Resp, error) { return tryConfigurationOwner(ctx, c, most, request, local) }
 	pause := func() bool {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(attemptGap):
-			return true
-		}
+		gap, cancel := deadline.WithTimeout(ctx, c.clock, attemptGap)
+		defer cancel()
+		<-gap.Done()
+		return ctx.Err() == nil
 	}
 	return untilClear(try, pause)
 }
@@ -93,7 +96,7 @@
 }
 
 func tryConfigurationOwner[Req, Resp any](ctx context.Context, c *Control, most time.Duration, request *Req, local func(string, *Req, func(*Resp, error))) (*Resp, error) {
-	ctx, cancel := context.WithTimeout(ctx, most)
+	ctx, cancel := deadline.WithTimeout(ctx, c.clock, most)
 	defer cancel()
 	tried := make(chan localTry[Resp], 1)
 	c.engine.Do(func() {
@@ -118,6 +121,10 @@
 		if try.owner == "" {
 			return try.response, try.err
 		}
-		return transport.Call[Req, Resp](ctx, c.client, try.owner, request)
+		response := new(Resp)
+		if err := c.options.Remote.Do(ctx, try.owner, request, response); err != nil {
+			return nil, err
+		}
+		return response, nil
 	}
 }
--- a/internal/control/configuration_shard.go
+++ b/internal/control/configuration_shard.go
@@ -172,7 +172,7 @@
 		return
 	}
 	c.ownersToldAt = now
-	owners := map[protocol.ShardID]string{protocol.ConfigurationShard: c.settings.InternalAddress()}
+	owners := map[protocol.ShardID]string{protocol.ConfigurationShard: c.address}
 	for id := range c.shards {
 		if address := c.engine.LeaderAddress(uint32(id)); address != "" {
 			owners[id] = address
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,18 +1,18 @@
 // Package control is the role of the control machines: replicas of all shards, the owners' decisions, the operator's
 // interface, and the feed of configuration and owners to frontends and agents.
+//
+// Control is all of that without goroutines, sockets and signals, which only Run has: its inputs are requests, envelopes
+// and the clock. Simulations run it so.
 package control
 
 import (
 	"context"
-	"net"
-	"net/http"
-	"os"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 
 	"ospreypond/internal/boot"
 	"ospreypond/internal/consensus"
@@ -20,9 +20,7 @@
 	"ospreypond/internal/protocol"
 	"ospreypond/internal/replica"
 	"ospreypond/internal/scheduler"
-	"ospreypond/internal/seeds"
 	"ospreypond/internal/store/vfs"
-	"ospreypond/internal/transport"
 )
 
 const (
@@ -31,88 +29,117 @@
 	resignTime        = 1500 * time.Millisecond
 )
 
-// Control is one running control process.
+// Options are what a Control is made of.
+type Options struct {
+	Self       consensus.Member // Node, Zone and internal Address
+	Bootstrap  []string         // see replica.Options
+	Peers      []string         // internal addresses to ask for joining
+	FileSystem vfs.FS
+	Dir        string // of the replicas' log
+	DiskBytes  int64
+	Bounds     boot.Bounds
+	Sender     replica.Sender
+	Remote     Remote
+	Clock      clockwork.Clock
+	Logger     log.Logger
+	Seed       uint64 // of election times
+
+	// Open opens the engine; nil: replica.Open.
+	Open func(replica.Options) (*replica.Engine, error)
+	// Observe, if set, returns what stands in a state machine's place, and may watch what comes to it.
+	Observe func(id replica.GroupID, machine replica.StateMachine) replica.StateMachine
+}
+
+// Remote calls other control processes.
+type Remote interface {
+	// Do sends a request and waits until ctx ends for the answer, which it puts where response points to. Errors carry a
+	// kind of package failure, which says whether the request may have been handed over.
+	Do(ctx context.Context, address string, request, response any) error
+}
+
+// Control is one control process but for its goroutines.
 type Control struct {
-	settings      *boot.Settings
+	options       Options
+	address       string
+	clock         clockwork.Clock
 	logger        log.Logger
 	engine        *replica.Engine
-	server        *transport.Server
-	client        *transport.Client
+	endpoints     []endpoint
 	configuration *configurationShard
 	shards        map[protocol.ShardID]*jobShard
 	ticker        *ticker
 	ownersToldAt  time.Duration // when the feed was last told members and owners
 }
 
-// Run serves until ctx ends, then gives away what this process owns and returns.
-func Run(ctx context.Context, settings *boot.Settings, logger log.Logger) error {
-	hangups := seeds.Hangups()
-	c := &Control{settings: settings, logger: logger, shards: map[protocol.ShardID]*jobShard{}}
-	c.client = transport.NewClient(transport.ClientOptions{Logger: logger})
-	c.server = transport.NewServer(transport.Options{Logger: logger})
-	defer c.client.Close()
-	if err := c.open(); err != nil {
-		return err
+// New opens the replicas. Nothing moves before the engine does.
+func New(options Options) (*Control, error) {
+	c := &Control{
+		options: options,
+		address: options.Self.Address,
+		clock:   options.Clock,
+		logger:  options.Logger,
+		shards:  map[protocol.ShardID]*jobShard{},
 	}
-	c.handle()
-	listener, err := net.Listen("tcp", settings.InternalAddress())
-	if err != nil {
-		return errors.Wrap(err, "listening for the other processes")
+	c.endpoints = c.newEndpoints()
+	groups := c.newShards()
+	if err := c.open(groups); err != nil {
+		return nil, err
 	}
-	web, err := net.Listen("tcp", settings.Listen["control"])
-	if err != nil {
-		return errors.Wrap(err, "listening for the operator")
+	c.ticker = newTicker(c.clock, c.engine.Do, c.tick)
+	c.configuration.attach(c.engine, c.ticker.wake)
+	for _, shard := range c.shards {
+		shard.engine = c.engine
+		shard.wake = c.ticker.wake
 	}
-	return c.serve(ctx, listener, web, hangups)
+	return c, nil
 }
 
-func (c *Control) open() error {
-	start := time.Now()
-	clock := func() int64 { return start.UnixMilli() + time.Since(start).Milliseconds() }
+// newShards returns the state machines of all groups.
+func (c *Control) newShards() map[replica.GroupID]replica.StateMachine {
+	start := c.clock.Now()
+	timeOfDay := func() int64 { return start.UnixMilli() + c.clock.Since(start).Milliseconds() }
 	c.configuration = newConfigurationShard(c.logger)
 	groups := map[replica.GroupID]replica.StateMachine{uint32(protocol.ConfigurationShard): c.configuration}
+	jobOptions := jobs.Options{StatusTime: c.options.Bounds.Status}
 	for id := protocol.ShardID(1); id <= protocol.JobShards; id++ {
-		shard := newJobShard(id, c.schedulerOptions(), jobs.Options{StatusTime: c.settings.Bounds.Status}, clock, c.logger)
+		shard := newJobShard(id, c.schedulerOptions(), jobOptions, timeOfDay, c.logger)
 		c.shards[id] = shard
 		groups[uint32(id)] = shard
 	}
-	engine, err := replica.Open(replica.Options{
-		FileSystem:        vfs.OS{},
-		Dir:               c.settings.DataDir,
+	if c.options.Observe != nil {
+		for id, machine := range groups {
+			groups[id] = c.options.Observe(id, machine)
+		}
+	}
+	return groups
+}
+
+func (c *Control) open(groups map[replica.GroupID]replica.StateMachine) error {
+	open := c.options.Open
+	if open == nil {
+		open = replica.Open
+	}
+	engine, err := open(replica.Options{
+		FileSystem:        c.options.FileSystem,
+		Dir:               c.options.Dir,
 		Groups:            groups,
-		Self:              consensus.Member{Node: c.settings.NodeName, Zone: c.settings.Zone, Address: c.settings.InternalAddress()},
-		Bootstrap:         c.bootstrap(),
-		Peers:             c.settings.SeedInternalAddresses(),
-		DiskBytes:         int64(c.settings.Limits.DiskMB) << 20,
-		Sender:            &sender{c.client},
-		Clock:             clockwork.NewRealClock(),
+		Self:              c.options.Self,
+		Bootstrap:         c.options.Bootstrap,
+		Peers:             c.options.Peers,
+		DiskBytes:         c.options.DiskBytes,
+		Sender:            c.options.Sender,
+		Clock:             c.clock,
 		Logger:            c.logger,
 		HeartbeatInterval: heartbeatInterval,
 		ElectionTimeout:   electionTimeout,
-		Seed:              uint64(start.UnixNano()),
+		Seed:              c.options.Seed,
 	})
-	if err != nil {
-		return err
-	}
 	c.engine = engine
-	c.ticker = newTicker(c)
-	c.configuration.attach(engine, c.ticker.wake)
-	for _, shard := range c.shards {
-		shard.engine = engine
-		shard.wake = c.ticker.wake
-	}
-	return nil
-}
-
-func (c *Control) bootstrap() []string {
-	if !c.settings.Bootstrap {
-		return nil
-	}
-	return c.settings.SeedInternalAddresses()
+	return err
 }
 
 func (c *Control) schedulerOptions() scheduler.Options {
-	bounds := c.settings.Bounds
+	bounds := c.options.Bounds
 	return scheduler.Options{
 		HoldMax:   bounds.HoldMax,
 		StopTime:  bounds.Stop,
@@ -124,51 +151,36 @@
 	}
 }
 
-func (c *Control) serve(ctx context.Context, listener, web net.Listener, hangups <-chan os.Signal) error {
-	engineContext, stopEngine := context.WithCancel(context.Background())
-	defer stopEngine()
-	engineEnd := make(chan error, 1)
-	go func() { engineEnd <- c.engine.Run(engineContext) }()
-	go c.server.Serve(engineContext, listener)
-	go c.follower().Run(engineContext, hangups)
-	httpServer := &http.Server{Handler: c.operator(), ReadHeaderTimeout: 5 * time.Second}
-	go httpServer.Serve(web)
-	c.ticker.wake()
-	level.Info(c.logger).Log("msg", "control is up", "node", c.settings.NodeName, "address", c.settings.InternalAddress())
-	select {
-	case err := <-engineEnd:
-		return errors.Wrap(err, "the replicas ended")
-	case <-ctx.Done():
-	}
-	c.resign()
-	httpServer.Close()
-	stopEngine()
-	<-engineEnd
-	c.server.Close()
-	return nil
-}
+// Start lets the shards' ticks begin. The engine must run, or be driven, from then on.
+func (c *Control) Start() { c.ticker.wake() }
 
-// follower keeps the peers in step with the settings file.
-func (c *Control) follower() *seeds.Follower {
-	return seeds.NewFollower(seeds.Options{Path: os.Getenv(boot.Variable), Seeds: c.settings.SeedInternalAddresses(),
-		Directory: peers{c.engine}, Logger: c.logger})
-}
+// Receive takes an envelope of another control process. Any goroutine may call it.
+func (c *Control) Receive(envelope *replica.Envelope) { c.engine.Receive(envelope) }
 
-// resign gives away what this process owns, and waits until that is done, for a while.
-func (c *Control) resign() {
+// Resign gives away what this process owns. done is called once, on whatever goroutine, when that is done, or after a
+// while.
+func (c *Control) Resign(done func()) {
 	level.Info(c.logger).Log("msg", "giving away leadership before the end")
-	done := make(chan struct{})
-	c.engine.Do(func() { c.engine.Resign(func() { close(done) }) })
-	select {
-	case <-done:
-	case <-time.After(resignTime):
-	}
+	var once sync.Once
+	timer := c.clock.AfterFunc(resignTime, func() { once.Do(done) })
+	c.engine.Do(func() {
+		c.engine.Resign(func() {
+			timer.Stop()
+			once.Do(done)
+		})
+	})
 }
 
-// sender carries the replicas' envelopes.
-type sender struct{ client *transport.Client }
-
-// Send sends one envelope, best effort.
-func (s *sender) Send(address string, envelope *replica.Envelope) {
-	transport.Send(s.client, address, envelope)
+// tick lets time pass for all shards, and returns when it is to be called again.
+func (c *Control) tick() time.Duration {
+	now := c.engine.Now()
+	next := now + tickMost
+	for id := protocol.ShardID(1); id <= protocol.JobShards; id++ {
+		shard := c.shards[id]
+		shard.tick()
+		next = min(next, shard.deadline(now))
+	}
+	c.configuration.tick(c)
+	next = min(next, c.configuration.deadline(now))
+	return next - now
 }
--- /dev/null
+++ b/internal/control/endpoint.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"fmt"
+	"reflect"
+
+	"ospreypond/internal/failure"
+	"ospreypond/internal/replica"
+	"ospreypond/internal/transport"
+)
+
+// endpoint answers requests of one type.
+type endpoint struct {
+	request  reflect.Type
+	register func(server *transport.Server)
+	handle   func(from string, request any, reply func(response any, err error))
+}
+
+// newEndpoint makes an endpoint of what answers a Req by calling reply once, in any order and from any goroutine.
+func newEndpoint[Req, Resp any](f func(from string, request *Req, reply func(*Resp, error))) endpoint {
+	return endpoint{
+		request:  reflect.TypeFor[*Req](),
+		register: func(server *transport.Server) { transport.HandleAsync(server, f) },
+		handle: func(from string, request any, reply func(any, error)) {
+			f(from, request.(*Req), func(response *Resp, err error) {
+				if err != nil {
+					reply(nil, err)
+					return
+				}
+				reply(response, nil)
+			})
+		},
+	}
+}
+
+// newEndpoints lists what frontends, agents, other control processes and operators may ask.
+func (c *Control) newEndpoints() []endpoint {
+	a := newAdministrator(c)
+	return []endpoint{
+		newEndpoint(c.heartbeat),
+		newEndpoint(c.deregister),
+		newEndpoint(c.submit),
+		newEndpoint(c.status),
+		newEndpoint(c.cancel),
+		newEndpoint(c.fence),
+		newEndpoint(c.pending),
+		newEndpoint(c.watch),
+		newEndpoint(c.configure),
+		newEndpoint(c.readConfiguration),
+		newEndpoint(a.report),
+		newEndpoint(a.runners),
+		newEndpoint(a.jobs),
+		newEndpoint(a.snapshot),
+		newEndpoint(a.resign),
+	}
+}
+
+// register lets a server serve all requests, and take envelopes.
+func (c *Control) register(server *transport.Server) {
+	transport.HandleOneWay(server, func(_ string, envelope *replica.Envelope) { c.Receive(envelope) })
+	for i := range c.endpoints {
+		c.endpoints[i].register(server)
+	}
+}
+
+// Handle answers a request, which is a pointer to one of the types that are served: reply is called once, with a pointer
+// to the answer or with an error, in any order and from any goroutine.
+func (c *Control) Handle(from string, request any, reply func(response any, err error)) {
+	asked := reflect.TypeOf(request)
+	for i := range c.endpoints {
+		if c.endpoints[i].request == asked {
+			c.endpoints[i].handle(from, request, reply)
+			return
+		}
+	}
+	reply(nil, failure.New(failure.Invalid, fmt.Sprintf("nothing serves %v", asked)))
+}
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -7,25 +7,8 @@
 	"ospreypond/internal/jobs"
 	"ospreypond/internal/protocol"
 	"ospreypond/internal/replica"
-	"ospreypond/internal/transport"
 )
 
-// handle registers what frontends, agents and other control processes may ask.
-func (c *Control) handle() {
-	transport.HandleOneWay(c.server, func(_ string, envelope *replica.Envelope) { c.engine.Receive(envelope) })
-	transport.HandleAsync(c.server, c.heartbeat)
-	transport.HandleAsync(c.server, c.deregister)
-	transport.HandleAsync(c.server, c.submit)
-	transport.HandleAsync(c.server, c.status)
-	transport.HandleAsync(c.server, c.cancel)
-	transport.HandleAsync(c.server, c.fence)
-	transport.HandleAsync(c.server, c.pending)
-	transport.HandleAsync(c.server, c.watch)
-	transport.HandleAsync(c.server, c.configure)
-	transport.HandleAsync(c.server, c.readConfiguration)
-	c.handleAdministration()
-}
-
 // on runs an input of a shard's owner on the loop; wrong tells of a shard that this process does not own.
 func (c *Control) on(id protocol.ShardID, input func(s *jobShard, now time.Duration), wrong func(err error)) {
 	c.engine.Do(func() {
@@ -49,7 +32,7 @@
 // leaderHint is where a group's leader is thought to be, if that is not this process.
 func (c *Control) leaderHint(group replica.GroupID) string {
 	address := c.engine.LeaderAddress(group)
-	if address == c.settings.InternalAddress() {
+	if address == c.address {
 		return ""
 	}
 	return address
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -10,9 +10,11 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"ospreypond/internal/configuration"
+	"ospreypond/internal/deadline"
 	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
 )
@@ -44,6 +46,8 @@
 type Operator struct {
 	// Heartbeats serves /v1/instances/, if set.
 	Heartbeats http.Handler
+	// Clock bounds how long orders and readings may take.
+	Clock clockwork.Clock
 
 	caller OwnerCaller
 	logger log.Logger
@@ -54,6 +58,7 @@
 // NewOperator returns the handler.
 func NewOperator(caller OwnerCaller, logger log.Logger) *Operator {
 	o := &Operator{
+		Clock:  clockwork.NewRealClock(),
 		caller: caller,
 		logger: logger,
 		room:   make(chan struct{}, operatorOrders),
@@ -101,7 +106,7 @@
 			o.refuseOrder(writer, kind, err)
 			return
 		}
-		ctx, cancel := context.WithTimeout(request.Context(), orderTime(len(call.Body)))
+		ctx, cancel := deadline.WithTimeout(request.Context(), o.Clock, orderTime(len(call.Body)))
 		defer cancel()
 		response, err := o.caller.Configure(ctx, call)
 		if err != nil {
@@ -175,7 +180,7 @@
 
 // read serves the newest configuration.
 func (o *Operator) read(writer http.ResponseWriter, request *http.Request) {
-	ctx, cancel := context.WithTimeout(request.Context(), operatorTime)
+	ctx, cancel := deadline.WithTimeout(request.Context(), o.Clock, operatorTime)
 	defer cancel()
 	response, err := o.caller.ReadConfiguration(ctx, &protocol.ReadConfigurationRequest{})
 	if err != nil {
--- a/internal/control/ownerloop_test.go
+++ b/internal/control/ownerloop_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -28,7 +29,7 @@
 func newAlone() *alone {
 	GinkgoHelper()
 	const address = "127.0.0.1:1"
-	c := &Control{logger: log.NewNopLogger(), configuration: newConfigurationShard(log.NewNopLogger())}
+	c := &Control{logger: log.NewNopLogger(), clock: clockwork.NewRealClock(), configuration: newConfigurationShard(log.NewNopLogger())}
 	engine, err := replica.Open(replica.Options{
 		FileSystem:        vfs.OS{},
 		Dir:               GinkgoT().TempDir(),
--- a/internal/control/ticker.go
+++ b/internal/control/ticker.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/jonboulle/clockwork"
 )
 
 const (
@@ -12,13 +14,17 @@
 
 // ticker calls the shards' ticks on the engine's loop when the next of them is due.
 type ticker struct {
-	control *Control
-	mutex   sync.Mutex
-	timer   *time.Timer
-	at      time.Time
+	clock clockwork.Clock
+	do    func(f func())       // runs f on the loop
+	tick  func() time.Duration // returns after what time it is due again
+	mutex sync.Mutex
+	timer clockwork.Timer
+	at    time.Time
 }
 
-func newTicker(c *Control) *ticker { return &ticker{control: c} }
+func newTicker(clock clockwork.Clock, do func(f func()), tick func() time.Duration) *ticker {
+	return &ticker{clock: clock, do: do, tick: tick}
+}
 
 // wake makes the next tick come soon. It may be called from any goroutine.
 func (t *ticker) wake() { t.schedule(tickLeast) }
@@ -26,10 +32,10 @@
 func (t *ticker) schedule(wait time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	at := time.Now().Add(wait)
+	at := t.clock.Now().Add(wait)
 	if t.timer == nil {
 		t.at = at
-		t.timer = time.AfterFunc(wait, t.fire)
+		t.timer = t.clock.AfterFunc(wait, t.fire)
 		return
 	}
 	if !t.at.IsZero() && t.at.Before(at) {
@@ -43,17 +49,5 @@
 	t.mutex.Lock()
 	t.at = time.Time{}
 	t.mutex.Unlock()
-	t.control.engine.Do(t.tick)
-}
-
-func (t *ticker) tick() {
-	now := t.control.engine.Now()
-	next := now + tickMost
-	for _, shard := range t.control.shards {
-		shard.tick()
-		next = min(next, shard.deadline(now))
-	}
-	t.control.configuration.tick(t.control)
-	next = min(next, t.control.configuration.deadline(now))
-	t.schedule(max(next-now, tickLeast))
+	t.do(func() { t.schedule(max(t.tick(), tickLeast)) })
 }
