Run the shipped control process, engine and log in the simulation

Cause: the simulated control processes were copies, with other constants (heartbeats of 120 ms and elections of 700 ms in place of 75 and 320 ms), another membership, another disk and confirmations of their own. The troubles act on the files: a loss of power keeps any part of what was not synced, a kill cuts the work under way after some call of the file system, a full disk refuses, a stalled one answers nothing.

--- a/internal/simulation/cluster/cluster.go
+++ b/internal/simulation/cluster/cluster.go
@@ -1,12 +1,12 @@
 package cluster
 
 import (
-	"cmp"
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"ospreypond/internal/consensus"
 	"ospreypond/internal/failure"
 	"ospreypond/internal/simulation"
@@ -14,39 +14,33 @@
 
 // Cluster is the scheduler's processes on a deployment's machines.
 type Cluster struct {
-	world      *simulation.World
-	deployment *simulation.Deployment
-	size       simulation.Size
-	cores      []*simulation.Machine // that are or were part of the core
-	first      []*simulation.Machine // members of the very first start
-	byID       map[consensus.MemberID]*simulation.Machine
-	byName     map[string]*simulation.Machine
-	controls   map[*simulation.Machine]*process
-	frontends  map[*simulation.Machine]*frontendPort
-	agents     map[*simulation.Machine]*agentPort
-	shells     map[*simulation.Machine]*shell
-	applied    map[appliedAt]appliedEntry
-	diverged   []string // replicas that applied different entries
-}
-
-type appliedAt struct {
-	group uint32
-	index uint64
-}
-
-type appliedEntry struct {
-	term uint64
-	data string
-	by   string
+	world         *simulation.World
+	deployment    *simulation.Deployment
+	size          simulation.Size
+	cores         []*simulation.Machine // that are or were part of the core
+	first         []*simulation.Machine // members of the very first start
+	byName        map[string]*simulation.Machine
+	controls      map[*simulation.Machine]*process
+	frontends     map[*simulation.Machine]*frontendPort
+	agents        map[*simulation.Machine]*agentPort
+	shells        map[*simulation.Machine]*shell
+	applied       map[applied]appliedEntry
+	states        map[applied]stateDigest
+	restored      int // snapshots restored
+	identities    map[diskLife]consensus.MemberID
+	diskBytes     int64    // of a core machine
+	snapshotEvery uint64   // entries of a group's log after which it is replaced by a snapshot
+	diverged      []string // replicas that applied different entries
 }
 
 // New puts the scheduler on a deployment. Nothing moves before the machines are booted.
 func New(d *simulation.Deployment) *Cluster {
-	c := &Cluster{world: d.World, deployment: d, size: d.Size, byID: map[consensus.MemberID]*simulation.Machine{},
+	c := &Cluster{world: d.World, deployment: d, size: d.Size,
 		byName: map[string]*simulation.Machine{}, controls: map[*simulation.Machine]*process{},
 		frontends: map[*simulation.Machine]*frontendPort{}, agents: map[*simulation.Machine]*agentPort{},
 		shells:  map[*simulation.Machine]*shell{},
-		applied: map[appliedAt]appliedEntry{}}
+		applied: map[applied]appliedEntry{}, states: map[applied]stateDigest{},
+		identities: map[diskLife]consensus.MemberID{}, snapshotEvery: 300}
 	c.first = append(c.first, d.Cores...)
 	for _, m := range d.Cores {
 		c.addCore(m)
@@ -110,8 +104,6 @@
 	return cores[:min(most, len(cores))]
 }
 
-func (c *Cluster) machineOf(id consensus.MemberID) *simulation.Machine { return c.byID[id] }
-
 // leader is a core machine that leads some group.
 func (c *Cluster) leader() *simulation.Machine {
 	var leaders []*simulation.Machine
@@ -120,8 +112,8 @@
 		if p == nil || !m.Up() {
 			continue
 		}
-		for _, g := range p.groups {
-			if g.leading != 0 {
+		for _, id := range allGroups() {
+			if p.leads(id) {
 				leaders = append(leaders, m)
 			}
 		}
@@ -181,25 +173,9 @@
 		if p == nil {
 			return
 		}
-		p.turn(func() {
-			p.handle(request, func(response any, err error) { reply(outcome{response, err}) })
-		})
+		p.handle(from, request, func(response any, err error) { reply(outcome{response, err}) })
 	}, func(o outcome) { settle(o.response, o.err) })
 }
 
-// checkApplied notes where two replicas apply different entries at one index.
-func (c *Cluster) checkApplied(p *process, group uint32, entry *consensus.Entry) {
-	key := appliedAt{group, entry.Index}
-	before, ok := c.applied[key]
-	if !ok {
-		c.applied[key] = appliedEntry{entry.Term, string(entry.Data), p.machine.Name}
-		return
-	}
-	if before.term != entry.Term || before.data != string(entry.Data) {
-		c.diverged = append(c.diverged, fmt.Sprintf("group %d index %d: %s applied term %d, %s applied term %d",
-			group, entry.Index, before.by, before.term, p.machine.Name, entry.Term))
-	}
-}
-
-// sortedKeys returns a map's keys in order.
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+// logger is what a machine's process logs to.
+func (c *Cluster) logger(*simulation.Machine) log.Logger { return log.NewNopLogger() }
--- a/internal/simulation/cluster/control.go
+++ b/internal/simulation/cluster/control.go
@@ -1,306 +1,254 @@
 package cluster
 
 import (
-	"hash/fnv"
+	"net/http"
+	"sync/atomic"
 	"time"
 
+	"ospreypond/internal/boot"
 	"ospreypond/internal/consensus"
-	"ospreypond/internal/failure"
+	"ospreypond/internal/control"
 	"ospreypond/internal/protocol"
+	"ospreypond/internal/replica"
 	"ospreypond/internal/simulation"
 )
 
 const (
-	heartbeatInterval = 120 * time.Millisecond
-	electionTimeout   = 700 * time.Millisecond
-	manageEvery       = 100 * time.Millisecond
-	tickLeast         = 5 * time.Millisecond
-	tickMost          = 250 * time.Millisecond
-	resignTime        = 1500 * time.Millisecond
-	timerGrid         = 10 * time.Millisecond // wake-ups are rounded up to it, so that timers share one
+	restartTime   = 300 * time.Millisecond // after which a process that cannot begin is started again
+	openSyncs     = 2                      // that opening the disk takes
+	snapshotSyncs = 3                      // that writing a snapshot takes
 )
 
-// process is one life of a control process.
+// process is one life of a control process: the shipped one, without its sockets. The world's goroutine takes the turns
+// of its engine; what it calls and answers runs in its shell.
 type process struct {
-	cluster *Cluster
-	machine *simulation.Machine
-	id      consensus.MemberID
-	now     time.Duration
-	began   int64 // time of day at its start, ms
+	cluster  *Cluster
+	machine  *simulation.Machine
+	shell    *shell
+	control  *control.Control
+	operator http.Handler
+	driver   *replica.Driver
+	engine   *replica.Engine
 
-	groups        []*group
-	configuration *configurationShard
-	shards        []*jobShard // by shard; the first is nil
-
-	inTurn     bool
-	batch      []diskRecord
-	deferred   []consensus.Message
-	outbox     map[consensus.MemberID][]consensus.Message
-	outOrder   []consensus.MemberID
-	writing    bool
-	writeBegan time.Duration
-	sick       bool
-	resigning  bool
-	manageAt   time.Duration
-	joinAt     time.Duration
-	tickAt     time.Duration
-	timer      *simulation.Timer
-	timerAt    time.Duration
+	signalled atomic.Bool       // something waits for the engine
+	woken     bool              // a turn comes at once
+	next      *simulation.Timer // the turn after a pause
 }
 
-// startControl begins a life: the disk is read, or a new identity is written and synced before anything else.
+// startControl begins a life: the engine opens what the disk holds.
 func (c *Cluster) startControl(m *simulation.Machine) {
-	p := &process{cluster: c, machine: m, began: m.TimeOfDayMs(), outbox: map[consensus.MemberID][]consensus.Message{}}
 	c.controls[m] = nil
-	m.Disk.SyncAll()
-	who, held := readDisk(m.Disk.Records())
-	if who != nil {
-		p.join(who, held)
-		return
+	p := &process{cluster: c, machine: m, shell: c.newShell(m)}
+	p.shell.settled = p.settle
+	p.tryOpen()
+}
+
+func (p *process) tryOpen() { p.machine.Disk.Perform(p.machine, openSyncs, p.begin) }
+
+// begin opens the disk and takes part. One that cannot be opened ends the process, which the platform starts again.
+func (p *process) begin() {
+	err := p.open()
+	switch {
+	case !p.machine.Up(): // it died meanwhile
+	case err != nil:
+		p.machine.After(restartTime, p.tryOpen)
+	default:
+		p.cluster.checkIdentity(p)
+		p.cluster.controls[p.machine] = p
+		p.shell.enter(p.control.Start)
+		p.wake()
+		p.snapshotOften()
+		p.followSeeds()
+	}
+}
+
+func (p *process) open() error {
+	c, m := p.cluster, p.machine
+	opened, err := control.New(control.Options{
+		Self:       consensus.Member{Node: m.Name, Zone: m.Zone, Address: m.Name},
+		Bootstrap:  c.bootstrap(m),
+		Peers:      c.seedAddresses(),
+		FileSystem: m.Disk.Files(),
+		Dir:        "data",
+		DiskBytes:  c.diskBytes,
+		Bounds:     bootBounds(c.deployment.Ledger.Bounds),
+		Sender:     p,
+		Remote:     caller{p.shell},
+		Clock:      shellClock{p.shell},
+		Logger:     c.logger(m),
+		Seed:       c.world.Random.Uint64(),
+		Open:       p.openEngine,
+		Observe: func(id replica.GroupID, machine replica.StateMachine) replica.StateMachine {
+			return c.observe(p, id, machine)
+		},
+	})
+	if err != nil {
+		return err
 	}
-	who = c.newIdentity(m)
-	var write func()
-	write = func() {
-		m.Disk.Write(m, []any{diskRecord{identity: who}}, func(ok bool) {
-			if !ok {
-				m.After(rewriteAfter, write)
-				return
-			}
-			p.join(who, map[uint32]*heldGroup{})
-		})
+	p.control, p.operator = opened, opened.Operator()
+	return nil
+}
+
+func (p *process) openEngine(options replica.Options) (*replica.Engine, error) {
+	driver, err := replica.OpenDriver(options, replica.DriverOptions{
+		Disk:         p.performAtDisk,
+		Wake:         func() { p.signalled.Store(true) },
+		DrawIdentity: p.cluster.drawIdentity,
+	})
+	if err != nil {
+		return nil, err
 	}
-	write()
+	p.driver, p.engine = driver, driver.Engine()
+	return p.engine, nil
 }
 
-// newIdentity is that of a first member at the very first start, else a random one.
-func (c *Cluster) newIdentity(m *simulation.Machine) *identity {
+// bootstrap names the first members at the very first start, and nobody later.
+func (c *Cluster) bootstrap(m *simulation.Machine) []string {
 	if m.Life() > 1 || !c.isFirst(m) {
-		return &identity{id: consensus.MemberID(c.world.Random.Uint64() | 1)}
+		return nil
 	}
-	who := &identity{id: firstID(m.Name)}
-	for _, other := range c.first {
-		who.first = append(who.first, consensus.Member{ID: firstID(other.Name), Node: other.Name, Zone: other.Zone, Address: other.Name})
+	var addresses []string
+	for _, first := range c.first {
+		addresses = append(addresses, first.Name)
 	}
-	return who
+	return addresses
 }
 
-func firstID(name string) consensus.MemberID {
-	hash := fnv.New64a()
-	hash.Write([]byte(name))
-	return consensus.MemberID(hash.Sum64() | 1)
+func (c *Cluster) drawIdentity() (consensus.MemberID, error) {
+	return consensus.MemberID(c.world.Random.Uint64() | 1), nil
 }
 
-// join takes part with what the disk holds.
-func (p *process) join(who *identity, held map[uint32]*heldGroup) {
-	c := p.cluster
-	p.id = who.id
-	p.now = p.machine.Steady()
-	c.byID[p.id] = p.machine
-	c.controls[p.machine] = p
-	p.configuration = newConfigurationShard(p)
-	p.shards = make([]*jobShard, protocol.JobShards+1)
-	p.addGroup(0, p.configuration, who, held)
-	for id := protocol.ShardID(1); id <= protocol.JobShards; id++ {
-		p.shards[id] = newJobShard(p, id)
-		p.addGroup(uint32(id), p.shards[id], who, held)
+// bootBounds are the bounds as a process finds them in its settings.
+func bootBounds(bounds simulation.Bounds) boot.Bounds {
+	return boot.Bounds{
+		HoldMax: bounds.HoldMax,
+		Stop:    bounds.Stop,
+		Gang:    bounds.Gang,
+		Status:  bounds.Status,
+		Far:     bounds.Far,
+		Save:    bounds.Save,
+		Restore: bounds.Restore,
 	}
-	p.turn(func() {})
 }
 
-func (p *process) addGroup(id uint32, m machine, who *identity, held map[uint32]*heldGroup) {
-	g := &group{id: id, process: p, machine: m, proposals: map[uint64]proposal{}, joiners: map[consensus.MemberID]consensus.Member{}}
-	restored := held[id].restored(who.first)
-	if h := held[id]; h != nil && h.snapshot != nil {
-		if err := m.Restore(h.snapshot.Data); err != nil {
-			panic(err)
-		}
-		g.applied, g.appliedTerm = h.snapshot.Index, h.snapshot.Term
+func (p *process) performAtDisk(kind replica.DiskWork, work func()) {
+	syncs := 1
+	if kind == replica.DiskSnapshot {
+		syncs = snapshotSyncs
 	}
-	g.node = consensus.New(consensus.Config{Group: id, ID: p.id, Seed: p.cluster.world.Random.Uint64(),
-		HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout}, restored, p.now)
-	p.groups = append(p.groups, g)
+	p.machine.Disk.Perform(p.machine, syncs, func() {
+		work()
+		p.settle()
+	})
 }
 
-// turn handles one input and all that comes of it. Within a turn it just handles the input.
-func (p *process) turn(input func()) {
-	if p.inTurn {
-		input()
-		return
+// settle lets a turn come at once if something waits for the engine. It is called by the world's goroutine after whatever
+// may have given the engine something.
+func (p *process) settle() {
+	if p.signalled.Swap(false) {
+		p.wake()
 	}
-	p.inTurn = true
-	p.now = max(p.machine.Steady(), p.now+1)
-	input()
-	for _, g := range p.groups {
-		if g.node.NextDeadline() <= p.now {
-			g.node.Tick(p.now)
-		}
-		g.watchLeadership()
-	}
-	p.drain()
-	if p.now >= p.tickAt {
-		p.tick()
-		p.drain()
-	}
-	if p.now >= p.manageAt {
-		p.manageAt = p.now + manageEvery
-		p.manage()
-		p.drain()
-	}
-	for _, g := range p.groups {
-		g.settleConfirms()
-	}
-	p.drain()
-	p.flush()
-	p.submit()
-	p.flush()
-	p.inTurn = false
-	p.schedule()
 }
 
-// drain carries out what the groups want until none wants anything.
-func (p *process) drain() {
-	for again := true; again; {
-		again = false
-		for _, g := range p.groups {
-			if g.node.HasOutput() {
-				again = true
-				g.carryOut(g.node.Output())
-				g.watchLeadership()
-			}
-		}
+func (p *process) wake() {
+	if !p.woken {
+		p.woken = true
+		p.machine.Soon(p.turn)
 	}
 }
 
-func (p *process) manage() {
-	slow := p.writing && p.now-p.writeBegan > sickAfter
-	if slow {
-		p.setSick(true)
-	}
-	if p.sick || p.resigning {
-		p.giveAway()
-	}
-	for _, g := range p.groups {
-		g.superintend()
-		g.snapshotIfLong()
-	}
-	p.askToJoin()
+func (p *process) turn() {
+	p.woken = false
+	p.next.Stop()
+	p.shell.enter(func() {
+		pause, err := p.driver.Turn()
+		if err != nil {
+			panic(err)
+		}
+		p.next = p.machine.After(pause, p.turn)
+	})
 }
 
-// tick lets time pass for the owners and the feed.
-func (p *process) tick() {
-	next := p.now + tickMost
-	for _, shard := range p.shards[1:] {
-		shard.tick()
-		next = min(next, shard.deadline())
-	}
-	p.configuration.tick()
-	next = min(next, p.configuration.deadline())
-	p.tickAt = max(next, p.now+tickLeast)
+// leads tells whether this process takes itself for the owner of a group.
+func (p *process) leads(group replica.GroupID) bool {
+	overview, _ := p.engine.Overview(group)
+	return overview.Ready
 }
 
-// wake makes the next tick come soon.
-func (p *process) wake() { p.tickAt = min(p.tickAt, p.now+tickLeast) }
+// do runs f on the engine's loop.
+func (p *process) do(f func()) {
+	p.engine.Do(f)
+	p.settle()
+}
 
-// schedule sets the timer for the next turn.
-func (p *process) schedule() {
-	next := min(p.manageAt, p.tickAt)
-	for _, g := range p.groups {
-		next = min(next, g.node.NextDeadline())
-		if len(g.confirms) > 0 {
-			next = min(next, p.now+timerGrid)
-		}
-	}
-	next = max((next+timerGrid-1)/timerGrid*timerGrid, p.now+timerGrid/2)
-	if p.timer.Pending() && p.timerAt <= next {
-		return
-	}
-	p.timer.Stop()
-	p.timerAt = next
-	p.timer = p.machine.After(next-p.now, func() { p.turn(func() {}) })
+// snapshotOften replaces logs by snapshots long before their bounds are reached: a day is too short for those.
+func (p *process) snapshotOften() {
+	const interval = 250 * time.Millisecond
+	p.machine.After(interval, func() {
+		p.do(p.snapshotLongest)
+		p.snapshotOften()
+	})
 }
 
-// post gathers messages for other members.
-func (p *process) post(messages []consensus.Message) {
-	for i := range messages {
-		to := messages[i].To
-		if len(p.outbox[to]) == 0 {
-			p.outOrder = append(p.outOrder, to)
+func (p *process) snapshotLongest() {
+	longest, id := p.cluster.snapshotEvery, replica.GroupID(0)
+	for _, group := range allGroups() {
+		overview, _ := p.engine.Overview(group)
+		if entries := overview.Applied - overview.SnapshotIndex; entries > longest {
+			longest, id = entries, group
 		}
-		p.outbox[to] = append(p.outbox[to], messages[i])
+	}
+	if longest > p.cluster.snapshotEvery {
+		p.driver.Snapshot(id)
 	}
 }
 
-// flush sends what was gathered.
-func (p *process) flush() {
-	for _, id := range p.outOrder {
-		messages := p.outbox[id]
-		delete(p.outbox, id)
-		to := p.cluster.byID[id]
-		if to == nil || to == p.machine {
-			continue
-		}
-		p.send(to, func(other *process) { other.receive(messages) })
+func allGroups() []replica.GroupID {
+	var groups []replica.GroupID
+	for id := protocol.ConfigurationShard; id <= protocol.JobShards; id++ {
+		groups = append(groups, uint32(id))
 	}
-	p.outOrder = p.outOrder[:0]
+	return groups
 }
 
-// send calls f for the process that runs on another machine when the message arrives.
-func (p *process) send(to *simulation.Machine, f func(other *process)) {
-	p.cluster.deployment.Network.Send(p.machine, to, func() {
-		if other := p.cluster.controls[to]; other != nil {
-			other.turn(func() { f(other) })
-		}
+// followSeeds keeps the peers in step with the operator's list while nobody leads, as package seeds does by the settings
+// file.
+func (p *process) followSeeds() {
+	const interval = 3 * time.Second
+	p.machine.After(interval, func() {
+		p.do(func() {
+			if !p.engine.Led() {
+				p.engine.SetPeers(p.cluster.seedAddresses())
+			}
+		})
+		p.followSeeds()
 	})
 }
 
-func (p *process) receive(messages []consensus.Message) {
-	for i := range messages {
-		if messages[i].To == p.id {
-			p.groups[messages[i].Group].node.Step(messages[i], p.now)
-		}
-	}
-}
-
-// timeOfDayMs is the time of day that this process goes by.
-func (p *process) timeOfDayMs() int64 { return p.began + p.now.Milliseconds() }
-
-// leaderAddress is where a group's leader is, as far as known here.
-func (p *process) leaderAddress(group uint32) string {
-	if m := p.cluster.byID[p.groups[group].node.Status().Leader]; m != nil {
-		return m.Name
+// Send carries an envelope to another process.
+func (p *process) Send(address string, envelope *replica.Envelope) {
+	c := p.cluster
+	to := c.byName[address]
+	if to == nil || to == p.machine {
+		return
 	}
-	return ""
+	c.deployment.Network.Send(p.machine, to, func() {
+		if other := c.controls[to]; other != nil {
+			other.control.Receive(envelope)
+			other.settle()
+		}
+	})
 }
 
-func (p *process) notOwner(group uint32) error {
-	leader := p.leaderAddress(group)
-	if leader == p.machine.Name {
-		leader = ""
-	}
-	return &failure.Error{Kind: failure.NotLeader, Message: "this process does not own the shard", Leader: leader}
+// handle answers a request that has come over the network.
+func (p *process) handle(from *simulation.Machine, request any, reply func(response any, err error)) {
+	p.control.Handle(from.Name, request, reply)
+	p.settle()
 }
 
 // resign gives away what this process leads, and calls done when it has, or after a while.
 func (p *process) resign(done func()) {
-	p.turn(func() {
-		p.resigning = true
-		for _, g := range p.groups {
-			g.node.SetCampaign(false)
-		}
-		p.giveAway()
+	p.shell.enter(func() {
+		p.control.Resign(func() { p.shell.want(ofProcess, done) })
 	})
-	until := p.now + resignTime
-	var look func()
-	look = func() {
-		leads := false
-		for _, g := range p.groups {
-			leads = leads || g.node.Status().IsLeader
-		}
-		if !leads || p.machine.Steady() > until {
-			done()
-			return
-		}
-		p.machine.After(20*time.Millisecond, look)
-	}
-	p.machine.After(20*time.Millisecond, look)
 }
--- a/internal/simulation/cluster/history_test.go
+++ b/internal/simulation/cluster/history_test.go
@@ -306,11 +306,7 @@
 }
 
 func (r *replaced) leads(core *simulation.Machine) bool {
-	p := r.c.controls[core]
-	if r.group == protocol.ConfigurationShard {
-		return p.configuration.leading
-	}
-	return p.shards[r.group].owner.Leading()
+	return r.c.controls[core].leads(uint32(r.group))
 }
 
 // cancel cancels the job by the other frontend, until that is acknowledged.
--- a/internal/simulation/cluster/operator.go
+++ b/internal/simulation/cluster/operator.go
@@ -1,93 +1,35 @@
 package cluster
 
 import (
-	"strconv"
-	"time"
+	"bytes"
+	"net/http"
+	"net/url"
 
-	"ospreypond/internal/configuration"
-	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
 )
 
-// Times of an order at a control process, as in production.
-const (
-	orderTime        = 800 * time.Millisecond
-	orderAttemptTime = 350 * time.Millisecond
-	orderGap         = 50 * time.Millisecond
-)
-
-// operatorPort is a control process's interface to the operator, modelled after internal/control.
+// operatorPort is a control process's interface to the operator.
 type operatorPort struct{ process *process }
 
-// Configure passes an order to the owner of the configuration.
-func (o *operatorPort) Configure(update bool, base string, body []byte, reply func(status int)) {
-	number, err := strconv.ParseUint(base, 10, 64)
-	if err != nil || configuration.Readable(body) != nil {
-		reply(failure.AnswerTo(failure.Invalid).Status)
-		return
-	}
+// Configure sends an order.
+func (o *operatorPort) Configure(update bool, base string, body []byte, reply func(status int)) (left func()) {
 	kind := protocol.ConfigurationReplace
 	if update {
 		kind = protocol.ConfigurationUpdate
 	}
-	request := &protocol.ConfigureRequest{Kind: kind, Base: number, Body: body}
-	o.callOwner(request, func(_ any, err error) { reply(failure.AnswerTo(failure.KindOf(err)).Status) })
+	request := o.request(http.MethodPost, kind)
+	request.Header.Set("Ospreypond-Base-Version", base)
+	request.Body, request.ContentLength = reader{bytes.NewReader(body)}, int64(len(body))
+	return o.process.shell.serve(o.process.operator, request, func(a *answer) { reply(a.status) })
 }
 
-// Read returns the newest configuration.
+// Read reads the newest configuration.
 func (o *operatorPort) Read(reply func(status int, body []byte)) {
-	o.callOwner(&protocol.ReadConfigurationRequest{}, func(response any, err error) {
-		if err != nil {
-			reply(unread(err), nil)
-			return
-		}
-		reply(200, response.(*protocol.ReadConfigurationResponse).Body)
-	})
-}
-
-// callOwner tries the owner, here or elsewhere, until it answers clearly or the order's time is over.
-func (o *operatorPort) callOwner(request any, done func(any, error)) {
-	p := o.process
-	until := p.machine.Steady() + orderTime
-	var doubt error
-	var try func()
-	again := func(last error) {
-		if failure.KindOf(last) == failure.UnknownOutcome {
-			doubt = last
-		}
-		if p.machine.Steady()+orderGap >= until {
-			if doubt != nil {
-				last = doubt
-			}
-			done(nil, last)
-			return
-		}
-		p.machine.After(orderGap, try)
-	}
-	try = func() {
-		settle := func(response any, err error) {
-			switch failure.KindOf(err) {
-			case failure.NotLeader, failure.Unavailable, failure.UnknownOutcome:
-				again(err)
-			default:
-				done(response, err)
-			}
-		}
-		owner := p.leaderAddress(0)
-		if owner == "" {
-			again(failure.New(failure.NotLeader, "no owner is known"))
-			return
-		}
-		wait := min(orderAttemptTime, until-p.machine.Steady())
-		p.cluster.call(p.machine, owner, request, wait, settle)
-	}
-	try()
+	request := o.request(http.MethodGet, "read")
+	o.process.shell.serve(o.process.operator, request, func(a *answer) { reply(a.status, a.body.Bytes()) })
 }
 
-// unread is the status of a question: one without an answer has done nothing.
-func unread(err error) int {
-	if failure.KindOf(err) == failure.UnknownOutcome {
-		return failure.AnswerTo(failure.Unavailable).Status
-	}
-	return failure.AnswerTo(failure.KindOf(err)).Status
+func (o *operatorPort) request(method, verb string) *http.Request {
+	return &http.Request{Method: method, Host: o.process.machine.Name, URL: &url.URL{Path: "/v1/configuration/" + verb},
+		Header: http.Header{}, Body: http.NoBody}
 }
--- a/internal/simulation/cluster/run.go
+++ b/internal/simulation/cluster/run.go
@@ -32,6 +32,7 @@
 	Accepted   int
 	Finished   int // accepted and shown as ended at the end, lasting ones apart
 	Runs       int
+	Restored   int // snapshots that control processes restored, their own and those of others
 }
 
 // Failed tells whether anything is wrong.
@@ -87,6 +88,7 @@
 	day := drawDay(world, options)
 	deployment := simulation.NewDeployment(world, size, bounds)
 	c := New(deployment)
+	c.diskBytes, c.snapshotEvery = drawDiskBytes(world), simulation.Pick(world, []uint64{10, 40, 300})
 	deployment.Play(day)
 	c.endShells()
 	return c.report(seed, day)
@@ -112,6 +114,15 @@
 	return DayBounds()
 }
 
+// drawDiskBytes draws the size of the control processes' disks: small ones mostly, on which snapshots replace the log often.
+func drawDiskBytes(w *simulation.World) int64 {
+	const smallest, usual = 1 << 20, 128 << 20
+	if w.Chance(0.2) {
+		return usual
+	}
+	return smallest
+}
+
 func drawDay(w *simulation.World, options Options) simulation.Day {
 	const lead, length = 2500 * time.Millisecond, 9 * time.Second
 	day := simulation.Day{Lead: lead, Length: length, Troubles: options.Troubles, Closing: options.Closing}
@@ -146,7 +157,8 @@
 
 func (c *Cluster) report(seed uint64, day simulation.Day) *Outcome {
 	ledger := c.deployment.Ledger
-	report := &Outcome{Seed: seed, Day: day, Ledger: ledger, Diverged: c.diverged, Jobs: len(ledger.JobOrder), Runs: len(ledger.Runs)}
+	report := &Outcome{Seed: seed, Day: day, Ledger: ledger, Diverged: c.diverged, Jobs: len(ledger.JobOrder), Runs: len(ledger.Runs),
+		Restored: c.restored}
 	report.Violations = append(simulation.Audit(ledger), simulation.AuditPromises(ledger)...)
 	for _, job := range ledger.JobOrder {
 		if job.Accepted == simulation.Never {
--- a/internal/simulation/cluster/shell.go
+++ b/internal/simulation/cluster/shell.go
@@ -9,11 +9,12 @@
 	"slices"
 	"sync"
 	"testing/synctest"
+	"time"
 
 	"ospreypond/internal/simulation"
 )
 
-// shell runs one life of a frontend's or an agent's process: shipped code, with its goroutines. Its clock, its messages
+// shell runs one life of a process: shipped code, with its goroutines. Its clock, its messages
 // and its callers are the simulated world's. Days are played in a synctest bubble: after each input the world waits
 // until every goroutine is blocked, and only then carries out what they asked for, in an order that does not hang on
 // how they were scheduled. So at most one input is on its way in a shell, and a seed replays.
@@ -22,7 +23,9 @@
 	machine  *simulation.Machine
 	ctx      context.Context // the life's
 	cancel   context.CancelFunc
-	requests uint64 // taken so far
+	began    time.Time // what its clock shows at steady time 0: the time of day at the start
+	settled  func()    // if set, called after each input
+	requests uint64    // taken so far
 
 	mutex   sync.Mutex
 	effects []effect // asked for since the newest input
@@ -46,7 +49,7 @@
 	if earlier := c.shells[m]; earlier != nil {
 		earlier.end()
 	}
-	s := &shell{cluster: c, machine: m}
+	s := &shell{cluster: c, machine: m, began: time.UnixMilli(m.TimeOfDayMs()).Add(-m.Steady())}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	c.shells[m] = s
 	return s
@@ -82,6 +85,9 @@
 	for i := range effects {
 		effects[i].do()
 	}
+	if s.settled != nil {
+		s.settled()
+	}
 }
 
 // want has something done in the world once nothing moves in the shell.
--- a/internal/simulation/cluster/shell_caller.go
+++ b/internal/simulation/cluster/shell_caller.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
 	"time"
 
 	"ospreypond/internal/failure"
-	"ospreypond/internal/protocol"
 )
 
 // caller carries a shell's calls to control processes over the simulated network, as transport.Client does over the real
@@ -58,22 +58,10 @@
 
 // fill copies a control process's answer to where a caller wants it.
 func fill(response, answer any) error {
-	switch to := response.(type) {
-	case *protocol.WatchResponse:
-		*to = *answer.(*protocol.WatchResponse)
-	case *protocol.HeartbeatResponse:
-		to.Orders = *answer.(*protocol.Orders)
-	case *protocol.SubmitResponse:
-		to.AlreadyKnown = answer.(bool)
-	case *protocol.FenceResponse:
-		to.HasJob = answer.(bool)
-	case *protocol.StatusResponse:
-		to.State = answer.(string)
-	case *protocol.PendingResponse:
-		to.Pending = answer.(int)
-	case *protocol.CancelResponse, *protocol.DeregisterResponse:
-	default:
-		return fmt.Errorf("no answer of type %T", response)
+	to, from := reflect.ValueOf(response), reflect.ValueOf(answer)
+	if to.Type() != from.Type() {
+		return fmt.Errorf("the answer is a %v, not a %v", from.Type(), to.Type())
 	}
+	to.Elem().Set(from.Elem())
 	return nil
 }
--- a/internal/simulation/cluster/shell_clock.go
+++ b/internal/simulation/cluster/shell_clock.go
@@ -5,19 +5,14 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-
-	"ospreypond/internal/simulation"
 )
 
 // shellClock is the steady clock of a shell's machine. Its timers fire in the life of the process only, and not while
 // the machine stands still. It implements deadline.Clock.
 type shellClock struct{ shell *shell }
 
-// clockStart is what a shell's clock shows when the process starts.
-var clockStart = time.UnixMilli(simulation.EpochMs)
-
-// Now returns the machine's steady time.
-func (c shellClock) Now() time.Time { return clockStart.Add(c.shell.machine.Steady()) }
+// Now returns the time of day at the start of the process and the steady time since then.
+func (c shellClock) Now() time.Time { return c.shell.began.Add(c.shell.machine.Steady()) }
 
 // Since returns the time since t.
 func (c shellClock) Since(t time.Time) time.Duration { return c.Now().Sub(t) }
@@ -64,6 +59,7 @@
 	}
 	inner, cancel := context.WithCancelCause(parent)
 	t := c.newTimer(func() { cancel(context.DeadlineExceeded) })
+	t.request = requestOf(parent)
 	t.Reset(c.Until(at))
 	return &deadlineContext{inner, at}, func() {
 		t.Stop()
@@ -91,6 +87,7 @@
 // timer is a timer of a shell. The shell's mutex guards what changes.
 type timer struct {
 	shell   *shell
+	request uint64 // that it belongs to
 	channel chan time.Time
 	fired   func() // called by the world's goroutine
 	running bool
@@ -98,7 +95,7 @@
 }
 
 func (c shellClock) newTimer(fired func()) *timer {
-	return &timer{shell: c.shell, channel: make(chan time.Time, 1), fired: fired}
+	return &timer{shell: c.shell, request: ofTimers, channel: make(chan time.Time, 1), fired: fired}
 }
 
 // Chan returns the channel on which the time comes.
@@ -107,7 +104,7 @@
 // Reset starts the timer and tells whether it was running.
 func (t *timer) Reset(d time.Duration) bool {
 	was, start := t.mark(true)
-	t.shell.want(ofTimers, func() { t.shell.machine.After(d, func() { t.fire(start) }) })
+	t.shell.want(t.request, func() { t.shell.machine.After(d, func() { t.fire(start) }) })
 	return was
 }
 
--- a/internal/simulation/disk.go
+++ b/internal/simulation/disk.go
@@ -1,9 +1,16 @@
 package simulation
 
-import "time"
+import (
+	"errors"
+	"slices"
+	"syscall"
+	"time"
 
-// Disk is a log of records that survive: written in order, synced from time to time. Each record is either whole or
-// gone after a loss of power, and what follows a missing or torn record is cut off by its reader.
+	"ospreypond/internal/store/vfs/vfstest"
+)
+
+// Disk is a machine's disk: files that lose at a loss of power what was not synced, and the time that it takes to write
+// to them. A process calls the file system only from within the work that it gives to Perform, or as it starts.
 type Disk struct {
 	Sync time.Duration // time of one sync
 	Slow float64       // times as long; 0 or 1: as usual
@@ -11,91 +18,128 @@
 	// Stalled disks answer nothing until they are released.
 	Stalled bool
 
-	records []any
-	synced  int
-	epoch   int  // raised when the records are replaced
-	lost    bool // since the last start the disk was wiped
-	waiting []func()
+	files    *vfstest.Mem
+	underway []*diskWork
+	wipes    int
+}
+
+// diskWork is work that has not been carried out yet.
+type diskWork struct {
+	machine *Machine
+	life    int
+	syncs   int
+	run     func()
+	parked  bool // until the disk is released
 }
 
 // NewDisk returns an empty disk.
-func NewDisk(sync time.Duration) *Disk { return &Disk{Sync: sync} }
+func NewDisk(sync time.Duration) *Disk {
+	d := &Disk{Sync: sync}
+	d.use(&vfstest.Mem{})
+	return d
+}
 
-// Records returns what a process finds at its start.
-func (d *Disk) Records() []any { return d.records }
+func (d *Disk) use(files *vfstest.Mem) {
+	d.files = files
+	d.files.SetOnCall(d.fault)
+}
 
-// Empty tells whether nothing is on the disk.
-func (d *Disk) Empty() bool { return len(d.records) == 0 }
+// Files is what the processes of the machine find and write, until power or disk are lost.
+func (d *Disk) Files() *vfstest.Mem { return d.files }
 
-// Replace swaps all records for others at once, as a snapshot written beside the log and renamed does.
-func (d *Disk) Replace(records []any) {
-	d.records = records
-	d.synced = len(records)
-	d.epoch++
-}
+// Wipes counts how often the disk was lost.
+func (d *Disk) Wipes() int { return d.wipes }
 
-// SyncAll is what a careful process does as it opens its files: what it reads from then on is there for good.
-func (d *Disk) SyncAll() { d.synced = len(d.records) }
+// partOfWrite is how many bytes of a write reach a full disk.
+const partOfWrite = 7
 
-// Write appends records for the process of a machine and calls done once they are synced, or with false if the disk
-// refuses them.
-func (d *Disk) Write(m *Machine, records []any, done func(ok bool)) {
-	if d.Full {
-		m.After(time.Millisecond, func() { done(false) })
-		return
-	}
-	d.records = append(d.records, records...)
-	upTo := len(d.records)
-	life, epoch := m.life, d.epoch
-	finish := func() {
-		m.After(d.duration(m.World), func() {
-			if d.epoch == epoch {
-				d.synced = max(d.synced, upTo)
-			}
-			done(true)
-		})
+func (d *Disk) fault(call vfstest.Call) vfstest.Fault {
+	if d.Full && (call.Op == "write" || call.Op == "create") {
+		return vfstest.Fault{Err: syscall.ENOSPC, Short: partOfWrite}
 	}
+	return vfstest.Fault{}
+}
+
+// Perform carries out work of a machine's process that writes to the files, once the time of that many syncs has passed.
+// If the process ends before, the work is perhaps done in part.
+func (d *Disk) Perform(m *Machine, syncs int, run func()) {
+	work := &diskWork{machine: m, life: m.life, syncs: syncs, run: run}
+	d.underway = append(d.underway, work)
+	d.begin(work)
+}
+
+func (d *Disk) begin(work *diskWork) {
 	if d.Stalled {
-		d.waiting = append(d.waiting, func() { m.inLife(life, finish) })
+		work.parked = true
 		return
 	}
-	finish()
+	work.parked = false
+	work.machine.After(d.duration(work.machine.World, work.syncs), func() {
+		if d.Stalled {
+			work.parked = true
+			return
+		}
+		d.underway = slices.DeleteFunc(d.underway, func(other *diskWork) bool { return other == work })
+		work.run()
+	})
 }
 
-func (d *Disk) duration(w *World) time.Duration {
+func (d *Disk) duration(w *World, syncs int) time.Duration {
 	took := d.Sync*2/3 + w.Between(0, d.Sync*2/3)
 	if d.Slow > 1 {
 		took = time.Duration(float64(took) * d.Slow)
 	}
-	return took
+	return took * time.Duration(syncs)
 }
 
 // Release ends a stall.
 func (d *Disk) Release() {
 	d.Stalled = false
-	waiting := d.waiting
-	d.waiting = nil
-	for _, f := range waiting {
-		f()
+	for _, work := range slices.Clone(d.underway) {
+		if work.parked {
+			work.parked = false
+			work.machine.inLife(work.life, func() { d.begin(work) })
+		}
 	}
 }
 
-func (d *Disk) processDied() { d.waiting = nil }
-
-// losePower keeps what was synced and, at luck, a part of what was written after it.
-func (d *Disk) losePower(w *World) {
-	kept := d.synced
-	if unsynced := len(d.records) - d.synced; unsynced > 0 && w.Chance(0.6) {
-		kept += w.Random.IntN(unsynced + 1)
+// processDied ends what the process had under way, in the middle of it or before it began.
+func (d *Disk) processDied(w *World) {
+	underway := d.underway
+	d.underway = nil
+	for _, work := range underway {
+		if !d.Stalled && w.Chance(0.5) {
+			d.cutShort(w, work)
+		}
 	}
-	d.records = d.records[:kept:kept]
-	d.synced = kept
+	d.files.EndProcess()
 }
 
-func (d *Disk) wipe() {
-	d.records, d.synced, d.waiting = nil, 0, nil
-	d.lost = true
+var errProcessDied = errors.New("the process has died")
+
+// cutShort carries out the first calls of a work. What a process has asked to be synced is synced without it.
+func (d *Disk) cutShort(w *World, work *diskWork) {
+	const mostCalls, mostBytes = 6, 400
+	last := d.files.Calls() + w.Random.IntN(mostCalls)
+	short := w.Random.IntN(mostBytes)
+	dead := false
+	d.files.SetOnCall(func(call vfstest.Call) vfstest.Fault {
+		syncs := call.Op == "sync" || call.Op == "syncdir"
+		if call.N <= last || syncs && !dead {
+			return d.fault(call)
+		}
+		dead = true
+		return vfstest.Fault{Err: errProcessDied, Short: short}
+	})
+	work.run()
+	d.files.SetOnCall(d.fault)
 }
 
-// WipedBefore tells whether the disk was ever lost: then its machine does not start as one of the first.
-func (d *Disk) WipedBefore() bool { return d.lost }
+// losePower keeps what was synced and, at luck, any part of what was written after it.
+func (d *Disk) losePower(w *World) { d.use(d.files.Crash(w.Random)) }
+
+func (d *Disk) wipe() {
+	d.underway = nil
+	d.wipes++
+	d.use(&vfstest.Mem{})
+}
--- a/internal/simulation/machine.go
+++ b/internal/simulation/machine.go
@@ -83,7 +83,7 @@
 	}
 	m.up, m.frozen, m.stalled = false, false, nil
 	if m.Disk != nil {
-		m.Disk.processDied()
+		m.Disk.processDied(m.World)
 	}
 }
 
@@ -146,6 +146,12 @@
 	}
 }
 
+// Soon calls f in this life of the process at the present time, after all that was asked for at that time.
+func (m *Machine) Soon(f func()) {
+	life := m.life
+	m.World.After(0, func() { m.inLife(life, f) })
+}
+
 // After calls f in this life of the process once d has passed, later on a machine that is slowed.
 func (m *Machine) After(d time.Duration, f func()) *Timer {
 	life := m.life
--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// Control is what the operator calls.
+// Control is what the operator calls. An order returns what tells the process that the operator has left.
 type Control interface {
-	Configure(update bool, base string, body []byte, reply func(status int))
+	Configure(update bool, base string, body []byte, reply func(status int)) (left func())
 	Read(reply func(status int, body []byte))
 }
 
@@ -238,14 +238,28 @@
 		over = true
 		o.settle(record, base, whole, update, machine, status)
 	}
-	o.World.After(operatorSilence, func() { finish(0) })
+	left, leave := false, func() {}
+	o.World.After(operatorSilence, func() {
+		if over {
+			return
+		}
+		finish(0)
+		o.World.After(o.delay(), func() {
+			left = true
+			leave()
+		})
+	})
 	o.reach(machine, func(control Control, life int) {
-		control.Configure(update, fmt.Sprint(base), []byte(record.Body), func(status int) {
-			if machine.life != life {
+		leaving := control.Configure(update, fmt.Sprint(base), []byte(record.Body), func(status int) {
+			if machine.life != life || left {
 				return
 			}
 			o.answered(record, position, machine, status, finish)
 		})
+		leave = func() { machine.inLife(life, leaving) }
+		if left {
+			leaving() // while the machine stood still
+		}
 	}, func() { finish(0) })
 }
 
