--- a/internal/simulation/bounds.go
+++ b/internal/simulation/bounds.go
@@ -47,3 +47,6 @@
 		Far:           1.5,
 	}
 }
+
+// Grace is the time from the signal that asks a process to end until it is killed.
+const Grace = 6 * time.Second
--- a/internal/simulation/trouble_machine.go
+++ b/internal/simulation/trouble_machine.go
@@ -167,8 +167,7 @@
 }
 
 func (d *Deployment) term(m *Machine) {
-	const grace = 6 * time.Second
-	if !m.up || isCore(m) && !d.mayLose(m, restartTime+grace) {
+	if !m.up || isCore(m) && !d.mayLose(m, restartTime+Grace) {
 		return
 	}
 	d.strike("term", m, restartTime)
@@ -184,7 +183,7 @@
 		d.strike("term", m, restartTime)
 		d.World.After(restartTime, m.Boot)
 	}
-	d.World.After(grace, end)
+	d.World.After(Grace, end)
 	if d.Terminate == nil {
 		end()
 		return
