Send a learner only what is committed

A learner does not stand for election, but it may count as a voter in a membership that another member has in its log, uncommitted. If it also has the newest log, it refuses its vote to all others for ever. The exploration with a check of recovery found such a group of three: the leader appends a membership in which learner 4 votes, on its own disk only; 2 is elected by 3, its first entry reaches 4 alone, and 2's disk is lost. 1 needs 4's vote, which has the newer log; 3 needs 1's, which has the longer one; 4 does not stand. One lost disk stopped the group for good, with single changes as with joint ones.

A leader now sends a learner what is committed and nothing else, so a learner's log is never newer than that of some voter of a living quorum. Letting learners stand was ruled out: one would win elections after each leader's end, only to give the leadership away.

--- /dev/null
+++ b/internal/consensus/joint_test.go
@@ -0,0 +1,377 @@
+package consensus
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// restart starts a member again from what a disk that syncs at once holds of its log, from a snapshot on.
+func (g *group) restart(id MemberID, snapshot *Snapshot) *scripted {
+	old := g.of(id)
+	restored := Restored{HardState: HardState{Term: old.term, Vote: old.vote}, Snapshot: snapshot, Entries: old.log.entries}
+	for position, member := range g.members {
+		if member == old {
+			g.members = append(g.members[:position], g.members[position+1:]...)
+			break
+		}
+	}
+	return g.add(id, restored)
+}
+
+// onlyFrom loses everything but what a member sends to some.
+func onlyFrom(from MemberID, to ...MemberID) func(Message) bool {
+	return func(message Message) bool {
+		for _, id := range to {
+			if message.From == from && message.To == id {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// forgetLeaders lets members vote at once.
+func (g *group) forgetLeaders() {
+	for _, member := range g.members {
+		member.leaderHeardAt = 0
+	}
+}
+
+var _ = ginkgo.Describe("while a joint change is on its way", func() {
+	var g *group
+	var leader *scripted
+	first := append(memberList(1, 2, 3), learner(4))
+	next := memberList(1, 2, 4)
+
+	// begin proposes to replace voter 3 by 4, where only the leader's own messages to some members arrive.
+	begin := func(reached ...MemberID) {
+		g.lost = onlyFrom(1, reached...)
+		Expect(leader.ProposeMembers(g.now, next)).To(Succeed())
+		g.settle()
+		Expect(IsJoint(leader.Status().Members)).To(BeTrue())
+	}
+	ginkgo.BeforeEach(func() {
+		g = newGroup(first...)
+		leader = g.elect(1)
+	})
+
+	ginkgo.DescribeTable("the leader commits and is confirmed by majorities of both configurations only",
+		func(decided bool, answering ...MemberID) {
+			begin()
+			joined := leader.log.last()
+			g.lost = func(message Message) bool {
+				answers := message.To != 1
+				for _, id := range answering {
+					answers = answers || message.From == id
+				}
+				return !answers
+			}
+			g.pass(5 * heartbeat)
+			asked := g.now
+			leader.Confirm(asked)
+			g.settle()
+			Expect(leader.Status().Commit >= joined).To(Equal(decided))
+			Expect(leader.Status().ConfirmedAt >= asked).To(Equal(decided))
+			g.pass(2 * timeout)
+			Expect(leader.Status().IsLeader).To(Equal(decided), "leads on after an election timeout")
+		},
+		ginkgo.Entry("the other that stays", true, MemberID(2)),
+		ginkgo.Entry("the old and the new one", true, MemberID(3), MemberID(4)),
+		ginkgo.Entry("the old one", false, MemberID(3)),
+		ginkgo.Entry("the new one", false, MemberID(4)),
+		ginkgo.Entry("nobody", false),
+	)
+
+	ginkgo.DescribeTable("a member is elected by majorities of both configurations only",
+		func(elected bool, voting ...MemberID) {
+			begin(2, 3, 4)
+			candidate := g.of(2)
+			Expect(IsJoint(candidate.Status().Members)).To(BeTrue())
+			g.forgetLeaders()
+			leader.becomeFollower(leader.term, None)
+			g.lost = func(message Message) bool {
+				for _, id := range voting {
+					if message.From == id || message.To == id {
+						return false
+					}
+				}
+				return true
+			}
+			g.now = max(g.now, candidate.electionDeadline)
+			candidate.Tick(g.now)
+			g.settle()
+			Expect(candidate.Status().IsLeader).To(Equal(elected))
+			Expect(candidate.term > 1).To(Equal(elected), "nobody is disturbed by one that pre-votes keep down")
+		},
+		ginkgo.Entry("the other that stays", true, MemberID(1)),
+		ginkgo.Entry("the old and the new one", true, MemberID(3), MemberID(4)),
+		ginkgo.Entry("the old one", false, MemberID(3)),
+		ginkgo.Entry("the new one", false, MemberID(4)),
+	)
+
+	ginkgo.It("a candidate needs votes from both, also once pre-votes have let it stand", func() {
+		begin(2, 3, 4)
+		candidate := g.of(2)
+		candidate.campaign(true)
+		g.lost = func(message Message) bool { return message.From != 3 && message.To != 3 }
+		g.settle()
+		Expect(candidate.role).To(Equal(roleCandidate))
+		g.lost = isolate(1)
+		g.now += heartbeat
+		candidate.Tick(g.now)
+		g.settle()
+		Expect(candidate.role).To(Equal(roleLeader))
+	})
+
+	ginkgo.It("a new leader that has the joint membership in its log finishes the change", func() {
+		begin(2, 3, 4)
+		g.forgetLeaders()
+		g.lost = isolate(1)
+		g.elect(2)
+		g.settle()
+		Expect(g.of(2).Status().ChangePending).To(BeFalse())
+		Expect(g.of(4).Status().Members).To(Equal(next))
+	})
+
+	ginkgo.It("a new leader waits with the final membership until it has committed an entry of its own term", func() {
+		begin(2, 3, 4)
+		g.forgetLeaders()
+		g.lost = lose(MessageAppendResponse)
+		candidate := g.of(2)
+		candidate.commitUpTo(candidate.memberships.newest())
+		leader.becomeFollower(leader.term, None)
+		g.now = max(g.now, candidate.electionDeadline)
+		candidate.Tick(g.now)
+		g.settle()
+		Expect(candidate.Status().IsLeader).To(BeTrue())
+		Expect(candidate.Status().Commit).To(BeNumerically(">=", candidate.memberships.newest()))
+		candidate.Tick(g.now)
+		Expect(IsJoint(candidate.Status().Members)).To(BeTrue())
+	})
+
+	ginkgo.It("the old membership is back once the joint one is truncated", func() {
+		begin()
+		g.lost = isolate(1)
+		g.forgetLeaders()
+		g.elect(2)
+		g.lost = nil
+		g.pass(3 * timeout)
+		for _, member := range g.members {
+			Expect(member.Status().Members).To(Equal(first), "member %d", member.config.ID)
+		}
+	})
+
+	ginkgo.It("the joint membership is back once the final one is truncated", func() {
+		begin(2, 3, 4)
+		joined := leader.log.last()
+		leader.peer(2).match = joined
+		leader.advanceCommit()
+		leader.finishChange()
+		Expect(leader.Status().Members).To(Equal(next))
+		replacing := []Entry{{Term: 2, Index: joined + 1, Kind: EntryEmpty}}
+		leader.Step(Message{Kind: MessageAppend, From: 2, To: 1, Term: 2, Index: joined, LogTerm: 1, Entries: replacing}, g.now)
+		Expect(leader.log.last()).To(Equal(joined + 1))
+		Expect(leader.Status().Members).To(ConsistOf(threeToFour()))
+		Expect(leader.Status().ChangePending).To(BeTrue())
+	})
+
+	ginkgo.It("a restart from the log goes on with it, and finishes it", func() {
+		begin(2, 3, 4)
+		for _, id := range []MemberID{1, 2, 4} {
+			restarted := g.restart(id, &Snapshot{Members: first})
+			Expect(restarted.Status().Members).To(ConsistOf(threeToFour()))
+		}
+		g.lost = isolate(3)
+		g.elect(2)
+		Expect(g.of(2).Status().ChangePending).To(BeFalse())
+		Expect(g.of(1).Status().Members).To(Equal(next))
+	})
+
+	ginkgo.It("a snapshot from the joint stretch holds the joint membership, and a restart from it finishes the change", func() {
+		begin(2, 3, 4)
+		joined := leader.log.last()
+		g.lost = lose(MessageAppendResponse)
+		leader.peer(2).match = joined
+		leader.advanceCommit()
+		Expect(leader.Status().Commit).To(Equal(joined))
+		g.drain(leader)
+		Expect(leader.MembersAt(joined)).To(ConsistOf(threeToFour()))
+		Expect(leader.MembersAt(joined - 1)).To(Equal(first))
+		leader.Compact(joined)
+		Expect(leader.MembersAt(joined)).To(ConsistOf(threeToFour()))
+
+		snapshot := &Snapshot{Index: joined, Term: leader.term, Members: leader.MembersAt(joined)}
+		restarted := g.restart(1, snapshot)
+		Expect(restarted.Status().Members).To(ConsistOf(threeToFour()))
+		Expect(restarted.Status().ChangePending).To(BeTrue())
+		g.lost = isolate(3)
+		g.elect(1)
+		Expect(g.of(1).Status().ChangePending).To(BeFalse())
+		Expect(g.of(4).Status().Members).To(Equal(next))
+	})
+
+	ginkgo.It("a member that gets a snapshot from the joint stretch counts as it says", func() {
+		begin(2, 3)
+		joined := leader.log.last()
+		leader.peer(2).match = joined
+		leader.advanceCommit()
+		g.drain(leader)
+		leader.Compact(joined)
+		leader.peer(4).needSnapshot()
+		leader.peer(4).active = true
+		g.lost = func(message Message) bool { return message.To == 2 || message.To == 3 }
+		leader.SendSnapshot(g.now, 4, Snapshot{Index: joined, Term: leader.term, Data: make([]byte, 25)})
+		g.settle()
+		Expect(g.of(4).installed.Members).To(ConsistOf(threeToFour()))
+		Expect(isVoter(g.of(4).Status().Members, 4)).To(BeTrue())
+	})
+
+	ginkgo.It("a transfer holds the final membership up, which the new leader proposes", func() {
+		begin(2, 3, 4)
+		Expect(leader.Transfer(g.now, 2)).To(Succeed())
+		g.lost = isolate(3)
+		g.pass(3 * heartbeat)
+		Expect(g.of(2).Status().Ready).To(BeTrue())
+		Expect(g.of(2).Status().ChangePending).To(BeFalse())
+		Expect(leader.Status().Members).To(Equal(next))
+	})
+
+	ginkgo.It("a transfer that comes to nothing holds the final membership up no longer", func() {
+		g.of(2).SetCampaign(false)
+		begin(2, 3, 4)
+		Expect(leader.Transfer(g.now, 2)).To(Succeed())
+		g.lost = isolate(3)
+		g.pass(3 * heartbeat)
+		Expect(IsJoint(leader.Status().Members)).To(BeTrue())
+		Expect(leader.ProposeMembers(g.now, memberList(1, 2))).To(MatchError(ErrNotLeader))
+		g.pass(timeout)
+		Expect(leader.Status().ChangePending).To(BeFalse())
+	})
+})
+
+var _ = ginkgo.Describe("a leader that a joint change leaves out", func() {
+	var g *group
+	var leader *scripted
+	ginkgo.BeforeEach(func() {
+		g = newGroup(append(memberList(1, 2, 3), learner(4))...)
+		leader = g.elect(1)
+	})
+
+	ginkgo.It("leads until the final membership is committed without it, and another leads soon", func() {
+		g.lost = lose(MessageAppendResponse)
+		Expect(leader.ProposeMembers(g.now, memberList(2, 3, 4))).To(Succeed())
+		g.settle()
+		Expect(leader.Status().IsLeader).To(BeTrue())
+		g.lost = nil
+		g.pass(5 * heartbeat)
+		Expect(leader.Status().IsLeader).To(BeFalse())
+		newest := g.of(2).Status().Leader
+		Expect(newest).NotTo(BeElementOf(None, MemberID(1)))
+		Expect(g.of(newest).Status().Ready).To(BeTrue())
+		Expect(g.of(newest).Status().Members).To(Equal(memberList(2, 3, 4)))
+	})
+
+	ginkgo.It("does not count itself for the final membership", func() {
+		joined := uint64(0)
+		g.lost = func(message Message) bool { return message.Kind == MessageAppendResponse && message.Index > joined }
+		joined = leader.log.last() + 1
+		Expect(leader.ProposeMembers(g.now, memberList(2, 3, 4))).To(Succeed())
+		g.settle()
+		Expect(leader.Status().Commit).To(Equal(joined))
+		g.lost = func(message Message) bool { return message.From == 3 || message.From == 4 }
+		g.pass(3 * heartbeat)
+		Expect(leader.Status().Commit).To(Equal(joined))
+		Expect(leader.Status().IsLeader).To(BeTrue())
+		g.lost = isolate(4)
+		g.pass(3 * heartbeat)
+		Expect(leader.Status().IsLeader).To(BeFalse())
+	})
+})
+
+var _ = ginkgo.Describe("a group goes on", func() {
+	ginkgo.It("where the only newer log is that of a leader which left itself out", func() {
+		g := newGroup(memberList(1, 2)...)
+		leader := g.elect(1)
+		g.lost = isolate(1)
+		Expect(leader.ProposeMembers(g.now, memberList(2))).To(Succeed())
+		g.settle()
+		g.restart(1, &Snapshot{Members: memberList(1, 2)})
+		g.lost = nil
+		g.pass(6 * timeout)
+		Expect(g.of(2).Status().Ready).To(BeTrue())
+		Expect(g.of(2).Status().Members).To(Equal(memberList(2)))
+	})
+
+	ginkgo.It("where a learner was fed by a leader whose disk is lost, and another counts it as a voter", func() {
+		g := newGroup(append(memberList(1, 2, 3), learner(4))...)
+		leader := g.elect(1)
+		g.lost = isolate(1)
+		Expect(leader.ProposeMembers(g.now, memberList(2, 3, 4))).To(Succeed())
+		g.settle()
+		g.forgetLeaders()
+		g.lost = func(message Message) bool {
+			fromOther := message.From == 2 && message.Kind != MessageVote && message.Kind != MessagePreVote
+			return message.From == 1 || message.To == 1 || fromOther && message.To == 3
+		}
+		other := g.of(2)
+		g.now = max(g.now, other.electionDeadline)
+		other.Tick(g.now)
+		g.settle()
+		Expect(other.Status().IsLeader).To(BeTrue())
+		Expect(other.Status().Ready).To(BeFalse())
+
+		g.lost = isolate(2) // its disk is lost
+		g.pass(8 * timeout)
+		ready := 0
+		for _, id := range []MemberID{1, 3, 4} {
+			if g.of(id).Status().Ready {
+				ready++
+			}
+		}
+		Expect(ready).To(Equal(1))
+	})
+
+	ginkgo.It("alone only if its one member is the only voter of both configurations", func() {
+		g := newGroup(Member{ID: 1, Transition: TransitionRemoved}, Member{ID: 2, Transition: TransitionAdded})
+		g.lost = isolate(1)
+		g.pass(5 * timeout)
+		Expect(g.of(1).Status().IsLeader).To(BeFalse())
+		g.lost = nil
+		g.pass(5 * timeout)
+		Expect(g.of(2).Status().Ready).To(BeTrue())
+		Expect(g.of(2).Status().Members).To(Equal(memberList(2)))
+	})
+})
+
+var _ = ginkgo.Describe("a learner", func() {
+	ginkgo.It("gets no more than what is committed, and that at once", func() {
+		g := newGroup(append(memberList(1, 2, 3), learner(4))...)
+		leader := g.elect(1)
+		g.lost = lose(MessageAppendResponse)
+		g.propose(leader, "a")
+		g.settle()
+		Expect(g.of(2).log.last()).To(Equal(leader.log.last()))
+		Expect(g.of(4).log.last()).To(BeNumerically("<", leader.log.last()))
+		g.lost = nil
+		g.now += 2 * time.Millisecond
+		g.propose(leader, "b")
+		g.settle()
+		Expect(g.of(4).log.last()).To(Equal(leader.log.last()))
+	})
+
+	ginkgo.It("does not stand, not even when asked to", func() {
+		g := newGroup(append(memberList(1, 2, 3), learner(4))...)
+		g.elect(1)
+		g.lost = func(Message) bool { return true }
+		g.forget()
+		g.of(4).Step(Message{Kind: MessageTimeoutNow, From: 1, To: 4, Term: 1}, g.now)
+		for range 100 {
+			g.now += heartbeat
+			g.of(4).Tick(g.now)
+			g.drain(g.of(4))
+		}
+		Expect(g.sent(MessagePreVote) + g.sent(MessageVote)).To(BeZero())
+	})
+})
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -92,6 +92,7 @@
 	if index <= n.commit || !n.log.matches(index, n.term) {
 		return
 	}
+	n.leadership.appendsDue = true // to learners
 	changed := n.memberships.newest() > n.commit && n.memberships.newest() <= index
 	n.commit = index
 	n.verified = max(n.verified, index)
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -51,9 +51,10 @@
 	return l.entries[start:end:end]
 }
 
-// batch gives the entries after an index up to about maxBytes, at least one if there is any.
-func (l *entryLog) batch(after uint64, maxBytes int) []Entry {
-	rest := l.between(after, l.last())
+// batch gives the entries after an index, up to and including another within the log and up to about maxBytes; at least
+// one if there is any.
+func (l *entryLog) batch(after, to uint64, maxBytes int) []Entry {
+	rest := l.between(after, to)
 	size := 0
 	for position := range rest {
 		size += len(rest[position].Data) + entryBytes
--- a/internal/consensus/log_test.go
+++ b/internal/consensus/log_test.go
@@ -31,7 +31,7 @@
 		for position := range made.entries {
 			made.entries[position].Data = make([]byte, 100-entryBytes)
 		}
-		Expect(made.batch(after, maxBytes)).To(HaveLen(count))
+		Expect(made.batch(after, made.last(), maxBytes)).To(HaveLen(count))
 	},
 	ginkgo.Entry("all that fit", uint64(5), 200, 2),
 	ginkgo.Entry("at least one", uint64(5), 10, 1),
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -25,7 +25,17 @@
 
 // lacks tells whether there is anything to send to a member.
 func (n *Node) lacks(peer *progress) bool {
-	return peer.state == progressProbe || peer.next <= n.log.last()
+	return peer.state == progressProbe || peer.next <= n.lastFor(peer)
+}
+
+// lastFor is the last index that a member may get. A learner gets what is committed only: it does not stand for election,
+// so if it had the newest log, with an entry that may be lost, and counted as a voter in a membership that another has in
+// its log, it could keep that other from being elected for ever.
+func (n *Node) lastFor(peer *progress) uint64 {
+	if peer.votes() {
+		return n.log.last()
+	}
+	return n.commit
 }
 
 // sendAppend sends one append, an empty one if nothing is lacking.
@@ -36,7 +46,7 @@
 		peer.needSnapshot()
 		return false
 	}
-	entries := n.log.batch(before, n.config.MaxAppendBytes)
+	entries := n.log.batch(before, n.lastFor(peer), n.config.MaxAppendBytes)
 	n.send(Message{Kind: MessageAppend, To: peer.id, Index: before, LogTerm: beforeTerm, Commit: n.commit,
 		Entries: entries, SentAt: n.now})
 	peer.appendSentAt = n.now
