Explore joint changes, lost disks and transfers in every order

Members stand by forced requests now, as the lease is no part of the argument. Copies of a state shared the memory of their memberships' history, which truncation writes over; they have their own now.

New: a group of three with a learner that replaces a follower, the leader or a lost disk in one change, with lost disks (the second only once the change is done), transfers, restarts and late syncs. Every state can be checked for recovery: with all messages on their way lost, some member is elected, commits, and finishes the change.

The random trials replace lost voters by one change, and now and then change several voters at once.

--- a/internal/consensus/explore_key_test.go
+++ b/internal/consensus/explore_key_test.go
@@ -83,16 +83,15 @@
 
 // state writes a whole state.
 func (k *keyWriter) state(e *explored) {
-	k.put(uint64(e.proposals), uint64(e.crashes), uint64(e.losses), uint64(len(e.committed)))
+	k.put(uint64(e.proposals), uint64(e.crashes), uint64(e.losses), uint64(e.transfers), uint64(len(e.committed)))
 	k.put(e.committed...)
 	for _, leader := range e.leaders {
 		k.id(leader)
 	}
-	order := [...]int{0, 1, 2}
-	if k.swap {
-		order = [...]int{0, 2, 1}
-	}
-	for _, index := range order {
+	for index := range e.members {
+		if k.swap && index > 0 {
+			index = 3 - index
+		}
 		member := &e.members[index]
 		k.put(member.sums.of(k, func(single *keyWriter) { single.member(member) }))
 	}
@@ -113,6 +112,7 @@
 	k.id(node.leader)
 	k.put(uint64(node.role), node.term, node.commit, node.verified, uint64(m.committed), uint64(len(m.writes)))
 	k.put(node.leadership.ownMatch, node.leadership.firstIndex)
+	k.id(node.leadership.transferee)
 	k.flag(node.pending.hardState)
 	k.entries(node.log.entries)
 	k.ids(node.ballot.granted)
--- a/internal/consensus/explore_test.go
+++ b/internal/consensus/explore_test.go
@@ -15,10 +15,17 @@
 type bounds struct {
 	terms     uint64 // no member stands beyond this term
 	proposals int
-	crashes   int  // restarts that lose what was not synced
-	losses    int  // disks lost: the machine comes back under a new identity, and the leader takes it in
-	late      bool // syncs are steps of their own; otherwise they happen at once
-	states    int  // no more than this many are visited
+	crashes   int // restarts that lose what was not synced
+	// losses are disks lost, where the group stands it. The machine comes back under a new identity, which the leader takes
+	// in if there is no successor
+	losses int
+	// successor begins with member 1 as leader and learner 4, which has everything and takes the place of a lost voter
+	successor bool
+	replaces  MemberID // the voter whose place the successor begins to take at once, in one change
+	transfers int      // leaderships given away on purpose, as by a member that leaves
+	late      bool     // syncs are steps of their own; otherwise they happen at once
+	recovery  bool     // every state is checked for whether the group can go on
+	states    int      // no more than this many are visited
 }
 
 // exploredMember is a member and its disk.
@@ -52,6 +59,8 @@
 	proposals int
 	crashes   int
 	losses    int
+	transfers int
+	successor bool
 	broken    string
 	path      *taken
 }
@@ -83,20 +92,40 @@
 	return Config{ID: id, HeartbeatInterval: time.Hour, ElectionTimeout: time.Hour, MaxAppendBytes: 1, MaxInflight: 1}
 }
 
+// successorID is the learner that may replace a voter.
+const successorID MemberID = 4
+
 // firstState is a new group of three.
-func firstState(terms uint64) *explored {
-	first := &explored{leaders: make([]MemberID, terms+1)}
-	var members []Member
-	for id := MemberID(1); id <= 3; id++ {
-		members = append(members, Member{ID: id})
+func firstState(limits bounds) *explored {
+	first := &explored{leaders: make([]MemberID, limits.terms+1+recoveryTerms)}
+	members := memberList(1, 2, 3)
+	if limits.successor {
+		members = append(members, learner(successorID))
 	}
 	for _, member := range members {
 		stored := disk{snapshot: &Snapshot{Members: members}}
 		first.members = append(first.members, exploredMember{disk: stored, node: startExplored(member.ID, stored)})
 	}
+	if limits.successor {
+		first.successor = true
+		first.members[0].node.campaign(true)
+		first.settle()
+	}
+	if limits.replaces != None {
+		position := slices.IndexFunc(members, func(member Member) bool { return member.ID == limits.replaces })
+		first.breakOn(first.members[0].node.ProposeMembers(exploredTime, succeeded(members, position)))
+		first.drain(0, limits.late)
+	}
 	return first
 }
 
+// succeeded is the membership in which the successor has the place of another member.
+func succeeded(members []Member, position int) []Member {
+	next := without(members, position)
+	next[slices.IndexFunc(next, func(member Member) bool { return member.ID == successorID })].Learner = false
+	return next
+}
+
 // startExplored starts a member from its disk.
 func startExplored(id MemberID, stored disk) *Node {
 	restored := Restored{HardState: stored.hardState, Snapshot: stored.snapshot, Entries: stored.entries}
@@ -108,7 +137,7 @@
 	twin := *node
 	twin.random = rand.New(rand.NewPCG(1, 1))
 	twin.log.entries = slices.Clip(node.log.entries)
-	twin.memberships = slices.Clip(node.memberships)
+	twin.memberships = slices.Clone(node.memberships)
 	twin.ballot.granted = slices.Clone(node.ballot.granted)
 	twin.leadership.peers = nil
 	for _, peer := range node.leadership.peers {
@@ -140,6 +169,13 @@
 	}
 }
 
+// breakOn notes an error where there must be none.
+func (e *explored) breakOn(err error) {
+	if err != nil {
+		e.breaks("%v", err)
+	}
+}
+
 // drain carries out what a member wants.
 func (e *explored) drain(index int, late bool) {
 	member := &e.members[index]
@@ -243,6 +279,9 @@
 	}
 	for position, message := range e.network {
 		index := e.find(message.To)
+		if message.Kind == MessageTimeoutNow && message.Term >= limits.terms {
+			continue
+		}
 		step("deliver to", index, func(state *explored, member *exploredMember) {
 			state.path.message = message.Message
 			state.network = slices.Delete(state.network, position, position+1)
@@ -268,19 +307,43 @@
 	case MessageVote:
 		return node.vote != None && node.vote != message.From
 	case MessageAppendResponse:
-		return node.role != roleLeader
+		return node.role != roleLeader || !message.Reject && acknowledged(node, message.From, message.Index)
+	case MessageAppend:
+		return e.repeats(&message.Message, &e.members[index])
+	case MessageTimeoutNow:
+		return !node.mayStand() || node.role == roleLeader
 	default:
 		return false
 	}
 }
 
+// acknowledged tells whether a leader knows already that a member has entries up to an index.
+func acknowledged(leader *Node, id MemberID, index uint64) bool {
+	peer := leader.peer(id)
+	return peer != nil && peer.state == progressReplicate && peer.match >= index
+}
+
+// repeats tells whether an append of this term brings its receiver nothing, and its answer the sender nothing.
+func (e *explored) repeats(message *Message, receiver *exploredMember) bool {
+	node := receiver.node
+	end := message.Index + uint64(len(message.Entries))
+	if node.leader != message.From || node.verified < end || node.commit < message.Commit || len(receiver.writes) > 0 {
+		return false
+	}
+	sender := e.find(message.From)
+	if sender < 0 || e.members[sender].node.term != message.Term || e.members[sender].node.role != roleLeader {
+		return true
+	}
+	return acknowledged(e.members[sender].node, message.To, end)
+}
+
 // memberSteps makes the steps that a member may take by itself.
 func (e *explored) memberSteps(index int, limits bounds, step func(string, int, func(*explored, *exploredMember))) {
 	member := &e.members[index]
 	node := member.node
 	firstOfAll := index == 0 || slices.ContainsFunc(e.members, func(other exploredMember) bool { return other.node.term > 0 })
 	if node.role != roleLeader && node.term < limits.terms && node.mayStand() && firstOfAll {
-		step("stand", index, func(_ *explored, member *exploredMember) { member.node.campaign(false) })
+		step("stand", index, func(_ *explored, member *exploredMember) { member.node.campaign(true) })
 	}
 	if node.role == roleLeader && e.proposals < limits.proposals {
 		step("propose", index, func(state *explored, member *exploredMember) {
@@ -294,7 +357,7 @@
 	if e.crashes < limits.crashes && (len(member.writes) > 0 || node.role == roleLeader) {
 		step("crash", index, func(state *explored, _ *exploredMember) { state.crash(index) })
 	}
-	if e.losses < limits.losses && len(e.committed) > 0 {
+	if e.losses < limits.losses && len(e.committed) > 0 && e.standsLossOf(index) {
 		step("lose", index, func(state *explored, _ *exploredMember) { state.lose(index) })
 	}
 	if next := e.nextMembers(node); next != nil {
@@ -302,6 +365,30 @@
 			_ = member.node.ProposeMembers(exploredTime, next)
 		})
 	}
+	if node.role == roleLeader && limits.transfers > 0 {
+		e.transferSteps(index, limits, step)
+	}
+}
+
+// transferSteps begins a transfer of the leadership to any other voter, or lets one time out.
+func (e *explored) transferSteps(index int, limits bounds, step func(string, int, func(*explored, *exploredMember))) {
+	node := e.members[index].node
+	if node.leadership.transferee != None {
+		step("end the transfer at", index, func(_ *explored, member *exploredMember) {
+			member.node.leadership.transferee = None
+			member.node.finishChange()
+		})
+		return
+	}
+	for _, member := range node.memberships.current() {
+		if e.transfers >= limits.transfers || member.ID == node.config.ID || member.Learner {
+			continue
+		}
+		step(fmt.Sprintf("transfer to %d at", member.ID), index, func(state *explored, leader *exploredMember) {
+			state.transfers++
+			_ = leader.node.Transfer(exploredTime, member.ID)
+		})
+	}
 }
 
 // crash restarts a member from its disk.
@@ -321,16 +408,39 @@
 	e.network = slices.DeleteFunc(e.network, func(message flying) bool { return message.To == lost })
 }
 
+// standsLossOf tells whether the disk of a member may be lost: it is the first, or the newest leader has finished all
+// changes and a quorum is left.
+func (e *explored) standsLossOf(index int) bool {
+	if e.losses == 0 {
+		return true
+	}
+	var newest *Node
+	for _, member := range e.members {
+		if member.node.ready() && (newest == nil || member.node.term > newest.term) {
+			newest = member.node
+		}
+	}
+	if newest == nil || newest.changePending() || slices.ContainsFunc(e.members, func(member exploredMember) bool {
+		return member.node.term > newest.term
+	}) {
+		return false
+	}
+	lost := e.members[index].node.config.ID
+	return HasQuorum(newest.memberships.current(), func(id MemberID) bool { return id != lost && e.find(id) >= 0 })
+}
+
 // nextMembers is the change that a leader makes for a lost disk.
 func (e *explored) nextMembers(node *Node) []Member {
-	members := node.memberships.current()
-	if !node.ready() || node.memberships.newest() > node.commit || e.losses == 0 {
+	if !node.ready() || node.changePending() || e.losses == 0 {
 		return nil
 	}
-	for position, member := range members {
-		if e.find(member.ID) < 0 {
-			return without(members, position)
-		}
+	members := node.memberships.current()
+	gone := slices.IndexFunc(members, func(member Member) bool { return e.find(member.ID) < 0 })
+	switch {
+	case e.successor:
+		return e.replacedBySuccessor(node, gone)
+	case gone >= 0:
+		return without(members, gone)
 	}
 	for _, other := range e.members {
 		id := other.node.config.ID
@@ -347,6 +457,19 @@
 	return nil
 }
 
+// replacedBySuccessor is the membership in which the successor has the place of a lost voter, once it has everything.
+func (e *explored) replacedBySuccessor(node *Node, gone int) []Member {
+	members := node.memberships.current()
+	successor, known := findMember(members, successorID)
+	if gone < 0 || !known || !successor.Learner || e.find(successorID) < 0 {
+		return nil
+	}
+	if behind, _, _ := node.Lagging(successorID); behind > 0 {
+		return nil
+	}
+	return succeeded(members, gone)
+}
+
 // explorer is an exploration under way.
 type explorer struct {
 	limits bounds
@@ -359,7 +482,7 @@
 // explore visits all states within bounds, breadth first. It gives the first broken one and how many were visited.
 func explore(limits bounds) (broken *explored, visited int) {
 	x := &explorer{limits: limits, seed: maphash.MakeSeed(), seen: map[uint64]struct{}{}}
-	frontier := []*explored{firstState(limits.terms)}
+	frontier := []*explored{firstState(limits)}
 	for len(frontier) > 0 && x.broken == nil && len(x.seen) < limits.states {
 		frontier = x.expand(frontier)
 	}
@@ -379,6 +502,7 @@
 					return
 				}
 				fresh := x.unseen(frontier[index].next(x.limits))
+				x.checkRecovery(fresh)
 				x.guard.Lock()
 				following = append(following, fresh...)
 				x.guard.Unlock()
@@ -389,6 +513,21 @@
 	return following
 }
 
+// checkRecovery checks that the group can go on from each of these states.
+func (x *explorer) checkRecovery(states []*explored) {
+	if !x.limits.recovery {
+		return
+	}
+	for _, state := range states {
+		state.checkRecovery()
+		if state.broken != "" {
+			x.guard.Lock()
+			x.broken = state
+			x.guard.Unlock()
+		}
+	}
+}
+
 // unseen leaves out what was met before.
 func (x *explorer) unseen(states []*explored) []*explored {
 	keys := make([]uint64, len(states))
--- a/internal/consensus/nemesis_test.go
+++ b/internal/consensus/nemesis_test.go
@@ -244,9 +244,13 @@
 	members := leader.node.Status().Members
 	voters := countVoters(members)
 	for position, member := range members {
-		if n.world.holder(member.ID) == nil && (voters > 1 || member.Learner) {
-			return without(members, position)
+		if n.world.holder(member.ID) != nil || voters == 1 && !member.Learner {
+			continue
+		}
+		if next := n.replaced(leader, position); next != nil && n.world.chance(0.7) {
+			return next
 		}
+		return without(members, position)
 	}
 	for position, member := range members {
 		behind, _, known := leader.node.Lagging(member.ID)
@@ -261,20 +265,65 @@
 			return append(append([]Member(nil), members...), Member{ID: m.id, Node: m.name, Learner: true})
 		}
 	}
-	return n.whim(members, voters)
+	return n.whim(leader, members, voters)
 }
 
-// whim removes or demotes a voter now and then, until the time is over.
-func (n *nemesis) whim(members []Member, voters int) []Member {
+// replaced is the membership in which a learner that has caught up takes the place of a voter, nil if there is none.
+func (n *nemesis) replaced(leader *machine, position int) []Member {
+	members := leader.node.Status().Members
+	if members[position].Learner {
+		return nil
+	}
+	for _, learner := range members {
+		behind, _, known := leader.node.Lagging(learner.ID)
+		if !learner.Learner || !known || behind > 3 {
+			continue
+		}
+		learner.Learner = false
+		next := without(members, position)
+		for index := range next {
+			if next[index].ID == learner.ID {
+				next[index] = learner
+			}
+		}
+		return next
+	}
+	return nil
+}
+
+// whim removes, demotes or replaces voters now and then, until the time is over.
+func (n *nemesis) whim(leader *machine, members []Member, voters int) []Member {
 	if n.world.now >= n.until || voters < 3 || !n.world.chance(0.1) {
 		return nil
 	}
 	position := n.world.random.IntN(len(members))
-	if n.world.chance(0.5) {
+	switch n.world.random.IntN(4) {
+	case 0:
 		return without(members, position)
+	case 1:
+		next := append([]Member(nil), members...)
+		next[position].Learner = true
+		return next
+	case 2:
+		return n.shuffled(members)
+	default:
+		return n.replaced(leader, position)
 	}
+}
+
+// shuffled lets a random majority of the voters go on voting, and any others.
+func (n *nemesis) shuffled(members []Member) []Member {
 	next := append([]Member(nil), members...)
-	next[position].Learner = true
+	n.world.random.Shuffle(len(next), func(a, b int) { next[a], next[b] = next[b], next[a] })
+	kept, voters := 0, countVoters(members)
+	for index := range next {
+		if next[index].Learner {
+			next[index].Learner = n.world.chance(0.5)
+			continue
+		}
+		next[index].Learner = kept >= quorumOf(voters) && n.world.chance(0.5)
+		kept++
+	}
 	return next
 }
 
