Let a leaving member stand where there is no leader, and go through all orders at small size

A member that leaves never stood again. With one of three cut off and the leader wiped just after it was asked to end, it was the only one with the newest entries and the group had no leader until its end, and with its disk gone for good none ever again. It stands now after a second without a leader, and gives that leadership away once another holds everything.

Three machines of which one is wiped, one leaves, one is cut off while a fourth joins, in all orders at three distances; this found the fault above.

--- a/internal/replica/chaos_test.go
+++ b/internal/replica/chaos_test.go
@@ -52,6 +52,13 @@
 		m.wake()
 		return func() { m.kill(); m.start(nil) }
 	},
+	func(c *cluster, m *machine) func() {
+		departure := m.leave(time.Duration(c.random.IntN(4000)) * time.Millisecond)
+		return func() {
+			c.until(5*time.Second, departure.gone)
+			m.start(nil)
+		}
+	},
 	finalFault,
 	func(c *cluster, m *machine) func() { // all at once; no disk is lost
 		for _, other := range c.machines {
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -16,6 +16,8 @@
 	// leaderlessPatience is after how long without a leader a member with a slow disk stands all the same: a slow
 	// leader is better than none.
 	leaderlessPatience = 4 * time.Second
+	// resignedPatience is the same for a member that ends soon: it may be the only one with the newest entries.
+	resignedPatience = time.Second
 )
 
 // health is what is known of the disk.
@@ -104,8 +106,10 @@
 func (g *group) mayCampaign() bool {
 	e := g.engine
 	switch {
-	case e.shifts.resigning || e.writer.health.failing:
+	case e.writer.health.failing || e.departure.quiet:
 		return false
+	case e.shifts.resigning:
+		return e.now-g.leaderSeenAt >= resignedPatience
 	case e.writer.health.sick:
 		return e.now-g.leaderSeenAt >= leaderlessPatience
 	default:
--- a/internal/replica/leave.go
+++ b/internal/replica/leave.go
@@ -76,7 +76,7 @@
 	case len(d.released) == len(e.groups):
 		e.beQuiet()
 	case d.quiet && e.now >= d.quietEnd:
-		d.enter(false)
+		e.takePart()
 	}
 	for _, g := range e.groups {
 		g.askToLeave()
@@ -84,6 +84,14 @@
 	return false
 }
 
+// takePart goes back to the first phase.
+func (e *Engine) takePart() {
+	e.departure.enter(false)
+	for _, g := range e.groups {
+		g.leaderSeenAt = e.now // nothing was looked at meanwhile
+	}
+}
+
 func (e *Engine) beQuiet() {
 	d := &e.departure
 	d.enter(true)
--- a/internal/replica/leave_test.go
+++ b/internal/replica/leave_test.go
@@ -18,6 +18,7 @@
 	*machine
 	begun time.Duration
 	ended time.Duration // when it was told that it may end; 0: not yet
+	voted bool          // in some group then
 }
 
 // leave has a machine leave; its process ends as soon as it may, or when its patience is over.
@@ -26,6 +27,7 @@
 	m.engine.Do(func() {
 		m.engine.Leave(patience, func() {
 			d.ended = m.cluster.now()
+			d.voted = m.cluster.voted(m.engine.self.ID)
 			m.cluster.at(0, m.kill)
 		})
 	})
--- /dev/null
+++ b/internal/replica/membership_exhaustive_test.go
@@ -0,0 +1,215 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+
+	"ospreypond/internal/consensus"
+)
+
+// living gives the members of a view that can answer. One that was heard lately but is proven to be gone can't.
+func living(view membershipView) func(consensus.MemberID) bool {
+	return func(id consensus.MemberID) bool {
+		return slices.ContainsFunc(view.members, func(m memberView) bool {
+			return m.ID == id && (m.ID == view.self.ID || m.alive() && !view.succeeded(m))
+		})
+	}
+}
+
+// margin is how many of the living voters a configuration may lose and still have a majority; negative: it has none.
+func margin(members []consensus.Member, lives func(consensus.MemberID) bool) int {
+	voters, alive := 0, 0
+	for _, member := range members {
+		if member.Learner {
+			continue
+		}
+		voters++
+		if lives(member.ID) {
+			alive++
+		}
+	}
+	return alive - (voters/2 + 1)
+}
+
+func membersOf(view membershipView) []consensus.Member {
+	var members []consensus.Member
+	for _, member := range view.members {
+		members = append(members, member.Member)
+	}
+	return members
+}
+
+// faultOf is what a plan does that no plan may do; empty if nothing.
+func faultOf(view membershipView, plan membershipPlan) string {
+	if plan.members == nil {
+		return ""
+	}
+	before, lives := membersOf(view), living(view)
+	first, err := consensus.FirstStep(before, plan.members)
+	if err != nil {
+		return err.Error()
+	}
+	if spare := margin(before, lives); spare >= 0 {
+		if !consensus.HasQuorum(first, lives) {
+			return "the living cannot commit its first step"
+		}
+		if margin(plan.members, lives) < spare {
+			return "fewer more may be lost than before"
+		}
+	}
+	if len(sortedVoters(plan.members)) < min(len(sortedVoters(before)), enoughVoters) {
+		return "fewer vote than are wanted"
+	}
+	for _, member := range view.members {
+		if fault := faultOfMember(view, plan, member); fault != "" {
+			return fault
+		}
+	}
+	return ""
+}
+
+// faultOfMember is what a plan does to one member that no plan may do.
+func faultOfMember(view membershipView, plan membershipPlan, member memberView) string {
+	votes := slices.Contains(sortedVoters(plan.members), member.ID)
+	switch {
+	case member.Learner && votes && member.age > caughtUpAge:
+		return "a learner votes that has not caught up"
+	case member.Learner && votes && (!member.alive() || member.leaving):
+		return "a learner votes that is not there or goes"
+	case member.Learner || votes:
+		return ""
+	case member.ID == view.self.ID:
+		return "the leader loses its vote"
+	case member.alive() && !member.leaving && !view.succeeded(member):
+		return "one loses its vote that is there, stays and was not succeeded"
+	default:
+		return ""
+	}
+}
+
+// The conditions of a voter and of a successor in the views that are gone through.
+var voterConditions = []func(m memberView) memberView{
+	present,
+	silent(time.Second),
+	silent(2 * time.Second),
+	silent(4 * time.Second),
+	silent(2 * time.Minute),
+	leaving,
+	func(m memberView) memberView { // of a young term
+		m = silentFor(m, 4*time.Second)
+		m.silent = 100 * time.Millisecond
+		return m
+	},
+}
+
+// fewerConditions are those of five voters: all would take half a minute.
+var fewerConditions = []func(m memberView) memberView{present, silent(2 * time.Second), silent(4 * time.Second), leaving}
+
+func present(m memberView) memberView { return m }
+
+func silent(silence time.Duration) func(m memberView) memberView {
+	return func(m memberView) memberView { return silentFor(m, silence) }
+}
+
+func silentFor(m memberView, silence time.Duration) memberView {
+	m.silent, m.unheard, m.heardAt = silence, silence, viewTime-silence
+	return m
+}
+
+var successorConditions = []func(m memberView) memberView{
+	func(m memberView) memberView { return learning(m, 0) },
+	func(m memberView) memberView { return learning(m, caughtUpAge+1) },
+	func(m memberView) memberView { return learning(m, unknownAge) },
+	func(m memberView) memberView { return learning(silentFor(m, 2*time.Second), 0) },
+	func(m memberView) memberView { return learning(silentFor(m, time.Minute), 0) },
+	func(m memberView) memberView { return learning(leaving(m), 0) },
+	func(m memberView) memberView { return m }, // votes already
+}
+
+// places are where a successor may be, beside the voters' own machines.
+type place struct {
+	node, address string
+	reached       time.Duration // how long ago what it has answered left
+}
+
+func places() []place {
+	list := []place{{"new", "new:1", 0}}
+	for _, node := range []string{"a", "b", "c", "d", "e"} {
+		list = append(list, place{node, node + ":1", 20 * time.Millisecond}, place{node, node + ":1", time.Hour},
+			place{node, "new:1", 20 * time.Millisecond}, place{"new", node + ":1", 20 * time.Millisecond})
+	}
+	return list
+}
+
+// eachView calls f with every view of so many voters, each in one of some conditions, and one successor.
+func eachView(voters int, possible []func(m memberView) memberView, f func(membershipView)) {
+	conditions := make([]int, voters)
+	for {
+		for _, condition := range successorConditions {
+			for _, place := range places() {
+				view := membershipView{}
+				for i, state := range conditions {
+					node := string(rune('a' + i))
+					view.members = append(view.members, possible[state](seen(consensus.MemberID(i+1), node, 50*time.Millisecond)))
+				}
+				view.self = view.members[0].Member
+				successor := at(seen(9, place.node, 50*time.Millisecond), place.address)
+				view.members = append(view.members, reached(condition(successor), place.reached))
+				f(view)
+			}
+		}
+		next := 1 // the leader itself is always there
+		for next < voters && conditions[next] == len(possible)-1 {
+			conditions[next] = 0
+			next++
+		}
+		if next >= voters {
+			return
+		}
+		conditions[next]++
+	}
+}
+
+var _ = Describe("planMembership, over all views of a few voters and a successor", func() {
+	for _, voters := range []int{1, 2, 3, 4, 5} {
+		It(fmt.Sprintf("never makes a group of %d less safe, and comes to an end", voters), func() {
+			views, plans := 0, 0
+			conditions := voterConditions
+			if voters == 5 {
+				conditions = fewerConditions
+			}
+			eachView(voters, conditions, func(view membershipView) {
+				views++
+				for step := 0; ; step++ {
+					plan := planMembership(view)
+					if fault := faultOf(view, plan); fault != "" || step > 8 {
+						Fail(fmt.Sprintf("step %d: %s: %s\n%+v", step, plan.reason, fault, view))
+					}
+					if plan.members == nil {
+						return
+					}
+					plans++
+					view = view.after(plan)
+				}
+			})
+			GinkgoWriter.Println(views, "views,", plans, "plans")
+		})
+	}
+})
+
+// after is the view once a plan is carried out.
+func (v membershipView) after(plan membershipPlan) membershipView {
+	next := membershipView{self: v.self, joiners: v.joiners}
+	for _, member := range plan.members {
+		for _, known := range v.members {
+			if known.ID == member.ID {
+				known.Member = member
+				next.members = append(next.members, known)
+			}
+		}
+	}
+	return next
+}
--- a/internal/replica/shifts.go
+++ b/internal/replica/shifts.go
@@ -28,8 +28,8 @@
 	spreadAt    time.Duration // when a leadership was last moved for spread
 }
 
-// Resign gives away all leaderships, each to the voter that lacks least, and never stands again. done is called on the
-// loop once this process leads nothing, or after about 1.5 s.
+// Resign gives away all leaderships, each to the voter that lacks least, and stands again only where there long is no leader:
+// this may be the only one with the newest entries. done is called on the loop once this process leads nothing, or after about 1.5 s.
 func (e *Engine) Resign(done func()) {
 	if !e.shifts.resigning {
 		e.shifts.resigning = true
--- a/internal/replica/snapshots.go
+++ b/internal/replica/snapshots.go
@@ -58,7 +58,7 @@
 // superintend does what a group needs now and then.
 func (g *group) superintend() {
 	g.settleDigests()
-	if g.engine.writer.health.sick {
+	if g.engine.reluctant() {
 		g.node.SetCampaign(g.mayCampaign())
 	}
 	if !g.node.Status().IsLeader {
