Call runners that operators take out disabled, not banned

Cause: the console's calls are disable and enable; 'ban' and 'lift' were house words for the same.

The file in which a process leaves them to the next one keeps its name, ospreypond-bans.json, as processes in service read it at an upgrade; log lines stay.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -61,11 +61,11 @@
 	life := lifecycle.New(func(from, to lifecycle.Phase) {
 		log.WithFields(logrus.Fields{"name": cfg.Name, "from": from, "to": to}).Info("phase changed")
 	})
-	banned, err := loadBans(os.TempDir())
+	disabled, err := loadDisabled(os.TempDir())
 	if err != nil {
 		log.WithError(err).Error("the runners taken out before this process are not known")
 	}
-	table := routetable.New(banned...)
+	table := routetable.New(disabled...)
 	coord, err := coordinator.New(cfg.Policy, cfg.Seed, log)
 	if err != nil {
 		return err
--- a/internal/app/operator.go
+++ b/internal/app/operator.go
@@ -18,9 +18,9 @@
 	"ospreypond/policy"
 )
 
-// bansFile holds the runners that operators took out, under $TMPDIR: a process that takes over at an upgrade
-// starts with them, since a ban lasts until it is lifted whatever process serves.
-const bansFile = "ospreypond-bans.json"
+// disabledFile holds the runners that operators took out, under $TMPDIR: a process that takes over at an upgrade
+// starts with them, since a runner stays disabled until it is enabled, whatever process serves.
+const disabledFile = "ospreypond-bans.json"
 
 // operator carries out the console's calls on the running parts. Each call returns at once: the module is
 // told through the coordinator's inbox from a goroutine of its own.
@@ -31,7 +31,7 @@
 	// reloads counts the files read at SIGHUP.
 	reloads *reloads
 	peers   *peers
-	dir     string // where bans are kept for the next process
+	dir     string // where the disabled runners are kept for the next process
 	log     logrus.FieldLogger
 }
 
@@ -59,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	if err := saveBans(o.dir, o.table.Banned()); err != nil {
+	if err := saveDisabled(o.dir, o.table.Disabled()); err != nil {
 		o.log.WithError(err).Error("the runners taken out could not be kept for the next process")
 	}
 	if len(changed) > 0 {
@@ -68,19 +68,19 @@
 	return nil
 }
 
-// saveBans replaces the file whole and durably, so that a process that reads it meanwhile sees the old list or
+// saveDisabled replaces the file whole and durably, so that a process that reads it meanwhile sees the old list or
 // the new.
-func saveBans(dir string, ids []string) error {
+func saveDisabled(dir string, ids []string) error {
 	text, err := json.Marshal(ids)
 	if err != nil {
 		return err
 	}
-	return renameio.WriteFile(filepath.Join(dir, bansFile), text, 0o600, renameio.WithTempDir(dir))
+	return renameio.WriteFile(filepath.Join(dir, disabledFile), text, 0o600, renameio.WithTempDir(dir))
 }
 
-// loadBans reads what a process before this one kept; no file is no ban.
-func loadBans(dir string) ([]string, error) {
-	text, err := os.ReadFile(filepath.Join(dir, bansFile))
+// loadDisabled reads what a process before this one kept; no file: none is disabled.
+func loadDisabled(dir string) ([]string, error) {
+	text, err := os.ReadFile(filepath.Join(dir, disabledFile))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, nil
 	}
@@ -89,7 +89,7 @@
 	}
 	var ids []string
 	if err := json.Unmarshal(text, &ids); err != nil {
-		return nil, fmt.Errorf("%s: %w", bansFile, err)
+		return nil, fmt.Errorf("%s: %w", disabledFile, err)
 	}
 	return ids, nil
 }
--- a/internal/app/operator_test.go
+++ b/internal/app/operator_test.go
@@ -18,25 +18,25 @@
 	"ospreypond/policy"
 )
 
-// Bans go to the next process whole: what one saves, the next loads; no file is no ban, a spoilt one an error
+// Disabled runners go to the next process whole: what one saves, the next loads; no file means none, a spoilt one an error
 // that names the file.
-func TestBansAreHandedToTheNextProcess(t *testing.T) {
+func TestDisabledRunnersAreHandedToTheNextProcess(t *testing.T) {
 	dir := t.TempDir()
-	ids, err := loadBans(dir)
+	ids, err := loadDisabled(dir)
 	require.NoError(t, err)
 	assert.Empty(t, ids)
-	require.NoError(t, saveBans(dir, []string{"s-1", "s-2"}))
-	require.NoError(t, saveBans(dir, []string{"s-2"}))
-	ids, err = loadBans(dir)
+	require.NoError(t, saveDisabled(dir, []string{"s-1", "s-2"}))
+	require.NoError(t, saveDisabled(dir, []string{"s-2"}))
+	ids, err = loadDisabled(dir)
 	require.NoError(t, err)
 	assert.Equal(t, []string{"s-2"}, ids)
 	left, err := filepath.Glob(filepath.Join(dir, "*"))
 	require.NoError(t, err)
 	assert.Len(t, left, 1, "no temporary file stays behind")
 
-	require.NoError(t, os.WriteFile(filepath.Join(dir, bansFile), []byte(`["s-`), 0o600))
-	_, err = loadBans(dir)
-	assert.ErrorContains(t, err, bansFile)
+	require.NoError(t, os.WriteFile(filepath.Join(dir, disabledFile), []byte(`["s-`), 0o600))
+	_, err = loadDisabled(dir)
+	assert.ErrorContains(t, err, disabledFile)
 }
 
 // At an upgrade in place the new process listens at the clients' address while the old one still does.
@@ -51,7 +51,7 @@
 
 // Guards against a call that waits for a busy coordinator: with the coordinator's inbox stuck, every call of the console
 // is still answered at once, and the module is told once it takes news again.
-func TestCallsDoNotWaitForTheExchange(t *testing.T) {
+func TestCallsDoNotWaitForTheCoordinator(t *testing.T) {
 	table := routetable.New()
 	table.Apply(&routetable.List{Whole: true, Hosts: []routetable.Host{{Host: "s-1", Dial: "127.0.0.1:1", Health: "SERVING"}}})
 	stuck := make(chan policy.Event) // nobody reads it until the end
@@ -75,7 +75,7 @@
 			t.Fatal("a call waited for the coordinator")
 		}
 	}
-	for range 2 { // the module hears of the ban and of its end
+	for range 2 { // the module hears of both changes
 		select {
 		case e := <-stuck:
 			assert.Equal(t, policy.ListChanged, e.Kind)
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -36,7 +36,7 @@
 	maxID = 256
 )
 
-// ErrUnknown is for a runner that no list names and no ban holds.
+// ErrUnknown is for a runner that no list names and that is not disabled.
 var ErrUnknown = errors.New("no runner has this id")
 
 // Operations are what the calls do. Each must return at once.
--- /dev/null
+++ b/internal/maintenance/disabled_test.go
@@ -0,0 +1,69 @@
+package maintenance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestTwoCallsOutNeedOneCallBack(t *testing.T) {
+	d := New(nil)
+	require.NoError(t, d.Disable("s-1", true))
+	require.NoError(t, d.Disable("s-1", true))
+	assert.True(t, d.Has("s-1"))
+	enabled, err := d.Enable("s-1", true, 5*time.Second)
+	require.NoError(t, err)
+	assert.True(t, enabled)
+	assert.False(t, d.Has("s-1"))
+}
+
+func TestIDsThatNobodyHasAreOwedANo(t *testing.T) {
+	d := New(nil)
+	assert.ErrorIs(t, d.Disable("s-404", false), ErrUnknown)
+	_, err := d.Enable("s-404", false, 0)
+	assert.ErrorIs(t, err, ErrUnknown)
+	assert.False(t, d.Has("s-404"))
+	assert.Empty(t, d.Held())
+}
+
+func TestDisablingOutlastsTheList(t *testing.T) {
+	d := New(nil)
+	require.NoError(t, d.Disable("s-1", true))
+	// The runner left the list meanwhile: it stays disabled, and may still be enabled.
+	require.NoError(t, d.Disable("s-1", false))
+	assert.True(t, d.Has("s-1"))
+	enabled, err := d.Enable("s-1", false, time.Second)
+	require.NoError(t, err)
+	assert.True(t, enabled)
+}
+
+func TestEnablingOneThatIsInIsAYesAndChangesNothing(t *testing.T) {
+	d := New(nil)
+	enabled, err := d.Enable("s-1", true, time.Second)
+	require.NoError(t, err)
+	assert.False(t, enabled)
+	assert.Equal(t, 3*time.Second, d.Started("s-1", 3*time.Second), "it was never out, so it is not cold")
+}
+
+func TestOneLetBackInStartsCold(t *testing.T) {
+	d := New(nil)
+	require.NoError(t, d.Disable("s-1", true))
+	_, err := d.Enable("s-1", true, 100*time.Second)
+	require.NoError(t, err)
+	assert.Equal(t, 100*time.Second, d.Started("s-1", 0), "an old start from discovery is older than the return")
+	assert.Equal(t, 120*time.Second, d.Started("s-1", 120*time.Second), "a later start from discovery wins")
+}
+
+func TestDisabledRunnersAreHandedOn(t *testing.T) {
+	d := New(nil)
+	require.NoError(t, d.Disable("s-2", true))
+	require.NoError(t, d.Disable("s-1", true))
+	next := New(d.Held())
+	assert.Equal(t, []string{"s-1", "s-2"}, next.Held())
+	assert.True(t, next.Has("s-1"))
+	enabled, err := next.Enable("s-1", false, time.Second)
+	require.NoError(t, err)
+	assert.True(t, enabled, "the next process enables a runner that it took over as disabled, even before its list names the runner")
+}
--- a/internal/routetable/bans_test.go
+++ b/internal/routetable/disabled_test.go
@@ -13,7 +13,7 @@
 
 // A runner taken out is closed to egress and drains for the module whatever the list says next, until it is let
 // back in; then it is told as started at that moment, so the module warms it as a cold one.
-func TestABanHoldsWhateverTheListSays(t *testing.T) {
+func TestDisablingHoldsWhateverTheListSays(t *testing.T) {
 	table := New()
 	a := Host{Host: "a", Dial: "1.2.3.4:5", Class: "m", Health: "SERVING", BornMs: 7}
 	table.Apply(&List{Seq: 1, Whole: true, Hosts: []Host{a}})
@@ -46,10 +46,10 @@
 	assert.ErrorIs(t, err, maintenance.ErrUnknown)
 }
 
-// A process that takes over starts with the bans of the one before, before its list names the runner.
-func TestBansTakenOver(t *testing.T) {
+// A process that takes over starts with the disabled runners of the one before, before its list names the runner.
+func TestDisabledRunnersAreTakenOver(t *testing.T) {
 	table := New("a")
-	assert.Equal(t, []string{"a"}, table.Banned())
+	assert.Equal(t, []string{"a"}, table.Disabled())
 	got := table.Apply(&List{Seq: 1, Whole: true, Hosts: []Host{{Host: "a", Dial: "1.2.3.4:5", Health: "SERVING"}}})
 	assert.Equal(t, policy.Draining, got[0].State)
 	assert.False(t, table.Open("a"))
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -67,16 +67,16 @@
 
 // Table is the route table. It is safe for use by several goroutines.
 type Table struct {
-	mu      sync.RWMutex
-	seq     int64
-	routes  map[string]Route
-	members map[string]policy.Member // as the list tells them, before bans
-	bans    *maintenance.Bans
+	mu       sync.RWMutex
+	seq      int64
+	routes   map[string]Route
+	members  map[string]policy.Member // as the list tells them, before any is disabled
+	disabled *maintenance.Disabled
 }
 
-// New returns an empty table in which the runners named by banned are out.
-func New(banned ...string) *Table {
-	return &Table{routes: map[string]Route{}, members: map[string]policy.Member{}, bans: maintenance.New(banned)}
+// New returns an empty table in which the named runners are disabled.
+func New(disabled ...string) *Table {
+	return &Table{routes: map[string]Route{}, members: map[string]policy.Member{}, disabled: maintenance.New(disabled)}
 }
 
 // Seq returns the version of the list that the table holds.
@@ -99,7 +99,7 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	r, ok := t.routes[host]
-	return ok && r.State == policy.Ready && !t.bans.Banned(host)
+	return ok && r.State == policy.Ready && !t.disabled.Has(host)
 }
 
 // Disable takes a runner out until Enable, whatever the list says, and returns what the module is to be told
@@ -108,7 +108,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, known := t.members[host]
-	if err := t.bans.Disable(host, known); err != nil {
+	if err := t.disabled.Disable(host, known); err != nil {
 		return nil, err
 	}
 	if !known {
@@ -122,27 +122,27 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, known := t.members[host]
-	lifted, err := t.bans.Enable(host, known, time.Duration(now.UnixNano()))
-	if err != nil || !lifted || !known {
+	enabled, err := t.disabled.Enable(host, known, time.Duration(now.UnixNano()))
+	if err != nil || !enabled || !known {
 		return nil, err
 	}
 	return []policy.Member{t.seen(m)}, nil
 }
 
-// Banned returns the runners that are out, to hand on to a process that takes over.
-func (t *Table) Banned() []string {
+// Disabled returns the runners that are out, to hand on to a process that takes over.
+func (t *Table) Disabled() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.bans.Held()
+	return t.disabled.Held()
 }
 
 // seen is a member as the module is to see it: draining while it is out, and started no sooner than it came
 // back. t.mu is held.
 func (t *Table) seen(m policy.Member) policy.Member {
-	if t.bans.Banned(m.Worker) && m.State == policy.Ready {
+	if t.disabled.Has(m.Worker) && m.State == policy.Ready {
 		m.State = policy.Draining
 	}
-	m.Started = t.bans.Started(m.Worker, m.Started)
+	m.Started = t.disabled.Started(m.Worker, m.Started)
 	return m
 }
 
--- a/test/integration/upgrade_test.go
+++ b/test/integration/upgrade_test.go
@@ -102,11 +102,11 @@
 	return l.Addr().String()
 }
 
-// Guards against a ban that ends with the process that took it: a runner taken out at the old program's console
+// Guards against a runner that is enabled as the process ends that disabled it: one disabled at the old program's console
 // gets nothing from the new one, whatever discovery lists, until it is put back at the new console.
-func TestBanHoldsOverAnUpgrade(t *testing.T) {
+func TestDisablingHoldsOverAnUpgrade(t *testing.T) {
 	out, in := newRunner(t, "r1", "z", done), newRunner(t, "r2", "z", done)
-	shared := []string{"TMPDIR=" + t.TempDir()} // where bans are handed on
+	shared := []string{"TMPDIR=" + t.TempDir()} // where the disabled runners are handed on
 	old := &dispatcher{t: t, env: shared, disc: newDiscovery(t), exit: make(chan error, 1)}
 	listen, consoles := freeAddr(t), []string{freeAddr(t), freeAddr(t)}
 	old.run(map[string]any{"name": "n0", "listen": listen, "console": consoles[0], "discovery": old.disc.addr,
@@ -144,7 +144,7 @@
 		require.NoError(t, a.err)
 		assert.Equal(t, http.StatusOK, a.status, a.body)
 	}
-	assert.Equal(t, before, out.total(), "the banned runner got work from the new program")
+	assert.Equal(t, before, out.total(), "the disabled runner got work from the new program")
 	assert.Positive(t, in.total())
 
 	require.Equal(t, 200, call(consoles[1], "/runners/enable", "r1"))
