Name the clients' listener by what it does, not as a crowd

Change: crowd becomes limitedListener, a listener that holds no more connections than it has room for; the share of sockets from which requests are refused becomes busyShare; policy's crowd becomes othersHeld, the mean share of slots that other schedulers hold, and its weight reportWeight; the gangs' saveCrowd becomes saveBacklog.

--- a/internal/gang/tick.go
+++ b/internal/gang/tick.go
@@ -11,9 +11,9 @@
 // readAgain is how long a read or a write is waited for before the record is asked for again.
 const readAgain = 5 * time.Second
 
-// saveCrowd is how much the register may have to take in before another save by the clock begins. Gangs stand still while they
+// saveBacklog is how much the register may have to take in before another save by the clock begins. Gangs stand still while they
 // save: many at once take no longer in all, but each of them does.
-const saveCrowd = 10 * time.Second
+const saveBacklog = 10 * time.Second
 
 // lookEvery is how often the parts of a save are looked for.
 const lookEvery = 500 * time.Millisecond
@@ -110,7 +110,7 @@
 			bytes += o.rec.saved()
 		}
 	}
-	return float64(bytes)/c.cfg.Bandwidth < saveCrowd.Seconds()
+	return float64(bytes)/c.cfg.Bandwidth < saveBacklog.Seconds()
 }
 
 // progress is how much of a gang's work is done by now, as the slowest of its runners goes.
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// The states of a client's connection. All changes are made under crowd.mu, where reading and closing are decided
+// The states of a client's connection. All changes are made under limitedListener.mu, where reading and closing are decided
 // against each other: bytes that are read before the decision to close keep the connection open until the request
 // that they begin is answered, and bytes that are read after it never become a request.
 const (
@@ -28,7 +28,7 @@
 	// any, and what all connections may keep together must fit the smallest memory limit.
 	earlyMost = 2 * maxHead
 	// lingerWithin, lingerBytes bound a lingering close. A client that reads its answer closes at once; others are a
-	// nuisance, whose connections count against the crowd's own bound for them.
+	// nuisance, whose connections count against the listener's own bound for them.
 	lingerWithin = 500 * time.Millisecond
 	lingerBytes  = 1 << 20
 )
@@ -59,11 +59,11 @@
 // bytes that nobody reads.
 type client struct {
 	net.Conn
-	in *crowd
+	in *limitedListener
 
 	// The rest is guarded by in.mu.
 	state  int
-	list   *list.List    // the one of the crowd's that it stands in
+	list   *list.List    // the one of the listener's that it stands in
 	at     *list.Element // its place there
 	since  time.Time     // that it has been silent in that list
 	last   time.Time     // when the last bytes came, or the connection did
@@ -84,7 +84,7 @@
 	applied time.Time // the one the socket has
 }
 
-func newClient(conn net.Conn, in *crowd, now time.Time) *client {
+func newClient(conn net.Conn, in *limitedListener, now time.Time) *client {
 	return &client{Conn: conn, in: in, since: now, last: now, frames: framing{length: -1}}
 }
 
@@ -183,7 +183,7 @@
 	}
 }
 
-// move puts k at the end of a list of the crowd's; nil: of none. in.mu is held.
+// move puts k at the end of a list of the listener's; nil: of none. in.mu is held.
 func (k *client) move(to *list.List) {
 	if k.list == to && to != nil {
 		to.MoveToBack(k.at)
--- a/internal/ingress/closing_test.go
+++ b/internal/ingress/closing_test.go
@@ -72,7 +72,7 @@
 
 // states tells in which states the server's connections are.
 func states(s *Server) (in []int) {
-	c := s.crowd.Load()
+	c := s.listener.Load()
 	if c == nil {
 		return nil
 	}
@@ -157,7 +157,7 @@
 			_, err := io.WriteString(c, whole)
 			require.NoError(t, err)
 			<-came
-			s.crowd.Load().drain(true, time.Now().Add(quietFor)) // so that a new one has been quiet for long
+			s.listener.Load().drain(true, time.Now().Add(quietFor)) // so that a new one has been quiet for long
 			at.read.Store(nil)
 			close(decided)
 			inOrder(t, from)
@@ -266,8 +266,8 @@
 	becomes(t, s, 0, 1, 1, 0)
 	_, err := io.WriteString(much, strings.Repeat("x", earlyMost+2000))
 	require.NoError(t, err)
-	k := s.crowd.Load().busy.Front().Value.(*client)
-	require.Eventually(t, func() bool { s.crowd.Load().mu.Lock(); defer s.crowd.Load().mu.Unlock(); return k.over },
+	k := s.listener.Load().busy.Front().Value.(*client)
+	require.Eventually(t, func() bool { s.listener.Load().mu.Lock(); defer s.listener.Load().mu.Unlock(); return k.over },
 		20*time.Second, time.Millisecond)
 	release <- true
 	require.Equal(t, http.StatusOK, response(t, from).StatusCode)
@@ -284,9 +284,9 @@
 	addr := listen(t, s)
 	_, one := dial(t, addr, whole)
 	becomes(t, s, 0, 0, 1, 0)
-	s.crowd.Load().mu.Lock()
-	s.crowd.Load().most = 1
-	s.crowd.Load().mu.Unlock()
+	s.listener.Load().mu.Lock()
+	s.listener.Load().most = 1
+	s.listener.Load().mu.Unlock()
 	for n, told := range []struct {
 		allowed time.Duration
 		want    string
@@ -313,7 +313,7 @@
 	for range 20 {
 		_, from := dial(t, addr, "nonsense\r\n\r\n")
 		assert.Equal(t, http.StatusBadRequest, response(t, from).StatusCode)
-		assert.LessOrEqual(t, states(s)[3], s.crowd.Load().linger)
+		assert.LessOrEqual(t, states(s)[3], s.listener.Load().linger)
 	}
 	usual, from := dial(t, addr, whole)
 	assert.Equal(t, http.StatusOK, response(t, from).StatusCode)
@@ -358,7 +358,7 @@
 // hold what the states say.
 func TestAllOrdersOfReadingAndClosing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newCrowd(nil, rapid.IntRange(1, 3).Draw(t, "most"), untold, newGiveUps(discard()), discard())
+		c := newLimitedListener(nil, rapid.IntRange(1, 3).Draw(t, "most"), untold, newGiveUps(discard()), discard())
 		var all []*client
 		now := time.Now()
 		pick := func(what string, ok func(k *client) bool) *client {
--- a/internal/ingress/deadline_test.go
+++ b/internal/ingress/deadline_test.go
@@ -59,15 +59,15 @@
 }
 
 // Guards against a slow writer being taken for a silent connection when room is made: the one silent the longest
-// since its last byte goes first, so a crowd that says nothing is pushed out before a client that sends in pieces.
-func TestPiecesKeepTheirPlaceInACrowd(t *testing.T) {
+// since its last byte goes first, so many that say nothing are pushed out before a client that sends in pieces.
+func TestPiecesKeepTheirPlaceAmongManySilent(t *testing.T) {
 	const room = 4
 	s, _ := testServer(room, func(_ context.Context, r *coordinator.Request) coordinator.Answer {
 		return coordinator.Answer{Kind: coordinator.Served, Result: r.Body}
 	})
 	addr := listen(t, s)
 	const whole = head + "Content-Length: 2\r\n\r\nok"
-	for range 3 * room { // a crowd that came before and says nothing
+	for range 3 * room { // many that came before and say nothing
 		dial(t, addr, "")
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -29,7 +29,7 @@
 	case <-time.After(acceptFor):
 	case <-ctx.Done():
 	}
-	c := s.crowd.Load()
+	c := s.listener.Load()
 	if c == nil {
 		return nil
 	}
@@ -60,7 +60,7 @@
 	if s.drained.Swap(true) {
 		return
 	}
-	if c := s.crowd.Load(); c != nil {
+	if c := s.listener.Load(); c != nil {
 		c.drain(true, time.Now())
 		go s.sweep(c)
 	}
@@ -68,14 +68,14 @@
 
 // Undrain has the clients' address take clients again.
 func (s *Server) Undrain() {
-	if c := s.crowd.Load(); s.drained.Swap(false) && c != nil {
+	if c := s.listener.Load(); s.drained.Swap(false) && c != nil {
 		c.drain(false, time.Now())
 	}
 }
 
 // sweep closes what carries nothing while the drain lasts, for as long as the front may still send or clients
 // still hold connections.
-func (s *Server) sweep(c *crowd) {
+func (s *Server) sweep(c *limitedListener) {
 	for range sweeps {
 		time.Sleep(sweepEvery)
 		if !s.drained.Load() {
--- a/internal/ingress/giveup.go
+++ b/internal/ingress/giveup.go
@@ -13,11 +13,11 @@
 // The reasons for which a request is given up before the coordinator sees it, as counted and logged. Each is a
 // constant here or a header's name from the fixed list that head checks, so the set stays small.
 const (
-	// On the wire, before the handler: net/http or the crowd ended the connection with a request begun on it.
+	// On the wire, before the handler: net/http or the listener ended the connection with a request begun on it.
 	headSlow    = "head-slow"                      // its head was not whole within the time for it
 	headLeft    = "head-left"                      // the client closed with part of a head sent
 	headRefused = "head-refused"                   // net/http answered it itself, with a 4xx
-	headRoom    = "head-room"                      // the crowd closed it with part of a head in
+	headRoom    = "head-room"                      // the listener closed it with part of a head in
 	headClosed  = "head-closed"                    // net/http closed it with part of a head in, without a read failing
 	bodySlow    = "body-slow"                      // the body was not whole within the time for it
 	bodyLeft    = "body-left"                      // the body broke off
--- a/internal/ingress/giveup_test.go
+++ b/internal/ingress/giveup_test.go
@@ -15,7 +15,7 @@
 )
 
 // Guards against requests that vanish unsaid: each one given up before the coordinator sees it is counted once, under
-// what went wrong, whether net/http, the crowd or the handler gave it up.
+// what went wrong, whether net/http, the listener or the handler gave it up.
 func TestGiveUpsAreCountedByReason(t *testing.T) {
 	for _, c := range []struct {
 		name, text string
@@ -61,7 +61,7 @@
 	silent, _ := dial(t, addr, "")
 	require.NoError(t, used.Close())
 	require.NoError(t, silent.Close())
-	c := s.crowd.Load()
+	c := s.listener.Load()
 	require.Eventually(t, func() bool { return c.gone() }, 5*time.Second,
 		time.Millisecond, "both are closed and out of the books")
 	// A request cut off after them is counted by the same server, so nothing was missed for want of counting.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -32,9 +32,9 @@
 	// acceptFor is how long connections are still accepted after the signal to stop: the front sends new ones
 	// for up to 0.4 s, and one that is in the kernel's backlog when the listener closes is lost.
 	acceptFor = 700 * time.Millisecond
-	// crowded is the part of the clients' sockets from which on requests in hand are refused at once. The rest
+	// busyShare is the part of the clients' sockets from which on requests in hand are refused at once. The rest
 	// is there so that those beyond can still be told so.
-	crowded = 0.85
+	busyShare = 0.85
 	// refusedRetry is when the client of such a request may come back, within what the settings allow to tell.
 	refusedRetry = time.Second
 )
@@ -48,19 +48,19 @@
 
 // Server takes clients' requests.
 type Server struct {
-	http    http.Server
-	to      Submitter
-	life    *lifecycle.Lifecycle
-	names   atomic.Pointer[names] // of the settings in force
-	sockets int
-	memory  int64        // for the bodies in hand
-	held    atomic.Int64 // bytes of them
-	inHand  atomic.Int64 // requests that have no answer yet
-	taken   atomic.Int64 // those among them that were read whole and are no client's fault
-	full    atomic.Bool
-	crowd   atomic.Pointer[crowd]
-	giveUps *GiveUps
-	drained atomic.Bool // asked by an operator to take nothing new, and reversible unlike the phase
+	http     http.Server
+	to       Submitter
+	life     *lifecycle.Lifecycle
+	names    atomic.Pointer[names] // of the settings in force
+	sockets  int
+	memory   int64        // for the bodies in hand
+	held     atomic.Int64 // bytes of them
+	inHand   atomic.Int64 // requests that have no answer yet
+	taken    atomic.Int64 // those among them that were read whole and are no client's fault
+	full     atomic.Bool
+	listener atomic.Pointer[limitedListener]
+	giveUps  *GiveUps
+	drained  atomic.Bool // asked by an operator to take nothing new, and reversible unlike the phase
 	// stopping: Shutdown has closed the listener.
 	stopping atomic.Bool
 	log      *logrus.Logger
@@ -80,8 +80,8 @@
 
 // Serve takes requests from l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	c := newCrowd(l, s.sockets, s.retryAfter, s.giveUps, s.log)
-	s.crowd.Store(c)
+	c := newLimitedListener(l, s.sockets, s.retryAfter, s.giveUps, s.log)
+	s.listener.Store(c)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go s.giveUps.summarise(ctx)
@@ -131,7 +131,7 @@
 
 // tooMany tells whether n requests in hand are so many that the last one is refused unseen.
 func (s *Server) tooMany(n int64) bool {
-	limit := crowded * float64(s.sockets)
+	limit := busyShare * float64(s.sockets)
 	if s.full.Load() { // so that the log does not flutter
 		limit *= 0.9
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -43,8 +43,8 @@
 
 // addr waits until the server listens and tells where.
 func (s *Server) addr(t *testing.T) string {
-	require.Eventually(t, func() bool { return s.crowd.Load() != nil }, 20*time.Second, time.Millisecond)
-	return s.crowd.Load().Addr().String()
+	require.Eventually(t, func() bool { return s.listener.Load() != nil }, 20*time.Second, time.Millisecond)
+	return s.listener.Load().Addr().String()
 }
 
 func job() *http.Request {
@@ -278,7 +278,7 @@
 
 // Guards against a burst that pushes out connections before their first bytes are read.
 func TestYoungConnectionsAreNotPushedOut(t *testing.T) {
-	c, now := newCrowd(nil, 2, untold, nil, nil), time.Now()
+	c, now := newLimitedListener(nil, 2, untold, nil, nil), time.Now()
 	pipe := func() net.Conn { a, _ := net.Pipe(); return a }
 	old, _ := c.admit(pipe(), now.Add(-time.Second))
 	young, _ := c.admit(pipe(), now)
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -19,14 +19,14 @@
 // brought any have to make room as soon as they may.
 const restIn = time.Second
 
-// crowd is a listener that holds no more connections at once than it has room for. Where a further one comes,
+// limitedListener is a listener that holds no more connections at once than it has room for. Where a further one comes,
 // the one that has been silent for the longest time makes room: first among those that have not brought a
 // whole request, silent since their last byte, then among those that wait for their next one. One with a request in
 // hand is never closed. Guards against connections that say nothing and shut others out; harms a client whose idle
 // connection is closed, which opens another.
 //
 // Its lock is the one under which each connection's state changes, see client.
-type crowd struct {
+type limitedListener struct {
 	net.Listener
 	most       int
 	linger     int                  // connections that may linger beside those
@@ -43,14 +43,14 @@
 	draining  bool      // what rests is closed, now and later
 }
 
-func newCrowd(l net.Listener, most int, retryAfter func() time.Duration, giveUps *GiveUps, log logrus.FieldLogger) *crowd {
-	return &crowd{Listener: l, most: most, linger: config.LingerRoom(most), retryAfter: retryAfter, giveUps: giveUps, log: log}
+func newLimitedListener(l net.Listener, most int, retryAfter func() time.Duration, giveUps *GiveUps, log logrus.FieldLogger) *limitedListener {
+	return &limitedListener{Listener: l, most: most, linger: config.LingerRoom(most), retryAfter: retryAfter, giveUps: giveUps, log: log}
 }
 
 // open is how many connections are held, without those that linger. c.mu is held.
-func (c *crowd) open() int { return c.silent.Len() + c.idle.Len() + c.busy.Len() }
+func (c *limitedListener) open() int { return c.silent.Len() + c.idle.Len() + c.busy.Len() }
 
-func (c *crowd) Accept() (net.Conn, error) {
+func (c *limitedListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := c.Listener.Accept()
 		if err != nil {
@@ -72,7 +72,7 @@
 
 // admit makes room for a connection and takes it in; nil means that every one held has a request in hand, and the
 // newcomer is told so. With wait, it is to be tried again after that.
-func (c *crowd) admit(conn net.Conn, now time.Time) (k *client, wait time.Duration) {
+func (c *limitedListener) admit(conn net.Conn, now time.Time) (k *client, wait time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	full := c.open() >= c.most
@@ -110,7 +110,7 @@
 func closeInOrder(k *client) { _ = k.Close() }
 
 // boundLingering ends the lingering of those that began first where too many do. c.mu is held.
-func (c *crowd) boundLingering() {
+func (c *limitedListener) boundLingering() {
 	for over := c.lingering.Len() - c.linger; over > 0; over-- {
 		k := c.lingering.Front().Value.(*client)
 		k.state = stateClosed
@@ -121,7 +121,7 @@
 
 // drain says whether connections that rest are closed, those at once that do now. Those that never brought a byte
 // are closed once they have been silent for quietFor, by a later call. One of which a byte was read is left.
-func (c *crowd) drain(on bool, now time.Time) {
+func (c *limitedListener) drain(on bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.draining = on; !on {
@@ -142,14 +142,14 @@
 }
 
 // gone tells whether no connection is left, not even one that lingers.
-func (c *crowd) gone() bool {
+func (c *limitedListener) gone() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.open()+c.lingering.Len() == 0
 }
 
 // abort closes the sockets of all that are left, whatever is still owed on them.
-func (c *crowd) abort() {
+func (c *limitedListener) abort() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, l := range []*list.List{&c.silent, &c.idle, &c.busy, &c.lingering} {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,7 +16,7 @@
 const (
 	cheapCrossing = 0.04        // up to this price a crossing only makes a pairing dearer by it
 	roundsPerAim  = 8           // rounds within the shortest aim: waiting for a round costs little of it
-	crowdMemory   = 0.05        // weight of the newest report in how full workers are of others' jobs
+	reportWeight  = 0.05        // weight of the newest report in how full workers are of others' jobs
 	firstLook     = 4           // parts of an aim after each of which an attempt is looked at
 	calm          = 0.9         // share of slots in use up to which a key may have a home in each zone
 	fetchRuns     = 1.2         // mean runtimes that it costs all to fetch what a job needs
@@ -34,7 +34,7 @@
 	}
 	d := &Dispatcher{set: s, rng: rand.New(rand.NewPCG(seed, uint64(s.Number))), minAim: never, born: never,
 		classes: map[string]int{}, tenants: map[string]int{}, jobs: map[uint32]*job{},
-		workers: map[string]*worker{}, kinds: map[string]*kind{}, keys: map[uint32]*key{}, crowd: 0.5,
+		workers: map[string]*worker{}, kinds: map[string]*kind{}, keys: map[uint32]*key{}, othersHeld: 0.5,
 		moves: 1, roundAt: never, scanAt: never, askAt: never, armedAt: never}
 	for i, c := range s.Classes {
 		_, twice := d.classes[c.Name]
@@ -53,7 +53,7 @@
 	d.minAim = min(d.minAim, time.Minute)
 	d.run, d.fetched = d.minAim.Seconds(), fetchRuns*d.minAim.Seconds()
 	if !s.Reports { // nothing says that others hold any
-		d.crowd = 0
+		d.othersHeld = 0
 	}
 	d.roundGap = max(d.minAim/roundsPerAim, s.Period, time.Millisecond)
 	d.backOff = d.roundGap
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -58,7 +58,7 @@
 	for _, w := range d.order {
 		d.report(w, Report{FreeSlots: 4, FreeMemory: -1, Queued: -1, InFlight: -1, Load: -1})
 	}
-	d.crowd = 0
+	d.othersHeld = 0
 	d.Step(100*ms, nil, nil)
 	return d
 }
--- a/policy/rounds.go
+++ b/policy/rounds.go
@@ -51,7 +51,7 @@
 		}
 	}
 	if !d.set.Reports {
-		d.full += crowdMemory * (d.likelyFull() - d.full)
+		d.full += reportWeight * (d.likelyFull() - d.full)
 	}
 	d.note(&d.failOpen, sick > sickShare*ready, "nearly all workers near by look sick and none is avoided")
 	d.note(&d.overload, d.full > packed || d.overload && d.full > 0.9*packed, "late jobs are given up")
--- a/policy/state.go
+++ b/policy/state.go
@@ -39,7 +39,8 @@
 	homes, reach  int       // workers in the own zone; workers looked at
 	perJob, toAsk float64   // probes for each job; probes due
 	largest       float64   // seconds at speed 1 of the largest job seen
-	crowd, full   float64   // the mean shares of slots that others hold and that are in use
+	othersHeld    float64   // the mean share of slots that others hold
+	full          float64   // the mean share of slots that are in use
 	run           float64   // the mean runtime, seconds
 	fetches       float64   // how many were seen, 40 at most
 	fetched       float64   // the mean time that fetches took, seconds
--- a/policy/workers.go
+++ b/policy/workers.go
@@ -149,12 +149,12 @@
 	}
 	w.kind.seen = max(w.kind.seen, free)
 	w.others, w.othersAt = max(0, d.slots(w)-free-own+max(0, math.Round(r.Queued))), d.now
-	d.crowd += crowdMemory * (min(1, w.others/d.slots(w)) - d.crowd)
+	d.othersHeld += reportWeight * (min(1, w.others/d.slots(w)) - d.othersHeld)
 	used := 1 + (max(0, r.Queued)-free)/d.slots(w)
 	if r.Queued < 0 && free < 1 {
 		used += queueGuess
 	}
-	d.full += crowdMemory * (min(2, used) - d.full)
+	d.full += reportWeight * (min(2, used) - d.full)
 	d.wantRound()
 }
 
@@ -186,8 +186,8 @@
 // answers bring reports, a scheduler that holds all to be full sends nothing and would never learn better.
 func (d *Dispatcher) held(w *worker) float64 {
 	age, silence := (d.now - w.othersAt).Seconds(), (d.now - max(d.heardAt, d.born)).Seconds()
-	crowd := d.crowd * d.slots(w) * d.run / (d.run + silence)
-	return w.others + (crowd-w.others)*age/(age+d.run)
+	usual := d.othersHeld * d.slots(w) * d.run / (d.run + silence)
+	return w.others + (usual-w.others)*age/(age+d.run)
 }
 
 // fail notes a sign that w does not work. It is left alone for a while, twice as long each time, and then
