--- a/internal/coordinator/actions.go
+++ b/internal/coordinator/actions.go
@@ -33,7 +33,7 @@
 		case a.Kind == policy.Cancel && a.Attempt < len(j.attempts):
 			j.attempts[a.Attempt].cancel()
 		case a.Kind == policy.Refuse:
-			c.reply(j, Answer{Kind: Shed, RetryAfter: a.RetryAfter})
+			c.reply(j, Answer{Kind: Refused, RetryAfter: a.RetryAfter})
 		case a.Kind == policy.Fail:
 			c.reply(j, Answer{Kind: Failed})
 		}
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -195,7 +195,7 @@
 	assert.Equal(t, Failed, answerOf(t, out).Kind)
 	next := request(time.Minute)
 	next.ID = "next"
-	assert.Equal(t, Shed, answerOf(t, submit(context.Background(), coordinator, next)).Kind)
+	assert.Equal(t, Refused, answerOf(t, submit(context.Background(), coordinator, next)).Kind)
 }
 
 // The first end counts: an attempt that is sent after its request was answered is moot, and one that ends again
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -32,7 +32,7 @@
 // The final answers.
 const (
 	Served   AnswerKind = iota // Result is a runner's
-	Shed                       // refused: a retry is harmless
+	Refused                    // it certainly never ran: a retry is harmless
 	Failed                     // nothing is promised about its effect
 	Broken                     // failed through a fault of this program
 	Left                       // its client has gone; there is nobody to answer
@@ -48,7 +48,7 @@
 type Answer struct {
 	Kind       AnswerKind
 	Result     []byte
-	RetryAfter time.Duration // with Shed: when to come back; 0: no advice
+	RetryAfter time.Duration // with Refused: when to come back; 0: no advice
 }
 
 // Attempt is one try of a request on one upstream.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -227,7 +227,7 @@
 	_ = control.SetReadDeadline(time.Time{})
 	req.Arrived = time.Now()
 	req.Deadline = req.Arrived.Add(wait)
-	a := coordinator.Answer{Kind: coordinator.Shed, RetryAfter: s.retryAfter()}
+	a := coordinator.Answer{Kind: coordinator.Refused, RetryAfter: s.retryAfter()}
 	n := s.taken.Add(1)
 	defer s.taken.Add(-1)
 	if !s.tooMany(n) {
@@ -312,7 +312,7 @@
 		w.Header().Set("Content-Type", "application/octet-stream")
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.Result)))
 		_, _ = w.Write(a.Result)
-	case coordinator.Shed:
+	case coordinator.Refused:
 		if a.RetryAfter > 0 {
 			w.Header().Set("Retry-After", retryText(a.RetryAfter))
 		}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -88,7 +88,7 @@
 		status int
 	}{
 		{coordinator.Answer{Kind: coordinator.Served, Result: []byte("r")}, 200},
-		{coordinator.Answer{Kind: coordinator.Shed, RetryAfter: 1500 * time.Millisecond}, 503},
+		{coordinator.Answer{Kind: coordinator.Refused, RetryAfter: 1500 * time.Millisecond}, 503},
 		{coordinator.Answer{Kind: coordinator.Failed}, 502},
 		{coordinator.Answer{Kind: coordinator.Broken}, 500},
 	} {
--- a/test/integration/program_test.go
+++ b/test/integration/program_test.go
@@ -59,7 +59,7 @@
 	assert.Less(t, len(from), 10, "attempts on %d connections", len(from))
 }
 
-func TestShedsWhatNeverRan(t *testing.T) {
+func TestRefusesWhatNeverRan(t *testing.T) {
 	p := start(t, dead(t, "r1", "z"))
 	before := time.Now()
 	a := p.ask(background, "/keyed", "id1", 500*time.Millisecond)
