Put riddled names and comments of the request path into ordinary words

Change: fields of egress.conn are named by what they hold (refused, afterJob, earlierJob, answerRead, lastRead), the timer that ends forgotten requests is job.overdue after overdueAfter; comments that spoke of books, words and nets say what is meant. No behaviour.

--- a/internal/coordinator/actions.go
+++ b/internal/coordinator/actions.go
@@ -87,7 +87,7 @@
 	}()
 }
 
-// guard turns a panic on the way out into an end that proves nothing, so that the request is still answered.
+// guard turns a panic in egress into an end that proves nothing, so that the request is still answered.
 func (c *Coordinator) guard(f func() AttemptEnd) (end AttemptEnd) {
 	defer func() {
 		if p := recover(); p != nil {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -16,12 +16,12 @@
 )
 
 const (
-	// netAfter is how long after the client's deadline plus the settings' slack a request that the module left
+	// overdueAfter is how long after the client's deadline plus the settings' slack a request that the module left
 	// without an answer is ended. Guards against a module that loses a request; the rules leave 50 ms.
-	netAfter = 15 * time.Millisecond
+	overdueAfter = 15 * time.Millisecond
 	// probeLimit is how long a probe is waited for.
 	probeLimit = 250 * time.Millisecond
-	// inboxSize is how much may wait for the coordinator before those who bring it wait too.
+	// inboxSize is how many calls may be queued for the coordinator before its callers block.
 	inboxSize = 1024
 	// idMemory is how many ids of answered requests are remembered: one that comes again is not a new request,
 	// and a runner that gets it takes it for a second copy.
@@ -64,8 +64,8 @@
 	answer   chan Answer // holds one, so that the coordinator never waits for a client's side
 	answered bool
 	kind     AnswerKind
-	at       time.Time // of the answer
-	net      *time.Timer
+	at       time.Time   // of the answer
+	overdue  *time.Timer // runs out when the module has forgotten the request
 	attempts []*attempt
 	out      int // attempts that have not ended
 }
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -205,7 +205,7 @@
 	got := make(chan policy.Event, 1)
 	coordinator.do(func() {
 		m := coordinator.mods[0]
-		j := &job{id: 7, r: request(time.Minute), answer: make(chan Answer, 1), net: time.NewTimer(time.Hour), out: 1,
+		j := &job{id: 7, r: request(time.Minute), answer: make(chan Answer, 1), overdue: time.NewTimer(time.Hour), out: 1,
 			mod: m}
 		coordinator.jobs[7] = j
 		coordinator.reply(j, Answer{Kind: Failed})
--- a/internal/coordinator/jobs.go
+++ b/internal/coordinator/jobs.go
@@ -24,7 +24,7 @@
 	j.id, j.due, j.mod = c.nextID, c.clock.at(r.Deadline), c.mods[len(c.mods)-1]
 	c.jobs[j.id] = j
 	j.mod.open++
-	j.net = time.AfterFunc(time.Until(r.Deadline)+c.set.AnswerSlack+netAfter, func() {
+	j.overdue = time.AfterFunc(time.Until(r.Deadline)+c.set.AnswerSlack+overdueAfter, func() {
 		c.do(func() { c.overdue(j) })
 	})
 	j.mod.events = append(j.mod.events, policy.Event{Kind: policy.Request, ID: j.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key,
@@ -55,8 +55,8 @@
 		return
 	}
 	j.answered, j.kind, j.at = true, a.Kind, time.Now()
-	j.net.Stop()
-	for _, attempt := range j.attempts { // what has not begun must not, for nobody waits for it
+	j.overdue.Stop()
+	for _, attempt := range j.attempts { // attempts that have not begun must not begin: nobody waits for them
 		if !attempt.over && attempt.start.revoke() {
 			attempt.cancel()
 		}
--- a/internal/egress/attempt.go
+++ b/internal/egress/attempt.go
@@ -22,8 +22,8 @@
 	settleLimit = 20 * time.Millisecond
 )
 
-// Attempt makes one attempt at a request. It returns as soon as there is a result for the client, and reads the rest of the answer
-// behind the caller's back. Any other end is told once the attempt can have no effect any more on an open connection:
+// Attempt makes one attempt at a request. It returns as soon as there is a result for the client; a goroutine then reads
+// the rest of the answer. Any other end is told once the attempt can have no effect any more on an open connection:
 // its answer was read to the end, or the connection is closed.
 func (e *Egress) Attempt(outer context.Context, attempt *coordinator.Attempt) coordinator.AttemptEnd {
 	// The caller ends its context when the attempt has ended, but the connection is good for another attempt only once
@@ -155,7 +155,7 @@
 func drain(lines *lines, body io.ReadCloser, c *call, within time.Duration, cancel context.CancelCauseFunc) {
 	stop := time.AfterFunc(within, func() { c.abandon() })
 	if lines.discard() {
-		c.rest()
+		c.answerEnded()
 	} else {
 		c.abandon()
 	}
--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// final tells whether the gate's word holds for every connection, not only for one that was kept for too long.
+// final tells whether the gate's error holds for every connection, not only for one that was kept for too long.
 func final(no error) bool {
 	return no != nil && !errors.Is(no, errTooOld) && !errors.Is(no, errStray)
 }
@@ -140,12 +140,12 @@
 	return own == nil || own.abandon(turn)
 }
 
-// rest notes that the answer was read to its end.
-func (c *call) rest() {
+// answerEnded notes that the answer was read to its end.
+func (c *call) answerEnded() {
 	c.mu.Lock()
 	own, turn := c.conn, c.turn
 	c.mu.Unlock()
-	own.rest(turn)
+	own.answerEnded(turn)
 }
 
 // broken closes the connection of a call that brought no usable answer, if it has one, and tells the outcome. What
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -8,18 +8,18 @@
 	"time"
 )
 
-// errStray keeps a request from a connection on which something came that answers none.
+// errStray keeps a request from a connection on which bytes were read that answer no request.
 var errStray = errors.New("bytes on the connection that answer no request")
 
 const (
-	// quarantine is how long a connection is kept from the next request after bytes of a job's answer came: some
+	// quarantine is how long a connection takes no request after bytes of a job's answer were read: some
 	// runners send a second answer some milliseconds late, which would pass for the answer to that one.
 	quarantine = 25 * time.Millisecond
-	// quietWithin is how long the first write on a kept connection waits for its reader to wait for bytes, which
-	// shows that none are left over from the answer before. http.Transport starts that read right after it gives a
+	// quietWithin is how long the first write on a kept connection waits until the transport is in Read again, which
+	// shows that no bytes are left over from the answer before. http.Transport starts that read right after it gives a
 	// connection back, so this is a matter of scheduling alone.
 	quietWithin = 5 * time.Millisecond
-	quietLook   = 50 * time.Microsecond
+	quietPoll   = 50 * time.Microsecond
 )
 
 // conn is a connection to an upstream that knows whether the present request was written to it.
@@ -28,23 +28,23 @@
 // request before for the answer to this one.
 type conn struct {
 	net.Conn
-	closed  func()
-	once    sync.Once
-	reading atomic.Bool  // the transport waits for bytes
-	came    atomic.Int64 // when the last ones came, Unix time in nanoseconds
+	closed   func() // called once, as the connection closes
+	once     sync.Once
+	reading  atomic.Bool  // the transport is in Read
+	lastRead atomic.Int64 // when bytes were last read, Unix time in nanoseconds
 
-	mu     sync.Mutex
-	turn   int          // the number of the present request
-	gate   func() error // asked before the next request's first byte
-	no     error        // what it said against it
-	reused bool         // an answer came on it before
-	job    bool         // the present request is a job
-	after  bool         // the one before was
-	worked bool         // any before was
-	rests  bool         // the answer before was read to its end
-	stray  bool         // bytes came between that end and the present request's first byte
-	wrote  int          // bytes of the present request
-	short  bool         // a write of it failed, so its last byte never went out
+	mu         sync.Mutex
+	turn       int          // the number of the present request on this connection
+	gate       func() error // asked before the next request's first byte
+	refused    error        // the gate's error for the present request, or nil
+	reused     bool         // an answer was read on the connection before
+	job        bool         // the present request is a job
+	afterJob   bool         // the request before it was a job
+	earlierJob bool         // any request before it was a job
+	answerRead bool         // the answer to the present request was read to its end: what is read after it is stray
+	stray      bool         // bytes were read that answer no request: after that end, or before a request was written
+	wrote      int          // bytes written of the present request
+	short      bool         // a write of it failed, so its last byte never went out
 }
 
 // begin makes the connection count anew for a request that is about to be written, and returns the request's number.
@@ -52,17 +52,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.turn++
-	c.after, c.job = c.job, job
-	c.worked = c.worked || c.after
-	c.gate, c.no, c.wrote, c.short, c.reused, c.rests = gate, nil, 0, false, reused, false
+	c.afterJob, c.job = c.job, job
+	c.earlierJob = c.earlierJob || c.afterJob
+	c.gate, c.refused, c.wrote, c.short, c.reused, c.answerRead = gate, nil, 0, false, reused, false
 	return c.turn
 }
 
-// rest notes that the answer to request number turn was read to its end, unless the next one has begun.
-func (c *conn) rest(turn int) {
+// answerEnded notes that the answer to request number turn was read to its end, unless the next one has begun.
+func (c *conn) answerEnded(turn int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rests = c.rests || c.turn == turn
+	c.answerRead = c.answerRead || c.turn == turn
 }
 
 func (c *conn) Read(b []byte) (int, error) {
@@ -70,9 +70,9 @@
 	n, err := c.Conn.Read(b)
 	c.reading.Store(false)
 	if n > 0 {
-		c.came.Store(time.Now().UnixNano())
+		c.lastRead.Store(time.Now().UnixNano())
 		c.mu.Lock()
-		c.stray = c.stray || c.rests || c.wrote == 0
+		c.stray = c.stray || c.answerRead || c.wrote == 0
 		c.mu.Unlock()
 	}
 	return n, err
@@ -83,14 +83,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.gate != nil {
-		err := error(nil)
+		var err error
 		if c.stray || !quiet {
 			err = errStray
 		} else {
 			err = c.gate()
 		}
 		if err != nil {
-			c.no, c.short = err, true
+			c.refused, c.short = err, true
 			return 0, err
 		}
 		c.gate = nil
@@ -101,19 +101,19 @@
 	return n, err
 }
 
-// quiet waits for a kept connection's quarantine as its next request is about to be written, and tells whether nothing
-// is left over on it. What comes meanwhile is seen by Read.
+// quiet waits until the quarantine of a kept connection is over, before its next request is written. It returns whether
+// nothing is left over from the answer before. Read sees the bytes that arrive meanwhile.
 func (c *conn) quiet() bool {
 	c.mu.Lock()
-	first, after := c.gate != nil && c.reused, c.after
+	first, afterJob := c.gate != nil && c.reused, c.afterJob
 	c.mu.Unlock()
 	if !first {
 		return true
 	}
-	if rest := quarantine - time.Since(time.Unix(0, c.came.Load())); after && rest > 0 {
+	if rest := quarantine - time.Since(time.Unix(0, c.lastRead.Load())); afterJob && rest > 0 {
 		time.Sleep(rest)
 	}
-	for until := time.Now().Add(quietWithin); !c.reading.Load(); time.Sleep(quietLook) {
+	for until := time.Now().Add(quietWithin); !c.reading.Load(); time.Sleep(quietPoll) {
 		if time.Now().After(until) {
 			return false
 		}
@@ -142,7 +142,7 @@
 	return c.wrote == 0 || c.short
 }
 
-// answers tells whether what came may be the answer to the present request: it was written, and nothing came before.
+// answers tells whether the bytes read may answer the present request: it was written, and none were read before that.
 func (c *conn) answers() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -153,12 +153,12 @@
 func (c *conn) hadJob() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.worked
+	return c.earlierJob
 }
 
-// refusal returns what the gate said against the present request.
+// refusal returns the gate's error for the present request, or nil.
 func (c *conn) refusal() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.no
+	return c.refused
 }
--- a/internal/egress/connections.go
+++ b/internal/egress/connections.go
@@ -38,7 +38,7 @@
 }
 
 // dial opens a connection within the socket budget. Guards against running out of descriptors, which would
-// also keep clients out: idle connections go first, then dials fail.
+// also keep clients out: idle connections are closed first, then dials fail.
 func (e *Egress) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	if e.open.Add(1) > e.budget {
 		e.closeAllIdle()
--- a/internal/egress/probe.go
+++ b/internal/egress/probe.go
@@ -34,7 +34,7 @@
 	case err != nil:
 		end.Outcome = c.broken(ctx)
 	case resp.StatusCode == http.StatusOK:
-		c.rest()
+		c.answerEnded()
 		end.Outcome, end.Report = policy.OK, textReport(e.tuned.Load().settings, string(body))
 	case resp.StatusCode == http.StatusServiceUnavailable:
 		end.Outcome = policy.Full
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -76,7 +76,7 @@
 	why    string        // the reason for which this side closes it; empty: it does not
 	frames framing
 
-	// How the last read failed, for the books.
+	// How the last read failed, for the counts of requests given up.
 	late, broken bool
 	toldLate     bool // the client was told that its head stopped coming; net/http reads again after a timeout
 
@@ -89,8 +89,8 @@
 }
 
 // Read gives net/http the bytes of requests. While the handler has a request that was read whole, net/http reads
-// only to notice the client's leaving, and ends its watch at the first byte; so bytes that come early are kept back
-// here, and the watch goes on behind them.
+// only to notice the client's leaving, and stops watching at the first byte; so bytes that come early are kept
+// here, and net/http goes on watching.
 func (k *client) Read(p []byte) (int, error) {
 	for into := p; ; {
 		n, watch, silence, err := k.ahead(p)
@@ -344,7 +344,7 @@
 	}
 }
 
-// drop closes the socket, whatever is still on it, and takes it out of the books.
+// drop closes the socket, whatever is still on it, and takes it out of the listener's lists.
 func (k *client) drop() error {
 	k.in.mu.Lock()
 	k.state = stateClosed
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -132,7 +132,7 @@
 // tooMany tells whether n requests in hand are so many that the last one is refused unseen.
 func (s *Server) tooMany(n int64) bool {
 	limit := busyShare * float64(s.sockets)
-	if s.full.Load() { // so that the log does not flutter
+	if s.full.Load() { // hysteresis: the log must not repeat the change again and again
 		limit *= 0.9
 	}
 	full := float64(n) > limit
--- a/internal/routetable/clock.go
+++ b/internal/routetable/clock.go
@@ -20,8 +20,8 @@
 	mostHold = silenceTerm - callGrace - time.Second
 )
 
-// clock is where the watch stands against those terms. It knows no time but what it is told, and is driven by the
-// watcher alone.
+// clock holds the times of the watch that those terms are counted from. Its methods are given the time; only the watcher
+// uses it.
 type clock struct {
 	heard time.Time     // the last whole answer, or the start
 	began time.Time     // the call under way; zero: none
--- a/internal/traffic/recorder.go
+++ b/internal/traffic/recorder.go
@@ -32,7 +32,7 @@
 	sayEvery = 10 * time.Second
 )
 
-// Recorder writes how requests ended. It is an coordinator.Observer.
+// Recorder writes how requests ended. It is a coordinator.Observer.
 type Recorder struct {
 	s       *store.Store
 	space   *store.Space
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -117,7 +117,7 @@
 		if a.over || a.withdraw || a.running && d.set.TellsStart { // one that runs for long may just be long
 			continue
 		}
-		if d.set.Cancel && !a.running && d.hopeless(j, a.predicted) { // else it would run for nobody
+		if d.set.Cancel && !a.running && d.hopeless(j, a.predicted) { // else it would run in vain
 			d.finish(j)
 			return
 		}
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -105,13 +105,13 @@
 	d.end(j)
 }
 
-// end forgets j and calls off what is still out for it, so that workers do not run it for nobody.
+// end forgets j and cancels the attempts that are still out, so that workers do not run them in vain.
 func (d *Dispatcher) end(j *job) {
 	j.ended, j.held = true, false
 	delete(d.jobs, j.id)
 	for _, a := range j.attempts {
 		if !a.over {
-			d.jobs[j.id] = j // its outcome is still to come
+			d.jobs[j.id] = j // its outcome has yet to come
 			d.withdraw(a)
 		}
 	}
--- a/policy/runtimes.go
+++ b/policy/runtimes.go
@@ -61,7 +61,7 @@
 
 // fetch returns the seconds that w is expected to fetch what j needs. Workers keep what they used last, and
 // all fetch from one store, which slows down for all when too many do. So each key has an order of workers,
-// the same at every scheduler without a word between them, and the first with room keeps what the key needs.
+// which every scheduler computes by itself, and the first with room keeps what the key needs.
 // While slots are left the own zone has a first one too: a second copy is cheaper than crossings.
 func (d *Dispatcher) fetch(w *worker, j *job) float64 {
 	if j.key == nil {
--- a/policy/workers.go
+++ b/policy/workers.go
@@ -161,7 +161,7 @@
 // slots estimates how many slots w has: the most it or its kind was seen to have free or ran of ours at once.
 func (d *Dispatcher) slots(w *worker) float64 {
 	if !d.set.Reports {
-		return w.most + 1 // feel for more; a late start shows when there are none
+		return w.most + 1 // try one more; a late start shows when there is none
 	}
 	return max(1, w.seen, w.kind.seen, w.most)
 }
