--- a/internal/app/errors.go
+++ b/internal/app/errors.go
@@ -9,6 +9,8 @@
 	Err  error
 }
 
+// Error names the part, the cause and the remedy.
 func (e *StartError) Error() string { return fmt.Sprintf("%s: %v (%s)", e.Part, e.Err, e.Fix) }
 
+// Unwrap returns the cause.
 func (e *StartError) Unwrap() error { return e.Err }
--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -32,6 +32,7 @@
 	Fix     string // what an operator can do
 }
 
+// Error names the key, the problem and the remedy.
 func (e *FleetError) Error() string {
 	return fmt.Sprintf("fleet: %s: %s (%s)", e.Key, e.Problem, e.Fix)
 }
--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -9,6 +9,7 @@
 	Fix     string // what an operator can do
 }
 
+// Error names the key, the problem and the remedy.
 func (e *KeyError) Error() string { return fmt.Sprintf("key %q: %s (%s)", e.Key, e.Problem, e.Fix) }
 
 // SourceError is a variable, or the file that LB_CONFIG names, that can't be used at all.
@@ -19,6 +20,7 @@
 	Err      error  // what the system or the parser said, if anything
 }
 
+// Error names the variable, the problem, its cause and the remedy.
 func (e *SourceError) Error() string {
 	s := e.Variable + ": " + e.Problem
 	if e.Err != nil {
@@ -27,6 +29,7 @@
 	return s + " (" + e.Fix + ")"
 }
 
+// Unwrap returns the cause, or nil.
 func (e *SourceError) Unwrap() error { return e.Err }
 
 // setting is a KeyError within settings.
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -40,6 +40,7 @@
 	Repeated                   // its id is that of another request, which is not touched
 )
 
+// String returns the word for the answer in logs and recorded traffic.
 func (k AnswerKind) String() string {
 	return [...]string{"served", "shed", "failed", "broken", "left", "rejected", "repeated"}[k]
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -35,6 +35,7 @@
 	Left // it said itself that this life ends
 )
 
+// String returns the state's name.
 func (s State) String() string {
 	names := [...]string{"alive", "suspect", "dead", "left"}
 	if int(s) < len(names) {
@@ -130,6 +131,7 @@
 	Forgotten
 )
 
+// String returns the change's name.
 func (k ChangeKind) String() string {
 	return [...]string{"joined", "suspected", "refuted", "died", "departed", "replaced", "forgotten"}[k]
 }
@@ -170,6 +172,7 @@
 	Field, Value, Want string
 }
 
+// Error names the field, its value and what it has to be.
 func (e *ConfigError) Error() string {
 	return fmt.Sprintf("fleet: %s: is %s, but %s", e.Field, e.Value, e.Want)
 }
--- a/internal/fleet/packet/packet.go
+++ b/internal/fleet/packet/packet.go
@@ -50,6 +50,7 @@
 	Err    error // what the decoder said, if anything
 }
 
+// Error names the reason and its cause.
 func (e *Error) Error() string {
 	if e.Err != nil {
 		return fmt.Sprintf("datagram dropped: %s: %v", e.Reason, e.Err)
@@ -57,6 +58,7 @@
 	return "datagram dropped: " + string(e.Reason)
 }
 
+// Unwrap returns the cause, or nil.
 func (e *Error) Unwrap() error { return e.Err }
 
 // Codec writes and reads the datagrams of one fleet. It is safe for concurrent use.
--- a/internal/fleet/receive.go
+++ b/internal/fleet/receive.go
@@ -17,6 +17,7 @@
 	Over                // this member has ended
 )
 
+// String returns the verdict's name.
 func (v Verdict) String() string {
 	return [...]string{"taken", "earlier life", "misdirected", "senseless", "over"}[v]
 }
--- a/internal/fleet/share/share.go
+++ b/internal/fleet/share/share.go
@@ -51,6 +51,7 @@
 	Want  string
 }
 
+// Error names the field, its value and what it has to be.
 func (e *ConfigError) Error() string { return fmt.Sprintf("%s: %v, but %s", e.Field, e.Value, e.Want) }
 
 // Proof says that nobody held a number's address.
--- a/internal/fleet/udp/udp.go
+++ b/internal/fleet/udp/udp.go
@@ -88,10 +88,12 @@
 	Err  error
 }
 
+// Error names the address, the cause and the remedy.
 func (e *SocketError) Error() string {
 	return fmt.Sprintf("fleet: socket %s: %v (%s)", e.Addr, e.Err, e.Fix)
 }
 
+// Unwrap returns the cause.
 func (e *SocketError) Unwrap() error { return e.Err }
 
 // New returns a node that does nothing until Run.
--- a/internal/gang/config.go
+++ b/internal/gang/config.go
@@ -48,6 +48,7 @@
 // ConfigError names the field that no core can work with.
 type ConfigError struct{ Field, Problem string }
 
+// Error names the field and the problem.
 func (e *ConfigError) Error() string { return "gang: " + e.Field + ": " + e.Problem }
 
 // LimitError is a bound that was reached; nothing is lost by it.
@@ -57,6 +58,7 @@
 	Fix         string // what an operator can do
 }
 
+// Error names the gang, the bound and the remedy.
 func (e *LimitError) Error() string {
 	return fmt.Sprintf("gang %q: %s is at its bound of %d (%s)", e.Gang, e.Bound, e.Limit, e.Fix)
 }
--- a/internal/gang/record.go
+++ b/internal/gang/record.go
@@ -101,6 +101,7 @@
 	Fix                  string // what the submitter can do
 }
 
+// Error names the gang, the field, the problem and the remedy.
 func (e *RecordError) Error() string {
 	return fmt.Sprintf("gang %q: %s: %s (%s)", e.Gang, e.Field, e.Problem, e.Fix)
 }
--- a/internal/gang/register/register.go
+++ b/internal/gang/register/register.go
@@ -38,6 +38,7 @@
 	Err     error
 }
 
+// Error names the call, the problem, its cause and the remedy.
 func (e *Error) Error() string {
 	s := "register: " + e.Call + ": " + e.Problem
 	if e.Err != nil {
@@ -46,6 +47,7 @@
 	return s + " (" + e.Fix + ")"
 }
 
+// Unwrap returns the cause, or nil.
 func (e *Error) Unwrap() error { return e.Err }
 
 // Client calls one register. It is safe for concurrent use.
--- a/internal/gang/register/registertest/registertest.go
+++ b/internal/gang/register/registertest/registertest.go
@@ -47,6 +47,7 @@
 	return append([]Effect(nil), g.ledger...)
 }
 
+// ServeHTTP answers a call as a register does, but for what Fault does to it.
 func (g *Register) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, 64<<20))
 	if err != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -142,6 +142,7 @@
 	return full
 }
 
+// ServeHTTP takes one request and writes its final answer.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// Guards against a fault in the program: a panic that reached net/http would cut the client's connection.
 	defer func() {
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -18,6 +18,7 @@
 	Stopped               // nothing is taken any more and all that was taken has its answer
 )
 
+// String returns the phase's name.
 func (p Phase) String() string {
 	switch p {
 	case Starting:
--- a/internal/settings/duration.go
+++ b/internal/settings/duration.go
@@ -18,9 +18,16 @@
 	_ starlark.Comparable = Duration(0)
 )
 
-func (d Duration) String() string       { return time.Duration(d).String() }
-func (d Duration) Type() string         { return "duration" }
-func (d Duration) Freeze()              {}
+// String returns the duration as Go writes it.
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// Type returns the type's name in scripts.
+func (d Duration) Type() string { return "duration" }
+
+// Freeze does nothing: a duration never changes.
+func (d Duration) Freeze() {}
+
+// Truth tells whether the duration isn't 0.
 func (d Duration) Truth() starlark.Bool { return d != 0 }
 
 // Hash is a duration's own number.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,8 +56,10 @@
 	Err      error  // what the system said, if anything
 }
 
+// Unwrap returns the cause, or nil.
 func (f *Fault) Unwrap() error { return f.Err }
 
+// Error names the place, the call and its argument, the problem and the remedy.
 func (f *Fault) Error() string {
 	what := f.Call
 	if f.Argument != "" {
@@ -76,6 +78,7 @@
 // Faults are all that is wrong in a file.
 type Faults []*Fault
 
+// Error returns the faults, one a line.
 func (fs Faults) Error() string {
 	lines := make([]string, len(fs))
 	for i, f := range fs {
@@ -84,6 +87,7 @@
 	return strings.Join(lines, "\n")
 }
 
+// Unwrap returns the faults.
 func (fs Faults) Unwrap() []error {
 	errs := make([]error, len(fs))
 	for i, f := range fs {
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -33,6 +33,7 @@
 	Err    error
 }
 
+// Error names the file, the offset and the cause.
 func (e *FileError) Error() string {
 	if e.Offset < 0 {
 		return fmt.Sprintf("%s: %v", e.File, e.Err)
@@ -40,4 +41,5 @@
 	return fmt.Sprintf("%s: offset %d: %v", e.File, e.Offset, e.Err)
 }
 
+// Unwrap returns the cause.
 func (e *FileError) Unwrap() error { return e.Err }
--- a/internal/store/table/table.go
+++ b/internal/store/table/table.go
@@ -150,7 +150,10 @@
 	Err    error
 }
 
+// Error names the offset and the cause.
 func (e *Error) Error() string { return fmt.Sprintf("offset %d: %v", e.Offset, e.Err) }
+
+// Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
 func bad(off int64, format string, args ...any) error {
--- a/internal/store/vfs/vfs.go
+++ b/internal/store/vfs/vfs.go
@@ -59,15 +59,27 @@
 	return osFile{f}, nil
 }
 
+// Create creates a file for reading and writing, or cuts the one that is there.
 func (OS) Create(name string) (File, error) {
 	return wrap(os.OpenFile(name, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600))
 }
-func (OS) Open(name string) (File, error)   { return wrap(os.Open(name)) }
+
+// Open opens a file for reading.
+func (OS) Open(name string) (File, error) { return wrap(os.Open(name)) }
+
+// OpenRW opens a file that is there for reading and writing.
 func (OS) OpenRW(name string) (File, error) { return wrap(os.OpenFile(name, os.O_RDWR, 0)) }
-func (OS) Rename(from, to string) error     { return os.Rename(from, to) }
-func (OS) Remove(name string) error         { return os.Remove(name) }
-func (OS) MkdirAll(dir string) error        { return os.MkdirAll(dir, 0o700) }
 
+// Rename renames a file; one that has the new name is replaced.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove removes a file.
+func (OS) Remove(name string) error { return os.Remove(name) }
+
+// MkdirAll makes a folder and those above it, as far as they are missing.
+func (OS) MkdirAll(dir string) error { return os.MkdirAll(dir, 0o700) }
+
+// List returns the names of a folder's plain files, sorted.
 func (OS) List(dir string) ([]string, error) {
 	entries, err := os.ReadDir(dir)
 	if err != nil {
@@ -83,6 +95,7 @@
 	return names, nil
 }
 
+// SyncDir returns when the names in a folder are on disk.
 func (OS) SyncDir(dir string) error {
 	d, err := os.Open(filepath.Clean(dir))
 	if err != nil {
--- a/policy/api.go
+++ b/policy/api.go
@@ -128,6 +128,7 @@
 // NeverRan tells whether an outcome proves that the attempt never ran.
 func NeverRan(o Outcome) bool { return o == Full || o == ConnectFailed || o == Moot }
 
+// String returns the outcome's name.
 func (o Outcome) String() string {
 	names := [...]string{"ok", "failed", "full", "timed out", "connect failed", "reset", "cancelled", "moot"}
 	return names[o]
--- a/test/ci/packages_test.go
+++ b/test/ci/packages_test.go
@@ -6,7 +6,6 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"runtime"
 	"strings"
 	"testing"
 
@@ -180,7 +179,7 @@
 	shell := exec.Command(filepath.Join(folder, "sh"), "-c", command)
 	shell.Dir = tree
 	shell.Env = []string{
-		"PATH=" + folder + ":" + filepath.Join(runtime.GOROOT(), "bin"),
+		"PATH=" + folder + ":" + filepath.Join(goEnv(t, "GOROOT"), "bin"),
 		"HOME=" + scratch, "GOENV=off", "GOTOOLCHAIN=local",
 		"GOCACHE=" + filepath.Join(scratch, "cache"), "GOMODCACHE=" + goEnv(t, "GOMODCACHE"), "GOPROXY=" + goEnv(t, "GOPROXY"),
 		"SUNPRO_DEPENDENCIES=" + headers, "CGO_LDFLAGS=-Wl,--dependency-file=" + inputs,
@@ -232,7 +231,7 @@
 
 // ofTheToolChain tells of files that come with Go, or that the build has made.
 func ofTheToolChain(t *testing.T, path, scratch string) bool {
-	for _, folder := range []string{runtime.GOROOT(), scratch, os.TempDir()} {
+	for _, folder := range []string{goEnv(t, "GOROOT"), scratch, os.TempDir()} {
 		real, err := filepath.EvalSymlinks(folder)
 		require.NoError(t, err)
 		if strings.HasPrefix(path, real+string(filepath.Separator)) {
