--- a/internal/coordinator/actions.go
+++ b/internal/coordinator/actions.go
@@ -33,7 +33,7 @@
 		case a.Kind == policy.Cancel && a.Attempt < len(j.attempts):
 			j.attempts[a.Attempt].cancel()
 		case a.Kind == policy.Refuse:
-			c.reply(j, Answer{Kind: Shed, RetryAfter: a.RetryAfter})
+			c.reply(j, Answer{Kind: Refused, RetryAfter: a.RetryAfter})
 		case a.Kind == policy.Fail:
 			c.reply(j, Answer{Kind: Failed})
 		}
@@ -87,7 +87,7 @@
 	}()
 }
 
-// guard turns a panic on the way out into an end that proves nothing, so that the request is still answered.
+// guard turns a panic in egress into an end that proves nothing, so that the request is still answered.
 func (c *Coordinator) guard(f func() AttemptEnd) (end AttemptEnd) {
 	defer func() {
 		if p := recover(); p != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -32,9 +32,9 @@
 	// acceptFor is how long connections are still accepted after the signal to stop: the front sends new ones
 	// for up to 0.4 s, and one that is in the kernel's backlog when the listener closes is lost.
 	acceptFor = 700 * time.Millisecond
-	// crowded is the part of the clients' sockets from which on requests in hand are refused at once. The rest
+	// busyShare is the part of the clients' sockets from which on requests in hand are refused at once. The rest
 	// is there so that those beyond can still be told so.
-	crowded = 0.85
+	busyShare = 0.85
 	// refusedRetry is when the client of such a request may come back, within what the settings allow to tell.
 	refusedRetry = time.Second
 )
@@ -48,19 +48,19 @@
 
 // Server takes clients' requests.
 type Server struct {
-	http    http.Server
-	to      Submitter
-	life    *lifecycle.Lifecycle
-	names   atomic.Pointer[names] // of the settings in force
-	sockets int
-	memory  int64        // for the bodies in hand
-	held    atomic.Int64 // bytes of them
-	inHand  atomic.Int64 // requests that have no answer yet
-	taken   atomic.Int64 // those among them that were read whole and are no client's fault
-	full    atomic.Bool
-	crowd   atomic.Pointer[crowd]
-	giveUps *GiveUps
-	drained atomic.Bool // asked by an operator to take nothing new, and reversible unlike the phase
+	http     http.Server
+	to       Submitter
+	life     *lifecycle.Lifecycle
+	names    atomic.Pointer[names] // of the settings in force
+	sockets  int
+	memory   int64        // for the bodies in hand
+	held     atomic.Int64 // bytes of them
+	inHand   atomic.Int64 // requests that have no answer yet
+	taken    atomic.Int64 // those among them that were read whole and are no client's fault
+	full     atomic.Bool
+	listener atomic.Pointer[limitedListener]
+	giveUps  *GiveUps
+	drained  atomic.Bool // asked by an operator to take nothing new, and reversible unlike the phase
 	// stopping: Shutdown has closed the listener.
 	stopping atomic.Bool
 	log      *logrus.Logger
@@ -80,8 +80,8 @@
 
 // Serve takes requests from l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	c := newCrowd(l, s.sockets, s.retryAfter, s.giveUps, s.log)
-	s.crowd.Store(c)
+	c := newLimitedListener(l, s.sockets, s.retryAfter, s.giveUps, s.log)
+	s.listener.Store(c)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go s.giveUps.summarise(ctx)
@@ -131,8 +131,8 @@
 
 // tooMany tells whether n requests in hand are so many that the last one is refused unseen.
 func (s *Server) tooMany(n int64) bool {
-	limit := crowded * float64(s.sockets)
-	if s.full.Load() { // so that the log does not flutter
+	limit := busyShare * float64(s.sockets)
+	if s.full.Load() { // hysteresis: the log must not repeat the change again and again
 		limit *= 0.9
 	}
 	full := float64(n) > limit
@@ -142,6 +142,7 @@
 	return full
 }
 
+// ServeHTTP takes one request and writes its final answer.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// Guards against a fault in the program: a panic that reached net/http would cut the client's connection.
 	defer func() {
@@ -227,7 +228,7 @@
 	_ = control.SetReadDeadline(time.Time{})
 	req.Arrived = time.Now()
 	req.Deadline = req.Arrived.Add(wait)
-	a := coordinator.Answer{Kind: coordinator.Shed, RetryAfter: s.retryAfter()}
+	a := coordinator.Answer{Kind: coordinator.Refused, RetryAfter: s.retryAfter()}
 	n := s.taken.Add(1)
 	defer s.taken.Add(-1)
 	if !s.tooMany(n) {
@@ -312,7 +313,7 @@
 		w.Header().Set("Content-Type", "application/octet-stream")
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.Result)))
 		_, _ = w.Write(a.Result)
-	case coordinator.Shed:
+	case coordinator.Refused:
 		if a.RetryAfter > 0 {
 			w.Header().Set("Retry-After", retryText(a.RetryAfter))
 		}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -43,8 +43,8 @@
 
 // addr waits until the server listens and tells where.
 func (s *Server) addr(t *testing.T) string {
-	require.Eventually(t, func() bool { return s.crowd.Load() != nil }, 20*time.Second, time.Millisecond)
-	return s.crowd.Load().Addr().String()
+	require.Eventually(t, func() bool { return s.listener.Load() != nil }, 20*time.Second, time.Millisecond)
+	return s.listener.Load().Addr().String()
 }
 
 func job() *http.Request {
@@ -88,7 +88,7 @@
 		status int
 	}{
 		{coordinator.Answer{Kind: coordinator.Served, Result: []byte("r")}, 200},
-		{coordinator.Answer{Kind: coordinator.Shed, RetryAfter: 1500 * time.Millisecond}, 503},
+		{coordinator.Answer{Kind: coordinator.Refused, RetryAfter: 1500 * time.Millisecond}, 503},
 		{coordinator.Answer{Kind: coordinator.Failed}, 502},
 		{coordinator.Answer{Kind: coordinator.Broken}, 500},
 	} {
@@ -278,7 +278,7 @@
 
 // Guards against a burst that pushes out connections before their first bytes are read.
 func TestYoungConnectionsAreNotPushedOut(t *testing.T) {
-	c, now := newCrowd(nil, 2, untold, nil, nil), time.Now()
+	c, now := newLimitedListener(nil, 2, untold, nil, nil), time.Now()
 	pipe := func() net.Conn { a, _ := net.Pipe(); return a }
 	old, _ := c.admit(pipe(), now.Add(-time.Second))
 	young, _ := c.admit(pipe(), now)
--- a/policy/workers.go
+++ b/policy/workers.go
@@ -149,19 +149,19 @@
 	}
 	w.kind.seen = max(w.kind.seen, free)
 	w.others, w.othersAt = max(0, d.slots(w)-free-own+max(0, math.Round(r.Queued))), d.now
-	d.crowd += crowdMemory * (min(1, w.others/d.slots(w)) - d.crowd)
+	d.othersHeld += reportWeight * (min(1, w.others/d.slots(w)) - d.othersHeld)
 	used := 1 + (max(0, r.Queued)-free)/d.slots(w)
 	if r.Queued < 0 && free < 1 {
 		used += queueGuess
 	}
-	d.full += crowdMemory * (min(2, used) - d.full)
+	d.full += reportWeight * (min(2, used) - d.full)
 	d.wantRound()
 }
 
 // slots estimates how many slots w has: the most it or its kind was seen to have free or ran of ours at once.
 func (d *Dispatcher) slots(w *worker) float64 {
 	if !d.set.Reports {
-		return w.most + 1 // feel for more; a late start shows when there are none
+		return w.most + 1 // try one more; a late start shows when there is none
 	}
 	return max(1, w.seen, w.kind.seen, w.most)
 }
@@ -186,8 +186,8 @@
 // answers bring reports, a scheduler that holds all to be full sends nothing and would never learn better.
 func (d *Dispatcher) held(w *worker) float64 {
 	age, silence := (d.now - w.othersAt).Seconds(), (d.now - max(d.heardAt, d.born)).Seconds()
-	crowd := d.crowd * d.slots(w) * d.run / (d.run + silence)
-	return w.others + (crowd-w.others)*age/(age+d.run)
+	usual := d.othersHeld * d.slots(w) * d.run / (d.run + silence)
+	return w.others + (usual-w.others)*age/(age+d.run)
 }
 
 // fail notes a sign that w does not work. It is left alone for a while, twice as long each time, and then
