Compare members' states by their digests

Before, only how far a member had applied could be seen, not whether it held the same. A backup's test also sends an order again after the restore, and compares digests of both systems.

--- a/internal/administration/cluster_test.go
+++ b/internal/administration/cluster_test.go
@@ -137,3 +137,66 @@
 		Expect(failure.KindOf(err)).To(Equal(failure.Conflict))
 	})
 })
+
+var _ = Describe("digests", func() {
+	// standing has fakes that stand at an index, which they tell the digest of.
+	standing := func(digests ...uint64) []*fakeControl {
+		controls := systemOf(len(digests))
+		for i, f := range controls {
+			f.report.Groups[0].Applied = 40
+			f.answer = func(request any) (any, error) {
+				asked, _ := request.(administration.DigestRequest)
+				if asked.Index != 40 {
+					return nil, failure.New(failure.Conflict, "it is past that")
+				}
+				return &administration.DigestResponse{Digest: digests[i]}, nil
+			}
+		}
+		return controls
+	}
+	ask := func(controls []*fakeControl) administration.ShardDigests {
+		GinkgoHelper()
+		all, err := dial(controls[0].address).Digests(soon(patience))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(all).To(HaveLen(protocol.JobShards + 1))
+		return all[1]
+	}
+
+	It("are compared as of one index", func() {
+		shard := ask(standing(7, 7, 7))
+		Expect(shard.Index).To(Equal(uint64(40)))
+		Expect(shard.Members).To(HaveLen(3))
+		Expect(shard.Members[2].Digest).To(Equal("0000000000000007"))
+		Expect(shard.Differ()).To(BeFalse())
+	})
+
+	It("tell of a member with another state", func() {
+		shard := ask(standing(7, 8, 7))
+		Expect(shard.Differ()).To(BeTrue())
+	})
+
+	It("are asked for a little ahead where a member is past the index", func() {
+		controls := standing(7, 7)
+		controls[1].answer = func(request any) (any, error) {
+			asked, _ := request.(administration.DigestRequest)
+			if asked.Index <= 40 {
+				return nil, failure.New(failure.Conflict, "it is past that")
+			}
+			return &administration.DigestResponse{Digest: 9}, nil
+		}
+		controls[0].answer = controls[1].answer
+		shard := ask(controls)
+		Expect(shard.Index).To(BeNumerically(">", 40))
+		Expect(shard.Members[0].Digest).To(Equal("0000000000000009"))
+		Expect(shard.Differ()).To(BeFalse())
+	})
+
+	It("are none where a member gives none", func() {
+		controls := standing(7, 7)
+		controls[1].answer = func(any) (any, error) { return nil, failure.New(failure.Unavailable, "it does not get there") }
+		shard := ask(controls)
+		Expect(shard.Members[0].Digest).To(Equal("0000000000000007"))
+		Expect(shard.Members[1].Digest).To(BeEmpty())
+		Expect(shard.Differ()).To(BeFalse())
+	})
+})
--- a/internal/administration/fake_test.go
+++ b/internal/administration/fake_test.go
@@ -35,6 +35,7 @@
 	handle[administration.RunnersRequest, administration.RunnersResponse](server, f)
 	handle[administration.JobsRequest, administration.JobsResponse](server, f)
 	handle[administration.SnapshotRequest, administration.SnapshotResponse](server, f)
+	handle[administration.DigestRequest, administration.DigestResponse](server, f)
 	handle[administration.ResignRequest, administration.ResignResponse](server, f)
 	handle[protocol.SubmitRequest, protocol.SubmitResponse](server, f)
 	handle[protocol.FenceRequest, protocol.FenceResponse](server, f)
--- a/internal/administration/messages.go
+++ b/internal/administration/messages.go
@@ -147,6 +147,15 @@
 	Data    []byte
 }
 
+// DigestRequest asks a control process for the digest of its state of a shard as of one index.
+type DigestRequest struct {
+	Shard protocol.ShardID
+	Index uint64
+}
+
+// DigestResponse has it. A state that is past the index is the error Conflict, one that does not get there Unavailable.
+type DigestResponse struct{ Digest uint64 }
+
 // ResignRequest asks a control process to give its leaderships away, and to stand for none until it is started again.
 type ResignRequest struct{}
 
--- a/internal/administration/running_test.go
+++ b/internal/administration/running_test.go
@@ -102,6 +102,21 @@
 	return &response.Orders
 }
 
+// sameConfigurations expects two systems of one process to hold the same in the configuration's shard. The others go on
+// by themselves: a runner's hold ends in each.
+func sameConfigurations(a, b *process) {
+	GinkgoHelper()
+	first, err := a.client.Digests(soon(patience))
+	Expect(err).NotTo(HaveOccurred())
+	second, err := b.client.Digests(soon(patience))
+	Expect(err).NotTo(HaveOccurred())
+	for shard := range first {
+		Expect(first[shard].Members).To(HaveLen(1))
+		Expect(first[shard].Members[0].Digest).NotTo(BeEmpty())
+	}
+	Expect(second[0].Members[0].Digest).To(Equal(first[0].Members[0].Digest))
+}
+
 var _ = Describe("a control process", Ordered, func() {
 	var p *process
 
@@ -209,6 +224,11 @@
 		Expect(again.client.Jobs(soon(patience), "")).To(HaveLen(13))
 		spec := &protocol.JobSpec{Spec: "x", Steps: []protocol.Step{{Count: 3, CPU: 1000}}}
 		Expect(again.client.Submit(soon(patience), "h/p", id, spec)).To(Succeed(), "the job is known")
+		Expect(again.client.Configure(soon(patience), protocol.ConfigurationReplace, 0, []byte(configurationWith(5, "s")))).
+			To(Equal(uint64(5)), "the order that was taken before the backup is acknowledged again")
+		_, err = again.client.Configure(soon(patience), protocol.ConfigurationReplace, 0, []byte(configurationWith(5, "other")))
+		Expect(failure.KindOf(err)).To(Equal(failure.Conflict), "another one under its number is refused")
+		sameConfigurations(p, again)
 		reports, err := again.client.Reports(soon(patience))
 		Expect(err).NotTo(HaveOccurred())
 		for i, shard := range administration.Shards(reports) {
--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -26,6 +26,7 @@
 	state   string
 	jobs    []administration.Job
 	reports []administration.Report
+	digests []administration.ShardDigests
 	runners []administration.Runner
 	left    int
 	backup  *archive.Archive
@@ -83,6 +84,11 @@
 	return f.reports, f.err
 }
 
+func (f *fakeSystem) Digests(context.Context) ([]administration.ShardDigests, error) {
+	f.note("digests")
+	return f.digests, f.err
+}
+
 func (f *fakeSystem) Runners(context.Context) ([]administration.Runner, error) {
 	f.note("runners")
 	return f.runners, f.err
--- a/internal/cli/system.go
+++ b/internal/cli/system.go
@@ -37,6 +37,7 @@
 	Cancel(ctx context.Context, id string) error
 	Jobs(ctx context.Context, queue string) ([]administration.Job, error)
 	Reports(ctx context.Context) ([]administration.Report, error)
+	Digests(ctx context.Context) ([]administration.ShardDigests, error)
 	Runners(ctx context.Context) ([]administration.Runner, error)
 	Drain(ctx context.Context, node string) (left int, err error)
 	Backup(ctx context.Context) (*archive.Archive, error)
--- a/internal/cli/system_cluster.go
+++ b/internal/cli/system_cluster.go
@@ -55,16 +55,21 @@
 }
 
 func (s *systemCommands) newShards() *cobra.Command {
-	counters := false
+	counters, digests := false, false
 	c := &cobra.Command{Use: "shards", Short: "List the shards: owner, term, and how far each member is", Args: needs(),
 		Long: "List the shards: 0 holds the configuration, the others jobs. For each its owner, term, commit index, the size of its\n" +
 			"state and of its log after the newest snapshot; and each member with the entries that it lacks.\n" +
 			"With --counters, what became of jobs and runs since the shard began, and what the owner decided since its process\n" +
-			"started. The exit status is 1 if a shard has no owner.",
+			"started. With --digests, what each member's state comes to as of one index: equal states have equal digests.\n" +
+			"The exit status is 1 if a shard has no owner, or digests differ.",
 		Example: "  ospreypond shards --control 127.77.0.11:7380\n" +
 			"  ospreypond shards --counters\n" +
+			"  ospreypond shards --digests\n" +
 			"  ospreypond shards -o json | jq '.[] | {shard, owner, term}'"}
 	s.connect(c, func(ctx context.Context, made *connection, system administrator, _ []string) error {
+		if digests {
+			return printDigests(ctx, made, system)
+		}
 		reports, err := system.Reports(ctx)
 		if err != nil {
 			return err
@@ -80,9 +85,45 @@
 		return foundFaults(ownerless(shards))
 	})
 	c.Flags().BoolVar(&counters, "counters", false, "what became of jobs and runs, and what was decided")
+	c.Flags().BoolVar(&digests, "digests", false, "compare the members' states by their digests")
 	return c
 }
 
+// printDigests compares the members' states.
+func printDigests(ctx context.Context, made *connection, system administrator) error {
+	all, err := system.Digests(ctx)
+	if err != nil {
+		return err
+	}
+	rows := [][]string{{"SHARD", "INDEX", "EQUAL", "MEMBERS (DIGEST)"}}
+	var faults []string
+	for i := range all {
+		shard := &all[i]
+		equal := "yes"
+		if shard.Differ() {
+			equal = "NO"
+			faults = append(faults, fmt.Sprintf("the members' states of shard %d differ at entry %d", shard.Shard, shard.Index))
+		}
+		rows = append(rows, []string{shardName(shard.Shard), strconv.FormatUint(shard.Index, 10), equal, digestTexts(shard.Members)})
+	}
+	if err := made.print(all, func(w io.Writer) { table(w, rows) }); err != nil {
+		return err
+	}
+	return foundFaults(faults)
+}
+
+func digestTexts(members []administration.MemberDigest) string {
+	texts := make([]string, 0, len(members))
+	for _, member := range members {
+		digest := member.Digest
+		if digest == "" {
+			digest = "none at that entry"
+		}
+		texts = append(texts, member.Node+" "+digest)
+	}
+	return strings.Join(texts, "; ")
+}
+
 func ownerless(shards []administration.ShardView) []string {
 	var faults []string
 	for _, shard := range shards {
--- a/internal/cli/system_test.go
+++ b/internal/cli/system_test.go
@@ -214,6 +214,27 @@
 		Expect(ended.err).To(ContainSubstring("shard 1 has no owner that answers"))
 	})
 
+	It("compare the members' states, and tell where they differ", func() {
+		digests := []administration.ShardDigests{
+			{Shard: 0, Index: 40, Members: []administration.MemberDigest{
+				{Node: "a", ID: 1, Digest: "00000000000000aa"}, {Node: "b", ID: 2, Digest: "00000000000000aa"}, {Node: "c", ID: 3}}},
+			{Shard: 1, Index: 7, Members: []administration.MemberDigest{{Node: "a", ID: 1, Digest: "00000000000000aa"}}},
+		}
+		ended := command(&fakeSystem{digests: digests}, "", "shards --digests --control a:1")
+		Expect(ended.out).To(Equal(`SHARD              INDEX  EQUAL  MEMBERS (DIGEST)
+0 (configuration)  40     yes    a 00000000000000aa; b 00000000000000aa; c none at that entry
+1                  7      yes    a 00000000000000aa
+`))
+		Expect(ended.status).To(BeZero())
+		digests[0].Members[2].Digest = "00000000000000ab"
+		ended = command(&fakeSystem{digests: digests}, "", "shards --digests -o json --control a:1")
+		Expect(ended.status).To(Equal(failure))
+		Expect(ended.err).To(ContainSubstring("the members' states of shard 0 differ at entry 40"))
+		var told []administration.ShardDigests
+		Expect(json.Unmarshal([]byte(ended.out), &told)).To(Succeed())
+		Expect(told).To(Equal(digests))
+	})
+
 	It("list shards in JSON", func() {
 		ended := command(&fakeSystem{reports: sampleReports()[1:]}, "", "shards -o json --control a:1")
 		var shards []administration.ShardView
--- /dev/null
+++ b/internal/configuration/digest_test.go
@@ -0,0 +1,50 @@
+package configuration
+
+import (
+	"bytes"
+	"encoding/gob"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/failure"
+)
+
+var _ = Describe("a state's digest", func() {
+	moved := aRoute("r-1", "one.example", "/one/", "b")
+	full := func() *State {
+		return stateWith(replace(0, whole(5, routeOne, routeTwo)),
+			update(5, `{"version":6,"upsert":{"routes":[`+moved+`]}}`),
+			update(6, `{"version":8,"remove":{"routes":["r-2"]}}`))
+	}
+
+	It("is the same for the same orders, and after a snapshot", func() {
+		state := full()
+		Expect(state.Execute(update(20, `{"version":21}`)).Kind).To(Equal(failure.Conflict))
+		Expect(state.Digest()).NotTo(Equal(full().Digest()), "an early order is remembered")
+		Expect(full().Digest()).To(Equal(full().Digest()))
+		Expect(reread(state).Digest()).To(Equal(state.Digest()))
+	})
+
+	It("does not depend on what the process has encoded before", func() {
+		before := full().Digest()
+		type another struct{ A, B int }
+		Expect(gob.NewEncoder(&bytes.Buffer{}).Encode(another{1, 2})).To(Succeed())
+		Expect(full().Digest()).To(Equal(before))
+	})
+
+	DescribeTable("tells one state from another that differs in",
+		func(change func(state *State)) {
+			state := full()
+			change(state)
+			Expect(state.Digest()).NotTo(Equal(full().Digest()))
+		},
+		Entry("its version", func(s *State) { s.document.version++ }),
+		Entry("a route", func(s *State) { s.Execute(update(8, `{"version":9,"upsert":{"routes":[`+routeTwo+`]}}`)) }),
+		Entry("another section", func(s *State) { s.document.sections[len(s.document.sections)-1].raw = []byte(`{}`) }),
+		Entry("the earlier services of a queue", func(s *State) { s.document.places[0].earlier = nil }),
+		Entry("what it knows of dropped queues", func(s *State) { s.document.dropped = nil }),
+		Entry("the orders that it remembers", func(s *State) { s.taken = s.taken[1:] }),
+		Entry("the content of an order that it remembers", func(s *State) { s.taken[0].Digest[0]++ }),
+	)
+})
--- a/internal/control/administration.go
+++ b/internal/control/administration.go
@@ -291,6 +291,16 @@
 	}
 }
 
+// digest tells what this process's state of a shard comes to at an index.
+func (a *administrator) digest(_ string, request *administration.DigestRequest, reply func(*administration.DigestResponse, error)) {
+	engine := a.control.engine
+	engine.Do(func() {
+		engine.DigestAt(uint32(request.Shard), request.Index, func(digest uint64, err error) {
+			reply(&administration.DigestResponse{Digest: digest}, err)
+		})
+	})
+}
+
 // resign gives away what this process leads.
 func (a *administrator) resign(_ string, _ *administration.ResignRequest, reply func(*administration.ResignResponse, error)) {
 	engine := a.control.engine
--- a/internal/control/endpoint.go
+++ b/internal/control/endpoint.go
@@ -51,6 +51,7 @@
 		newEndpoint(a.runners),
 		newEndpoint(a.jobs),
 		newEndpoint(a.snapshot),
+		newEndpoint(a.digest),
 		newEndpoint(a.resign),
 	}
 }
--- a/internal/replica/states_test.go
+++ b/internal/replica/states_test.go
@@ -338,3 +338,58 @@
 		Entry("two thousand", 2000, 1200),
 	)
 })
+
+var _ = Describe("The digest of a state", func() {
+	digestAt := func(c *cluster, m *machine, id GroupID, index uint64) (digest *uint64, failed *error) {
+		digest, failed = new(uint64), new(error)
+		m.engine.Do(func() {
+			m.engine.DigestAt(id, index, func(told uint64, err error) { *digest, *failed = told, err })
+		})
+		m.wake()
+		return digest, failed
+	}
+
+	It("is told by all members as of one index, while entries come", func() {
+		c := newShippedCluster(71)
+		c.startFirst(3)
+		Expect(c.configure(manyRoutes(50)).Version).To(Equal(uint64(1)))
+		c.agree()
+		index := c.leader(configurationGroup).ledgers[configurationGroup].Last + 4
+		var digests []*uint64
+		var failures []*error
+		for _, m := range c.machines {
+			digest, failed := digestAt(c, m, configurationGroup, index)
+			digests, failures = append(digests, digest), append(failures, failed)
+		}
+		c.changeMany(8, 100)
+		for i := range digests {
+			Expect(*failures[i]).NotTo(HaveOccurred())
+			Expect(*digests[i]).NotTo(BeZero())
+			Expect(*digests[i]).To(Equal(*digests[0]))
+		}
+		Expect(c.leader(configurationGroup).states[configurationGroup].Digest()).NotTo(Equal(*digests[0]), "it went on")
+	})
+
+	It("is refused where the state is past the index, does not get there, or is none", func() {
+		c := newShippedCluster(72)
+		c.startFirst(3)
+		c.awaitLeaders()
+		m := c.leader(configurationGroup)
+		c.changeMany(3, 10)
+		_, past := digestAt(c, m, configurationGroup, 1)
+		_, ahead := digestAt(c, m, configurationGroup, 1000)
+		_, unknown := digestAt(c, m, 99, 1)
+		c.run(2 * time.Second)
+		Expect(failure.KindOf(*past)).To(Equal(failure.Conflict))
+		Expect(failure.KindOf(*ahead)).To(Equal(failure.Unavailable))
+		Expect(failure.KindOf(*unknown)).To(Equal(failure.Invalid))
+
+		plain := newCluster(73, 1)
+		plain.startFirst(3)
+		plain.commit(0, 1, 10)
+		leader := plain.leader(0)
+		_, none := digestAt(plain, leader, 0, leader.ledgers[0].Last)
+		plain.run(time.Second)
+		Expect(failure.KindOf(*none)).To(Equal(failure.Unavailable))
+	})
+})
