Refuse a configuration that updates let grow beyond one message

Cause: an order has at most 8 MB, but updates can add to a document without bound; beyond 16 MB no message carries it to a frontend that starts anew, nor a reading to the operator. Now 12 MB are the bound (413), decided in the log.

--- a/internal/configuration/cost_test.go
+++ b/internal/configuration/cost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"ospreypond/internal/failure"
@@ -91,3 +92,35 @@
 		}
 	})
 }
+
+// BenchmarkWatchFromNothing is what a watch of a follower without a document costs at both ends: the first one in a
+// version at the owner, and the reading at the follower, whose document then takes heap-bytes.
+func BenchmarkWatchFromNothing(b *testing.B) {
+	state := bigState(b, 20000)
+	var data []byte
+	b.Run("owner", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			state.tail.fed = nil
+			data, _ = state.Since(0, true)
+		}
+		b.ReportMetric(float64(len(data)), "message-bytes")
+	})
+	b.Run("follower", func(b *testing.B) {
+		b.ReportAllocs()
+		var document *Document
+		before := heapInUse()
+		for b.Loop() {
+			document, _ = Decode(data)
+		}
+		b.ReportMetric(float64(heapInUse()-before), "heap-bytes")
+		runtime.KeepAlive(document)
+	})
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/internal/configuration/state.go
+++ b/internal/configuration/state.go
@@ -13,6 +13,8 @@
 	takenOrders = 8192
 	// earlyOrders is how many refused orders are remembered that build on a version that is yet to come.
 	earlyOrders = 64
+	// documentBytes bounds a document that updates let grow, so that it fits into one message to who starts anew.
+	documentBytes = 12 << 20
 )
 
 // State is the state machine of the configuration shard: the document in force and the orders that led to it. It is
@@ -66,6 +68,9 @@
 	if err != nil {
 		return s.refuse(failure.KindOf(err), err)
 	}
+	if next.size() > documentBytes {
+		return s.refusef(failure.TooLarge, "a configuration has at most %d bytes", documentBytes)
+	}
 	s.tail.add(s.document, next, command)
 	s.remember(command)
 	s.document = next
--- a/internal/configuration/state_test.go
+++ b/internal/configuration/state_test.go
@@ -1,6 +1,9 @@
 package configuration
 
 import (
+	"fmt"
+	"strings"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -132,4 +135,24 @@
 		Expect(state.Execute(update(1, `{"version":3}`)).Kind).To(Equal(failure.Conflict))
 		Expect(failure.AnswerTo(failure.Forgotten).Status).To(BeNumerically(">=", 500), "no final answer")
 	})
+
+	It("takes no update that makes it too large for one message", func() {
+		state := standard()
+		note := func(base uint64, section string) Command {
+			return update(base, fmt.Sprintf(`{"version":%d,"upsert":{"%s":%q}}`, base+1, section, strings.Repeat("x", 3<<20)))
+		}
+		for i, section := range []string{"one", "two", "three"} {
+			Expect(state.Execute(note(uint64(5+i), section)).Kind).To(Equal(failure.None))
+		}
+		before := string(state.Document().JSON())
+		refused := state.Execute(note(8, "four"))
+		Expect(refused.Kind).To(Equal(failure.TooLarge))
+		Expect(refused.Version).To(Equal(uint64(8)))
+		Expect(state.Execute(note(8, "four")).Kind).To(Equal(failure.TooLarge), "whenever it comes")
+		Expect(string(state.Document().JSON())).To(Equal(before))
+		Expect(state.Execute(step(8)).Kind).To(Equal(failure.None))
+		whole, err := state.Since(0, true)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(whole)).To(BeNumerically("<", documentBytes+1<<20))
+	})
 })
