--- a/internal/configuration/resend_test.go
+++ b/internal/configuration/resend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -183,3 +184,49 @@
 		}
 	})
 })
+
+var _ = Describe("orders and copies of them, in any order", func() {
+	It("are decided once: what is acknowledged stays so, what is refused for good stays refused", func() {
+		random := rand.New(rand.NewPCG(5, 6))
+		taken := 0
+		for range 300 {
+			state := NewState()
+			sent := []Command{step(0)}
+			decided := map[orderKey]failure.Kind{}
+			winners := map[uint64]orderKey{}
+			for range 80 {
+				command := sent[random.IntN(len(sent))]
+				if random.IntN(2) == 0 {
+					base := state.Document().Version() + uint64(random.IntN(4))
+					base -= min(base, uint64(random.IntN(4)))
+					command = update(base, fmt.Sprintf(`{"version":%d,"note":%d}`, base+uint64(random.IntN(4)), random.IntN(3)))
+					sent = append(sent, command)
+				}
+				before := state.Document()
+				result, key := state.Execute(command), keyOf(command)
+				kind, known := decided[key]
+				switch {
+				case result.Kind == failure.Unavailable:
+					Expect(known).To(BeFalse(), "it was decided")
+				case known:
+					Expect(result.Kind == failure.None).To(Equal(kind == failure.None), "%s on %d", command.Body, command.Base)
+				default:
+					decided[key] = result.Kind
+				}
+				if known || result.Kind != failure.None {
+					Expect(state.Document()).To(BeIdenticalTo(before), "nothing changes")
+				}
+				if result.Kind == failure.None {
+					winner, found := winners[command.Base]
+					Expect(!found || winner == key).To(BeTrue(), "one order for each version")
+					winners[command.Base] = key
+				}
+				if random.IntN(10) == 0 {
+					state = reread(state)
+				}
+			}
+			taken += len(winners)
+		}
+		Expect(taken).To(BeNumerically(">", 300*5), "orders that were taken, in all")
+	})
+})
