Call what outlasts a forgotten id or a deleted record a tombstone

Change: jobs' graves, graveyard and bury, the store's Graves, and the fleet's bury become tombstones, a set of them, put and markGone; runnerBook becomes runnerTable. The key "graves" of the store's manifest on disk stays.

--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -108,9 +108,9 @@
 			c.warn(m, r)
 			return
 		}
-		c.bury(m, Dead, r.Incarnation, r.Age)
+		c.markGone(m, Dead, r.Incarnation, r.Age)
 	case r.State == Left:
-		c.bury(m, Left, r.Incarnation, r.Age)
+		c.markGone(m, Left, r.Incarnation, r.Age)
 	}
 }
 
@@ -193,8 +193,8 @@
 	c.sum(m, 1)
 }
 
-// bury has m be dead or gone for age already.
-func (c *Core) bury(m *member, s State, incarnation uint32, age time.Duration) {
+// markGone has m be dead or gone for age already.
+func (c *Core) markGone(m *member, s State, incarnation uint32, age time.Duration) {
 	living := m.State.Living()
 	c.sum(m, -1)
 	c.trust(m)
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -88,7 +88,7 @@
 	slices.SortFunc(over, func(a, b *member) int { return cmp.Compare(a.Name, b.Name) })
 	for _, m := range over {
 		m.By = hashOf(c.self.Name)
-		c.bury(m, Dead, m.Incarnation, 0)
+		c.markGone(m, Dead, m.Incarnation, 0)
 	}
 	if c.now >= c.probeAt {
 		c.round()
@@ -266,7 +266,7 @@
 	}
 	if m := c.byAddr[to]; m != nil && s.life != 0 && m.Life == s.life && m.State.Living() {
 		m.By = hashOf(c.self.Name)
-		c.bury(m, Dead, m.Incarnation, 0)
+		c.markGone(m, Dead, m.Incarnation, 0)
 		if c.probe != nil && c.probe.m == m { // it is over; where one is dead, many may be
 			c.probe, c.probeAt = nil, min(c.probeAt, c.now+c.cfg.Interval/hurried)
 		}
--- a/internal/jobs/apply.go
+++ b/internal/jobs/apply.go
@@ -57,11 +57,11 @@
 	if s.jobs[submit.ID] != nil {
 		return Known
 	}
-	grave := s.graves.of(submit.ID)
+	known := s.tombstones.of(submit.ID)
 	switch {
-	case grave.kind == hadJob:
+	case known.kind == hadJob:
 		return Known
-	case grave.kind == fencing && submit.Version <= grave.version:
+	case known.kind == fencing && submit.Version <= known.version:
 		return Fenced
 	}
 	if s.Validate(&submit.Job) != nil {
@@ -81,7 +81,7 @@
 		AcceptedMs: s.clockMs,
 		dueIndex:   notWaiting,
 	}
-	s.graves.open(job.ID)
+	s.tombstones.remove(job.ID)
 	s.jobs[job.ID] = job
 	s.pending[job.Queue.Key]++
 	s.counters.Jobs++
@@ -141,11 +141,11 @@
 	if s.jobs[fence.ID] != nil {
 		return true
 	}
-	known := s.graves.of(fence.ID)
+	known := s.tombstones.of(fence.ID)
 	if known.kind == hadJob {
 		return true
 	}
-	s.graves.bury(fence.ID, grave{
+	s.tombstones.put(fence.ID, tombstone{
 		kind:    fencing,
 		version: max(known.version, fence.Version),
 		untilMs: s.ageMs + s.forgetMs,
--- a/internal/jobs/machine.go
+++ b/internal/jobs/machine.go
@@ -35,8 +35,8 @@
 	held       map[int]*taskList                 // by priority
 	priorities []int                             // keys of held, rising
 	due        dueHeap
-	runners    runnerBook
-	graves     graveyard
+	runners    runnerTable
+	tombstones tombstoneSet
 	ended      endedQueue
 
 	counters Counters
@@ -84,15 +84,15 @@
 // clear empties all that commands have brought.
 func (s *State) clear() {
 	*s = State{
-		statusMs: s.statusMs,
-		forgetMs: s.forgetMs,
-		runnerMs: s.runnerMs,
-		jobs:     map[string]*Job{},
-		queues:   map[protocol.Queue]protocol.Queue{},
-		pending:  map[string]int{},
-		held:     map[int]*taskList{},
-		runners:  newRunnerBook(),
-		graves:   newGraveyard(),
+		statusMs:   s.statusMs,
+		forgetMs:   s.forgetMs,
+		runnerMs:   s.runnerMs,
+		jobs:       map[string]*Job{},
+		queues:     map[protocol.Queue]protocol.Queue{},
+		pending:    map[string]int{},
+		held:       map[int]*taskList{},
+		runners:    newRunnerTable(),
+		tombstones: newTombstoneSet(),
 	}
 }
 
@@ -150,7 +150,7 @@
 func (s *State) Counters() Counters {
 	counters := s.counters
 	counters.Kept = len(s.jobs) - counters.Jobs
-	counters.Forgotten = s.graves.count()
+	counters.Forgotten = s.tombstones.count()
 	counters.Runners = len(s.runners.records)
 	return counters
 }
--- a/internal/jobs/restore.go
+++ b/internal/jobs/restore.go
@@ -23,7 +23,7 @@
 		return err
 	}
 	s.ended.order.entries = r.expiries()
-	r.graves(&s.graves)
+	r.tombstones(&s.tombstones)
 	if err := r.done(); err != nil {
 		return err
 	}
@@ -43,14 +43,14 @@
 	return entries
 }
 
-func (r *reader) graves(yard *graveyard) {
-	yard.order.entries = r.expiries()
-	for _, entry := range yard.order.entries {
-		known := grave{kind: graveKind(r.byte()), untilMs: entry.ms}
+func (r *reader) tombstones(set *tombstoneSet) {
+	set.order.entries = r.expiries()
+	for _, entry := range set.order.entries {
+		known := tombstone{kind: tombstoneKind(r.byte()), untilMs: entry.ms}
 		if known.kind == fencing {
 			known.version = r.unsigned()
 		}
-		yard.graves[entry.id] = known
+		set.byID[entry.id] = known
 	}
 }
 
--- a/internal/jobs/retention.go
+++ b/internal/jobs/retention.go
@@ -34,62 +34,62 @@
 // all returns the entries, the first to expire first.
 func (q *expiryQueue) all() []keptUntil { return q.entries[q.head:] }
 
-// graveKind tells why an id is known without a state.
-type graveKind uint8
+// tombstoneKind tells why an id is known without a state.
+type tombstoneKind uint8
 
 const (
-	hadJob  graveKind = iota + 1 // a job that ended and was forgotten
-	fencing                      // an id that the shard won't take by some versions of the configuration
+	hadJob  tombstoneKind = iota + 1 // a job that ended and was forgotten
+	fencing                          // an id that the shard won't take by some versions of the configuration
 )
 
-// grave is what is known of an id without a state. Its zero value stands for nothing.
-type grave struct {
-	kind    graveKind
+// tombstone is what is known of an id without a state. Its zero value stands for nothing.
+type tombstone struct {
+	kind    tombstoneKind
 	version uint64 // fencing: the newest version of the configuration that is fenced
 	untilMs int64  // by the shard's age
 }
 
-// graveyard holds ids that a shard must not take.
-type graveyard struct {
-	graves map[string]grave
-	order  expiryQueue // has an entry for each grave, and outdated ones of graves that were renewed or opened
+// tombstoneSet holds ids that a shard must not take.
+type tombstoneSet struct {
+	byID  map[string]tombstone
+	order expiryQueue // has an entry for each tombstone, and outdated ones of those that were replaced or removed
 }
 
-func newGraveyard() graveyard { return graveyard{graves: map[string]grave{}} }
+func newTombstoneSet() tombstoneSet { return tombstoneSet{byID: map[string]tombstone{}} }
 
-func (g *graveyard) count() int { return len(g.graves) }
+func (t *tombstoneSet) count() int { return len(t.byID) }
 
 // of returns what is known of an id.
-func (g *graveyard) of(id string) grave { return g.graves[id] }
+func (t *tombstoneSet) of(id string) tombstone { return t.byID[id] }
 
-// bury notes a grave, in place of an earlier one of the id.
-func (g *graveyard) bury(id string, next grave) {
-	before, known := g.graves[id]
+// put notes a tombstone, in place of an earlier one of the id.
+func (t *tombstoneSet) put(id string, next tombstone) {
+	before, known := t.byID[id]
 	if known && before.untilMs == next.untilMs {
-		g.graves[id] = next
+		t.byID[id] = next
 		return
 	}
 	id = strings.Clone(id)
-	g.graves[id] = next
-	g.order.push(id, next.untilMs)
+	t.byID[id] = next
+	t.order.push(id, next.untilMs)
 }
 
-// open forgets an id that is taken after all.
-func (g *graveyard) open(id string) { delete(g.graves, id) }
+// remove forgets an id that is taken after all.
+func (t *tombstoneSet) remove(id string) { delete(t.byID, id) }
 
-func (g *graveyard) expire(now int64) {
-	for id, ok := g.order.pop(now); ok; id, ok = g.order.pop(now) {
-		if g.graves[id].untilMs < now {
-			delete(g.graves, id)
+func (t *tombstoneSet) expire(now int64) {
+	for id, ok := t.order.pop(now); ok; id, ok = t.order.pop(now) {
+		if t.byID[id].untilMs < now {
+			delete(t.byID, id)
 		}
 	}
 }
 
 // current returns the entries of the order that are not outdated.
-func (g *graveyard) current() []keptUntil {
-	entries := make([]keptUntil, 0, len(g.graves))
-	for _, entry := range g.order.all() {
-		if known, ok := g.graves[entry.id]; ok && known.untilMs == entry.ms {
+func (t *tombstoneSet) current() []keptUntil {
+	entries := make([]keptUntil, 0, len(t.byID))
+	for _, entry := range t.order.all() {
+		if known, ok := t.byID[entry.id]; ok && known.untilMs == entry.ms {
 			entries = append(entries, entry)
 		}
 	}
@@ -139,8 +139,8 @@
 			continue
 		}
 		delete(s.jobs, id)
-		s.graves.bury(id, grave{kind: hadJob, untilMs: s.ageMs + s.forgetMs})
+		s.tombstones.put(id, tombstone{kind: hadJob, untilMs: s.ageMs + s.forgetMs})
 	}
-	s.graves.expire(s.ageMs)
+	s.tombstones.expire(s.ageMs)
 	s.runners.expire(s.ageMs, s.runnerMs)
 }
--- a/internal/jobs/runners.go
+++ b/internal/jobs/runners.go
@@ -31,61 +31,61 @@
 	return Lingering{}, false
 }
 
-// runnerBook holds the records of runners, in order of when a command last named them.
-type runnerBook struct {
+// runnerTable holds the records of runners, in order of when a command last named them.
+type runnerTable struct {
 	records     map[string]*runnerRecord
 	first, last *runnerRecord
 }
 
-func newRunnerBook() runnerBook { return runnerBook{records: map[string]*runnerRecord{}} }
+func newRunnerTable() runnerTable { return runnerTable{records: map[string]*runnerRecord{}} }
 
 // hear returns the runner's record, made if need be, as the last one heard.
-func (b *runnerBook) hear(id string, now int64) *runnerRecord {
-	record := b.records[id]
+func (t *runnerTable) hear(id string, now int64) *runnerRecord {
+	record := t.records[id]
 	if record == nil {
 		record = &runnerRecord{id: strings.Clone(id)}
-		b.records[record.id] = record
+		t.records[record.id] = record
 	} else {
-		b.unlink(record)
+		t.unlink(record)
 	}
 	record.heardMs = now
-	b.append(record)
+	t.append(record)
 	return record
 }
 
-func (b *runnerBook) append(record *runnerRecord) {
-	record.earlier, record.later = b.last, nil
-	if b.last == nil {
-		b.first = record
+func (t *runnerTable) append(record *runnerRecord) {
+	record.earlier, record.later = t.last, nil
+	if t.last == nil {
+		t.first = record
 	} else {
-		b.last.later = record
+		t.last.later = record
 	}
-	b.last = record
+	t.last = record
 }
 
-func (b *runnerBook) unlink(record *runnerRecord) {
+func (t *runnerTable) unlink(record *runnerRecord) {
 	if record.earlier == nil {
-		b.first = record.later
+		t.first = record.later
 	} else {
 		record.earlier.later = record.later
 	}
 	if record.later == nil {
-		b.last = record.earlier
+		t.last = record.earlier
 	} else {
 		record.later.earlier = record.earlier
 	}
 }
 
 // expire forgets runners that were not heard for longer than span, unless they have runs.
-func (b *runnerBook) expire(now, span int64) {
-	for b.first != nil && b.first.heardMs+span < now {
-		record := b.first
+func (t *runnerTable) expire(now, span int64) {
+	for t.first != nil && t.first.heardMs+span < now {
+		record := t.first
 		if record.busy() {
-			b.hear(record.id, now)
+			t.hear(record.id, now)
 			continue
 		}
-		b.unlink(record)
-		delete(b.records, record.id)
+		t.unlink(record)
+		delete(t.records, record.id)
 	}
 }
 
--- a/internal/jobs/snapshot.go
+++ b/internal/jobs/snapshot.go
@@ -32,7 +32,7 @@
 	w.runners(&s.runners)
 	w.jobs(s.jobs)
 	w.expiries(s.ended.order.all())
-	w.graves(&s.graves)
+	w.tombstones(&s.tombstones)
 	s.snapshotHint = len(w.data) + len(w.data)/8
 	return w.data, nil
 }
@@ -56,11 +56,11 @@
 	}
 }
 
-func (w *writer) graves(yard *graveyard) {
-	entries := yard.current()
+func (w *writer) tombstones(set *tombstoneSet) {
+	entries := set.current()
 	w.expiries(entries)
 	for _, entry := range entries {
-		known := yard.of(entry.id)
+		known := set.of(entry.id)
 		w.byte(byte(known.kind))
 		if known.kind == fencing {
 			w.unsigned(known.version)
@@ -68,9 +68,9 @@
 	}
 }
 
-func (w *writer) runners(book *runnerBook) {
-	w.count(len(book.records))
-	for record := book.first; record != nil; record = record.later {
+func (w *writer) runners(table *runnerTable) {
+	w.count(len(table.records))
+	for record := table.first; record != nil; record = record.later {
 		w.text(record.id)
 		w.text(record.place)
 		w.unsigned(record.lastSeen)
--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -28,7 +28,7 @@
 		return nil, err
 	}
 	s := &Store{dir: dir, opt: opt, over: newLayer(), spaces: map[string]*Space{}, cache: table.NewCache(opt.CacheBytes),
-		limits: plan.Limits{SegmentBytes: opt.SegmentBytes, Garbage: opt.Garbage, Graves: 0.2,
+		limits: plan.Limits{SegmentBytes: opt.SegmentBytes, Garbage: opt.Garbage, Tombstones: 0.2,
 			PassBytes: 16 * opt.SegmentBytes}}
 	if opt.PassBytesPerS > 0 {
 		s.pace = rate.NewLimiter(rate.Limit(opt.PassBytesPerS), max(opt.PassBytesPerS/16, pieceBytes))
--- a/internal/store/output.go
+++ b/internal/store/output.go
@@ -31,15 +31,15 @@
 	return uint32(o.meta.ID), uint32(end) - uint32(len(value)), err
 }
 
-// bury puts a deletion into the output.
-func (p *pass) bury(op segment.Op, f segment.Frame) error {
+// putTombstone puts a deletion into the output.
+func (p *pass) putTombstone(op segment.Op, f segment.Frame) error {
 	if err := p.openOutput(spaceOf(op.Key), len(op.Key)+len(op.End)+segment.FrameSize+16); err != nil {
 		return err
 	}
 	o := p.out
 	o.frame = segment.AppendOp(o.frame[:segment.FrameSize], op)
 	_, err := p.append(f.Seq, f.Time)
-	o.meta.Graves += graveBytes(len(op.Key), len(op.End))
+	o.meta.Tombstones += tombstoneBytes(len(op.Key), len(op.End))
 	return err
 }
 
--- a/internal/store/pass.go
+++ b/internal/store/pass.go
@@ -200,7 +200,7 @@
 	if err := p.writeTable(); err != nil {
 		return err
 	}
-	if err := p.keepGraves(man); err != nil {
+	if err := p.keepTombstones(man); err != nil {
 		return err
 	}
 	if err := p.finishOutput(); err != nil {
@@ -272,10 +272,10 @@
 	return nil
 }
 
-// keepGraves copies those deletions out of the victims that shadow something which stays.
-func (p *pass) keepGraves(man *manifest.Manifest) error {
+// keepTombstones copies those deletions out of the victims that shadow something which stays.
+func (p *pass) keepTombstones(man *manifest.Manifest) error {
 	for _, g := range man.Segments {
-		if g.Graves == 0 || !slices.Contains(p.victims, g.ID) || !plan.GraveNeeded(g.Last, p.staying) {
+		if g.Tombstones == 0 || !slices.Contains(p.victims, g.ID) || !plan.TombstoneNeeded(g.Last, p.staying) {
 			continue // what the newest deletion does not need, no older one does
 		}
 		p.reading = g.ID
@@ -286,7 +286,7 @@
 			if err != nil {
 				return &FileError{File: h.name, Offset: at, Err: err}
 			}
-			if !plan.GraveNeeded(f.Seq, p.staying) {
+			if !plan.TombstoneNeeded(f.Seq, p.staying) {
 				continue
 			}
 			if err := segment.Ops(f.Payload, func(o segment.Op) error {
@@ -298,7 +298,7 @@
 						return err // it was put again, and that word outlasts this one
 					}
 				}
-				return p.bury(o, f)
+				return p.putTombstone(o, f)
 			}); err != nil {
 				return err
 			}
--- a/internal/store/plan/plan.go
+++ b/internal/store/plan/plan.go
@@ -29,8 +29,8 @@
 	Puts   int64  `json:"puts,omitempty"`   // bytes of the keys and values put, see PutBytes
 	// Live is how many of its bytes were the newest record of their key when a pass last looked; all puts until then.
 	Live int64 `json:"live"`
-	// Graves is how many bytes its deletions take. They matter as long as an older record may be found elsewhere.
-	Graves int64 `json:"graves,omitempty"`
+	// Tombstones is how many bytes its deletions take. They matter as long as an older record may be found elsewhere.
+	Tombstones int64 `json:"graves,omitempty"`
 	// Clean: no record in it is shadowed by a deletion with a number up to this one.
 	Clean uint64 `json:"clean,omitempty"`
 }
@@ -43,7 +43,7 @@
 	if s.Puts <= 0 {
 		return 0
 	}
-	return int64(float64(s.body()-s.Graves) * min(1, float64(puts)/float64(s.Puts)))
+	return int64(float64(s.body()-s.Tombstones) * min(1, float64(puts)/float64(s.Puts)))
 }
 
 // body is what a segment holds beside its head, which is no garbage: a small segment would be rewritten forever.
@@ -57,9 +57,9 @@
 	SegmentBytes int64
 	// Garbage is the share of a segment that must be dead before it is rewritten, 0 to 1.
 	Garbage float64
-	// Graves is the share of all bytes that deletions may take before the segments that they are kept for are
+	// Tombstones is the share of all bytes that deletions may take before the segments that they are kept for are
 	// rewritten.
-	Graves float64
+	Tombstones float64
 	// PassBytes bounds what one pass copies.
 	PassBytes int64
 }
@@ -99,16 +99,16 @@
 // Victims chooses the segments that a pass rewrites or drops, the emptiest first. The pass has the index up to the
 // sequence number upTo, so only segments that end there or before can be chosen.
 func Victims(segments []Segment, upTo uint64, l Limits) []uint64 {
-	var all, graves int64
+	var all, tombstones int64
 	var sealed []Segment
 	for _, s := range segments {
 		if s.Sealed && s.Last <= upTo {
 			sealed = append(sealed, s)
 			all += s.Size
-			graves += s.Graves
+			tombstones += s.Tombstones
 		}
 	}
-	garbage := func(s Segment) float64 { return 1 - float64(s.Live+s.Graves)/float64(max(s.body(), 1)) }
+	garbage := func(s Segment) float64 { return 1 - float64(s.Live+s.Tombstones)/float64(max(s.body(), 1)) }
 	byGarbage := slices.SortedFunc(slices.Values(sealed), func(a, b Segment) int {
 		return cmp.Or(cmp.Compare(garbage(b), garbage(a)), cmp.Compare(a.ID, b.ID))
 	})
@@ -118,7 +118,7 @@
 		if slices.Contains(ids, s.ID) {
 			return true
 		}
-		cost := s.Live + s.Graves
+		cost := s.Live + s.Tombstones
 		if copied+cost > l.PassBytes && copied > 0 {
 			return false
 		}
@@ -131,12 +131,12 @@
 		}
 	}
 	// Deletions go once nothing older than they are is left uncleaned: the segments cleaned longest ago go first.
-	if float64(graves) > l.Graves*float64(all) {
+	if float64(tombstones) > l.Tombstones*float64(all) {
 		slices.SortFunc(sealed, func(a, b Segment) int {
 			return cmp.Or(cmp.Compare(a.Clean, b.Clean), cmp.Compare(a.First, b.First), cmp.Compare(a.ID, b.ID))
 		})
 		for _, s := range sealed {
-			if (s.Clean < upTo || s.Graves > 0) && !take(s) {
+			if (s.Clean < upTo || s.Tombstones > 0) && !take(s) {
 				break
 			}
 		}
@@ -158,9 +158,9 @@
 	return log
 }
 
-// GraveNeeded tells whether a deletion with that number must outlast its segment: whether one of the segments that
+// TombstoneNeeded tells whether a deletion with that number must outlast its segment: whether one of the segments that
 // stay may hold a record that it shadows, which an index made anew from the segments would find.
-func GraveNeeded(seq uint64, staying []Segment) bool {
+func TombstoneNeeded(seq uint64, staying []Segment) bool {
 	for _, s := range staying {
 		if s.First < seq && s.Clean < seq {
 			return true
--- a/internal/store/plan/plan_test.go
+++ b/internal/store/plan/plan_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 )
 
-var limits = Limits{SegmentBytes: 1 << 20, Garbage: 0.5, Graves: 0.2, PassBytes: 1 << 20}
+var limits = Limits{SegmentBytes: 1 << 20, Garbage: 0.5, Tombstones: 0.2, PassBytes: 1 << 20}
 
 func TestVictimsAreTheEmptiestAndFitIntoAPass(t *testing.T) {
 	s := []Segment{
@@ -30,19 +30,19 @@
 	old := Segment{ID: 1, First: 1, Last: 50, Sealed: true}
 	clean := Segment{ID: 2, First: 1, Last: 50, Clean: 100, Sealed: true}
 	later := Segment{ID: 3, First: 70}
-	require.True(t, GraveNeeded(60, []Segment{clean, old}))
-	require.False(t, GraveNeeded(60, []Segment{clean, later}))
-	require.True(t, GraveNeeded(101, []Segment{clean}), "cleaned before that deletion")
+	require.True(t, TombstoneNeeded(60, []Segment{clean, old}))
+	require.False(t, TombstoneNeeded(60, []Segment{clean, later}))
+	require.True(t, TombstoneNeeded(101, []Segment{clean}), "cleaned before that deletion")
 }
 
 func TestMuchOfDeletionsHasTheOldestRewritten(t *testing.T) {
 	s := []Segment{
 		{ID: 1, Sealed: true, First: 1, Last: 9, Size: 1000, Live: 936},
-		{ID: 2, Sealed: true, First: 10, Last: 19, Size: 1000, Graves: 900},
+		{ID: 2, Sealed: true, First: 10, Last: 19, Size: 1000, Tombstones: 900},
 		{ID: 3, First: 20},
 	}
 	require.Equal(t, []uint64{1, 2}, Victims(s, 19, limits))
-	s[0].Clean, s[1].Clean, s[1].Graves = 19, 19, 0
+	s[0].Clean, s[1].Clean, s[1].Tombstones = 19, 19, 0
 	s[1].Live = 936
 	require.Empty(t, Victims(s, 19, limits))
 }
--- a/internal/store/replay.go
+++ b/internal/store/replay.go
@@ -103,7 +103,7 @@
 		s.over.cut(span{string(o.Key), string(o.End)})
 	}
 	if open {
-		s.w.graves += graveBytes(len(o.Key), len(o.End))
+		s.w.tombstones += tombstoneBytes(len(o.Key), len(o.End))
 	}
 	return nil
 }
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -30,19 +30,19 @@
 	last     int             // in the last group
 	syncTook time.Duration   // on average, lately
 
-	h         *handle
-	id        uint64
-	size      atomic.Int64
-	seq       uint64      // of the last frame written
-	spares    chan *spare // the next segment, once it is ready
-	preparing bool
-	prepared  bool  // there may be zeros behind what was written
-	dirty     bool  // something written is not synced
-	graves    int64 // as in plan.Segment, of the open segment
-	puts      int64
-	begun     time.Time // of the first frame in the open segment
-	buf       []byte
-	since     atomic.Int64 // bytes of log that the index on disk, or on its way there, does not know
+	h          *handle
+	id         uint64
+	size       atomic.Int64
+	seq        uint64      // of the last frame written
+	spares     chan *spare // the next segment, once it is ready
+	preparing  bool
+	prepared   bool  // there may be zeros behind what was written
+	dirty      bool  // something written is not synced
+	tombstones int64 // as in plan.Segment, of the open segment
+	puts       int64
+	begun      time.Time // of the first frame in the open segment
+	buf        []byte
+	since      atomic.Int64 // bytes of log that the index on disk, or on its way there, does not know
 
 	syncs, commits atomic.Uint64
 }
@@ -297,14 +297,14 @@
 func (w *writer) count(b *Batch) {
 	for i := range b.ops {
 		if o := &b.ops[i]; o.end != "" || o.dead() {
-			w.graves += graveBytes(len(o.key), len(o.end))
+			w.tombstones += tombstoneBytes(len(o.key), len(o.end))
 		} else {
 			w.puts += plan.PutBytes(len(o.key), int(o.loc.Size))
 		}
 	}
 }
 
-func graveBytes(key, end int) int64 { return int64(segment.FrameSize + key + end + 4) }
+func tombstoneBytes(key, end int) int64 { return int64(segment.FrameSize + key + end + 4) }
 
 // undo takes back a write that failed, so that nothing half-written counts and the next one begins where this did.
 func (w *writer) undo(s *Store, size int64, cause error) error {
@@ -361,7 +361,7 @@
 		for i := range m.Segments {
 			if g := &m.Segments[i]; g.ID == w.id {
 				g.Sealed, g.Last, g.Size = true, w.seq, w.size.Load()
-				g.Graves, g.Puts = w.graves, w.puts
+				g.Tombstones, g.Puts = w.tombstones, w.puts
 				g.Live = g.LiveBytes(g.Puts)
 			}
 		}
@@ -387,7 +387,7 @@
 		return newVersion(v.frozen, v.base, segs, s.floors())
 	})
 	w.h.unref()
-	w.h, w.id, w.graves, w.puts, w.prepared = h, id, 0, 0, prepared
+	w.h, w.id, w.tombstones, w.puts, w.prepared = h, id, 0, 0, prepared
 	w.size.Store(segment.HeaderSize)
 	w.prepareNext(s)
 	return nil
