Refuse a document that grew too large as invalid

Cause: the operator's caller takes 'too large' for the word of a link that another process may not have, and tries elsewhere; so the log's refusal of a document over 12 MB became 503 after all tries, and the order came again and again. It depends on the configuration and is decided in the log, as what is invalid is. Ruled out: a bound on links above that of documents as a way to tell the two apart (the caller sees the kind alone).

--- a/internal/configuration/command.go
+++ b/internal/configuration/command.go
@@ -22,7 +22,7 @@
 
 // Result is what became of a Command.
 type Result struct {
-	Kind    failure.Kind // None: it is in force, now or before; else Invalid, TooLarge, Conflict, Forgotten or Unavailable
+	Kind    failure.Kind // None: it is in force, now or before; else Invalid, Conflict, Forgotten or Unavailable
 	Version uint64       // None: the order's own version; else the current one
 	Message string       // what is wrong
 }
--- a/internal/configuration/state.go
+++ b/internal/configuration/state.go
@@ -69,7 +69,7 @@
 		return s.refuse(failure.KindOf(err), err)
 	}
 	if next.size() > documentBytes {
-		return s.refusef(failure.TooLarge, "a configuration has at most %d bytes", documentBytes)
+		return s.refusef(failure.Invalid, "a configuration has at most %d bytes", documentBytes)
 	}
 	s.tail.add(s.document, next, command)
 	s.remember(command)
--- a/internal/configuration/state_test.go
+++ b/internal/configuration/state_test.go
@@ -146,9 +146,9 @@
 		}
 		before := string(state.Document().JSON())
 		refused := state.Execute(note(8, "four"))
-		Expect(refused.Kind).To(Equal(failure.TooLarge))
+		Expect(refused.Kind).To(Equal(failure.Invalid))
 		Expect(refused.Version).To(Equal(uint64(8)))
-		Expect(state.Execute(note(8, "four")).Kind).To(Equal(failure.TooLarge), "whenever it comes")
+		Expect(state.Execute(note(8, "four")).Kind).To(Equal(failure.Invalid), "whenever it comes")
 		Expect(string(state.Document().JSON())).To(Equal(before))
 		Expect(state.Execute(step(8)).Kind).To(Equal(failure.None))
 		whole, err := state.Since(0, true)
