Keep in the log which runners have said that they end

Cause: that a runner had deregistered was known to its owner alone, and a runner says it once. A new owner took the runner, which serves on for seconds and goes on with its heartbeats, for one like the others and gave it work; and a word that came to an owner which had not heard of the runner yet was acknowledged and forgotten. Ruled out: having agents repeat it (they keep nothing that lasts, and may end as well); waiting for the next heartbeat before the acknowledgement (it says nothing of it). Change: a command carries departures, the shard keeps them with its record of the runner, an acknowledgement leaves once that is committed.

--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -52,7 +52,7 @@
 
 func (c *Control) deregister(_ string, request *protocol.DeregisterRequest, reply func(*protocol.DeregisterResponse, error)) {
 	c.on(request.Shard, func(s *jobShard, now time.Duration) {
-		s.owner.Deregister(now, request.Instance, func(err error) { reply(&protocol.DeregisterResponse{}, err) })
+		s.owner.Deregister(request.Instance, func(err error) { reply(&protocol.DeregisterResponse{}, err) })
 	}, func(err error) { reply(nil, err) })
 }
 
--- a/internal/jobs/apply.go
+++ b/internal/jobs/apply.go
@@ -36,6 +36,9 @@
 	for i := range c.Places {
 		s.runners.hear(c.Places[i].Runner, s.ageMs).place = strings.Clone(c.Places[i].Address)
 	}
+	for _, runner := range c.Departures {
+		s.runners.hear(runner, s.ageMs).departed = true
+	}
 	s.startAll(c.Starts)
 	s.forget()
 	s.effects = nil
--- a/internal/jobs/codec.go
+++ b/internal/jobs/codec.go
@@ -6,8 +6,11 @@
 	"ospreypond/internal/protocol"
 )
 
-// commandVersion is the first byte of an encoded command.
-const commandVersion = 3
+// The first byte of an encoded command is the version of its form.
+const (
+	commandVersion    = 4
+	withoutDepartures = 3 // as earlier programs wrote it
+)
 
 // endNames are the ways a run ends that have a number of their own, counted from 1; any other is written out.
 var endNames = [...]string{
@@ -55,13 +58,14 @@
 		w.text(c.Places[i].Runner)
 		w.text(c.Places[i].Address)
 	}
+	w.texts(c.Departures)
 	return w.data, nil
 }
 
 // sizeHint guesses the size of the encoded command, so that its bytes seldom have to be moved.
 func sizeHint(c *Command) int {
 	const head, item, perSubmit, perStep = 32, 64, 128, 48
-	size := head + item*(len(c.Cancels)+len(c.Fences)+len(c.Ends)+len(c.Losses)+len(c.Starts)+len(c.Places))
+	size := head + item*(len(c.Cancels)+len(c.Fences)+len(c.Ends)+len(c.Losses)+len(c.Starts)+len(c.Places)+len(c.Departures))
 	for i := range c.Submits {
 		size += perSubmit + len(c.Submits[i].Job.Spec) + perStep*len(c.Submits[i].Job.Steps)
 	}
@@ -71,7 +75,8 @@
 // Decode reads an entry of the shard's log. The texts of the command share memory: what is kept must be copied.
 func Decode(data []byte) (*Command, error) {
 	r := newReader(data)
-	if version := r.byte(); version != commandVersion {
+	version := r.byte()
+	if version != commandVersion && version != withoutDepartures {
 		return nil, errors.Errorf("command of version %d, %d is known", version, commandVersion)
 	}
 	last := &column{}
@@ -102,6 +107,9 @@
 		c.Places[i].Runner = r.text()
 		c.Places[i].Address = r.text()
 	}
+	if version != withoutDepartures {
+		c.Departures = r.texts()
+	}
 	if err := r.done(); err != nil {
 		return nil, errors.Wrap(err, "command")
 	}
--- a/internal/jobs/codec_test.go
+++ b/internal/jobs/codec_test.go
@@ -1,6 +1,7 @@
 package jobs_test
 
 import (
+	"encoding/hex"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -38,6 +39,9 @@
 		},
 		Losses: []jobs.Loss{{Runner: "r2", Task: id(jobB, 0), Run: 3, Saved: "x"}, {Runner: "", Task: jobs.TaskID{}}},
 		Starts: []jobs.Start{{Task: id(jobC, 0), Run: 1, Runner: "r2"}, {Task: id(jobC, 1), Run: 1, Runner: "r3"}},
+		Places: []jobs.Place{{Runner: "r2", Address: "10.0.0.2:8080"}, {Runner: "r3"}},
+
+		Departures: []string{"r2", "r1"},
 	}
 }
 
@@ -61,6 +65,16 @@
 		Entry("one start", &jobs.Command{Starts: []jobs.Start{{Task: id(jobA, 0), Run: 1, Runner: "r1"}}}),
 	)
 
+	It("are read as earlier programs wrote them, without departures", func() {
+		c := fullCommand()
+		c.Departures = nil
+		data := encode(c)
+		data[0] = 3
+		got, err := jobs.Decode(data[:len(data)-1]) // their number was not there
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(c))
+	})
+
 	It("with each way a run ends", func() {
 		for _, how := range []string{
 			protocol.EndDone, protocol.EndFailed, protocol.EndStopped, protocol.EndLapsed,
@@ -122,6 +136,7 @@
 	s.cancel(jobC)
 	s.submit("0000000000000eee", 2, step(1))
 	s.cancel("0000000000000eee")
+	s.do(&jobs.Command{Departures: []string{"r2", "never heard of"}})
 	return s
 }
 
@@ -143,6 +158,26 @@
 		}
 		Expect(restored.Pending("host/path/")).To(Equal(2))
 		Expect(restored.Counters().Lingering).To(Equal(1))
+		for runner, departed := range map[string]bool{"r1": false, "r2": true, "r3": false, "never heard of": true, "other": false} {
+			Expect(restored.Departed(runner)).To(Equal(departed), runner)
+		}
+	})
+
+	It("are read as earlier programs wrote them, without departures", func() {
+		const written = "0380a0abfef962904e04010000000200020272320000904e000272310001904e000110303030303030303030303030303061" +
+			"610a686f73742f706174682f07736572766963650204000000000000f83f000180a0abfef962001874657874206f66203030" +
+			"303030303030303030303030616100020004e80780010000000000208c40800102e80780010000000000208c400100010002" +
+			"0000000000000103010000000602010000000203723200000000000000000000"
+		data, err := hex.DecodeString(written)
+		Expect(err).NotTo(HaveOccurred())
+		restored := jobs.New(jobs.Options{})
+		Expect(restored.Restore(data)).To(Succeed())
+		s := newShard()
+		s.submit(jobA, 2, step(2), step(1, after(0)))
+		s.startOn(1, "r1", id(jobA, 0), "r2", id(jobA, 1))
+		s.end("r1", id(jobA, 0), 1, protocol.EndDone, "")
+		Expect(view(restored)).To(Equal(view(s.State)))
+		Expect(restored.Digest()).To(Equal(s.Digest()))
 	})
 
 	It("replace all that was there", func() {
--- a/internal/jobs/model_draw_test.go
+++ b/internal/jobs/model_draw_test.go
@@ -54,6 +54,7 @@
 		})
 	case 2:
 		c.Cancels = append(c.Cancels, drawID(t))
+		c.Departures = rapid.SliceOfN(rapid.SampledFrom(modelRunners), 0, 1).Draw(t, "departures")
 	case 3:
 		c.Fences = append(c.Fences, jobs.Fence{ID: drawID(t), Version: drawVersion(t)})
 	case 4, 5, 6, 7:
--- a/internal/jobs/restore.go
+++ b/internal/jobs/restore.go
@@ -11,14 +11,15 @@
 // own returns a text that doesn't share the snapshot's memory.
 func (r *reader) own() string { return strings.Clone(r.text()) }
 
-func (r *reader) state(s *State) error {
+// state reads what a snapshot holds; departures tells whether it says which runners have departed.
+func (r *reader) state(s *State, departures bool) error {
 	s.clockMs = r.signed()
 	s.ageMs = r.signed()
 	s.sequence = r.unsigned()
 	for _, total := range s.counters.totals() {
 		*total = r.unsigned()
 	}
-	r.runners(s)
+	r.runners(s, departures)
 	if err := r.jobs(s); err != nil {
 		return err
 	}
@@ -54,12 +55,15 @@
 	}
 }
 
-func (r *reader) runners(s *State) {
+func (r *reader) runners(s *State, departures bool) {
 	for range r.count() {
 		record := s.runners.hear(r.own(), 0)
 		record.place = r.own()
 		record.lastSeen = r.unsigned()
 		record.heardMs = r.signed()
+		if departures {
+			record.departed = r.byte() != 0
+		}
 		record.lingering = r.lingering()
 		s.counters.Lingering += len(record.lingering)
 	}
--- a/internal/jobs/runners.go
+++ b/internal/jobs/runners.go
@@ -13,6 +13,7 @@
 	heardMs   int64 // shard's age when a command last named it
 	running   taskList
 	lingering []Lingering
+	departed  bool // it has said that it ends
 
 	earlier, later *runnerRecord // neighbours by heardMs
 }
@@ -145,6 +146,12 @@
 	return ""
 }
 
+// Departed tells whether a runner has said that it ends.
+func (s *State) Departed(runner string) bool {
+	record := s.runners.records[runner]
+	return record != nil && record.departed
+}
+
 // LastSeen returns the N up to which the ends of a runner are noted for good.
 func (s *State) LastSeen(runner string) uint64 {
 	if record := s.runners.records[runner]; record != nil {
--- a/internal/jobs/snapshot.go
+++ b/internal/jobs/snapshot.go
@@ -9,8 +9,11 @@
 	"ospreypond/internal/protocol"
 )
 
-// snapshotVersion is the first byte of a snapshot.
-const snapshotVersion = 3
+// The first byte of a snapshot is the version of its form.
+const (
+	snapshotVersion           = 4
+	snapshotWithoutDepartures = 3 // as earlier programs wrote it
+)
 
 // stateNames are the states of a job by the number that a snapshot has for them.
 var stateNames = [...]string{
@@ -75,6 +78,7 @@
 		w.text(record.place)
 		w.unsigned(record.lastSeen)
 		w.signed(record.heardMs)
+		w.flag(record.departed)
 		w.lingering(record.lingering)
 	}
 }
@@ -129,11 +133,7 @@
 	w.text(group.Saved)
 	w.unsigned(group.failedRun)
 	w.unsigned(group.savedByEnd)
-	released := byte(0)
-	if group.released {
-		released = 1
-	}
-	w.byte(released)
+	w.flag(group.released)
 	for _, task := range group.Tasks {
 		w.taskState(task, last)
 	}
@@ -158,12 +158,13 @@
 // Restore replaces the whole state by that of a snapshot. If it fails, the state is as before.
 func (s *State) Restore(data []byte) error {
 	r := newReader(data)
-	if version := r.byte(); version != snapshotVersion {
+	version := r.byte()
+	if version != snapshotVersion && version != snapshotWithoutDepartures {
 		return errors.Errorf("snapshot of version %d, %d is known", version, snapshotVersion)
 	}
 	fresh := &State{statusMs: s.statusMs, forgetMs: s.forgetMs, runnerMs: s.runnerMs}
 	fresh.clear()
-	if err := r.state(fresh); err != nil {
+	if err := r.state(fresh, version != snapshotWithoutDepartures); err != nil {
 		return errors.Wrap(err, "snapshot")
 	}
 	*s = *fresh
--- a/internal/jobs/types.go
+++ b/internal/jobs/types.go
@@ -23,6 +23,8 @@
 	Losses      []Loss
 	Starts      []Start
 	Places      []Place // applied before the starts
+	// Departures are the runners that have said that they end. Nothing is started there any more, whoever owns the shard.
+	Departures []string
 }
 
 // Submit hands a job in.
--- a/internal/jobs/wire.go
+++ b/internal/jobs/wire.go
@@ -18,6 +18,14 @@
 func (w *writer) signed(value int64)    { w.data = binary.AppendVarint(w.data, value) }
 func (w *writer) count(value int)       { w.unsigned(uint64(value)) }
 
+func (w *writer) flag(set bool) {
+	if set {
+		w.byte(1)
+		return
+	}
+	w.byte(0)
+}
+
 func (w *writer) float(value float64) {
 	w.data = binary.LittleEndian.AppendUint64(w.data, math.Float64bits(value))
 }
--- a/internal/scheduler/clients.go
+++ b/internal/scheduler/clients.go
@@ -13,6 +13,8 @@
 	submits []func(known bool, err error)
 	cancels []func(err error)
 	fences  []func(hasJob bool, err error)
+	// departures are of runners that have said that they end
+	departures []func(err error)
 }
 
 func (w *waitingReplies) succeed(effects *jobs.Effects) {
@@ -29,6 +31,9 @@
 	for i, reply := range w.fences {
 		reply(effects.Fences[i], nil)
 	}
+	for _, reply := range w.departures {
+		reply(nil)
+	}
 }
 
 func replySubmit(reply func(bool, error), effect jobs.SubmitEffect) {
@@ -54,6 +59,9 @@
 	for _, reply := range w.fences {
 		reply(false, err)
 	}
+	for _, reply := range w.departures {
+		reply(err)
+	}
 }
 
 var (
--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -28,7 +28,7 @@
 
 func (o *Owner) hasNext() bool {
 	c := &o.next
-	return len(c.Submits)+len(c.Cancels)+len(c.Fences)+len(c.Ends)+len(c.Losses)+len(c.Starts) > 0 || c.TimeOfDayMs > 0
+	return len(c.Submits)+len(c.Cancels)+len(c.Fences)+len(c.Ends)+len(c.Losses)+len(c.Starts)+len(c.Departures) > 0 || c.TimeOfDayMs > 0
 }
 
 // addPlaces tells the shard where the runners stand to which something is to be started for the first time.
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -71,17 +71,17 @@
 	}
 }
 
-// Deregister takes a runner's word that it ends. It is acknowledged once leadership was confirmed after it came: a
-// successor would go on giving the runner work. What runs there may go on until the runner's hold is over, since some
+// Deregister takes a runner's word that it ends. It is acknowledged once it is committed: a runner does not say it again,
+// and a successor would go on giving it work. What runs there may go on until the runner's hold is over, since some
 // runners serve on for seconds, and an acknowledgement may be lost; a hold is not given any more.
-func (o *Owner) Deregister(now time.Duration, instance string, reply func(err error)) {
+func (o *Owner) Deregister(instance string, reply func(err error)) {
 	if !o.leading {
 		reply(errNotLeader)
 		return
 	}
 	if r := o.runners[instance]; r != nil {
-		r.ended = true
-		r.draining = true
+		r.depart()
 	}
-	o.readLater(now, reply)
+	o.next.Departures = append(o.next.Departures, instance)
+	o.waiting.departures = append(o.waiting.departures, reply)
 }
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -71,13 +71,23 @@
 }
 
 func (o *Owner) newRunner(instance string, now time.Duration) *runner {
-	return &runner{
+	r := &runner{
 		instance: instance,
 		holdEnd:  now + o.longestHold(),
 		listed:   map[runKey]*listing{},
 		ordered:  map[runKey]time.Duration{},
 		stops:    map[runKey]time.Duration{},
 	}
+	if o.state.Departed(instance) {
+		r.depart()
+	}
+	return r
+}
+
+// depart notes that the runner has said that it ends: it gets no work and no hold any more.
+func (r *runner) depart() {
+	r.ended = true
+	r.draining = true
 }
 
 // longestHold is the longest real time that a hold granted now may last, on the slowest clock.
