Move no leadership for spread while its owner waits for a hold

Cause: an owner that waits until the hold of a runner that is gone is over loses that wait with its leadership: the next owner waits for the longest hold from its own beginning. Leaderships were moved to their preferred members at whatever moment, so that what a runner left behind could stand still for twice the longest hold. Ruled out: the wait itself, which a successor cannot do without; a lack of room. Change: replica.LeadershipKeeper lets a state machine keep its leadership from such a move; a shard of jobs does while a silent or ending runner may still run something. Processes that end or have a sick disk give away as before. Seen to fail: the new test of the engine without the question to the state machine.

--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -30,6 +30,7 @@
 
 var _ replica.StateMachine = (*jobShard)(nil)
 var _ replica.LeadershipObserver = (*jobShard)(nil)
+var _ replica.LeadershipKeeper = (*jobShard)(nil)
 
 func newJobShard(id protocol.ShardID, options scheduler.Options, jobOptions jobs.Options, clock timeOfDay, logger log.Logger) *jobShard {
 	state := jobs.New(jobOptions)
@@ -76,6 +77,9 @@
 	s.owner.Follow()
 }
 
+// KeepsLeadership tells whether a successor would take longer to start again what was lost with a runner.
+func (s *jobShard) KeepsLeadership() bool { return s.owner.AwaitsHold(s.engine.Now()) }
+
 // pump proposes what the owner wants, and lets replies go that are due.
 func (s *jobShard) pump() {
 	now := s.engine.Now()
--- a/internal/replica/engine_test.go
+++ b/internal/replica/engine_test.go
@@ -43,6 +43,33 @@
 		}
 	})
 
+	It("moves no leadership for spread while its state machine keeps it, but gives it away at the end", func() {
+		c := newCluster(2, 5)
+		c.startFirst(3)
+		c.awaitLeaders()
+		first := c.leader(0)
+		leads := func(m *machine) func() bool {
+			return func() bool { return m.leads() == c.groups }
+		}
+		for id := range GroupID(c.groups) {
+			if led := c.leader(id); led != first {
+				Expect(led.engine.byID[id].node.Transfer(led.engine.now, first.engine.self.ID)).To(Succeed())
+				led.wake()
+			}
+		}
+		Expect(c.until(5*time.Second, leads(first))).To(BeTrue(), "one leads all")
+		for _, l := range first.ledgers {
+			l.keeps = true
+		}
+		c.run(30 * time.Second)
+		Expect(first.leads()).To(Equal(c.groups))
+		first.ledgers[0].keeps, first.ledgers[1].keeps = false, false
+		Expect(c.until(30*time.Second, func() bool { return !leads(first)() })).To(BeTrue(), "one is kept no more")
+		first.engine.Do(func() { first.engine.Resign(func() {}) })
+		first.wake()
+		Expect(c.until(5*time.Second, func() bool { return first.leads() == 0 })).To(BeTrue(), "none is kept at the end")
+	})
+
 	It("forms a group of a single member", func() {
 		c := newCluster(1, 2)
 		c.startFirst(1)
--- a/internal/replica/machine_test.go
+++ b/internal/replica/machine_test.go
@@ -24,8 +24,11 @@
 	began    int
 	ended    int
 	restored int
+	keeps    bool // its leadership
 }
 
+func (l *ledger) KeepsLeadership() bool { return l.keeps }
+
 func (l *ledger) Apply(index, term uint64, data []byte) any {
 	Expect(index).To(BeNumerically(">", l.Last), "entries are applied in order")
 	l.Last = index
--- a/internal/replica/shifts.go
+++ b/internal/replica/shifts.go
@@ -156,12 +156,17 @@
 	behind, heardAt, known := g.node.Lagging(preferred)
 	ready := known && behind <= leadableLag && g.mayTake(preferred, heardAt)
 	steady := e.peers.steady(preferred, e.now) >= steadyEnough
-	if preferred == e.self.ID || !ready || !steady {
+	if preferred == e.self.ID || !ready || !steady || g.keepsLeadership() {
 		return consensus.None
 	}
 	return preferred
 }
 
+func (g *group) keepsLeadership() bool {
+	keeper, ok := g.machine.(LeadershipKeeper)
+	return ok && keeper.KeepsLeadership()
+}
+
 func sortedVoters(members []consensus.Member) []consensus.MemberID {
 	var voters []consensus.MemberID
 	for _, member := range members {
--- a/internal/scheduler/ending_test.go
+++ b/internal/scheduler/ending_test.go
@@ -54,6 +54,14 @@
 		Entry("after that", hold*104/100, 1),
 	)
 
+	It("has its owner keep the leadership until its hold is over: a successor would wait anew", func() {
+		Expect(w.owner.AwaitsHold(w.now)).To(BeTrue())
+		w.pass(hold)
+		Expect(w.owner.AwaitsHold(w.now)).To(BeTrue())
+		w.pass(hold / 10)
+		Expect(w.owner.AwaitsHold(w.now)).To(BeFalse())
+	})
+
 	It("is given no hold and no work any more, even long after its hold", func() {
 		beatAll(4*hold, func(got *protocol.Orders) {
 			Expect(got.HoldMs).To(BeZero())
@@ -62,6 +70,25 @@
 	})
 })
 
+var _ = Describe("A runner that falls silent", func() {
+	It("has its owner keep the leadership while it may still run something", func() {
+		w := newWorld()
+		_, err := w.beat(beatOf("i2", 1))
+		Expect(err).NotTo(HaveOccurred())
+		w.pass(time.Second)
+		Expect(w.owner.AwaitsHold(w.now)).To(BeFalse(), "a silent one that runs nothing is not waited for")
+		w.submit(id, small())
+		orders, err := w.beat(beatOf("i1", 1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(orders.Start).To(HaveLen(1))
+		Expect(w.owner.AwaitsHold(w.now)).To(BeFalse(), "it is heard")
+		w.pass(time.Second)
+		Expect(w.owner.AwaitsHold(w.now)).To(BeTrue())
+		w.pass(hold)
+		Expect(w.owner.AwaitsHold(w.now)).To(BeFalse(), "what it ran is lost")
+	})
+})
+
 var _ = Describe("An owner that has just been elected", func() {
 	It("answers no heartbeat before leadership was confirmed, however lately it was elected", func() {
 		w := newWorld()
--- a/internal/scheduler/losses.go
+++ b/internal/scheduler/losses.go
@@ -101,6 +101,18 @@
 	}
 }
 
+// AwaitsHold tells whether something was running on a runner that is silent or ends, and may still do so because its hold
+// is not over. A successor would wait anew, for the longest hold.
+func (o *Owner) AwaitsHold(now time.Duration) bool {
+	for instance, r := range o.runners {
+		gone := r.ended || !r.reported || now-r.heardAt > usableSilence
+		if gone && now < r.holdEnd && (len(o.state.RunsOn(instance)) > 0 || len(o.state.LingeringOn(instance)) > 0) {
+			return true
+		}
+	}
+	return false
+}
+
 // forgetSilent is how long a silent runner is kept after its hold, so that one which has said that it ends and still
 // sends heartbeats is not taken for a new one.
 const forgetSilent = 30 * time.Second
--- a/internal/simulation/cluster/observer.go
+++ b/internal/simulation/cluster/observer.go
@@ -79,6 +79,12 @@
 	return nil
 }
 
+// KeepsLeadership tells whether the state machine wants to keep its leadership.
+func (o *observer) KeepsLeadership() bool {
+	keeper, ok := o.StateMachine.(replica.LeadershipKeeper)
+	return ok && keeper.KeepsLeadership()
+}
+
 // Digest tells in short what the state holds.
 func (o *observer) Digest() uint64 { return o.StateMachine.(replica.Digester).Digest() }
 
