Go on asking an owner whose answer nobody waited for

Cause: a call whose caller gave it up (a client that left, a heartbeat that a newer one overtook) ended as one without an answer, and the owner it had asked was taken for lost: forgotten for its shard and passed over as the place to start from. The next call asked another process first, and was sent back. A slow owner's clients that leave early, or an agent that wakes to several heartbeats at once, so cost a detour for each. For two heartbeats at once it hung on the scheduler's luck which process the newer one asked.

Now such a call only has the watch ask for news. One whose time was over, or an attempt's, casts doubt as before. Ruled out: asking for nothing at all (the owner may well be gone, and the watch finds out).

--- a/internal/directory/call.go
+++ b/internal/directory/call.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
 )
@@ -31,6 +33,10 @@
 			d.noteOwner(shard, target)
 			return response, nil
 		}
+		if wasGivenUp(ctx) {
+			d.Refresh()
+			return nil, state.end(next.err)
+		}
 		d.note(shard, target, next)
 		if next.done {
 			return nil, next.err
@@ -95,6 +101,13 @@
 	}
 }
 
+// wasGivenUp tells whether who asks has left before the time was over: of the process that was asked this says nothing,
+// so that others go on asking it.
+func wasGivenUp(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) &&
+		!errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
 func isOver(ctx context.Context) bool {
 	select {
 	case <-ctx.Done():
--- a/internal/directory/call_test.go
+++ b/internal/directory/call_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -100,6 +101,34 @@
 			attempt{"b", notLeader("")}, attempt{"c", ofKind(failure.Unavailable)}),
 	)
 
+	It("says nothing of an owner whose answer it does not wait for", func() {
+		s := newScripted()
+		d := newDirectory(s, nil)
+		d.noteOwner(shard, "x")
+		ctx, leave := context.WithCancel(context.Background())
+		ended := start(ctx, d, false)
+		s.next()
+		leave()
+		Expect(failure.KindOf(passUntil(s, ended))).To(Equal(failure.UnknownOutcome))
+		Expect(d.Owner(shard)).To(Equal("x"))
+		Expect(d.first(protocol.ConfigurationShard)).To(Equal("a"))
+	})
+
+	It("forgets an owner that is silent until its time is over", func() {
+		s := newScripted()
+		d := newDirectory(s, nil)
+		d.noteOwner(shard, "x")
+		ctx, cancel := clockwork.WithTimeout(context.Background(), s.clock, leastPause)
+		defer cancel()
+		given, leave := context.WithCancel(ctx)
+		defer leave()
+		ended := start(given, d, false)
+		s.next()
+		s.clock.Advance(leastPause)
+		Expect(failure.KindOf(passUntil(s, ended))).To(Equal(failure.UnknownOutcome))
+		Expect(d.Owner(shard)).To(BeEmpty())
+	})
+
 	It("that comes too late asks nobody", func() {
 		s := newScripted()
 		ctx, cancel := context.WithCancel(context.Background())
