Let timers of a simulated process fire in one order

Effects of a shell's goroutines were ordered by the request that they belong to, but timers did not know theirs, so that those of two goroutines that were woken at once were begun, and fired, by the luck of the scheduler.

A clock can now be asked for that of a context's work (deadline.In): nothing for the real clock and clockwork's fakes, the request's number for the simulation's.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"ospreypond/internal/deadline"
 	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
 )
@@ -29,7 +30,7 @@
 func (s *Service) attemptOnce(ctx context.Context, shard protocol.ShardID, call func(context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := s.watch(shard, cancel)
+	watch := s.watch(ctx, shard, cancel)
 	defer watch.stop()
 	return call(ctx)
 }
@@ -45,13 +46,13 @@
 
 // pause waits between two attempts and reports whether there is time for another.
 func (s *Service) pause(ctx context.Context) bool {
-	if deadline, ok := ctx.Deadline(); ok && s.clock.Until(deadline) < attemptPause+shortestAttempt {
+	if until, ok := ctx.Deadline(); ok && s.clock.Until(until) < attemptPause+shortestAttempt {
 		return false
 	}
 	select {
 	case <-ctx.Done():
 		return false
-	case <-s.clock.After(attemptPause):
+	case <-deadline.In(ctx, s.clock).After(attemptPause):
 		return true
 	}
 }
@@ -59,6 +60,7 @@
 // watch looks for a successor of the owner that an attempt asks. It costs a timer, and no more while owners answer.
 type watch struct {
 	service *Service
+	clock   clockwork.Clock
 	shard   protocol.ShardID
 	asked   string // owner as known when the attempt began
 	found   func()
@@ -69,11 +71,11 @@
 }
 
 // watch calls found once a successor is known, not before patience is over.
-func (s *Service) watch(shard protocol.ShardID, found func()) *watch {
-	w := &watch{service: s, shard: shard, asked: s.owners.Owner(shard), found: found}
+func (s *Service) watch(ctx context.Context, shard protocol.ShardID, found func()) *watch {
+	w := &watch{service: s, clock: deadline.In(ctx, s.clock), shard: shard, asked: s.owners.Owner(shard), found: found}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.timer = s.clock.AfterFunc(patience, w.first)
+	w.timer = w.clock.AfterFunc(patience, w.first)
 	return w
 }
 
@@ -93,7 +95,7 @@
 		w.found()
 		return
 	}
-	w.timer = w.service.clock.AfterFunc(successorPoll, w.look)
+	w.timer = w.clock.AfterFunc(successorPoll, w.look)
 }
 
 func (w *watch) stop() {
--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -15,6 +15,17 @@
 	// WithDeadline returns a context that ends with its parent, by its cancel function, or once the clock has reached
 	// that time.
 	WithDeadline(parent context.Context, at time.Time) (context.Context, context.CancelFunc)
+	// In returns the clock for timers of the work that ctx belongs to.
+	In(ctx context.Context) clockwork.Clock
+}
+
+// In returns the clock for timers of the work that ctx belongs to: a clock that carries out what is due at one moment in
+// an order of its own has to know.
+func In(ctx context.Context, clock clockwork.Clock) clockwork.Clock {
+	if own, ok := clock.(Clock); ok {
+		return own.In(ctx)
+	}
+	return clock
 }
 
 // WithDeadline returns a context that ends with its parent, by its cancel function, or once the clock has reached that
--- a/internal/deadline/deadline_test.go
+++ b/internal/deadline/deadline_test.go
@@ -23,6 +23,19 @@
 	return context.WithCancel(parent)
 }
 
+func (a *asked) In(ctx context.Context) clockwork.Clock {
+	return clockwork.FromContext(ctx)
+}
+
+func TestAClockMayTellWorkApart(t *testing.T) {
+	g := NewWithT(t)
+	other := clockwork.NewFakeClock()
+	ctx := clockwork.AddToContext(context.Background(), other)
+	g.Expect(deadline.In(ctx, &asked{})).To(BeIdenticalTo(other))
+	usual := clockwork.NewRealClock()
+	g.Expect(deadline.In(ctx, usual)).To(BeIdenticalTo(usual))
+}
+
 func TestAClockThatMakesContextsMakesThem(t *testing.T) {
 	g := NewWithT(t)
 	clock := &asked{FakeClock: clockwork.NewFakeClock()}
--- a/internal/directory/call.go
+++ b/internal/directory/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"ospreypond/internal/deadline"
 	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
 )
@@ -89,7 +90,7 @@
 
 // wait waits for a time and tells whether owners changed meanwhile, which ends it early.
 func (d *Directory) wait(ctx context.Context, pause time.Duration, changed <-chan struct{}) bool {
-	timer := d.options.Clock.NewTimer(pause)
+	timer := deadline.In(ctx, d.options.Clock).NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-timer.Chan():
--- a/internal/frontend/find.go
+++ b/internal/frontend/find.go
@@ -80,7 +80,7 @@
 	s.Directory.Refresh()
 	ctx, cancel := deadline.WithTimeout(ctx, s.Clock, confirmWait)
 	defer cancel()
-	ticker := s.Clock.NewTicker(confirmPoll)
+	ticker := deadline.In(ctx, s.Clock).NewTicker(confirmPoll)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/simulation/cluster/agent.go
+++ b/internal/simulation/cluster/agent.go
@@ -23,7 +23,7 @@
 		Client:    caller{s},
 		Addresses: c.seedAddresses(),
 		Node:      m.Name,
-		Clock:     shellClock{s},
+		Clock:     shellClock{shell: s},
 	})}
 	s.run(a.relay.Run)
 	return a
--- a/internal/simulation/cluster/control.go
+++ b/internal/simulation/cluster/control.go
@@ -74,7 +74,7 @@
 		Bounds:     bootBounds(c.deployment.Ledger.Bounds),
 		Sender:     p,
 		Remote:     caller{p.shell},
-		Clock:      shellClock{p.shell},
+		Clock:      shellClock{shell: p.shell},
 		Logger:     c.logger(m),
 		Seed:       c.world.Random.Uint64(),
 		Open:       p.openEngine,
--- a/internal/simulation/cluster/frontend.go
+++ b/internal/simulation/cluster/frontend.go
@@ -27,7 +27,7 @@
 		Addresses: c.seedAddresses(),
 		Node:      m.Name,
 		Bounds:    frontend.Bounds{ConfigApply: bounds.ConfigApply, MaxSkew: bounds.MaxSkew},
-		Clock:     shellClock{s},
+		Clock:     shellClock{shell: s},
 	})}
 	s.run(f.relay.Run)
 	return f
--- a/internal/simulation/cluster/shell.go
+++ b/internal/simulation/cluster/shell.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"cmp"
 	"context"
-	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -38,11 +37,8 @@
 	do      func()
 }
 
-// Requests that effects belong to where no caller's request is known.
-const (
-	ofProcess uint64 = 0              // the process's own
-	ofTimers  uint64 = math.MaxUint64 // timers, which don't know whose they are
-)
+// ofProcess is the request that effects of the process itself belong to.
+const ofProcess uint64 = 0
 
 // newShell begins a life of a machine's process. What goes on of an earlier one ends without effect.
 func (c *Cluster) newShell(m *simulation.Machine) *shell {
--- a/internal/simulation/cluster/shell_caller.go
+++ b/internal/simulation/cluster/shell_caller.go
@@ -31,7 +31,7 @@
 	ended := make(chan outcome, 1)
 	wait := callTime
 	if at, ok := ctx.Deadline(); ok {
-		wait = max(shellClock{s}.Until(at), time.Millisecond)
+		wait = max(shellClock{shell: s}.Until(at), time.Millisecond)
 	}
 	s.want(requestOf(ctx), func() {
 		s.cluster.call(s.machine, address, request, wait, func(response any, err error) {
--- a/internal/simulation/cluster/shell_clock.go
+++ b/internal/simulation/cluster/shell_clock.go
@@ -9,7 +9,15 @@
 
 // shellClock is the steady clock of a shell's machine. Its timers fire in the life of the process only, and not while
 // the machine stands still. It implements deadline.Clock.
-type shellClock struct{ shell *shell }
+type shellClock struct {
+	shell   *shell
+	request uint64 // that its timers belong to
+}
+
+// In returns the clock for the timers of a context's request.
+func (c shellClock) In(ctx context.Context) clockwork.Clock {
+	return shellClock{c.shell, requestOf(ctx)}
+}
 
 // Now returns the time of day at the start of the process and the steady time since then.
 func (c shellClock) Now() time.Time { return c.shell.began.Add(c.shell.machine.Steady()) }
@@ -58,8 +66,7 @@
 		return context.WithCancel(parent)
 	}
 	inner, cancel := context.WithCancelCause(parent)
-	t := c.newTimer(func() { cancel(context.DeadlineExceeded) })
-	t.request = requestOf(parent)
+	t := shellClock{c.shell, requestOf(parent)}.newTimer(func() { cancel(context.DeadlineExceeded) })
 	t.Reset(c.Until(at))
 	return &deadlineContext{inner, at}, func() {
 		t.Stop()
@@ -95,7 +102,7 @@
 }
 
 func (c shellClock) newTimer(fired func()) *timer {
-	return &timer{shell: c.shell, request: ofTimers, channel: make(chan time.Time, 1), fired: fired}
+	return &timer{shell: c.shell, request: c.request, channel: make(chan time.Time, 1), fired: fired}
 }
 
 // Chan returns the channel on which the time comes.
@@ -139,7 +146,7 @@
 // tell brings the time, unless the last one has not been taken yet.
 func (t *timer) tell() {
 	select {
-	case t.channel <- shellClock{t.shell}.Now():
+	case t.channel <- shellClock{shell: t.shell}.Now():
 	default:
 	}
 }
--- a/internal/simulation/cluster/shell_test.go
+++ b/internal/simulation/cluster/shell_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"ospreypond/internal/deadline"
 	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
 	"ospreypond/internal/simulation"
@@ -36,7 +37,7 @@
 	})
 }
 
-func (b *shellBed) clock() shellClock { return shellClock{b.shell} }
+func (b *shellBed) clock() shellClock { return shellClock{shell: b.shell} }
 
 func TestTimersFireByTheWorldsTime(t *testing.T) {
 	inBubble(t, func(b *shellBed) {
@@ -80,7 +81,7 @@
 		ended := make(chan error, 2)
 		earlier := b.shell
 		earlier.run(func(ctx context.Context) {
-			shellClock{earlier}.AfterFunc(2*time.Second, func() { effects++ })
+			shellClock{shell: earlier}.AfterFunc(2*time.Second, func() { effects++ })
 			err := caller{earlier}.Do(ctx, "core-0", &protocol.StatusRequest{Shard: 1}, &protocol.StatusResponse{})
 			earlier.want(ofProcess, func() { effects++ })
 			ended <- err
@@ -162,3 +163,27 @@
 		b.Expect(kinds).To(Equal(map[string]failure.Kind{"core-0": failure.Unavailable, "elsewhere": failure.Unavailable}))
 	})
 }
+
+func TestTimersOfRequestsFireInTheOrderInWhichTheRequestsCame(t *testing.T) {
+	inBubble(t, func(b *shellBed) {
+		const requests = 20
+		var order []int
+		open := make(chan struct{})
+		for number := range requests {
+			handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				<-open
+				bounded, cancel := deadline.WithTimeout(r.Context(), b.clock(), time.Second)
+				defer cancel()
+				<-deadline.In(bounded, b.clock()).After(100 * time.Millisecond)
+				<-bounded.Done()
+			})
+			b.shell.serve(handler, &http.Request{}, func(*answer) { order = append(order, number) })
+		}
+		b.shell.enter(func() { close(open) })
+		b.world.Run(2 * time.Second)
+		b.Expect(order).To(HaveLen(requests))
+		for number := range requests {
+			b.Expect(order[number]).To(Equal(number))
+		}
+	})
+}
