--- a/internal/directory/call.go
+++ b/internal/directory/call.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"ospreypond/internal/deadline"
 	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
 )
@@ -31,6 +34,10 @@
 			d.noteOwner(shard, target)
 			return response, nil
 		}
+		if wasGivenUp(ctx) {
+			d.Refresh()
+			return nil, state.end(next.err)
+		}
 		d.note(shard, target, next)
 		if next.done {
 			return nil, next.err
@@ -83,7 +90,7 @@
 
 // wait waits for a time and tells whether owners changed meanwhile, which ends it early.
 func (d *Directory) wait(ctx context.Context, pause time.Duration, changed <-chan struct{}) bool {
-	timer := d.options.Clock.NewTimer(pause)
+	timer := deadline.In(ctx, d.options.Clock).NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-timer.Chan():
@@ -95,6 +102,13 @@
 	}
 }
 
+// wasGivenUp tells whether who asks has left before the time was over: of the process that was asked this says nothing,
+// so that others go on asking it.
+func wasGivenUp(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) &&
+		!errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
 func isOver(ctx context.Context) bool {
 	select {
 	case <-ctx.Done():
