Let a whole configuration arrive at frontends on slow links

Cause: a watch was given up after 1.6 s whatever it was to bring, and asked again from the start, behind what was still on the connection. Frontends of the grown sites have links of 2 Mbit/s: what is over 0.4 MB, about 2,000 routes, could not arrive, and a frontend that starts anew, or misses more than 256 KB of changes, never had a configuration.

Ruled out: sending it in pieces, which needs more of both ends than compression, and would still take 15 s for 3.7 MB.

Change: a follower says that it can take compressed answers; what is 32 KB or more is compressed once for all of them (flate, fastest). A whole configuration that did not arrive in time is waited for longer the next time, up to 20 s more, is not broken off by a Refresh then, and the connection is probed meanwhile, so that a silent owner costs no more.

--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -44,6 +44,8 @@
 	round    uint64        // counts the rounds asked for
 	asked    bool          // a round is out
 	askedAt  time.Duration // the asking of the newest round
+
+	compressor compressor
 }
 
 // feedWatch is a watch that waits.
@@ -196,6 +198,9 @@
 			return
 		}
 		response.Configuration = body
+		if w.request.Compressed {
+			f.compress(response)
+		}
 	}
 	if f.revision != w.request.Owners {
 		response.Members = f.members
@@ -204,6 +209,13 @@
 	w.reply(response, nil)
 }
 
+// compress makes a large configuration smaller.
+func (f *Feed) compress(response *protocol.WatchResponse) {
+	if packed, ok := f.compressor.pack(response.Configuration); ok {
+		response.Configuration, response.Compressed = packed, true
+	}
+}
+
 // held is the time in ms from a watch's coming to the asking of the newest round.
 func (f *Feed) held(w *feedWatch) int64 {
 	if w.came == noTime {
--- a/internal/control/feed_test.go
+++ b/internal/control/feed_test.go
@@ -1,7 +1,11 @@
 package control
 
 import (
+	"bytes"
+	"compress/flate"
 	"fmt"
+	"io"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,11 +19,19 @@
 type fakeSource struct {
 	version uint64
 	err     error
+	text    string // in place of the usual one
+	shared  []byte // as the state shares what many are fed
 }
 
 func (s *fakeSource) Version() uint64 { return s.version }
 
 func (s *fakeSource) Since(version uint64, canTakeChanges bool) ([]byte, error) {
+	if s.text != "" {
+		if string(s.shared) != s.text {
+			s.shared = []byte(s.text)
+		}
+		return s.shared, s.err
+	}
 	return fmt.Appendf(nil, "%d to %d, changes %t", version, s.version, canTakeChanges), s.err
 }
 
@@ -88,6 +100,46 @@
 		Expect(result.response.Members).To(BeNil())
 	})
 
+	It("compresses what is large once for all that can take it", func() {
+		source.text = strings.Repeat("route ", 100_000)
+		var answers []*answered
+		for range 3 {
+			result := &answered{}
+			feed.Watch(0, &protocol.WatchRequest{Compressed: true}, result.reply)
+			answers = append(answers, result)
+		}
+		plain := watch(0, 0, 0, 0)
+		feed.AskConfirmation(0)
+		feed.Confirmed(0)
+		Expect(string(plain.response.Configuration)).To(Equal(source.text))
+		Expect(plain.response.Compressed).To(BeFalse())
+		for _, each := range answers {
+			Expect(each.response.Compressed).To(BeTrue())
+			Expect(&each.response.Configuration[0]).To(BeIdenticalTo(&answers[0].response.Configuration[0]))
+			Expect(len(each.response.Configuration)).To(BeNumerically("<", len(source.text)/10))
+			unpacked, err := io.ReadAll(flate.NewReader(bytes.NewReader(each.response.Configuration)))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(unpacked)).To(Equal(source.text))
+		}
+		source.version, source.text = 6, strings.Repeat("other ", 100_000)
+		newer := &answered{}
+		feed.Watch(0, &protocol.WatchRequest{Compressed: true}, newer.reply)
+		feed.AskConfirmation(0)
+		feed.Confirmed(0)
+		unpacked, err := io.ReadAll(flate.NewReader(bytes.NewReader(newer.response.Configuration)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(unpacked)).To(Equal(source.text))
+	})
+
+	It("leaves what is small as it is", func() {
+		result := &answered{}
+		feed.Watch(0, &protocol.WatchRequest{Compressed: true}, result.reply)
+		feed.AskConfirmation(0)
+		feed.Confirmed(0)
+		Expect(result.response.Compressed).To(BeFalse())
+		Expect(string(result.response.Configuration)).To(Equal("0 to 5, changes false"))
+	})
+
 	It("holds a watch without news until its wait is over", func() {
 		waiting := current(0)
 		Expect(feed.AskConfirmation(0)).To(BeFalse())
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -18,6 +18,7 @@
 	mostWatchPause  = 400 * time.Millisecond
 	leastWatchSpan  = 50 * time.Millisecond  // after a watch that was answered sooner than this and brought nothing
 	leastRefresh    = 200 * time.Millisecond // a watch younger than this is not broken off
+	mostPatience    = 20 * time.Second       // on top of the rest for a whole configuration that takes long to arrive
 )
 
 // heldShare is the share of the time that a watch was held that counts here: clocks may go at different speeds.
@@ -34,6 +35,10 @@
 	paused   bool // the newest hint after too many in a row was followed, after a pause
 	whole    bool // ask for a snapshot
 	short    bool // ask for an answer at once
+
+	// patience is how much longer a whole configuration is waited for. It grows each time that one did not arrive in time: on
+	// a slow link it never would if each try was as short as the first.
+	patience time.Duration
 }
 
 // Run keeps a watch going at the owner of the configuration until ctx ends.
@@ -66,15 +71,30 @@
 		return nil, false, failure.New(failure.Unavailable, "no control process is known")
 	}
 	request := d.request(w)
-	held := time.Duration(request.WaitMs) * time.Millisecond
-	bounded, cancel := d.bound(ctx, held+watchSlack)
+	whole := request.Version == 0 && !request.OwnersOnly
+	most := time.Duration(request.WaitMs)*time.Millisecond + watchSlack
+	if whole {
+		most += w.patience
+	}
+	bounded, cancel := d.bound(ctx, most)
 	defer cancel()
-	if !w.short {
+	if !w.short && !(whole && w.patience > 0) {
 		d.setBreakOff(cancel)
 	}
 	answer = &protocol.WatchResponse{}
-	err = d.options.Client.DoLong(bounded, w.target, request, answer)
+	sentAt := d.options.Clock.Now()
+	if whole && w.patience > 0 {
+		err = d.options.Client.Do(bounded, w.target, request, answer) // looks after a peer that falls silent
+	} else {
+		err = d.options.Client.DoLong(bounded, w.target, request, answer)
+	}
 	refreshed = d.endBreakOff()
+	if whole && err != nil && d.options.Clock.Since(sentAt) >= most {
+		w.patience = min(max(2*w.patience, most), mostPatience)
+	}
+	if err == nil {
+		err = unpack(answer)
+	}
 	return answer, refreshed && err != nil, err
 }
 
@@ -108,6 +128,7 @@
 		request.OwnersOnly = true
 	} else {
 		request.Changes = true
+		request.Compressed = true
 	}
 	if w.whole {
 		request.Version, request.Changes = 0, false
--- a/internal/directory/watch_test.go
+++ b/internal/directory/watch_test.go
@@ -1,6 +1,8 @@
 package directory
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"fmt"
 	"strings"
@@ -63,14 +65,14 @@
 		Expect(d.ConfirmedSince(s.clock.Now().Add(-time.Hour))).To(BeFalse())
 		first := s.next()
 		Expect(first.address).To(Equal("a"))
-		Expect(*request(first)).To(Equal(protocol.WatchRequest{WaitMs: 1000, Node: d.options.Node, Changes: true}))
+		Expect(*request(first)).To(Equal(protocol.WatchRequest{WaitMs: 1000, Node: d.options.Node, Changes: true, Compressed: true}))
 		first.answer(&protocol.WatchResponse{
 			Version: 7, Configuration: []byte("seven"), OwnersAt: 4,
 			Members: []protocol.Member{{ID: 1, Address: "m1"}},
 			Owners:  map[protocol.ShardID]string{0: "a", 3: "m1"},
 		}, nil)
 		second := s.next()
-		Expect(*request(second)).To(Equal(protocol.WatchRequest{Version: 7, Owners: 4, WaitMs: 1000, Node: d.options.Node, Changes: true}))
+		Expect(*request(second)).To(Equal(protocol.WatchRequest{Version: 7, Owners: 4, WaitMs: 1000, Node: d.options.Node, Changes: true, Compressed: true}))
 		Expect(d.Version()).To(Equal(uint64(7)))
 		Expect(d.Owner(3)).To(Equal("m1"))
 		Expect(d.Members()).To(Equal([]protocol.Member{{ID: 1, Address: "m1"}}))
@@ -226,6 +228,40 @@
 		}
 	})
 
+	It("waits longer for a whole configuration each time that none has arrived, and is not broken off then", func() {
+		const most = defaultWait + watchSlack
+		for _, patience := range []time.Duration{0, most, 2 * most, 4 * most, 8 * most, mostPatience, mostPatience} {
+			slow := s.next()
+			Expect(request(slow).Version).To(BeZero())
+			s.clock.Advance(most + patience - 1)
+			if patience > 0 {
+				d.Refresh()
+			}
+			Expect(slow.ctx.Done()).NotTo(BeClosed(), "with %v", patience)
+			s.clock.Advance(1)
+			Eventually(slow.ctx.Done()).WithTimeout(soon).Should(BeClosed())
+		}
+		s.next().answer(answer(1, "one"), nil)
+		following := s.next()
+		s.clock.Advance(most)
+		Eventually(following.ctx.Done()).WithTimeout(soon).Should(BeClosed(), "what is newer is not waited for longer")
+	})
+
+	It("unpacks what was compressed, and asks another where that fails", func() {
+		var packed bytes.Buffer
+		writer, err := flate.NewWriter(&packed, flate.BestSpeed)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = writer.Write([]byte("seven"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(writer.Close()).To(Succeed())
+		broken := s.next()
+		broken.answer(&protocol.WatchResponse{Version: 7, Configuration: packed.Bytes()[:3], Compressed: true}, nil)
+		Expect(d.Version()).To(BeZero())
+		s.next().answer(&protocol.WatchResponse{Version: 7, Configuration: packed.Bytes(), Compressed: true}, nil)
+		Expect(request(s.next()).Version).To(Equal(uint64(7)))
+		Expect(changes).To(Receive(Equal(change{7, "seven", 0})))
+	})
+
 	It("does not hammer an owner that answers at once without news", func() {
 		s.next().answer(answer(1, "one"), nil)
 		last := s.next()
--- a/internal/protocol/internal.go
+++ b/internal/protocol/internal.go
@@ -97,6 +97,8 @@
 	Node    string
 	Changes bool // the caller can take changes from Version on (configuration.Advance) in place of a snapshot
 
+	Compressed bool // the caller can take a large Configuration compressed
+
 	OwnersOnly bool // the caller has no use for the configuration, and is not told when it changes
 }
 
@@ -112,6 +114,7 @@
 type WatchResponse struct {
 	Version       uint64 // newest version in force; 0: none yet
 	Configuration []byte // as configuration.Advance reads it; empty if Version is what the caller has
+	Compressed    bool   // it was compressed by package compress/flate
 	OwnersAt      uint64 // revision of Members and Owners
 	Members       []Member
 	Owners        map[ShardID]string // internal address of each shard's owner as far as known
