--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -306,6 +306,26 @@
 		Expect(answerOf(second).Code).To(Equal(200))
 	})
 
+	It("refuse an older one that comes after the newer was answered, whoever owns the shard by then", func() {
+		b := newBed("")
+		second := b.begin(beatOf(instance, 2))
+		b.attempt().reply <- result{}
+		Expect(answerOf(second).Code).To(Equal(200))
+		b.owners.setOwner("10.0.0.2:7380")
+		Expect(answerOf(b.begin(beatOf(instance, 1))).Code).To(Equal(503))
+		Expect(b.owners.attempts).To(BeEmpty())
+	})
+
+	It("remember a bounded number of instances", func() {
+		b := newBed("")
+		for i := range 3 * mostHeard {
+			answered := b.begin(beatOf(fmt.Sprintf("i-%d", i), 1))
+			b.attempt().reply <- result{}
+			Expect(answerOf(answered).Code).To(Equal(200))
+		}
+		Expect(b.service.beats.heard).To(HaveLen(mostHeard))
+	})
+
 	It("never mix two instances' answers", func() {
 		b := newBed("")
 		first := b.begin(beatOf("i-1", 9))
@@ -338,6 +358,17 @@
 		Entry("all where none is known", "", "", protocol.ShardID(1), protocol.ShardID(2), protocol.ShardID(3), protocol.ShardID(4)),
 	)
 
+	It("make the runner a draining one for every owner, while it serves on", func() {
+		b := newBed("huvo11a")
+		leaving := b.begin(post(instance, "deregister", ""))
+		b.attempt().reply <- result{}
+		Expect(answerOf(leaving).Code).To(Equal(200))
+		b.begin(beatOf(instance, 5))
+		Expect(b.attempt().beat.State).To(Equal(protocol.Draining))
+		b.begin(beatOf("i-next", 1))
+		Expect(b.attempt().beat.State).To(Equal(protocol.Ready))
+	})
+
 	It("are not acknowledged before the owner has answered", func() {
 		b := newBed("huvo11a")
 		answered := b.begin(post(instance, "deregister", ""))
--- a/internal/agent/caller.go
+++ b/internal/agent/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"ospreypond/internal/failure"
 	"ospreypond/internal/protocol"
@@ -19,6 +20,10 @@
 	over    []string // incarnations that another one has followed here, the latest last
 }
 
+// lateHeartbeat is the longest that a heartbeat is under way: another incarnation is ended by one only if it has been
+// silent for so long.
+const lateHeartbeat = time.Second
+
 // mostOver is how many incarnations that are over are known by name.
 const mostOver = 64
 
@@ -44,6 +49,9 @@
 			return nil, failure.New(failure.Gone, "this incarnation of the runner is over")
 		}
 	}
+	if c.current != nil && c.current.heardWithin(lateHeartbeat) {
+		return nil, failure.New(failure.Unavailable, "another incarnation was heard a moment ago: this one may be older")
+	}
 	before := c.endCurrent()
 	address := c.address
 	if address == "" {
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -28,6 +28,10 @@
 		answerError(w, failure.New(failure.Unavailable, errAbandoned.Error()))
 		return
 	}
+	if s.beats.isEnding(instance) {
+		// The owner that heard so may have a successor by now, which would give the runner work.
+		request.Heartbeat.State, request.Heartbeat.RemainingMs = protocol.Draining, 0
+	}
 	var response *protocol.HeartbeatResponse
 	err = s.attempt(ctx, request.Shard, func(ctx context.Context) (err error) {
 		response, err = s.owners.Heartbeat(ctx, request)
@@ -64,6 +68,7 @@
 	if service == "" {
 		service = s.service
 	}
+	s.beats.end(instance)
 	for _, shard := range shardsOf(service) {
 		request := &protocol.DeregisterRequest{Shard: shard, Service: service, Instance: instance}
 		err := s.attempt(ctx, shard, func(ctx context.Context) error {
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -21,7 +21,8 @@
 )
 
 // link is one kept connection to the runner, for one call at a time. What has answered on it before is what answers now:
-// it never connects again by itself, so that a call can't reach a later incarnation. After an error it is of no use.
+// it never connects again and never sends anything twice by itself, so that a call can't reach a later incarnation. After
+// an error it is of no use, as the answer may still come and would be taken for that to the next call.
 type link struct {
 	address string
 	conn    net.Conn
@@ -40,30 +41,50 @@
 }
 
 // post makes a call that may take callTime and extra, and returns its answer. An error leaves open whether the call was
-// carried out.
+// carried out, and ends the link.
 func (l *link) post(ctx context.Context, path string, body []byte, extra time.Duration) (status int, answer []byte, err error) {
+	status, answer, last, err := l.exchange(ctx, path, body, extra)
+	if err != nil || last {
+		l.close() // the next call says so
+	}
+	return status, answer, err
+}
+
+// exchange sends a request and reads its answer; last tells that the runner answers nothing more on the link.
+func (l *link) exchange(ctx context.Context, path string, body []byte, extra time.Duration) (status int, answer []byte, last bool, err error) {
+	if l.reader.Buffered() > 0 {
+		return 0, nil, false, errors.New("the runner has sent more than one answer to a call")
+	}
 	if err := l.conn.SetDeadline(time.Now().Add(callTime + extra)); err != nil {
-		return 0, nil, errors.Wrap(err, "set a deadline")
+		return 0, nil, false, errors.Wrap(err, "set a deadline")
 	}
 	stop := context.AfterFunc(ctx, func() { l.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	l.request = appendRequest(l.request[:0], l.address, path, body)
 	if _, err := l.conn.Write(l.request); err != nil {
-		return 0, nil, errors.Wrap(err, "call the runner")
+		return 0, nil, false, errors.Wrap(err, "call the runner")
 	}
 	response, err := http.ReadResponse(l.reader, nil)
 	if err != nil {
-		return 0, nil, errors.Wrap(err, "read the runner's answer")
+		return 0, nil, false, errors.Wrap(err, "read the runner's answer")
 	}
-	defer response.Body.Close()
-	answer, err = readAll(io.LimitReader(response.Body, maxBodyBytes), response.ContentLength)
+	if response.StatusCode < http.StatusOK {
+		return 0, nil, false, errors.Errorf("the runner answers with %d before the answer", response.StatusCode)
+	}
+	answer, err = readAnswer(response)
+	return response.StatusCode, answer, response.Close, err
+}
+
+// readAnswer reads an answer's body within its bound.
+func readAnswer(response *http.Response) ([]byte, error) {
+	answer, err := readAll(io.LimitReader(response.Body, maxBodyBytes+1), response.ContentLength)
 	if err != nil {
-		return 0, nil, errors.Wrap(err, "read the runner's answer")
+		return nil, errors.Wrap(err, "read the runner's answer")
 	}
-	if response.Close {
-		l.close() // the next call says so
+	if len(answer) > maxBodyBytes {
+		return nil, errors.Errorf("the runner's answer has more than %d bytes", maxBodyBytes)
 	}
-	return response.StatusCode, answer, nil
+	return answer, errors.Wrap(response.Body.Close(), "read the runner's answer")
 }
 
 // appendRequest appends a whole HTTP/1.1 request.
--- /dev/null
+++ b/internal/agent/link_test.go
@@ -0,0 +1,214 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// rawRunner takes connections and lets the test answer byte by byte.
+type rawRunner struct {
+	listener net.Listener
+	accepted chan *rawConnection
+}
+
+// rawConnection is the runner's end of a link.
+type rawConnection struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func newRawRunner() *rawRunner {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	r := &rawRunner{listener: listener, accepted: make(chan *rawConnection, 10)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			r.accepted <- &rawConnection{Conn: conn, reader: bufio.NewReader(conn)}
+		}
+	}()
+	DeferCleanup(func() { _ = listener.Close() })
+	return r
+}
+
+// link returns a new link to the runner, and the runner's end of it.
+func (r *rawRunner) link() (*link, *rawConnection) {
+	l, err := dialLink(context.Background(), r.listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.close)
+	var far *rawConnection
+	Eventually(r.accepted).Should(Receive(&far))
+	Expect(far.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	DeferCleanup(func() { _ = far.Close() })
+	return l, far
+}
+
+// receive reads a request whole.
+func (c *rawConnection) receive() {
+	request, err := http.ReadRequest(c.reader)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = io.Copy(io.Discard, request.Body)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func (c *rawConnection) send(text string) {
+	_, err := io.WriteString(c.Conn, text)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// reset closes the connection so that the other end gets a reset.
+func (c *rawConnection) reset() {
+	Expect(c.Conn.(*net.TCPConn).SetLinger(0)).To(Succeed())
+	Expect(c.Close()).To(Succeed())
+}
+
+// expectNothing reads to the connection's end: no request comes before it.
+func (c *rawConnection) expectNothing() {
+	GinkgoHelper()
+	_, err := c.reader.ReadByte()
+	Expect(err).To(HaveOccurred(), "a request has come")
+	Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeFalse(), "the connection is still open")
+}
+
+// answered is a whole answer with that body.
+func answered(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// posted is the outcome of a call.
+type posted struct {
+	status int
+	body   string
+	err    error
+}
+
+// call makes a call aside.
+func (l *link) call(ctx context.Context) <-chan posted {
+	done := make(chan posted, 1)
+	go func() {
+		status, body, err := l.post(ctx, pathStop, []byte("{}"), 0)
+		done <- posted{status, string(body), err}
+	}()
+	return done
+}
+
+var _ = Describe("A call to a runner", func() {
+	ctx := context.Background()
+
+	It("gets its own answer, one after the other on one connection", func() {
+		r := newRawRunner()
+		l, far := r.link()
+		for _, text := range []string{"one", "two"} {
+			done := l.call(ctx)
+			far.receive()
+			far.send(answered(text))
+			Eventually(done).Should(Receive(Equal(posted{200, text, nil})))
+		}
+		Expect(r.accepted).To(BeEmpty())
+	})
+
+	DescribeTable("without a whole answer is not made again, and what comes later is the answer to no other",
+		func(answer func(far *rawConnection, giveUp func())) {
+			r := newRawRunner()
+			l, far := r.link()
+			waiting, giveUp := context.WithCancel(ctx)
+			defer giveUp()
+			done := l.call(waiting)
+			far.receive()
+			answer(far, giveUp)
+			var got posted
+			Eventually(done, 5*time.Second).Should(Receive(&got))
+			Expect(got.err).To(HaveOccurred())
+			_, _ = io.WriteString(far.Conn, answered("late")) // where the connection still takes it
+			next := l.call(ctx)
+			Eventually(next, 5*time.Second).Should(Receive(&got))
+			Expect(got.err).To(HaveOccurred())
+			Expect(got.body).To(BeEmpty())
+			far.expectNothing()
+			Expect(r.accepted).To(BeEmpty(), "nor on another")
+		},
+		Entry("given up by its caller", func(_ *rawConnection, giveUp func()) { giveUp() }),
+		Entry("after its time", func(*rawConnection, func()) {}),
+		Entry("reset", func(far *rawConnection, _ func()) { far.reset() }),
+		Entry("closed", func(far *rawConnection, _ func()) { far.Close() }),
+		Entry("cut in the answer's head", func(far *rawConnection, _ func()) {
+			far.send("HTTP/1.1 200 OK\r\nConte")
+			far.Close()
+		}),
+		Entry("cut in the answer's body", func(far *rawConnection, _ func()) {
+			far.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}")
+			far.Close()
+		}),
+		Entry("answered by something else", func(far *rawConnection, _ func()) { far.send("hello\r\n\r\n") }),
+		Entry("told to wait for the answer", func(far *rawConnection, _ func()) {
+			far.send("HTTP/1.1 103 Early Hints\r\n\r\n")
+		}),
+		Entry("answered with more than 4 MiB", func(far *rawConnection, _ func()) {
+			_, _ = io.WriteString(far.Conn, answered("{}"+strings.Repeat(" ", maxBodyBytes)))
+		}),
+	)
+
+	It("is not answered by a second answer to the one before", func() {
+		r := newRawRunner()
+		l, far := r.link()
+		done := l.call(ctx)
+		far.receive()
+		far.send(answered("one") + answered("again"))
+		Eventually(done).Should(Receive(Equal(posted{200, "one", nil})))
+		var got posted
+		Eventually(l.call(ctx)).Should(Receive(&got))
+		Expect(got.err).To(HaveOccurred())
+		Expect(got.body).To(BeEmpty())
+	})
+
+	It("is not made on a connection that the runner has said it closes, nor on another", func() {
+		r := newRawRunner()
+		l, far := r.link()
+		done := l.call(ctx)
+		far.receive()
+		far.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\none")
+		Eventually(done).Should(Receive(Equal(posted{200, "one", nil})))
+		var got posted
+		Eventually(l.call(ctx)).Should(Receive(&got))
+		Expect(got.err).To(HaveOccurred())
+		far.expectNothing()
+		Expect(r.accepted).To(BeEmpty())
+	})
+
+	It("does not reach who stands at the address later", func() {
+		r := newRawRunner()
+		l, far := r.link()
+		address := r.listener.Addr().String()
+		far.reset()
+		Expect(r.listener.Close()).To(Succeed())
+		listener, err := net.Listen("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		reached := make(chan struct{})
+		go func() {
+			if conn, err := listener.Accept(); err == nil {
+				conn.Close()
+				close(reached)
+			}
+		}()
+		var got posted
+		Eventually(l.call(ctx)).Should(Receive(&got))
+		Expect(got.err).To(HaveOccurred())
+		Consistently(reached, 30*time.Millisecond).ShouldNot(BeClosed())
+	})
+})
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -79,6 +79,12 @@
 	return l.registration.await(ctx, request.Heartbeat.Sequence)
 }
 
+// heardWithin tells whether a heartbeat of the runner has come within the last span.
+func (l *loop) heardWithin(span time.Duration) bool {
+	_, arrived := l.registration.get()
+	return l.now().Sub(arrived) < span
+}
+
 func (l *loop) now() time.Time { return l.service.clock.Now() }
 
 // run makes turns until the loop is ended. before is closed when the loop before it is over; nil: there was none.
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -236,6 +236,18 @@
 		Expect(answerOf(b.own(instance, 9, protocol.Ready)).Code).To(Equal(410), "it is over")
 	})
 
+	It("is not ended by a late heartbeat of the one before, of which the agent has never heard", func() {
+		b.own(instance, 4, protocol.Ready)
+		b.turn().reply <- result{orders: granted()}
+		Expect(answerOf(b.own("i-before", 90, protocol.Ready)).Code).To(Equal(503))
+		e := b.turn()
+		Expect(e.beat.Instance).To(Equal(instance))
+		e.reply <- result{orders: granted()}
+		next := b.own(instance, 5, protocol.Ready)
+		b.until(granted(), func(beat *protocol.Heartbeat) bool { return beat.Sequence>>sequenceBits == 5 }).reply <- result{orders: granted()}
+		Expect(answerOf(next).Code).To(Equal(200))
+	})
+
 	It("is called no more once it has said that it ends", func() {
 		b.own(instance, 4, protocol.Ready)
 		b.turn().reply <- result{orders: granted()}
