--- a/internal/simulation/trouble_core.go
+++ b/internal/simulation/trouble_core.go
@@ -22,8 +22,8 @@
 		{"core_cut_all", func(d *Deployment, lasts time.Duration) {
 			d.onOneCore(lasts, func(m *Machine) { d.cutCore(m, lasts); d.cutFromOuter(m, lasts) })
 		}},
-		{"core_herd_kill", func(d *Deployment, lasts time.Duration) { d.herdKill(lasts, false) }},
-		{"core_herd_power", func(d *Deployment, lasts time.Duration) { d.herdKill(lasts, true) }},
+		{"core_herd_kill", func(d *Deployment, lasts time.Duration) { d.killCores(lasts, false) }},
+		{"core_herd_power", func(d *Deployment, lasts time.Duration) { d.killCores(lasts, true) }},
 		{"after_ack_kill", func(d *Deployment, lasts time.Duration) { d.afterAck(lasts, false) }},
 		{"after_ack_wipe", func(d *Deployment, lasts time.Duration) { d.afterAck(lasts, true) }},
 		{"after_taken_kill", func(d *Deployment, lasts time.Duration) { d.afterTaken(lasts, false) }},
@@ -43,7 +43,7 @@
 		{"core_cut_restart", (*Deployment).cutAndRestart},
 		{"after_sent_kill", (*Deployment).afterSent},
 		{"after_taken_herd", func(d *Deployment, lasts time.Duration) {
-			d.onceTaken(func() { d.herdKill(lasts, true) })
+			d.onceTaken(func() { d.killCores(lasts, true) })
 		}},
 	}
 }
@@ -102,7 +102,7 @@
 	d.cutLinks(m, d.Sides, lasts)
 }
 
-func (d *Deployment) herdKill(lasts time.Duration, power bool) {
+func (d *Deployment) killCores(lasts time.Duration, power bool) {
 	back := restartTime
 	if power {
 		back = max(back, min(lasts, 3*time.Second))
