Type the reports of commands and the local system's settings

Cause: maps from strings to anything stood for messages.

Change: a type each for what commands print as JSON and for the settings file that a local process starts from. The fields of reports are in the order of their keys, so the output is the same, byte by byte, as that of the maps.

--- a/internal/cli/system_cluster.go
+++ b/internal/cli/system_cluster.go
@@ -244,6 +244,12 @@
 	return rows
 }
 
+// drainReport is what a drain prints as JSON.
+type drainReport struct {
+	Left int    `json:"left"` // shards that it still owns
+	Node string `json:"node"`
+}
+
 func (s *systemCommands) newDrain() *cobra.Command {
 	return s.connect(&cobra.Command{Use: "drain NODE", Short: "Have a control process give its leaderships away", Args: needs("NODE"),
 		Long: "Have a control process, named by its node or internal address, give away the shards that it owns, before its machine\n" +
@@ -254,7 +260,7 @@
 			if err != nil {
 				return err
 			}
-			report := map[string]any{"node": args[0], "left": left}
+			report := drainReport{Left: left, Node: args[0]}
 			err = c.print(report, func(w io.Writer) {
 				if left > 0 {
 					fmt.Fprintf(w, "%s still owns %d shards: no other member could take them\n", args[0], left)
--- a/internal/cli/system_config.go
+++ b/internal/cli/system_config.go
@@ -65,12 +65,26 @@
 	return err
 }
 
+// checkReport is what a check prints as JSON. The fields of reports are in the order of their keys.
+type checkReport struct {
+	Fault string `json:"fault,omitempty"`
+	File  string `json:"file"`
+	Valid bool   `json:"valid"`
+}
+
+// applyReport is what a change of the configuration prints as JSON.
+type applyReport struct {
+	Base    uint64 `json:"base"`
+	Kind    string `json:"kind"`
+	Version uint64 `json:"version"`
+}
+
 // reportCheck says whether a file is good.
 func (c *connection) reportCheck(name string, fault error) error {
 	if c.output == formJSON {
-		report := map[string]any{"file": name, "valid": fault == nil}
+		report := checkReport{File: name, Valid: fault == nil}
 		if fault != nil {
-			report["fault"] = fault.Error()
+			report.Fault = fault.Error()
 		}
 		if err := printJSON(c.system.std.Out, report); err != nil {
 			return err
@@ -131,7 +145,7 @@
 		if err != nil {
 			return err
 		}
-		report := map[string]any{"version": version, "base": on, "kind": kind}
+		report := applyReport{Base: on, Kind: kind, Version: version}
 		return made.print(report, func(w io.Writer) { fmt.Fprintf(w, "version %d is in force, built on %d\n", version, on) })
 	})
 	c.Flags().Int64Var(&base, "base", base, "the `version` that the change builds on; else the newest")
--- a/internal/cli/system_jobs.go
+++ b/internal/cli/system_jobs.go
@@ -19,6 +19,12 @@
 
 var jobName = regexp.MustCompile("^[0-9a-fA-F]{16}$")
 
+// jobReport is what a command on one job prints as JSON.
+type jobReport struct {
+	ID    string `json:"id"`
+	State string `json:"state,omitempty"`
+}
+
 // checkJobName tells whether an argument can name a job.
 func checkJobName(id string) error {
 	if !jobName.MatchString(id) {
@@ -63,7 +69,7 @@
 		if err := system.Submit(ctx, queue, id, job); err != nil {
 			return fmt.Errorf("job %s: %w", id, err)
 		}
-		return made.print(map[string]string{"id": id}, func(w io.Writer) { fmt.Fprintln(w, id) })
+		return made.print(jobReport{ID: id}, func(w io.Writer) { fmt.Fprintln(w, id) })
 	})
 	c.Flags().StringVar(&queue, "queue", "", "the queue's `HOST/PREFIX`")
 	c.Flags().StringVar(&id, "id", "", "the job's `name`, 16 hex digits")
@@ -97,7 +103,7 @@
 			if err != nil {
 				return err
 			}
-			return c.print(map[string]string{"id": args[0], "state": state}, func(w io.Writer) { fmt.Fprintln(w, state) })
+			return c.print(jobReport{ID: args[0], State: state}, func(w io.Writer) { fmt.Fprintln(w, state) })
 		})
 }
 
@@ -116,7 +122,7 @@
 			if err != nil {
 				return err
 			}
-			return c.print(map[string]string{"id": args[0], "state": state}, func(w io.Writer) { fmt.Fprintln(w, state) })
+			return c.print(jobReport{ID: args[0], State: state}, func(w io.Writer) { fmt.Fprintln(w, state) })
 		})
 }
 
--- a/internal/cli/system_state.go
+++ b/internal/cli/system_state.go
@@ -140,12 +140,30 @@
 	return c
 }
 
-func archiveView(path string, backup *archive.Archive) map[string]any {
-	shards := []map[string]any{}
+// archiveReport is what is printed of a backup as JSON.
+type archiveReport struct {
+	Dir    string        `json:"dir,omitempty"` // that it was restored into
+	File   string        `json:"file"`
+	Made   time.Time     `json:"made"`
+	Shards []shardReport `json:"shards"`
+}
+
+// shardReport is one shard of an archiveReport.
+type shardReport struct {
+	Bytes int    `json:"bytes"`
+	Index uint64 `json:"index"`
+	Shard uint32 `json:"shard"`
+	Term  uint64 `json:"term"`
+}
+
+func archiveView(path string, backup *archive.Archive) archiveReport {
+	report := archiveReport{File: path, Made: time.UnixMilli(backup.MadeMs).UTC(), Shards: []shardReport{}}
 	for _, shard := range backup.Shards {
-		shards = append(shards, map[string]any{"shard": shard.ID, "index": shard.Index, "term": shard.Term, "bytes": len(shard.Data)})
+		report.Shards = append(report.Shards, shardReport{
+			Bytes: len(shard.Data), Index: shard.Index, Shard: shard.ID, Term: shard.Term,
+		})
 	}
-	return map[string]any{"file": path, "made": time.UnixMilli(backup.MadeMs).UTC(), "shards": shards}
+	return report
 }
 
 func archiveText(w io.Writer, path string, backup *archive.Archive) {
@@ -194,7 +212,7 @@
 			return err
 		}
 		view := archiveView(args[0], backup)
-		view["dir"] = dir
+		view.Dir = dir
 		return made.print(view, func(w io.Writer) {
 			archiveText(w, args[0], backup)
 			fmt.Fprintf(w, "restored into %s for %s at %s\n", dir, process.Node, process.Address)
--- a/internal/local/machines.go
+++ b/internal/local/machines.go
@@ -102,6 +102,47 @@
 	return map[string]string{boot.ListenControl: m.address(controlPort)}
 }
 
+// settingsFile is what a process's settings file says; docs/settings.md has the keys.
+type settingsFile struct {
+	NodeName            string            `json:"nodeName"`
+	Role                string            `json:"role"`
+	MachineClass        string            `json:"machineClass"`
+	Serves              []string          `json:"serves"`
+	IP                  string            `json:"ip"`
+	Zone                string            `json:"zone"`
+	Region              string            `json:"region"`
+	Listen              map[string]string `json:"listen"`
+	InternalPorts       [2]int            `json:"internalPorts"`
+	Seeds               []string          `json:"seeds"`
+	Bootstrap           bool              `json:"bootstrap"`
+	CountsForQuorum     bool              `json:"countsForQuorum"`
+	HeartbeatIntervalMs int               `json:"heartbeatIntervalMs"`
+	Commands            string            `json:"commands"`
+	FaultTolerance      tolerance         `json:"faultTolerance"`
+	Bounds              bounds            `json:"bounds"`
+	Limits              limits            `json:"limits"`
+	DataDir             string            `json:"dataDir,omitempty"` // of control processes
+	App                 string            `json:"app,omitempty"`     // of agents: the runner's address
+	Service             string            `json:"service,omitempty"` // of agents: the runner's service
+}
+
+// tolerance is what may be lost at once.
+type tolerance struct {
+	Machines int `json:"machines"`
+}
+
+// bounds are the times of a settings file that differ from the standard ones.
+type bounds struct {
+	GraceS int `json:"graceS"`
+}
+
+// limits are what a process may use.
+type limits struct {
+	MemoryMB        int `json:"memoryMb"`
+	FileDescriptors int `json:"fileDescriptors"`
+	DiskMB          int `json:"diskMb"`
+}
+
 // writeSettings writes the settings file of the machine's process.
 func (m *machine) writeSettings(machines []*machine, bootstrap bool) error {
 	if err := os.MkdirAll(m.dir, 0o700); err != nil {
@@ -111,31 +152,31 @@
 	for _, control := range ofRole(machines, "control") {
 		seeds = append(seeds, control.address(controlPort))
 	}
-	settings := map[string]any{
-		"nodeName":            m.name,
-		"role":                m.role,
-		"machineClass":        m.class,
-		"serves":              []string{m.serves},
-		"ip":                  m.ip,
-		"zone":                m.zone,
-		"region":              region,
-		"listen":              m.listens(),
-		"internalPorts":       []int{internalPort, lastPort},
-		"seeds":               seeds,
-		"bootstrap":           bootstrap,
-		"countsForQuorum":     m.role == "control",
-		"heartbeatIntervalMs": 1500,
-		"commands":            boot.CommandsHeartbeat,
-		"faultTolerance":      map[string]int{"machines": 1},
-		"bounds":              map[string]any{"graceS": graceSeconds},
-		"limits":              map[string]any{"memoryMb": 280, "fileDescriptors": 4096, "diskMb": 128},
+	settings := settingsFile{
+		NodeName:            m.name,
+		Role:                m.role,
+		MachineClass:        m.class,
+		Serves:              []string{m.serves},
+		IP:                  m.ip,
+		Zone:                m.zone,
+		Region:              region,
+		Listen:              m.listens(),
+		InternalPorts:       [2]int{internalPort, lastPort},
+		Seeds:               seeds,
+		Bootstrap:           bootstrap,
+		CountsForQuorum:     m.role == "control",
+		HeartbeatIntervalMs: 1500,
+		Commands:            boot.CommandsHeartbeat,
+		FaultTolerance:      tolerance{Machines: 1},
+		Bounds:              bounds{GraceS: graceSeconds},
+		Limits:              limits{MemoryMB: 280, FileDescriptors: 4096, DiskMB: 128},
 	}
 	if m.role == "control" {
-		settings["dataDir"] = m.dataDir()
+		settings.DataDir = m.dataDir()
 	}
 	if m.role == "agent" {
-		settings["app"] = m.address(runnerPort)
-		settings["service"] = Service
+		settings.App = m.address(runnerPort)
+		settings.Service = Service
 	}
 	data, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
