Draw the addresses of programs under test on loopback addresses of their own

Found by reading.

Looked through all tests: what else has a port of its own either keeps the listener, or names a port that nothing is meant to answer at (127.0.0.1:1, :2, :9 in files that are only parsed, or dialled to be refused).

--- a/internal/fleet/udp/udp_test.go
+++ b/internal/fleet/udp/udp_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -20,8 +22,15 @@
 
 const patience = 20 * time.Second
 
+// ownLoopback returns an address of loopback drawn at random, with any port. A port that was free there stays free until the
+// program under test has it; at 127.0.0.1 another program's connection could take it meanwhile.
+func ownLoopback() string {
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+}
+
+// free is an address for datagrams that nobody uses.
 func free(t *testing.T) string {
-	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	c, err := net.ListenPacket("udp4", ownLoopback())
 	require.NoError(t, err)
 	defer c.Close()
 	return c.LocalAddr().String()
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -69,15 +70,21 @@
 	relay *Relay // nil: they speak to each other directly
 }
 
+// ownLoopback returns an address of loopback drawn at random, with any port. A port that was free there stays free until the
+// program under test has it; at 127.0.0.1 another program's connection could take it meanwhile.
+func ownLoopback() string {
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+}
+
 func freeUDP(t *testing.T) string {
-	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	c, err := net.ListenPacket("udp4", ownLoopback())
 	require.NoError(t, err)
 	defer c.Close()
 	return c.LocalAddr().String()
 }
 
 func freeTCP(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ownLoopback())
 	require.NoError(t, err)
 	defer l.Close()
 	return l.Addr().String()
--- a/test/integration/upgrade_test.go
+++ b/test/integration/upgrade_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"regexp"
@@ -22,10 +23,7 @@
 func TestUpgradeInPlace(t *testing.T) {
 	rn := newRunner(t, "r1", "z", done)
 	old := start(t, rn)
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	console := free.Addr().String()
-	require.NoError(t, free.Close())
+	console := freeAddr(t)
 
 	var mu sync.Mutex
 	served, failed := 0, []string{}
@@ -94,9 +92,15 @@
 	assert.Contains(t, next.log(), "msg=\"request ended\"", "the new program served some")
 }
 
+// ownLoopback returns an address of loopback drawn at random, with any port. A port that was free there stays free until the
+// program under test has it; at 127.0.0.1 another program's connection could take it meanwhile.
+func ownLoopback() string {
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+}
+
 // freeAddr is an address on loopback that nobody listens at.
 func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ownLoopback())
 	require.NoError(t, err)
 	defer l.Close()
 	return l.Addr().String()
