--- a/internal/control/suite_test.go
+++ b/internal/control/suite_test.go
@@ -7,7 +7,11 @@
 	. "github.com/onsi/gomega"
 )
 
+// suite is the test that bubbles are made in.
+var suite *testing.T
+
 func TestControl(t *testing.T) {
+	suite = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "control")
 }
