Wait longer for any configuration on a slow link, not only for the first

A follower that has a version may be sent a whole one as well, where more than 256 KB changed. The longer wait ends with the first answer that comes.

--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -18,7 +18,7 @@
 	mostWatchPause  = 400 * time.Millisecond
 	leastWatchSpan  = 50 * time.Millisecond  // after a watch that was answered sooner than this and brought nothing
 	leastRefresh    = 200 * time.Millisecond // a watch younger than this is not broken off
-	mostPatience    = 20 * time.Second       // on top of the rest for a whole configuration that takes long to arrive
+	mostPatience    = 12 * time.Second       // on top of the rest for a configuration that takes long to arrive
 )
 
 // heldShare is the share of the time that a watch was held that counts here: clocks may go at different speeds.
@@ -36,8 +36,9 @@
 	whole    bool // ask for a snapshot
 	short    bool // ask for an answer at once
 
-	// patience is how much longer a whole configuration is waited for. It grows each time that one did not arrive in time: on
-	// a slow link it never would if each try was as short as the first.
+	// patience is how much longer an answer with a configuration is waited for, which may be a whole one whatever was asked
+	// for. It grows each time that none has arrived in time, since on a slow link none ever would if each try was as short as
+	// the first, and ends with the first that has.
 	patience time.Duration
 }
 
@@ -71,25 +72,17 @@
 		return nil, false, failure.New(failure.Unavailable, "no control process is known")
 	}
 	request := d.request(w)
-	whole := request.Version == 0 && !request.OwnersOnly
-	most := time.Duration(request.WaitMs)*time.Millisecond + watchSlack
-	if whole {
-		most += w.patience
-	}
+	most := time.Duration(request.WaitMs)*time.Millisecond + watchSlack + w.patience
 	bounded, cancel := d.bound(ctx, most)
 	defer cancel()
-	if !w.short && !(whole && w.patience > 0) {
+	if !w.short && w.patience == 0 {
 		d.setBreakOff(cancel)
 	}
 	answer = &protocol.WatchResponse{}
 	sentAt := d.options.Clock.Now()
-	if whole && w.patience > 0 {
-		err = d.options.Client.Do(bounded, w.target, request, answer) // looks after a peer that falls silent
-	} else {
-		err = d.options.Client.DoLong(bounded, w.target, request, answer)
-	}
+	err = d.send(bounded, w, request, answer)
 	refreshed = d.endBreakOff()
-	if whole && err != nil && d.options.Clock.Since(sentAt) >= most {
+	if !request.OwnersOnly && err != nil && d.options.Clock.Since(sentAt) >= most {
 		w.patience = min(max(2*w.patience, most), mostPatience)
 	}
 	if err == nil {
@@ -98,6 +91,14 @@
 	return answer, refreshed && err != nil, err
 }
 
+// send sends one watch. A peer that is waited for longer is looked after meanwhile: it is cut if it falls silent.
+func (d *Directory) send(ctx context.Context, w *watch, request *protocol.WatchRequest, answer *protocol.WatchResponse) error {
+	if w.patience > 0 {
+		return d.options.Client.Do(ctx, w.target, request, answer)
+	}
+	return d.options.Client.DoLong(ctx, w.target, request, answer)
+}
+
 // setBreakOff lets Refresh break the present watch off.
 func (d *Directory) setBreakOff(cancel context.CancelFunc) {
 	d.mutex.Lock()
@@ -150,6 +151,7 @@
 		return
 	}
 	d.found(w)
+	w.patience = 0
 	if brought.incomplete {
 		w.whole = true
 		d.pace(ctx, sentAt)
