--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -54,8 +54,8 @@
 	reply   func(*protocol.WatchResponse, error)
 	due     time.Duration // it is answered by then
 	early   time.Duration // from then on it may be answered along with others
-	taken   time.Duration // the loop's time when it was taken, which may be a little before it came
-	came    time.Duration // it certainly had come by then; noTime: not known yet
+	taken   time.Duration // the loop's time when it was taken
+	came    time.Duration // a later time of the loop; noTime: there was none yet
 	round   uint64        // the last round asked for before it came
 }
 
@@ -132,7 +132,8 @@
 	return true
 }
 
-// stamp notes by when watches had come: a later time of the loop than the one at which they were taken.
+// stamp notes a time by which watches had certainly come, from which on they count as held: a later one of the loop than
+// that at which they were taken.
 func (f *Feed) stamp(now time.Duration) {
 	for _, watch := range f.watches {
 		if watch.came == noTime && now > watch.taken {
