--- a/internal/control/endpoint_test.go
+++ b/internal/control/endpoint_test.go
@@ -143,14 +143,14 @@
 		})
 		next := func(after time.Duration) {
 			GinkgoHelper()
-			clock.BlockUntil(1)
+			Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
 			clock.Advance(after)
 			Eventually(ticks).Should(Receive())
 		}
 		t.wake()
 		next(tickLeast)
 		next(100 * time.Millisecond)
-		clock.BlockUntil(1)
+		Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
 		t.wake()
 		next(tickLeast)
 		t.wake()
--- a/internal/replica/states_test.go
+++ b/internal/replica/states_test.go
@@ -230,24 +230,6 @@
 	return nil
 }
 
-// gather has one machine lead all groups.
-func (c *cluster) leadAll() *machine {
-	GinkgoHelper()
-	c.awaitLeaders()
-	for range 20 {
-		m := c.leader(configurationGroup)
-		if c.leader(jobsGroup) == m {
-			return m
-		}
-		other := c.leader(jobsGroup)
-		other.isolated = true
-		c.run(2 * time.Second)
-		other.isolated = false
-		c.awaitLeaders()
-	}
-	return c.leader(configurationGroup)
-}
-
 var _ = Describe("An order that is tried twice", func() {
 	first := change(0, 10)
 	again := change(1, 10)
