--- a/internal/fleet/share/share.go
+++ b/internal/fleet/share/share.go
@@ -8,7 +8,7 @@
 // while it has a proof that nobody does: the other machine's own kernel refused a datagram to that address. Silence proves
 // nothing, so a partition moves no part. A proof holds for Lease from the moment its datagram was sent; whoever starts
 // waits Lease and then Pause after it got its socket before it uses any number. For each number all dispatchers have the
-// same order of heirs, and one acts for it only if everybody before it in that order is proven dead.
+// same order of successors, and one acts for it only if everybody before it in that order is proven dead.
 //
 // Then no number is used by two: of two that use it the later one in its order holds a proof that the earlier one has no
 // socket or got it less than Lease ago, and such a one uses nothing. Pause keeps the uses of two apart by as long as a
@@ -136,13 +136,13 @@
 }
 
 // Numbers returns the numbers that this dispatcher acts for now, in rising order: none until what others may have done for
-// it is over, then its own and those that it is the heir of. To be asked anew at each use.
+// it is over, then its own and those that it succeeds to. To be asked anew at each use.
 func (l *Ledger) Numbers(now time.Duration) (own []int) {
 	if now < l.Ready() {
 		return nil
 	}
 	for n := range l.proof {
-		if n == l.cfg.Own || l.dead(now, n) && now >= l.proof[n].since+l.cfg.Pause && l.heir(now, n) {
+		if n == l.cfg.Own || l.dead(now, n) && now >= l.proof[n].since+l.cfg.Pause && l.succeeds(now, n) {
 			own = append(own, n)
 		}
 	}
@@ -165,8 +165,8 @@
 	return l.bound + time.Duration(math.Ceil(float64(l.cfg.Lease)*(1+drift))) + l.cfg.Pause
 }
 
-// heir tells whether everybody before this dispatcher in the number's order has been proven dead for Pause.
-func (l *Ledger) heir(now time.Duration, number int) bool {
+// succeeds tells whether everybody before this dispatcher in the number's order has been proven dead for Pause.
+func (l *Ledger) succeeds(now time.Duration, number int) bool {
 	mine := place(number, l.cfg.Own)
 	for n := range l.proof {
 		if n == number || n == l.cfg.Own {
@@ -180,10 +180,10 @@
 	return true
 }
 
-// place orders the heirs of a number by rendezvous hashing, the same at every dispatcher: the highest comes first.
-func place(number, heir int) uint64 {
+// place orders the successors of a number by rendezvous hashing, the same at every dispatcher: the highest comes first.
+func place(number, successor int) uint64 {
 	var b [16]byte
 	binary.LittleEndian.PutUint64(b[:], uint64(number))
-	binary.LittleEndian.PutUint64(b[8:], uint64(heir))
+	binary.LittleEndian.PutUint64(b[8:], uint64(successor))
 	return xxhash.Sum64(b[:])
 }
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -9,7 +9,7 @@
 	distrustWeight = 2.0  // how much longer a task takes where all it starts fails, for the cost
 	coldShare      = 0.5  // part of a cold start that a task feels
 	speedWeight    = 0.02 // of the runtime: the faster among equals
-	packWeight     = 0.02 // of the runtime: where least is left over, so that large holes stay whole
+	packWeight     = 0.02 // of the runtime: where least is left over, so that large free parts stay whole
 	sameWeight     = 0.01 // of the runtime: beside its own step, as one loss then hits one job
 	wasteWeight    = 0.05 // of the runtime: accelerators are kept for what needs them
 	spreadWeight   = 0.3  // of the runtime: for each other long-running task there
--- a/internal/placement/match.go
+++ b/internal/placement/match.go
@@ -9,7 +9,7 @@
 	batchRows   = 32  // tasks in one matching
 	placesMost  = 96  // places in one matching, about
 	allRooms    = 48  // runners up to which all take part in each matching
-	sparePlaces = 4   // places looked at for a task beyond those that its likes would fill
+	sparePlaces = 4   // places looked at for a task beyond those that tasks like it would fill
 	triesMost   = 3   // matchings that a task takes part in, in one round
 	waitFrom    = 1.2 // a task may wait for a better room if its best one now is so much slower than the best of all
 	waitMargin  = 0.9 // and waiting must cost that much less
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -65,8 +65,8 @@
 	return p.result
 }
 
-// level places the tasks of one priority, in order of their rank: first what needs much room at once, so that it is
-// not taken by crumbs, then the rest.
+// level places the tasks of one priority, in order of their rank: first what needs much room at once, so that
+// small tasks do not take it, then the rest.
 func (p *Planner) level(level []*candidate) {
 	p.formUnits(level)
 	for i := range p.gangPlan.units {
