Test that a cancel is acknowledged while the owner of its shard changes

A cancel whose owner falls silent is carried to the successor within one request where an election takes up to 700 ms or a second, and is told to be in doubt (504, never refused) where none is elected in time; sent again it gets 200. Seen to fail where a cancel is not repeated after an attempt without an answer.

A context of clockwork's fake clock blocks in Err until it has ended, so that a call with one stood still after any answer but a good one (directory.wasGivenUp); it looks whether the context has ended first. With the clocks that ship nothing changes.

--- a/internal/directory/call.go
+++ b/internal/directory/call.go
@@ -103,9 +103,9 @@
 }
 
 // wasGivenUp tells whether who asks has left before the time was over: of the process that was asked this says nothing,
-// so that others go on asking it.
+// so that others go on asking it. A context of a clockwork.FakeClock tells its error only once it has ended.
 func wasGivenUp(ctx context.Context) bool {
-	return ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) &&
+	return isOver(ctx) && !errors.Is(ctx.Err(), context.DeadlineExceeded) &&
 		!errors.Is(context.Cause(ctx), context.DeadlineExceeded)
 }
 
--- /dev/null
+++ b/internal/frontend/cancel_test.go
@@ -0,0 +1,127 @@
+package frontend
+
+import (
+	"context"
+	"net/http/httptest"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/directory"
+	"ospreypond/internal/failure"
+	"ospreypond/internal/protocol"
+)
+
+// Addresses of control processes in tests of an owner that changes.
+const (
+	addressBefore = "10.0.0.1:7380" // of the owner that has fallen silent
+	addressAfter  = "10.0.0.5:7380" // of its successor
+)
+
+// controlAddresses are all of them.
+var controlAddresses = []string{addressBefore, "10.0.0.2:7380", "10.0.0.3:7380", "10.0.0.4:7380", addressAfter}
+
+// oldHint is for how long the others take the silent one for the owner.
+const oldHint = 320 * time.Millisecond
+
+// changingOwner carries calls to a shard whose owner falls silent and whose successor owns it from a time on.
+type changingOwner struct {
+	clock   clockwork.Clock
+	silent  time.Time // since then
+	elected time.Time
+
+	mutex sync.Mutex
+	asked int
+}
+
+var _ directory.Caller = (*changingOwner)(nil)
+
+func (o *changingOwner) Do(ctx context.Context, address string, request, response any) error {
+	o.mutex.Lock()
+	o.asked++
+	elected := o.elected
+	o.mutex.Unlock()
+	switch {
+	case address == addressBefore:
+		<-ctx.Done()
+		return failure.New(failure.UnknownOutcome, "no answer")
+	case o.clock.Since(o.silent) < oldHint:
+		return &failure.Error{Kind: failure.NotLeader, Message: "not here", Leader: addressBefore}
+	case o.clock.Now().Before(elected):
+		return failure.New(failure.NotLeader, "an election is going on")
+	case address != addressAfter:
+		return &failure.Error{Kind: failure.NotLeader, Message: "not here", Leader: addressAfter}
+	}
+	Expect(reflect.TypeOf(request)).To(Equal(reflect.TypeFor[*protocol.CancelRequest]()))
+	return nil
+}
+
+// count returns how often a process was asked.
+func (o *changingOwner) count() int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.asked
+}
+
+// elect makes the successor own the shard now.
+func (o *changingOwner) elect() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.elected = o.clock.Now()
+}
+
+func (o *changingOwner) DoLong(ctx context.Context, address string, request, response any) error {
+	return o.Do(ctx, address, request, response)
+}
+
+var _ = DescribeTable("a cancel while the owner of its shard changes",
+	func(electedAfter, within time.Duration, status int) {
+		b := newBed()
+		owner := &changingOwner{clock: b.clock, silent: b.clock.Now(), elected: b.clock.Now().Add(electedAfter)}
+		known := directory.New(directory.Options{Client: owner, Seeds: controlAddresses, Clock: b.clock})
+		b.service.Owners = owners{known}
+		began := b.clock.Now()
+		answered := b.begin(request("DELETE", "/a/"+jobID, ""))
+		Eventually(owner.count).Should(BeNumerically(">=", 1)) // the request's time has begun
+		var w *httptest.ResponseRecorder
+		Eventually(func() bool {
+			select {
+			case w = <-answered:
+				return true
+			default:
+				if b.clock.Since(began) < within {
+					b.clock.Advance(10 * time.Millisecond)
+				}
+				return false
+			}
+		}).WithTimeout(10 * time.Second).WithPolling(2 * time.Millisecond).Should(BeTrue())
+		Expect(w.Code).To(Equal(status), w.Body.String())
+		Expect(owner.count()).To(BeNumerically("<", 20), "it does not hammer")
+
+		owner.elect()
+		Expect(answerSoon(b, b.begin(request("DELETE", "/a/"+jobID, ""))).Code).To(Equal(200), "as it is when it comes again")
+	},
+	Entry("that has a successor before it is known to be silent", 400*time.Millisecond, askTry, 200),
+	Entry("that has one after an election", 700*time.Millisecond, askTry, 200),
+	Entry("that has one after a longer election", time.Second, askTry, 200),
+	Entry("that has none in time: whether it was done is not known", time.Hour, askTry, 504),
+)
+
+// answerSoon returns an answer, letting time pass until it comes.
+func answerSoon(b *bed, answered <-chan *httptest.ResponseRecorder) *httptest.ResponseRecorder {
+	var w *httptest.ResponseRecorder
+	Eventually(func() bool {
+		select {
+		case w = <-answered:
+			return true
+		default:
+			b.clock.Advance(10 * time.Millisecond)
+			return false
+		}
+	}).WithTimeout(10 * time.Second).WithPolling(2 * time.Millisecond).Should(BeTrue())
+	return w
+}
