Finish a joint change in one place less

A leader looks whether the final membership is due after each message and each sync. The look at each tick, meant for a transfer that came to nothing, changed nothing: with the call taken out all tests passed, since a joint membership has another voter, whose answers to heartbeats are such messages. The transfer's test stays.

--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -153,7 +153,6 @@
 		n.becomeFollower(n.term, None)
 		return
 	}
-	n.finishChange() // one that a transfer which came to nothing held up
 	if n.now >= leadership.heartbeatAt {
 		n.sendRound(true)
 		n.dropSilentTransfers()
