--- a/internal/consensus/joint_test.go
+++ b/internal/consensus/joint_test.go
@@ -320,11 +320,11 @@
 		Expect(g.of(2).Status().Members).To(Equal(memberList(2)))
 	})
 
-	ginkgo.It("where a learner was fed by a leader whose disk is lost, and another counts it as a voter", func() {
+	ginkgo.DescribeTable("where a learner was fed by a leader whose disk is lost, and another counts it as a voter", func(next []Member) {
 		g := newGroup(append(memberList(1, 2, 3), learner(4))...)
 		leader := g.elect(1)
 		g.lost = isolate(1)
-		Expect(leader.ProposeMembers(g.now, memberList(2, 3, 4))).To(Succeed())
+		Expect(leader.ProposeMembers(g.now, next)).To(Succeed())
 		g.settle()
 		g.forgetLeaders()
 		g.lost = func(message Message) bool {
@@ -347,7 +347,10 @@
 			}
 		}
 		Expect(ready).To(Equal(1))
-	})
+	},
+		ginkgo.Entry("by a joint change", memberList(2, 3, 4)),
+		ginkgo.Entry("by a simple change", memberList(1, 2, 3, 4)),
+	)
 
 	ginkgo.It("alone only if its one member is the only voter of both configurations", func() {
 		g := newGroup(Member{ID: 1, Transition: TransitionRemoved}, Member{ID: 2, Transition: TransitionAdded})
--- a/internal/consensus/membership_test.go
+++ b/internal/consensus/membership_test.go
@@ -103,6 +103,27 @@
 		Expect(leader.Status().Commit).To(Equal(before))
 	})
 
+	ginkgo.It("do not count learners, however many", func() {
+		next := append(memberList(1, 2, 3), learner(4), learner(5), learner(6))
+		for _, id := range []MemberID{4, 5, 6} {
+			g.add(id, Restored{})
+		}
+		Expect(leader.ProposeMembers(g.now, next)).To(Succeed())
+		g.pass(3 * heartbeat)
+		g.lost = func(message Message) bool { return message.From == 2 || message.From == 3 }
+		g.now += heartbeat
+		before, asked := leader.Status().Commit, g.now
+		g.propose(leader, "a")
+		leader.Confirm(asked)
+		g.settle()
+		Expect(leader.Status().Commit).To(Equal(before))
+		Expect(leader.Status().ConfirmedAt).To(BeNumerically("<", asked))
+		for _, id := range []MemberID{4, 5, 6} {
+			leader.Step(Message{Kind: MessageAppendResponse, From: id, To: 1, Term: 1, Index: leader.log.last()}, g.now)
+		}
+		Expect(leader.Status().Commit).To(Equal(before))
+	})
+
 	ginkgo.It("let a leader that removes itself step down once that is committed, and another lead soon", func() {
 		g.lost = lose(MessageAppendResponse)
 		Expect(leader.ProposeMembers(g.now, memberList(2, 3))).To(Succeed())
--- a/internal/consensus/nemesis_test.go
+++ b/internal/consensus/nemesis_test.go
@@ -159,8 +159,8 @@
 		}
 	}
 	members := leader.node.Status().Members
-	if leader.node.memberships.newest() > leader.node.commit || countVoters(members) < 3 {
-		return !isVoter(members, victim.id) && leader.node.memberships.newest() <= leader.node.commit
+	if leader.node.changePending() || countVoters(members) < 3 {
+		return !isVoter(members, victim.id) && !leader.node.changePending()
 	}
 	for _, member := range members {
 		if !member.Learner && n.world.holder(member.ID) == nil {
