--- a/internal/consensus/exhaustive_test.go
+++ b/internal/consensus/exhaustive_test.go
@@ -53,6 +53,7 @@
 		},
 		ginkgo.Entry("it replaces a follower, a disk is lost", bounds{replaces: 3, losses: 1, recovery: true}),
 		ginkgo.Entry("it replaces the leader, a disk is lost", bounds{replaces: 1, losses: 1, recovery: true}),
+		ginkgo.Entry("it replaces a follower, another is removed", bounds{replaces: 3, removals: 1}),
 		ginkgo.Entry("it replaces a follower, one leaves", bounds{replaces: 3, transfers: 1}),
 		ginkgo.Entry("it replaces the leader, which leaves", bounds{replaces: 1, transfers: 1}),
 		ginkgo.Entry("it replaces a follower, a restart", bounds{replaces: 3, crashes: 1, recovery: true}),
--- a/internal/consensus/explore_key_test.go
+++ b/internal/consensus/explore_key_test.go
@@ -83,7 +83,7 @@
 
 // state writes a whole state.
 func (k *keyWriter) state(e *explored) {
-	k.put(uint64(e.proposals), uint64(e.crashes), uint64(e.losses), uint64(e.transfers), uint64(len(e.committed)))
+	k.put(uint64(e.proposals), uint64(e.crashes), uint64(e.losses), uint64(e.transfers), uint64(e.removals), uint64(len(e.committed)))
 	k.put(e.committed...)
 	for _, leader := range e.leaders {
 		k.id(leader)
--- a/internal/consensus/explore_test.go
+++ b/internal/consensus/explore_test.go
@@ -22,6 +22,7 @@
 	// successor begins with member 1 as leader and learner 4, which has everything and takes the place of a lost voter
 	successor bool
 	replaces  MemberID // the voter whose place the successor begins to take at once, in one change
+	removals  int      // changes that remove member 2, tried at any moment, also while another is under way
 	transfers int      // leaderships given away on purpose, as by a member that leaves
 	late      bool     // syncs are steps of their own; otherwise they happen at once
 	recovery  bool     // every state is checked for whether the group can go on
@@ -59,6 +60,7 @@
 	proposals int
 	crashes   int
 	losses    int
+	removals  int
 	transfers int
 	successor bool
 	broken    string
@@ -365,11 +367,26 @@
 			_ = member.node.ProposeMembers(exploredTime, next)
 		})
 	}
+	if e.removals < limits.removals && node.role == roleLeader {
+		step("remove 2 at", index, func(state *explored, member *exploredMember) { state.remove(member.node) })
+	}
 	if node.role == roleLeader && limits.transfers > 0 {
 		e.transferSteps(index, limits, step)
 	}
 }
 
+// remove lets a leader try to remove member 2, whatever else is under way.
+func (e *explored) remove(leader *Node) {
+	next := FinalMembers(leader.memberships.current())
+	position := slices.IndexFunc(next, func(member Member) bool { return member.ID == 2 })
+	if position < 0 {
+		return
+	}
+	if leader.ProposeMembers(exploredTime, without(next, position)) == nil {
+		e.removals++
+	}
+}
+
 // transferSteps begins a transfer of the leadership to any other voter, or lets one time out.
 func (e *explored) transferSteps(index int, limits bounds, step func(string, int, func(*explored, *exploredMember))) {
 	node := e.members[index].node
