--- a/internal/simulation/cluster/cluster_test.go
+++ b/internal/simulation/cluster/cluster_test.go
@@ -86,7 +86,7 @@
 	}
 }
 
-var _ = Describe("The real cores of a whole cluster", func() {
+var _ = Describe("The shipped processes of a whole cluster", func() {
 	It("break no rule on quiet days", func() {
 		play(1, 1+seeds/100, Options{Quiet: true})
 	})
