Do what is due for several runners at once in one order

And a ticker of the simulation was begun anew after who waits for it was told, who may have stopped it by then.

--- a/internal/scheduler/deadlines.go
+++ b/internal/scheduler/deadlines.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Tick lets time pass: confirmations that came, replies that are due, holds that are over.
 func (o *Owner) Tick(now time.Duration, timeOfDayMs int64, confirmedAt time.Duration) {
@@ -16,18 +19,30 @@
 	o.forgetRetired(now)
 }
 
-// Flush sends the replies to heartbeats that are due. The shell calls it after Take.
+// Flush sends the replies to heartbeats that are due, in the order of their instances. The shell calls it after Take.
 func (o *Owner) Flush(now time.Duration) {
 	if !o.leading {
 		return
 	}
 	roundIsDue := o.dirty && o.state.HeldCount() > 0
 	settled := o.inFlight == nil && !o.hasNext() && !roundIsDue
-	for _, r := range o.runners {
-		if r.reply != nil && (settled || now >= r.replyDue) {
-			o.answer(now, r)
+	due := o.instances(func(r *runner) bool { return r.reply != nil && (settled || now >= r.replyDue) })
+	for _, instance := range due {
+		o.answer(now, o.runners[instance])
+	}
+}
+
+// instances returns the instances of the runners of a kind, sorted: what is done with several at once is done in the same
+// order each time.
+func (o *Owner) instances(wanted func(r *runner) bool) []string {
+	var found []string
+	for instance, r := range o.runners {
+		if wanted(r) {
+			found = append(found, instance)
 		}
 	}
+	slices.Sort(found)
+	return found
 }
 
 const (
--- a/internal/scheduler/losses.go
+++ b/internal/scheduler/losses.go
@@ -86,16 +86,12 @@
 
 // expireHolds gives up what silent runners ran, once their last hold is certainly over.
 func (o *Owner) expireHolds(now time.Duration) {
-	for instance, r := range o.runners {
-		if now < r.holdEnd {
-			continue
-		}
-		silent := !r.reported || now-r.heardAt > usableSilence
-		if !silent && !r.ended {
-			continue
-		}
+	isSilent := func(r *runner) bool { return !r.reported || now-r.heardAt > usableSilence }
+	over := o.instances(func(r *runner) bool { return now >= r.holdEnd && (r.ended || isSilent(r)) })
+	for _, instance := range over {
+		r := o.runners[instance]
 		o.loseAll(r)
-		if silent && now-r.holdEnd > forgetSilent && r.reply == nil && len(o.state.RunsOn(instance)) == 0 {
+		if isSilent(r) && now-r.holdEnd > forgetSilent && r.reply == nil && len(o.state.RunsOn(instance)) == 0 {
 			delete(o.runners, instance)
 		}
 	}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -1,7 +1,8 @@
 package scheduler
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"ospreypond/internal/failure"
@@ -88,7 +89,9 @@
 			stops = append(stops, protocol.StopOrder{Task: key.task.String(), Run: key.run})
 		}
 	}
-	sort.Slice(stops, func(i, j int) bool { return stops[i].Task < stops[j].Task })
+	slices.SortFunc(stops, func(a, b protocol.StopOrder) int {
+		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
+	})
 	return stops
 }
 
--- a/internal/simulation/cluster/shell_clock.go
+++ b/internal/simulation/cluster/shell_clock.go
@@ -53,8 +53,8 @@
 func (c shellClock) NewTicker(d time.Duration) clockwork.Ticker {
 	t := c.newTimer(nil)
 	t.fired = func() {
+		t.Reset(d) // first: who is told may stop it
 		t.tell()
-		t.Reset(d)
 	}
 	t.Reset(d)
 	return ticker{t}
