--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -54,6 +54,7 @@
 	Clock   clockwork.Clock // nil: the real one
 	Calls   bool            // the runner is called, instead of answered
 	App     string          // where it is called; empty: at the address in its heartbeats
+	Dial    Dial            // connects to it; nil: by TCP
 }
 
 // Service is the handler of a runner's calls.
@@ -77,7 +78,7 @@
 		beats:   beats{byInstance: make(map[string]*beat)},
 	}
 	if options.Calls {
-		s.caller = &caller{service: s, address: options.App}
+		s.caller = &caller{service: s, address: options.App, dial: options.Dial}
 	}
 	return s
 }
--- a/internal/agent/caller.go
+++ b/internal/agent/caller.go
@@ -14,6 +14,7 @@
 type caller struct {
 	service *Service
 	address string // of the runner's calls; empty: as its heartbeats say
+	dial    Dial
 
 	mutex   sync.Mutex
 	current *loop
@@ -29,7 +30,7 @@
 
 // register takes a runner's heartbeat and returns once the owner has it, or ctx ends.
 func (c *caller) register(ctx context.Context, request *protocol.HeartbeatRequest) error {
-	l, err := c.loopFor(request)
+	l, err := c.loopFor(ctx, request)
 	if err != nil {
 		return err
 	}
@@ -37,7 +38,7 @@
 }
 
 // loopFor returns the loop of the heartbeat's incarnation, which ends that of an earlier one.
-func (c *caller) loopFor(request *protocol.HeartbeatRequest) (*loop, error) {
+func (c *caller) loopFor(ctx context.Context, request *protocol.HeartbeatRequest) (*loop, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	instance := request.Heartbeat.Instance
@@ -57,7 +58,7 @@
 	if address == "" {
 		address = request.Heartbeat.Address
 	}
-	c.current = newLoop(c.service, instance, address)
+	c.current = newLoop(ctx, c.service, c.dial, instance, address)
 	c.current.registration.put(request, c.service.clock.Now())
 	go c.current.run(before)
 	return c.current, nil
--- a/internal/agent/doubts.go
+++ b/internal/agent/doubts.go
@@ -1,6 +1,12 @@
 package agent
 
-import "ospreypond/internal/protocol"
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"ospreypond/internal/protocol"
+)
 
 // runName names one run.
 type runName struct {
@@ -8,6 +14,13 @@
 	run  uint64
 }
 
+// inOrder returns a map's runs, sorted.
+func inOrder[V any](runs map[runName]V) []runName {
+	return slices.SortedFunc(maps.Keys(runs), func(a, b runName) int {
+		return cmp.Or(cmp.Compare(a.task, b.task), cmp.Compare(a.run, b.run))
+	})
+}
+
 // doubt is what is known of a run that may have been started.
 type doubt struct {
 	looked  bool  // a look since then has not shown it
@@ -67,8 +80,8 @@
 // unseen returns the runs in doubt that the newest look has not shown, and that are not stopped.
 func (d *doubts) unseen() []runName {
 	var runs []runName
-	for run, entry := range d.open {
-		if entry.looked && !entry.stopped {
+	for _, run := range inOrder(d.open) {
+		if entry := d.open[run]; entry.looked && !entry.stopped {
 			runs = append(runs, run)
 		}
 	}
@@ -80,7 +93,7 @@
 
 // addTo returns the active runs with those in doubt.
 func (d *doubts) addTo(active []protocol.ActiveRun) []protocol.ActiveRun {
-	for run := range d.open {
+	for _, run := range inOrder(d.open) {
 		active = append(active, protocol.ActiveRun{Task: run.task, Run: run.run})
 	}
 	return active
@@ -90,7 +103,7 @@
 func (d *doubts) rejections() []protocol.ActiveRun {
 	d.shown = d.shown[:0]
 	var rows []protocol.ActiveRun
-	for run := range d.rejected {
+	for _, run := range inOrder(d.rejected) {
 		d.shown = append(d.shown, run)
 		rows = append(rows, protocol.ActiveRun{Task: run.task, Run: run.run})
 	}
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -30,10 +30,21 @@
 	request []byte // kept for its room
 }
 
-// dialLink connects to a runner.
-func dialLink(ctx context.Context, address string) (*link, error) {
+// Dial connects to a runner.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// dialTCP connects to a runner by TCP.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: callTime, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// dialLink connects to a runner; a nil dial does so by TCP.
+func dialLink(ctx context.Context, dial Dial, address string) (*link, error) {
+	if dial == nil {
+		dial = dialTCP
+	}
+	conn, err := dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to the runner")
 	}
--- a/internal/agent/link_test.go
+++ b/internal/agent/link_test.go
@@ -48,7 +48,7 @@
 
 // link returns a new link to the runner, and the runner's end of it.
 func (r *rawRunner) link() (*link, *rawConnection) {
-	l, err := dialLink(context.Background(), r.listener.Addr().String())
+	l, err := dialLink(context.Background(), nil, r.listener.Addr().String())
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(l.close)
 	var far *rawConnection
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -46,6 +46,7 @@
 	service  *Service
 	instance string
 	address  string
+	dial     Dial
 	ctx      context.Context
 	cancel   context.CancelFunc
 	ended    chan struct{}
@@ -65,9 +66,10 @@
 	failures int // turns that failed, in a row
 }
 
-func newLoop(service *Service, instance, address string) *loop {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &loop{service: service, instance: instance, address: address, ctx: ctx, cancel: cancel,
+// newLoop returns a loop that is begun by the work of ctx, and goes on after it.
+func newLoop(ctx context.Context, service *Service, dial Dial, instance, address string) *loop {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	return &loop{service: service, dial: dial, instance: instance, address: address, ctx: ctx, cancel: cancel,
 		ended: make(chan struct{}), registration: newRegistration(), doubts: newDoubts(), stopSent: make(map[runName]time.Time)}
 }
 
@@ -127,7 +129,7 @@
 	}
 	select {
 	case <-l.ctx.Done():
-	case <-l.service.clock.After(pause):
+	case <-deadline.In(l.ctx, l.service.clock).After(pause):
 	}
 }
 
@@ -189,7 +191,7 @@
 // meet opens a session and asks the runner's clock. A runner answers nothing to a fence token lower than one that it has
 // seen; one that is not known here any more is asked from the owner.
 func (l *loop) meet() (err error) {
-	if l.session, err = openSession(l.ctx, l.address); err != nil {
+	if l.session, err = openSession(l.ctx, l.dial, l.address); err != nil {
 		return err
 	}
 	err = l.session.question(l.ctx, l.given.fenceToken, l.now)
@@ -254,7 +256,7 @@
 	select {
 	case <-l.ctx.Done():
 		return nil
-	case <-l.service.clock.After(pause):
+	case <-deadline.In(l.ctx, l.service.clock).After(pause):
 		return nil
 	case result := <-l.session.result:
 		if err := l.take(result); err != nil {
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -311,7 +312,7 @@
 		b := newCalledBed()
 		defer b.close()
 		request := &protocol.HeartbeatRequest{Shard: 1, Heartbeat: protocol.Heartbeat{Instance: instance, Sequence: 4}}
-		l, err := b.service.caller.loopFor(request)
+		l, err := b.service.caller.loopFor(context.Background(), request)
 		Expect(err).NotTo(HaveOccurred())
 		known, _ := l.registration.get()
 		Expect(known).To(Equal(request))
--- a/internal/agent/picture.go
+++ b/internal/agent/picture.go
@@ -64,7 +64,7 @@
 func (p *picture) active() []protocol.ActiveRun {
 	rows := make([]protocol.ActiveRun, 0, len(p.seen.active)+len(p.started))
 	rows = append(rows, p.seen.active...)
-	for run := range p.started {
+	for _, run := range inOrder(p.started) {
 		rows = append(rows, protocol.ActiveRun{Task: run.task, Run: run.run})
 	}
 	return rows
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -18,6 +18,7 @@
 	Service   string   // of the runner on this machine; empty: unknown
 	Calls     bool     // the runner is called, instead of answered
 	App       string   // where it is called; empty: at the address in its heartbeats
+	Dial      Dial     // connects to it; nil: by TCP
 	Clock     clockwork.Clock
 	Logger    log.Logger
 }
@@ -45,6 +46,7 @@
 		Clock:   options.Clock,
 		Calls:   options.Calls,
 		App:     options.App,
+		Dial:    options.Dial,
 	})
 	return &Relay{Service: service, Known: known}
 }
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -26,13 +26,13 @@
 }
 
 // openSession connects to the runner.
-func openSession(ctx context.Context, address string) (*session, error) {
+func openSession(ctx context.Context, dial Dial, address string) (*session, error) {
 	s := &session{result: make(chan lookResult, 1)}
 	var err error
-	if s.orders, err = dialLink(ctx, address); err != nil {
+	if s.orders, err = dialLink(ctx, dial, address); err != nil {
 		return nil, err
 	}
-	if s.looks, err = dialLink(ctx, address); err != nil {
+	if s.looks, err = dialLink(ctx, dial, address); err != nil {
 		s.orders.close()
 		return nil, err
 	}
--- a/internal/simulation/cluster/agent.go
+++ b/internal/simulation/cluster/agent.go
@@ -24,7 +24,10 @@
 		Addresses: c.seedAddresses(),
 		Node:      m.Name,
 		Clock:     shellClock{shell: s},
+		Calls:     c.called,
+		Dial:      s.dial,
 	})}
+	s.close = a.relay.Close
 	s.run(a.relay.Run)
 	return a
 }
--- a/internal/simulation/cluster/cluster.go
+++ b/internal/simulation/cluster/cluster.go
@@ -31,6 +31,7 @@
 	diskBytes     int64    // of a core machine
 	snapshotEvery uint64   // entries of a group's log after which it is replaced by a snapshot
 	diverged      []string // replicas that applied different entries
+	called        bool     // agents call their runners
 }
 
 // New puts the scheduler on a deployment. Nothing moves before the machines are booted.
--- a/internal/simulation/cluster/cluster_test.go
+++ b/internal/simulation/cluster/cluster_test.go
@@ -107,6 +107,14 @@
 		})
 	}
 
+	It("break no rule on quiet days where runners are called", func() {
+		play(1, 1+seeds/100, Options{Quiet: true, Called: true})
+	})
+
+	It("break no rule on days of all kinds where runners are called", func() {
+		play(8000, 1+seeds/10, Options{Called: true})
+	})
+
 	DescribeTable("break no rule under troubles that meet",
 		func(kinds ...string) {
 			play(7000, 1+seeds/50, Options{Troubles: kinds, Together: true, Closing: "none"})
@@ -127,7 +135,10 @@
 
 	It("run the same from the same seed", func() {
 		for seed := range uint64(3) {
-			Expect(playDay(seed+1, Options{}).Fingerprint()).To(Equal(playDay(seed+1, Options{}).Fingerprint()))
+			for _, called := range []bool{false, true} {
+				options := Options{Called: called}
+				Expect(playDay(seed+1, options).Fingerprint()).To(Equal(playDay(seed+1, options).Fingerprint()))
+			}
 		}
 	})
 })
--- a/internal/simulation/cluster/run.go
+++ b/internal/simulation/cluster/run.go
@@ -17,6 +17,7 @@
 	Together bool     // troubles begin close to each other in any case
 	Closing  string   // final fault; "none": none; empty: drawn
 	Length   time.Duration
+	Called   bool // agents call their runners, instead of answering them
 	Size     *simulation.Size
 	Bounds   *simulation.Bounds
 }
@@ -89,11 +90,24 @@
 	deployment := simulation.NewDeployment(world, size, bounds)
 	c := New(deployment)
 	c.diskBytes, c.snapshotEvery = drawDiskBytes(world), simulation.Pick(world, []uint64{10, 40, 300})
+	if options.Called {
+		c.callRunners()
+	}
 	deployment.Play(day)
 	c.endShells()
 	return c.report(seed, day)
 }
 
+// callRunners has agents call their runners (commands = invocation).
+func (c *Cluster) callRunners() {
+	c.called = true
+	for _, runners := range [][]*simulation.Runner{c.deployment.Runners, c.deployment.Spares} {
+		for _, runner := range runners {
+			runner.Called = true
+		}
+	}
+}
+
 // DayBounds are the bounds of short days.
 func DayBounds() simulation.Bounds {
 	bounds := simulation.DefaultBounds()
--- a/internal/simulation/cluster/shell.go
+++ b/internal/simulation/cluster/shell.go
@@ -25,10 +25,13 @@
 	began    time.Time // what its clock shows at steady time 0: the time of day at the start
 	settled  func()    // if set, called after each input
 	requests uint64    // taken so far
+	close    func()    // ends goroutines that don't end with ctx; nil: there are none
 
 	mutex   sync.Mutex
 	effects []effect // asked for since the newest input
 	ended   bool     // the process was killed: nothing that it does has an effect
+	// connections is how many were made to the machine's runner.
+	connections uint64
 }
 
 // effect is something that a goroutine of a shell wants of the world.
@@ -65,6 +68,9 @@
 	s.effects = nil
 	s.mutex.Unlock()
 	s.cancel()
+	if s.close != nil {
+		s.close()
+	}
 	synctest.Wait()
 }
 
@@ -112,14 +118,15 @@
 // serve has a handler answer a caller's request. What it returns ends the request because the caller has left.
 func (s *shell) serve(handler http.Handler, request *http.Request, answered func(*answer)) (left func()) {
 	s.requests++
-	number := s.requests
+	number := 2 * s.requests
+	last := number + 1 // its answer comes after all else: what the handler has begun may go on beside it
 	ctx, cancel := context.WithCancel(context.WithValue(s.ctx, requestKey{}, number))
 	s.enter(func() {
 		go func() {
 			defer cancel()
 			response := &answer{header: http.Header{}, status: http.StatusOK}
 			handler.ServeHTTP(response, request.WithContext(ctx))
-			s.want(number, func() { answered(response) })
+			s.want(last, func() { answered(response) })
 		}()
 	})
 	return func() {
--- a/internal/simulation/runner.go
+++ b/internal/simulation/runner.go
@@ -26,9 +26,10 @@
 	Guards    bool
 	Interval  time.Duration // between heartbeats, unless it is told otherwise
 	ClockRate float64       // of its steady clock: 0.98 to 1
+	Called    bool          // it is told what to do by calls, and not in answers to its heartbeats
 }
 
-// Runner runs tasks on a side machine, as it is told in answers to its heartbeats.
+// Runner runs tasks on a side machine, as it is told in answers to its heartbeats, or by calls.
 type Runner struct {
 	RunnerOptions
 	Machine *Machine
@@ -55,6 +56,9 @@
 	giveUp    *Timer
 	closeBeat func() // tells the agent that the runner waits no longer for its newest answer
 
+	resets   []func() // called when this incarnation ends
+	awaiting []func() // called at the next end
+
 	draining    bool
 	leaves      time.Duration // true time of its end while draining
 	slow        float64       // times as long; 0 or 1: as usual
@@ -110,6 +114,7 @@
 	r.giveUp.Stop()
 	r.lapse.Stop()
 	r.hangUp()
+	r.resetConnections()
 	life := r.instance
 	life.Down = r.world.now
 	r.instance = nil
--- a/internal/simulation/runner_beat.go
+++ b/internal/simulation/runner_beat.go
@@ -120,21 +120,29 @@
 	beat := &protocol.Heartbeat{
 		Instance: r.instance.Instance, Service: r.Service, Address: r.Address, Zone: r.Zone, Version: "v1", Slots: 8,
 		State: protocol.Ready, Capacity: r.Capacity, Labels: []string{r.Kind, r.Rack}, Sequence: r.sequence,
-		ClockMs: time.Duration(float64(r.world.now-r.instance.Up) * r.ClockRate).Milliseconds(),
+		ClockMs: r.clockMs(),
 	}
 	if r.draining {
 		beat.State = protocol.Draining
 		beat.RemainingMs = max(0, r.leaves-r.world.now).Milliseconds()
 	}
+	if !r.Called {
+		beat.Active, beat.Finished = r.lists()
+	}
+	return beat
+}
+
+// lists are what runs, and the ends that are not taken note of.
+func (r *Runner) lists() (active []protocol.ActiveRun, finished []protocol.FinishedRun) {
 	for _, e := range r.active {
 		e.refreshSaved(r.world.now)
-		beat.Active = append(beat.Active, protocol.ActiveRun{
+		active = append(active, protocol.ActiveRun{
 			Task: e.record.Text, Run: e.record.Run, Saved: e.saved, Percent: e.percent(r.world.now)})
 	}
 	for i := range min(len(r.finished), mostFinished) {
-		beat.Finished = append(beat.Finished, r.finished[i].row)
+		finished = append(finished, r.finished[i].row)
 	}
-	return beat
+	return active, finished
 }
 
 // obey carries out the answer to a heartbeat that was sent at a time.
--- a/internal/simulation/runner_run.go
+++ b/internal/simulation/runner_run.go
@@ -7,23 +7,28 @@
 	"ospreypond/internal/protocol"
 )
 
-// start begins a run as ordered, or refuses it.
+// start begins a run as ordered, or lists it as refused.
 func (r *Runner) start(order *protocol.StartOrder, sent time.Duration) {
+	if why := r.begin(order, sent); why != "" {
+		r.refuse(order.Task, order.Run)
+	}
+}
+
+// begin begins a run as ordered, or tells why not.
+func (r *Runner) begin(order *protocol.StartOrder, sent time.Duration) (why string) {
 	for _, e := range r.active {
 		if e.record.Text == order.Task && e.record.Run == order.Run {
-			return
+			return ""
 		}
 	}
 	name, readable := ParseTaskName(order.Task)
 	group, task := r.plant.find(name)
 	if !readable || r.barred[order.Task] >= order.Run {
-		r.refuse(order.Task, order.Run)
-		return
+		return whyOld
 	}
 	if r.Guards && group != nil && !r.fits(group.step) {
 		r.instance.Refused++
-		r.refuse(order.Task, order.Run)
-		return
+		return whyRoom
 	}
 	record := &Run{Text: order.Task, Task: name, Run: order.Run, Runner: r.instance, Sent: sent, Started: r.world.now,
 		Spec: order.Spec, Saved: order.Saved, Ended: Never, Noted: Never}
@@ -34,6 +39,7 @@
 	if r.heldUntil <= r.world.now {
 		r.end(e, protocol.EndLapsed)
 	}
+	return ""
 }
 
 // prepare decides what a run will come to and sets it to work.
@@ -118,7 +124,7 @@
 func (r *Runner) refuse(task string, run uint64) {
 	r.list(task, run, protocol.EndRefused, "", nil)
 	r.barred[task] = max(r.barred[task], run)
-	r.beatSoon()
+	r.tell()
 }
 
 func (r *Runner) list(task string, run uint64, how, saved string, record *Run) uint64 {
@@ -151,5 +157,5 @@
 	if e.isGang() && how != protocol.EndDone {
 		r.plant.leaveGang(e)
 	}
-	r.beatSoon()
+	r.tell()
 }
