--- a/internal/simulation/cluster/cluster_test.go
+++ b/internal/simulation/cluster/cluster_test.go
@@ -115,6 +115,16 @@
 		play(8000, 1+seeds/10, Options{Called: true})
 	})
 
+	DescribeTable("break no rule under troubles that meet where runners are called",
+		func(kinds ...string) {
+			play(8500, 1+seeds/100, Options{Called: true, Troubles: kinds, Together: true, Closing: "none"})
+		},
+		Entry("runners come back as others", "srv_back_late", "srv_back_late", "srv_late"),
+		Entry("an owner is lost while agents are frozen", "core_kill", "node_freeze", "node_kill"),
+		Entry("connections break while there is much to do", "reset_conns", "burst", "reset_conns"),
+		Entry("agents are killed while runners crash", "herd_kill", "srv_crash", "srv_back_late"),
+	)
+
 	DescribeTable("break no rule under troubles that meet",
 		func(kinds ...string) {
 			play(7000, 1+seeds/50, Options{Troubles: kinds, Together: true, Closing: "none"})
--- a/internal/simulation/cluster/runner_conn.go
+++ b/internal/simulation/cluster/runner_conn.go
@@ -81,8 +81,7 @@
 func (c *runnerConn) connect(runner *simulation.Runner) error {
 	if runner != nil {
 		s := c.shell
-		life := s.inLife(func() { s.enter(func() { close(c.reset) }) })
-		c.remote = runner.Connect(life)
+		c.remote = runner.Connect(s.inLife(func() { s.enter(c.breakOff) }))
 	}
 	if c.remote == nil {
 		return syscall.ECONNREFUSED
@@ -90,6 +89,15 @@
 	return nil
 }
 
+// breakOff ends the connection from the runner's side.
+func (c *runnerConn) breakOff() {
+	select {
+	case <-c.reset:
+	default:
+		close(c.reset)
+	}
+}
+
 // inLife returns a function that calls f in the present life of the process, or never.
 func (s *shell) inLife(f func()) func() {
 	return func() {
@@ -121,13 +129,24 @@
 	return len(data), nil
 }
 
-// send is called by the world's goroutine.
+// send carries a call over and its answer back. Where messages vanish, connections break, before a call is carried out or
+// after it. It is called by the world's goroutine.
 func (c *runnerConn) send(path string, body []byte) {
+	const breaks = 0.25 // for each message that vanishes elsewhere
 	s := c.shell
 	world := s.cluster.world
+	breakOff := s.inLife(func() { s.enter(c.breakOff) })
+	broken := world.Chance(breaks * s.cluster.deployment.Network.Loss)
+	if broken && world.Chance(0.5) {
+		world.After(simulation.LoopbackDelay, breakOff)
+		return
+	}
 	world.After(simulation.LoopbackDelay, func() {
 		c.remote.Call(path, body, func(status int, answer []byte) {
 			arrive := s.inLife(func() { s.enter(func() { c.arrive(status, answer) }) })
+			if broken {
+				arrive = breakOff
+			}
 			world.After(simulation.LoopbackDelay, arrive)
 		})
 	})
--- a/internal/simulation/trouble.go
+++ b/internal/simulation/trouble.go
@@ -110,6 +110,7 @@
 		{"srv_late", func(d *Deployment, lasts time.Duration) {
 			d.greyRunners("srv_late", lasts, func(r *Runner) { r.SetLate(0.3) }, func(r *Runner) { r.SetLate(0) })
 		}},
+		{"srv_back_late", (*Deployment).backLate},
 		{"scale_in", (*Deployment).scaleIn},
 		{"leave_undrained", (*Deployment).leaveUndrained},
 		{"spot", (*Deployment).spot},
@@ -166,6 +167,18 @@
 	}
 }
 
+// backLate has runners crash and come back soon, whose heartbeats are late: for a while another incarnation than the one
+// that the system knows stands there.
+func (d *Deployment) backLate(lasts time.Duration) {
+	d.note("srv_back_late", lasts, false)
+	for _, r := range d.someRunners(0.3) {
+		r.Crash()
+		r.SetLate(0.7)
+		d.World.After(restartTime+d.World.Between(0, restartTime), r.Start)
+		d.World.After(lasts, func() { r.SetLate(0) })
+	}
+}
+
 // leaveUndrained takes runners away that never say that they drain.
 func (d *Deployment) leaveUndrained(lasts time.Duration) {
 	for _, r := range d.someRunners(0.15) {
