Let calls to runners be carried out after their connection has broken

A call whose connection broke was carried out before that or never, so that the look after it always showed the truth, and an agent's doubts had nothing to forbid. Half of those that were never carried out now are, up to a second later.

--- a/internal/simulation/cluster/runner_conn.go
+++ b/internal/simulation/cluster/runner_conn.go
@@ -129,8 +129,8 @@
 	return len(data), nil
 }
 
-// send carries a call over and its answer back. Where messages vanish, connections break, before a call is carried out or
-// after it. It is called by the world's goroutine.
+// send carries a call over and its answer back. Where messages vanish, connections break: a call is then carried out
+// before that, later or never. It is called by the world's goroutine.
 func (c *runnerConn) send(path string, body []byte) {
 	const breaks = 0.25 // for each message that vanishes elsewhere
 	s := c.shell
@@ -139,6 +139,9 @@
 	broken := world.Chance(breaks * s.cluster.deployment.Network.Loss)
 	if broken && world.Chance(0.5) {
 		world.After(simulation.LoopbackDelay, breakOff)
+		if world.Chance(0.5) {
+			world.After(world.Between(0, time.Second), func() { c.remote.Call(path, body, func(int, []byte) {}) })
+		}
 		return
 	}
 	world.After(simulation.LoopbackDelay, func() {
