--- a/internal/simulation/cluster/cluster_test.go
+++ b/internal/simulation/cluster/cluster_test.go
@@ -107,6 +107,24 @@
 		})
 	}
 
+	It("break no rule on quiet days where runners are called", func() {
+		play(1, 1+seeds/100, Options{Quiet: true, Called: true})
+	})
+
+	It("break no rule on days of all kinds where runners are called", func() {
+		play(8000, 1+seeds/10, Options{Called: true})
+	})
+
+	DescribeTable("break no rule under troubles that meet where runners are called",
+		func(kinds ...string) {
+			play(8500, 1+seeds/100, Options{Called: true, Troubles: kinds, Together: true, Closing: "none"})
+		},
+		Entry("runners come back as others", "srv_back_late", "srv_back_late", "srv_late"),
+		Entry("an owner is lost while agents are frozen", "core_kill", "node_freeze", "node_kill"),
+		Entry("connections break while there is much to do", "reset_conns", "burst", "reset_conns"),
+		Entry("agents are killed while runners crash", "herd_kill", "srv_crash", "srv_back_late"),
+	)
+
 	DescribeTable("break no rule under troubles that meet",
 		func(kinds ...string) {
 			play(7000, 1+seeds/50, Options{Troubles: kinds, Together: true, Closing: "none"})
@@ -127,7 +145,10 @@
 
 	It("run the same from the same seed", func() {
 		for seed := range uint64(3) {
-			Expect(playDay(seed+1, Options{}).Fingerprint()).To(Equal(playDay(seed+1, Options{}).Fingerprint()))
+			for _, called := range []bool{false, true} {
+				options := Options{Called: called}
+				Expect(playDay(seed+1, options).Fingerprint()).To(Equal(playDay(seed+1, options).Fingerprint()))
+			}
 		}
 	})
 })
