--- a/internal/replica/catchup_test.go
+++ b/internal/replica/catchup_test.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// lacks tells whether a machine has less than the leader had at a time.
+// has tells whether a machine runs and has a version.
 func (m *machine) has(version uint64) func() bool {
 	return func() bool { return m.up && versionOf(m) >= version }
 }
