--- a/internal/transport/faults_test.go
+++ b/internal/transport/faults_test.go
@@ -90,6 +90,7 @@
 		_, err := in.next()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(in.skip()).To(Succeed())
+		Eventually(func() bool { return isStanding(client, "a") }).WithTimeout(soon).Should(BeTrue()) // else the next one is put off
 		_ = far.Close()
 		expectKind(ended, failure.UnknownOutcome)
 		ended = calling(ctx, client, "a")
