Have the runner of a test send heartbeats as runners do

The test of a runner that has followed another sent one heartbeat; on a busy machine the agent's session began over 0.3 s of the test's clock after it, and waited for the next one (2 of 17 runs at a load of 49 on 12 cores).

--- a/internal/agent/fake_runner_test.go
+++ b/internal/agent/fake_runner_test.go
@@ -210,3 +210,31 @@
 	Fail("no exchange is as wanted")
 	return nil
 }
+
+// Heartbeats of a runner whose first report to the owner is waited for.
+const (
+	mostBeats = 20
+	beatSteps = 25 // of the clock between two
+)
+
+// untilBeating has a runner send heartbeats until one of them is reported to the owner; what comes before is answered by
+// orders. It returns that report and the heartbeat's answer.
+func (b *calledBed) untilBeating(instance string, orders protocol.Orders) (*exchange, <-chan *httptest.ResponseRecorder) {
+	answers := map[uint64]<-chan *httptest.ResponseRecorder{}
+	for sequence := 1; sequence <= mostBeats; sequence++ {
+		answers[uint64(sequence)] = b.own(instance, sequence, protocol.Ready)
+		for range beatSteps {
+			select {
+			case e := <-b.owners.attempts:
+				if e.beat.Instance == instance && !e.beat.FenceOnly {
+					return e, answers[e.beat.Sequence>>sequenceBits]
+				}
+				e.reply <- result{orders: orders} // the loop before may have shown it a token
+			case <-time.After(turnPatience):
+				b.clock.Advance(turnStep)
+			}
+		}
+	}
+	Fail("no heartbeat is reported to the owner")
+	return nil, nil
+}
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -228,10 +228,7 @@
 			default:
 			}
 		}
-		next := b.own("i-next", 1, protocol.Ready)
-		e := b.until(granted(), func(beat *protocol.Heartbeat) bool { // the loop before may have shown it a token
-			return beat.Instance == "i-next" && !beat.FenceOnly
-		})
+		e, next := b.untilBeating("i-next", granted())
 		e.reply <- result{orders: granted()}
 		Expect(answerOf(next).Code).To(Equal(200))
 		Expect(answerOf(b.own(instance, 9, protocol.Ready)).Code).To(Equal(410), "it is over")
