Let a word to leave count for the quiet phase only, and holders by what they answer

A review of the departure by someone who had not written it found two faults.

A member that was frozen in its quiet phase, with the leaders' words waiting for it, ended as soon as it woke, however long that had taken, because the words were looked at before the phase's end. Meanwhile another could have lost its disk, so that one of three remained, without a quorum. Now the phase's end is looked at first: the member takes part again, and asks again. (It still ends when its patience is over.)

A leader took a member for one that stays because an answer of its term had come lately. An answer that comes late or twice, of a member that has ended or was let go, was enough to let a second one of three go. Now the member must have answered something that was sent lately: consensus notes the time of sending in each answer.

Ruled out: that a late wish and late answers make an identity vote that is gone. Joining is itself an entry, which such an identity has never answered for; a test holds that.

--- a/internal/replica/joins.go
+++ b/internal/replica/joins.go
@@ -154,6 +154,10 @@
 	if member.ID == g.engine.self.ID {
 		reachedAt = now // nobody else is where this process is
 	}
+	unreached := unknownAge
+	if reachedAt > 0 {
+		unreached = now - reachedAt
+	}
 	return memberView{
 		Member:    member,
 		age:       g.ageOf(member.ID),
@@ -164,5 +168,6 @@
 		movedAt:   known.movedAt,
 		heardAt:   known.heardAt,
 		reachedAt: reachedAt,
+		unreached: unreached,
 	}
 }
--- a/internal/replica/leave.go
+++ b/internal/replica/leave.go
@@ -71,12 +71,12 @@
 	switch {
 	case led > 0:
 		return false
+	case d.quiet && e.now >= d.quietEnd:
+		e.takePart() // also if all have said yes: this process was frozen, and the others may need it by now
 	case len(d.released) == len(e.groups) && d.quiet:
 		return true
 	case len(d.released) == len(e.groups):
 		e.beQuiet()
-	case d.quiet && e.now >= d.quietEnd:
-		e.takePart()
 	}
 	for _, g := range e.groups {
 		g.askToLeave()
@@ -177,17 +177,16 @@
 	})
 }
 
-// staysHolding tells whether a voter stays and holds what one that leaves holds.
+// staysHolding tells whether a voter stays and holds what one that leaves holds. That it stays is told by its answers to
+// what was sent lately only: what it sent before it ended may come late.
 func (g *group) staysHolding(id consensus.MemberID, leave *Leave, last uint64) bool {
 	behind, _, known := g.node.Lagging(id)
 	if !known || g.engine.releasedLately(id) {
 		return false
 	}
-	if id != g.engine.self.ID {
-		seen := g.memberView(consensus.Member{ID: id})
-		if !seen.alive() {
-			return false
-		}
+	seen := g.memberView(consensus.Member{ID: id})
+	if !seen.reachable() {
+		return false
 	}
 	if leave.Quiet {
 		return last-behind >= min(leave.Last, last)
--- a/internal/replica/leave_test.go
+++ b/internal/replica/leave_test.go
@@ -217,6 +217,59 @@
 		}
 	})
 
+	It("counts no word that waited for it while it was frozen, since another may have been lost meanwhile", func() {
+		for seed := range uint64(10) {
+			three(seed)
+			leaving := c.machines[seed%3]
+			departure := leaving.leave(patience)
+			Expect(c.until(time.Second, func() bool { return leaving.engine.departure.quiet })).To(BeTrue())
+			leaving.frozen = true
+			c.run(20 * time.Millisecond)
+			wiped := others(leaving)[c.random.IntN(2)]
+			wiped.wipe()
+			wiped.start(nil)
+			c.run(quietPatience + 100*time.Millisecond)
+			leaving.frozen = false
+			leaving.wake()
+			c.run(100 * time.Millisecond)
+			Expect(departure.gone()).To(BeFalse(), "of two disks with everything it has one")
+			Expect(c.until(patience, departure.gone)).To(BeTrue())
+			Expect(departure.ended-departure.begun).To(BeNumerically("<", patience), "not for want of patience")
+			Expect(c.votes(wiped.engine.self.ID)).To(BeTrue())
+			c.expectHeld(wiped)
+		}
+	})
+
+	DescribeTable("does not count on one that is gone, whatever of that comes in late",
+		func(end func(m *machine)) {
+			for seed := range uint64(10) {
+				three(seed)
+				leader := c.leader(0)
+				first, second := others(leader)[0], others(leader)[1]
+				for id := range GroupID(controlGroups) { // one leads all of them, all the time
+					leader.ledgers[id].keeps = true
+					if c.leader(id) != leader {
+						c.moveLeadership(id, leader)
+					}
+				}
+				record, stop := c.recordOf(first)
+				c.work(200 * time.Millisecond)
+				stop()
+				end(first)
+				Expect(c.until(time.Second, func() bool { return !first.up })).To(BeTrue())
+				c.run(reluctance + 100*time.Millisecond)
+				next := second.leave(patience)
+				for range 100 {
+					c.deliver(record()[c.random.IntN(len(record()))])
+					c.run(20 * time.Millisecond)
+					Expect(next.gone()).To(BeFalse(), "only the leader would be left")
+				}
+			}
+		},
+		Entry("one that was let go", func(m *machine) { m.leave(patience) }),
+		Entry("one that was killed", func(m *machine) { m.kill() }),
+	)
+
 	It("ends when its patience is over, and takes part till then", func() {
 		three(3)
 		rest := others(c.leader(0))
@@ -254,6 +307,15 @@
 	})
 })
 
+// moveLeadership has a group led by a machine.
+func (c *cluster) moveLeadership(id GroupID, to *machine) {
+	GinkgoHelper()
+	from := c.leader(id)
+	from.engine.Do(func() { _ = from.engine.byID[id].node.Transfer(from.engine.now, to.engine.self.ID) })
+	from.wake()
+	Expect(c.until(time.Second, func() bool { return c.leader(id) == to })).To(BeTrue())
+}
+
 // expectHeld expects that a machine's disk alone has all that was acknowledged, if the power goes now. It is the end of
 // the disk.
 func (c *cluster) expectHeld(m *machine) {
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -41,6 +41,7 @@
 	movedAt   time.Duration // when that became known
 	heardAt   time.Duration // when anything last came from it, in whatever group
 	reachedAt time.Duration // when the newest message left that it has answered in this term; 0: none
+	unreached time.Duration // since then; unlike silent it is not shortened by answers that come late or twice
 }
 
 // membershipPlan is the next membership; with nil members nothing is to be changed.
@@ -236,6 +237,9 @@
 
 func (m *memberView) caughtUp() bool { return m.age <= caughtUpAge && m.alive() }
 
+// reachable tells whether a member has lately answered something that was sent lately.
+func (m *memberView) reachable() bool { return m.unreached < aliveSilence }
+
 func (m *memberView) alive() bool { return max(m.silent, m.unheard) < aliveSilence }
 
 // away is for how long a member has been silent. A new leader that it owes some answers may count what this process heard
--- a/internal/replica/succession_test.go
+++ b/internal/replica/succession_test.go
@@ -261,6 +261,46 @@
 })
 
 var _ = Describe("A learner", func() {
+	It("does not vote on the word of an identity that is gone for good, however late and often that comes", func() {
+		for seed := range uint64(6) {
+			c := controlCluster(seed, 3)
+			leader := c.leader(0)
+			for id := range GroupID(controlGroups) { // one leads all of them, in the same terms
+				leader.ledgers[id].keeps = true
+				if c.leader(id) != leader {
+					c.moveLeadership(id, leader)
+				}
+			}
+			gone := c.machines[(slices.Index(c.machines, leader)+1)%3]
+			c.add("core-4", "10.0.0.4:7380").start(nil)
+			c.awaitVoters("core-1", "core-2", "core-3", "core-4")
+			held := map[GroupID]uint64{}
+			for id := range GroupID(controlGroups) {
+				held[id] = gone.engine.Status(id).LastIndex
+			}
+			gone.kill()
+			names := slices.DeleteFunc(c.names(), func(name string) bool { return name == gone.name })
+			Expect(c.until(3*time.Second, c.settled(names...))).To(BeTrue())
+			for id := range GroupID(controlGroups) {
+				wish := Join{Group: id, Member: consensus.Member{ID: gone.engine.self.ID, Node: gone.name, Zone: "zone", Address: gone.address}}
+				late := Envelope{From: gone.engine.self.ID, Address: gone.address, Joins: []Join{wish}}
+				late.Messages = append(late.Messages, consensus.Message{
+					Kind: consensus.MessageAppendResponse, Group: id, From: gone.engine.self.ID, To: leader.engine.self.ID,
+					Term: leader.engine.Status(id).Term, Index: held[id],
+				})
+				Expect(c.voters(id)).To(HaveLen(3))
+				for range 60 {
+					c.deliver(&late)
+					c.run(10 * time.Millisecond)
+					Expect(c.voters(id)).To(HaveLen(3), "a fourth vote would be one that never answers")
+				}
+			}
+			c.run(learnerSilence + time.Second)
+			Expect(c.isMember(gone.engine.self.ID)).To(BeFalse())
+			c.awaitVoters(names...)
+		}
+	})
+
 	for _, disk := range []time.Duration{fastDisk, 100 * time.Millisecond, slowDisk, 400 * time.Millisecond} {
 		It(fmt.Sprintf("is promoted under constant load with a disk of %v, and then holds what was committed a second before", disk), func() {
 			for seed := range uint64(5) {
