--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -140,6 +140,31 @@
 	}
 }
 
+// delayed lets time go by while everything from and to a member takes long.
+func (g *group) delayed(id MemberID, delay, length time.Duration) {
+	type underWay struct {
+		message Message
+		due     time.Duration
+	}
+	var late []underWay
+	far := isolate(id)
+	g.lost = func(message Message) bool {
+		if far(message) {
+			late = append(late, underWay{message: message, due: g.now + delay})
+		}
+		return far(message)
+	}
+	for end := g.now + length; g.now < end; {
+		g.pass(10 * time.Millisecond)
+		for len(late) > 0 && late[0].due <= g.now {
+			g.waiting = append(g.waiting, late[0].message)
+			late = late[1:]
+		}
+		g.settle()
+	}
+	g.lost = nil
+}
+
 // elect makes a member the leader.
 func (g *group) elect(id MemberID) *scripted {
 	member := g.of(id)
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -19,8 +19,9 @@
 type outgoingSnapshot struct {
 	number   uint64 // among all of this leader's in its term
 	snapshot Snapshot
-	offset   uint64 // bytes that are over there
-	sentAt   time.Duration
+	offset   uint64        // bytes that are over there
+	firstAt  time.Duration // when the present piece was first sent
+	sentAt   time.Duration // when it was last sent
 }
 
 // incomingSnapshot is a snapshot that is being received from one leader.
@@ -55,7 +56,7 @@
 		snapshot.Members = n.MembersAt(snapshot.Index)
 	}
 	n.leadership.transfers++
-	peer.transfer = &outgoingSnapshot{number: n.leadership.transfers, snapshot: snapshot}
+	peer.transfer = &outgoingSnapshot{number: n.leadership.transfers, snapshot: snapshot, firstAt: n.now}
 	n.sendPiece(peer)
 }
 
@@ -93,7 +94,8 @@
 	}
 }
 
-// takeSnapshotResponse sends the next piece from where the member is.
+// takeSnapshotResponse sends the next piece from where the member is. The answer may be to any sending of the present
+// piece: where answers take longer than the time after which a piece is repeated, none comes to the newest.
 func (n *Node) takeSnapshotResponse(message *Message) {
 	peer := n.peer(message.From)
 	if n.role != roleLeader || peer == nil {
@@ -101,11 +103,12 @@
 	}
 	n.heardFrom(peer, message)
 	transfer := peer.transfer
-	if transfer == nil || message.Index != transfer.snapshot.Index || message.SentAt != transfer.sentAt {
+	if transfer == nil || message.Index != transfer.snapshot.Index || message.SentAt < transfer.firstAt {
 		return
 	}
 	transfer.offset = message.Offset
-	switch took := n.now - transfer.sentAt; {
+	transfer.firstAt = n.now
+	switch took := n.now - message.SentAt; {
 	case took > n.config.ElectionTimeout:
 		n.shrinkPieces(peer)
 	case took < n.config.ElectionTimeout/2:
--- a/internal/consensus/snapshot_test.go
+++ b/internal/consensus/snapshot_test.go
@@ -1,6 +1,8 @@
 package consensus
 
 import (
+	"time"
+
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -63,6 +65,19 @@
 		Expect(leader.peer(3).match).To(Equal(snapshot.Index))
 	})
 
+	ginkgo.DescribeTable("comes over a link on which an answer takes long",
+		func(roundTrip time.Duration) {
+			begin()
+			g.delayed(3, roundTrip/2, 40*roundTrip)
+			Expect(behind.installed).NotTo(BeNil())
+			Expect(string(behind.installed.Data)).To(Equal(text))
+		},
+		ginkgo.Entry("a heartbeat's interval", heartbeat),
+		ginkgo.Entry("two and a half", 5*heartbeat/2),
+		ginkgo.Entry("four", 4*heartbeat),
+		ginkgo.Entry("seven", 7*heartbeat),
+	)
+
 	ginkgo.DescribeTable("goes on where it was after a loss",
 		func(kind MessageKind) {
 			lost := false
