Keep a run that an earlier owner started until its hold is over or a heartbeat lists it

An owner takes a run for lost that a runner's newest heartbeat does not list, if it waited for its start for too long or the runner ends: earlier answers are void, so the run can't be there. But the newest that a new owner has need not be the newest that the runner has sent: it may have come seconds late, after the earlier owner answered a newer one and so had the run started. The run was started a second time elsewhere while the first still went on under its hold.

Now a run of an earlier owner that no heartbeat has listed here waits until that owner's holds are over. Starts that the runner has not got are ordered again by the first answer, as before, so that this costs time only where the runner ends.

Ruled out: the same at one owner (sequence numbers), and runs of jobs that are over, which are not started again. Not looked into: runs that linger after their gang is done leave the books at once, as before.

--- a/internal/scheduler/late_test.go
+++ b/internal/scheduler/late_test.go
@@ -47,6 +47,34 @@
 		Expect(other.Start).To(BeEmpty(), "the run is where it was")
 	})
 
+	DescribeTable("to a new owner, before any other, does not make a run lost that its runner's hold still covers",
+		func(before func(), wait time.Duration) {
+			before()
+			w.owner.Follow()
+			w.lead(8)
+			w.pass(wait)
+			_, err := w.beat(beatOf("i1", 6)) // of before the start: it does not list the run
+			Expect(err).NotTo(HaveOccurred())
+			other, err := w.beat(beatOf("i2", 1))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(other.Start).To(BeEmpty(), "the run is where it was")
+			runs := w.state.RunsOn("i1")
+			Expect(runs).To(HaveLen(1))
+			Expect(runs[0].Run).To(Equal(listed.Active[0].Run))
+			w.pass(hold) // longer than the earlier owner's holds: it is not there if nothing lists it
+			w.pass(hold)
+			third, err := w.beat(beatOf("i3", 1))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(third.Start).To(HaveLen(1))
+		},
+		Entry("at once", func() {}, time.Duration(0)),
+		Entry("after more than a start may wait", func() {}, 4500*time.Millisecond),
+		Entry("of a runner that has said that it ends", func() {
+			w.owner.Deregister("i1", func(err error) { Expect(err).NotTo(HaveOccurred()) })
+			w.settle()
+		}, time.Duration(0)),
+	)
+
 	It("from the same incarnation changes nothing and grants nothing", func() {
 		late := beatOf("i1", 6) // of before the start: it does not list the run
 		late.State = protocol.Draining
--- a/internal/scheduler/losses.go
+++ b/internal/scheduler/losses.go
@@ -21,7 +21,8 @@
 			continue
 		}
 		_, stopping := r.stops[key]
-		if r.draining || stopping || over(task.Group.Job.State) || o.tooLate(now, r, task) {
+		gone := r.draining || stopping || o.tooLate(now, r, task)
+		if over(task.Group.Job.State) || gone && !o.mayRunUnlisted(now, r, key) {
 			o.lose(r, task)
 		}
 	}
@@ -35,6 +36,13 @@
 	}
 }
 
+// mayRunUnlisted tells that a run of an earlier owner may be there although the newest heartbeat here does not list it: that
+// one may have come late, after the earlier owner answered a newer one. Nothing runs there any more once the holds which
+// that owner gave are over, unless a heartbeat lists it here.
+func (o *Owner) mayRunUnlisted(now time.Duration, r *runner, key runKey) bool {
+	return r.inherited[key] && now < o.ledAt+o.longestHold()
+}
+
 // orderTime is how long a start may wait for its runner, at most; a gang's members must come together.
 const orderTime = 4 * time.Second
 
--- a/internal/scheduler/reportedruns.go
+++ b/internal/scheduler/reportedruns.go
@@ -66,6 +66,7 @@
 			entry.savedAt = now
 		}
 		r.listed[key] = entry
+		delete(r.inherited, key)
 		if !o.wanted(r, key) {
 			o.stop(now, r, key)
 		}
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -24,7 +24,9 @@
 	listed  map[runKey]*listing      // runs that its newest heartbeat lists as active
 	ordered map[runKey]time.Duration // runs started there by this owner: when that was committed
 	stops   map[runKey]time.Duration // runs to stop: since when
-	record  outcomes
+	// inherited are the runs that an earlier owner started there, as long as no heartbeat has listed them here
+	inherited map[runKey]bool
+	record    outcomes
 }
 
 // listing is what is known of a run that a runner lists as active.
@@ -77,6 +79,11 @@
 		listed:   map[runKey]*listing{},
 		ordered:  map[runKey]time.Duration{},
 		stops:    map[runKey]time.Duration{},
+
+		inherited: map[runKey]bool{},
+	}
+	for _, task := range o.state.RunsOn(instance) {
+		r.inherited[runKey{task.ID, task.Run}] = true
 	}
 	if o.state.Departed(instance) {
 		r.depart()
