Test that a word to an earlier life of a leaving process counts for nothing

The numbers of attempts begin with the time at which the process started, so that one which was started again on its disk takes no word for its own that the leaders gave to its earlier life. No change; the test holds it.

--- a/internal/replica/leave_test.go
+++ b/internal/replica/leave_test.go
@@ -240,6 +240,29 @@
 		}
 	})
 
+	It("counts no word to an earlier life of its process", func() {
+		three(5)
+		leaving := c.machines[0]
+		leaving.leave(patience)
+		Expect(c.until(time.Second, func() bool { return leaving.engine.departure.quiet })).To(BeTrue())
+		attempt := leaving.engine.departure.attempt
+		leaving.kill()
+		leaving.start(nil)
+		c.work(time.Second)
+		for _, m := range c.machines[1:] {
+			m.isolated = true
+		}
+		leaving.leave(patience)
+		c.run(100 * time.Millisecond)
+		for id := range GroupID(controlGroups) {
+			for late := attempt - 2; late <= attempt+2; late++ {
+				leaving.engine.takeRelease(&Release{Group: id, Attempt: late, Term: leaving.engine.Status(id).Term})
+			}
+		}
+		Expect(leaving.engine.departure.begun).To(BeTrue())
+		Expect(leaving.engine.departure.released).To(BeEmpty())
+	})
+
 	DescribeTable("does not count on one that is gone, whatever of that comes in late",
 		func(end func(m *machine)) {
 			for seed := range uint64(10) {
