Step down when cut off although the process stalls again and again

A leader that notices a stall of more than half an election timeout waits for two intervals of heartbeats before it looks whether it still has a quorum, since answers may be unread. Each stall began that wait anew. A process that only gets a turn now and then, and was cut off, so led on for as long as that lasted: it confirmed and acknowledged nothing, but knew no other leader to name, and what was asked of it went on being in doubt.

Now a stall gives time only if a quorum has answered since the one before it.

The new test failed before (it still led after five stalls); a leader that stalls as often and is answered leads on, as before.

--- a/internal/consensus/late_test.go
+++ b/internal/consensus/late_test.go
@@ -1,6 +1,8 @@
 package consensus
 
 import (
+	"time"
+
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -156,3 +158,37 @@
 		Expect(ready).To(Equal(1))
 	})
 })
+
+var _ = ginkgo.Describe("a leader whose process stalls again and again", func() {
+	var g *group
+	var leader *scripted
+	ginkgo.BeforeEach(func() {
+		g = newGroup(memberList(1, 2, 3)...)
+		leader = g.elect(1)
+	})
+
+	// stall lets the leader act only now and then, with an interval after which it counts as having stalled.
+	stall := func(times int) {
+		for range times {
+			g.now += timeout/2 + heartbeat
+			leader.Tick(g.now)
+			g.settle()
+			g.pass(10 * time.Millisecond)
+		}
+	}
+
+	ginkgo.It("leads on while it is answered", func() {
+		stall(20)
+		Expect(leader.Status().IsLeader).To(BeTrue())
+	})
+
+	ginkgo.It("steps down when it is cut off", func() {
+		g.lost = isolate(1)
+		for range 5 {
+			g.now += timeout/2 + heartbeat
+			leader.Tick(g.now)
+			g.drain(leader)
+		}
+		Expect(leader.Status().IsLeader).To(BeFalse())
+	})
+})
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -10,6 +10,7 @@
 	appendsDue bool        // entries were added since appends were last sent
 	// holdAppends: nothing leaves before the first entry of this term is on disk
 	holdAppends bool
+	graceAt     time.Duration // when the newest stall was noticed that gave time for answers
 	graceUntil  time.Duration
 
 	roundAt     time.Duration // newest round of heartbeats to voters
@@ -169,10 +170,16 @@
 	return n.now-n.quorumTime(func(peer *progress) time.Duration { return peer.heardAt }) >= n.config.ElectionTimeout
 }
 
-// graceAfterStall asks anew who is there and waits for answers, since those to earlier heartbeats may be unread.
+// graceAfterStall asks anew who is there and waits for answers, since those to earlier heartbeats may be unread. It gives
+// time only once until a quorum has answered: else a process that stalls again and again would lead for ever while it is
+// cut off.
 func (n *Node) graceAfterStall() {
-	n.leadership.graceUntil = n.now + 2*n.config.HeartbeatInterval
 	n.leadership.heartbeatAt = n.now
+	if n.quorumTime(func(peer *progress) time.Duration { return peer.heardAt }) < n.leadership.graceAt {
+		return
+	}
+	n.leadership.graceAt = n.now
+	n.leadership.graceUntil = n.now + 2*n.config.HeartbeatInterval
 }
 
 // leaderDeadline is when the leader has something to do next.
