Probe the peers of long calls in the simulation

A frontend whose configuration did not arrive waits longer for it each time, up to 12 s, by Client.Do, since transport then probes the peer and cuts the connection once it has been silent for 0.9 to 1.2 s. The simulation's caller probed nobody, so that a watch which a cut had swallowed was waited for to its end, for seconds after the link was well. It probes now; a fault of the model, not of what ships.

--- a/internal/simulation/cluster/shell_caller.go
+++ b/internal/simulation/cluster/shell_caller.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ospreypond/internal/failure"
+	"ospreypond/internal/transport"
 )
 
 // caller carries a shell's calls to control processes over the simulated network, as transport.Client does over the real
@@ -24,6 +25,10 @@
 
 // Do asks the process at address and waits for its answer until ctx ends; then it is not known what became of the call.
 func (c caller) Do(ctx context.Context, address string, request, response any) error {
+	return c.do(ctx, address, request, response, true)
+}
+
+func (c caller) do(ctx context.Context, address string, request, response any, probed bool) error {
 	if ctx.Err() != nil {
 		return failure.Newf(failure.Unavailable, "%s: not asked: %v", address, ctx.Err())
 	}
@@ -34,11 +39,19 @@
 		wait = max(shellClock{shell: s}.Until(at), time.Millisecond)
 	}
 	s.want(requestOf(ctx), func() {
-		s.cluster.call(s.machine, address, request, wait, func(response any, err error) {
-			if ctx.Err() == nil {
+		over := false
+		finish := func(response any, err error) {
+			if !over && ctx.Err() == nil {
+				over = true
 				s.enter(func() { ended <- outcome{response, err} })
 			}
-		})
+		}
+		s.cluster.call(s.machine, address, request, wait, finish)
+		if probed && wait > mostSilentProbes*transport.StandardProbeInterval {
+			s.probe(address, func() bool { return over || ctx.Err() != nil }, func() {
+				finish(nil, failure.New(failure.UnknownOutcome, "the peer is silent"))
+			})
+		}
 	})
 	select {
 	case <-ctx.Done():
@@ -53,7 +66,37 @@
 
 // DoLong is Do for a call that may be held back.
 func (c caller) DoLong(ctx context.Context, address string, request, response any) error {
-	return c.Do(ctx, address, request, response)
+	return c.do(ctx, address, request, response, false)
+}
+
+// mostSilentProbes is for how many probes in a row a peer may be silent, as in package transport.
+const mostSilentProbes = 3
+
+// probe asks a process for a sign of life, again and again until ended, and calls cut once it has been silent for long.
+func (s *shell) probe(address string, ended func() bool, cut func()) {
+	to := s.cluster.byName[address]
+	if to == nil {
+		return
+	}
+	network := s.cluster.deployment.Network
+	heard, silent := true, 0
+	var look func()
+	look = func() {
+		if ended() {
+			return
+		}
+		silent++
+		if heard {
+			heard, silent = false, 0
+		}
+		if silent >= mostSilentProbes {
+			cut()
+			return
+		}
+		network.Send(s.machine, to, func() { network.Send(to, s.machine, func() { heard = true }) })
+		s.machine.After(transport.StandardProbeInterval, look)
+	}
+	s.machine.After(transport.StandardProbeInterval, look)
 }
 
 // fill copies a control process's answer to where a caller wants it.
