Take no voter for gone on late answers of an identity of its machine

A voter that is silent for a second counts as gone where another identity of its machine's name is alive at another address. A late wish can bring in again, as a learner, an identity that is gone, and late answers made it seem alive; then one of four or more voters that was only frozen for a second was dropped. Now the other identity must have answered something that was sent lately.

The new entry "no voter of four is dropped for a learner of its machine whose answers come late" failed before; its opposite, one that does answer, is held by another entry.

--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -266,6 +266,7 @@
 // of identities that are gone answer nothing that was sent of late, however late they come.
 //
 // The machine's name at another address is none, since both processes may be there: then the member must be silent too.
+// The other must have answered something that was sent lately.
 func (m memberView) succeededBy(other memberView) bool {
 	if !m.sameMachineAs(other) {
 		return false
@@ -273,7 +274,8 @@
 	if m.location == other.location && other.reachedAt > max(m.heardAt, other.movedAt) {
 		return true
 	}
-	return m.Node != "" && m.Node == other.Node && other.alive() && m.silent >= succeededTerm && m.unheard >= succeededSilence
+	return m.Node != "" && m.Node == other.Node && other.alive() && other.reachable() &&
+		m.silent >= succeededTerm && m.unheard >= succeededSilence
 }
 
 func (v *membershipView) voters() []memberView {
--- a/internal/replica/membership_test.go
+++ b/internal/replica/membership_test.go
@@ -37,6 +37,12 @@
 	return m
 }
 
+// ghost is a member that seems to answer, by answers that come late.
+func ghost(m memberView) memberView {
+	m.unreached = time.Minute
+	return m
+}
+
 // at is a member that is elsewhere.
 func at(m memberView, address string) memberView {
 	m.Address, m.location = address, address
@@ -106,6 +112,11 @@
 		Entry("one that has acknowledged nothing does not",
 			append(three(now), learning(seen(4, "d", now), unknownAge)), nil, nil),
 
+		Entry("no voter of four is dropped for a learner of its machine whose answers come late",
+			append(three(now), seen(5, "d", soon-1), ghost(at(learning(seen(4, "d", now), unknownAge), "elsewhere"))), nil, nil),
+		Entry("one is for a learner of its machine that answers",
+			append(three(now), seen(5, "d", soon-1), at(learning(seen(4, "d", now), unknownAge), "elsewhere")), nil, []int{1, 2, 3, -4}),
+
 		Entry("a wiped voter gives its place as soon as another answers at its address",
 			append(three(2*now), reached(learning(seen(4, "c", now), 0), now)), nil, []int{1, 2, 4}),
 		Entry("but not for an answer to what was sent before it was last heard",
