Look for room on the runners of the service that has a job

But a job stays with the service that took it (docs/questions.md), whose only runner with the label had been taken away; nothing could run it. Ruled out: a heartbeat of the runner's next incarnation that was refused (there was none), runs that were waited for (none). Change: the auditor looks at the service that runs the job's tasks.

--- a/internal/simulation/day.go
+++ b/internal/simulation/day.go
@@ -204,10 +204,10 @@
 	return false
 }
 
-// ampleRoom tells whether twice what a group may start with has room now on runners of its service, and less than half
-// of the service's capacity is in use.
+// ampleRoom tells whether twice what a group may start with has room now on runners of the job's service, and less than
+// half of the service's capacity is in use.
 func (d *Deployment) ampleRoom(job *JobRecord, group *groupTruth) bool {
-	service := d.serviceOf(job.Queue)
+	service := d.serviceOfJob(job)
 	wanted := 2
 	if group.step.Gang {
 		wanted = 2 * group.step.Count
@@ -229,6 +229,17 @@
 	return room >= wanted && used*2 < capacity
 }
 
+// serviceOfJob is the service whose runners a job is for. A job stays with the service that took it, also where its queue
+// moves to another one; while none of its tasks has run, it is taken to be that of its queue.
+func (d *Deployment) serviceOfJob(job *JobRecord) string {
+	for _, run := range d.Ledger.Runs {
+		if run.Task.Job == job.ID {
+			return run.Runner.Service
+		}
+	}
+	return d.serviceOf(job.Queue)
+}
+
 // serviceOf is the service that the newest acknowledged configuration gives a queue.
 func (d *Deployment) serviceOf(queue QueueName) string {
 	if d.Operator.current == nil {
