Keep net/http out of the cores, and stands of the frontend's tests in one place

Cause: internal/jobs, internal/configuration and the other cores reached net/http by the status constants in the table of error kinds. Ruled out: numbers in their place (the table would say less). Change: the kinds and their names stay in failure; what a caller over HTTP is told for each is in failure/answers. The stand with held reads is made of the usual one. No behaviour.

--- a/internal/administration/advice.go
+++ b/internal/administration/advice.go
@@ -4,6 +4,7 @@
 	"github.com/pkg/errors"
 
 	"ospreypond/internal/failure"
+	"ospreypond/internal/failure/answers"
 )
 
 // Advice returns what an operator can do about a fault of the system, or "" for another error.
@@ -12,5 +13,5 @@
 	if !errors.As(err, &known) {
 		return ""
 	}
-	return failure.AnswerTo(known.Kind).Advice
+	return answers.To(known.Kind).Advice
 }
--- a/internal/agent/wire.go
+++ b/internal/agent/wire.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"ospreypond/internal/failure"
+	"ospreypond/internal/failure/answers"
 	"ospreypond/internal/protocol"
 )
 
@@ -64,7 +65,7 @@
 
 // answerError sends what a runner is told for err's kind.
 func answerError(w http.ResponseWriter, err error) {
-	told := failure.AnswerTo(failure.KindOf(err))
+	told := answers.To(failure.KindOf(err))
 	if told.Retry {
 		w.Header().Set("Retry-After", "1")
 	}
--- a/internal/configuration/state_test.go
+++ b/internal/configuration/state_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"ospreypond/internal/failure"
+	"ospreypond/internal/failure/answers"
 )
 
 // outcome is a command and what must become of it.
@@ -133,7 +134,7 @@
 		Expect(state.Execute(update(0, `{"version":2}`)).Kind).To(Equal(failure.Forgotten), "nor one that was refused")
 		Expect(state.Execute(step(1))).To(Equal(Result{Version: 2}))
 		Expect(state.Execute(update(1, `{"version":3}`)).Kind).To(Equal(failure.Conflict))
-		Expect(failure.AnswerTo(failure.Forgotten).Status).To(BeNumerically(">=", 500), "no final answer")
+		Expect(answers.To(failure.Forgotten).Status).To(BeNumerically(">=", 500), "no final answer")
 	})
 
 	It("takes no update that makes it too large for one message", func() {
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -16,6 +16,7 @@
 	"ospreypond/internal/configuration"
 	"ospreypond/internal/deadline"
 	"ospreypond/internal/failure"
+	"ospreypond/internal/failure/answers"
 	"ospreypond/internal/protocol"
 )
 
@@ -201,7 +202,7 @@
 // refuse answers with the status of the error's kind.
 func refuse(writer http.ResponseWriter, err error) {
 	kind := failure.KindOf(err)
-	advice := failure.AnswerTo(kind)
+	advice := answers.To(kind)
 	if advice.Retry {
 		writer.Header().Set("Retry-After", retryAfterSeconds)
 	}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -1,12 +1,8 @@
-// Package failure has the closed list of error kinds of the scheduler, and the table from each kind to what a caller
-// is told. An error carries one kind through every layer and over the internal protocol.
+// Package failure has the closed list of error kinds of the scheduler. An error carries one kind through every layer and
+// over the internal protocol; what a caller over HTTP is told for it is in package answers.
 package failure
 
-import (
-	"net/http"
-
-	"github.com/pkg/errors"
-)
+import "github.com/pkg/errors"
 
 // Kind is what went wrong, as far as the caller has to act on it.
 type Kind uint8
@@ -26,44 +22,35 @@
 	Stale               // the caller's configuration is older than the owner's; certainly nothing was done
 	Moved               // the job's queue belongs to another shard now; certainly nothing was done
 	Forgotten           // it was done or it was not, and no later try will tell which
-	kinds
-)
 
-// Answer is what a client is told for a kind.
-type Answer struct {
-	Name   string // in logs and in bodies
-	Status int    // HTTP status
-	Retry  bool   // whether Retry-After is sent
-	Advice string // what an operator can do
-}
+	Kinds // the number of kinds
+)
 
-var answers = [kinds]Answer{
-	None:           {"none", http.StatusOK, false, "nothing"},
-	NotLeader:      {"not_leader", http.StatusServiceUnavailable, true, "wait for the election; look at `shards`"},
-	Unavailable:    {"unavailable", http.StatusServiceUnavailable, true, "look at `members`: is a quorum running and connected?"},
-	Overloaded:     {"overloaded", http.StatusTooManyRequests, true, "add runners, or lower the load"},
-	UnknownOutcome: {"unknown_outcome", http.StatusGatewayTimeout, false, "send the same request again: it is done once"},
-	Invalid:        {"invalid", http.StatusBadRequest, false, "correct what the message names"},
-	Conflict:       {"conflict", http.StatusPreconditionFailed, false, "read the configuration and build on its version"},
-	TooLarge:       {"too_large", http.StatusRequestEntityTooLarge, false, "send less, or raise the limit"},
-	NoRoute:        {"no_route", http.StatusNotFound, false, "check host and path against the configuration"},
-	Gone:           {"gone", http.StatusGone, false, "the job is unknown, or was forgotten after its time"},
-	Stale:          {"stale", http.StatusServiceUnavailable, true, "nothing: the frontend catches up by itself"},
-	Moved:          {"moved", http.StatusServiceUnavailable, true, "nothing: the frontend catches up by itself"},
-	Forgotten:      {"forgotten", http.StatusGatewayTimeout, false, "read the configuration: is the change in it?"},
+// names are those of the kinds in logs and in the bodies of answers.
+var names = [Kinds]string{
+	None:           "none",
+	NotLeader:      "not_leader",
+	Unavailable:    "unavailable",
+	Overloaded:     "overloaded",
+	UnknownOutcome: "unknown_outcome",
+	Invalid:        "invalid",
+	Conflict:       "conflict",
+	TooLarge:       "too_large",
+	NoRoute:        "no_route",
+	Gone:           "gone",
+	Stale:          "stale",
+	Moved:          "moved",
+	Forgotten:      "forgotten",
 }
 
-// AnswerTo returns the answer for k; an unknown kind is answered as UnknownOutcome.
-func AnswerTo(k Kind) Answer {
-	if k >= kinds {
+// String returns the kind's name; an unknown kind has that of UnknownOutcome.
+func (k Kind) String() string {
+	if k >= Kinds {
 		k = UnknownOutcome
 	}
-	return answers[k]
+	return names[k]
 }
 
-// String returns the kind's name.
-func (k Kind) String() string { return AnswerTo(k).Name }
-
 // Error is an error with its kind.
 type Error struct {
 	Kind    Kind
--- a/internal/frontend/answer.go
+++ b/internal/frontend/answer.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"ospreypond/internal/failure"
+	"ospreypond/internal/failure/answers"
 )
 
 // retryAfter is what a client that was refused is told, in whole seconds.
@@ -53,7 +54,7 @@
 
 // answerError sends what a client is told for err's kind.
 func answerError(w http.ResponseWriter, err error) {
-	told := failure.AnswerTo(failure.KindOf(err))
+	told := answers.To(failure.KindOf(err))
 	if told.Retry {
 		w.Header()["Retry-After"] = retryAfterOnce
 	}
--- a/internal/frontend/connection_test.go
+++ b/internal/frontend/connection_test.go
@@ -7,11 +7,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"ospreypond/internal/failure"
+	"ospreypond/internal/failure/answers"
 	"ospreypond/internal/protocol"
 )
 
@@ -48,18 +48,11 @@
 
 // newHeldStand is newStand with a heldListener for clients.
 func newHeldStand() (*stand, *heldListener) {
-	s := &stand{bed: newBed(), ended: make(chan error, 1)}
-	s.server = NewServer(s.service, 6*time.Second, log.NewNopLogger())
-	ctx, stop := context.WithCancel(context.Background())
-	s.stop = stop
-	clients, err := listen(ctx, "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	readiness, err := listen(ctx, "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	s.clients, s.readiness = clients.Addr().String(), readiness.Addr().String()
-	listener := &heldListener{Listener: clients, held: make(chan struct{}, 10), release: make(chan struct{})}
-	go func() { s.ended <- s.server.Run(ctx, listener, readiness) }()
-	DeferCleanup(stop)
+	listener := &heldListener{held: make(chan struct{}, 10), release: make(chan struct{})}
+	s := newStandBehind(func(clients net.Listener) net.Listener {
+		listener.Listener = clients
+		return listener
+	})
 	return s, listener
 }
 
@@ -178,7 +171,7 @@
 		Consistently(s.ended, 30*time.Millisecond).ShouldNot(Receive())
 		s.clock.Advance(200 * time.Millisecond)
 		status, last := client.receive()
-		Expect(status).To(Equal(failure.AnswerTo(failure.UnknownOutcome).Status))
+		Expect(status).To(Equal(answers.To(failure.UnknownOutcome).Status))
 		Expect(last).To(BeTrue())
 		Eventually(s.ended).Should(Receive(BeNil()))
 	})
--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"ospreypond/internal/failure"
+	"ospreypond/internal/failure/answers"
 	"ospreypond/internal/protocol"
 )
 
@@ -28,6 +29,11 @@
 }
 
 func newStand() *stand {
+	return newStandBehind(func(clients net.Listener) net.Listener { return clients })
+}
+
+// newStandBehind returns a stand whose server accepts clients from what is put before its listener.
+func newStandBehind(put func(clients net.Listener) net.Listener) *stand {
 	s := &stand{bed: newBed(), ended: make(chan error, 1)}
 	s.server = NewServer(s.service, 6*time.Second, log.NewNopLogger())
 	ctx, stop := context.WithCancel(context.Background())
@@ -37,7 +43,7 @@
 	readiness, err := listen(ctx, "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	s.clients, s.readiness = clients.Addr().String(), readiness.Addr().String()
-	go func() { s.ended <- s.server.Run(ctx, clients, readiness) }()
+	go func() { s.ended <- s.server.Run(ctx, put(clients), readiness) }()
 	DeferCleanup(stop)
 	return s
 }
@@ -195,7 +201,7 @@
 		client := s.connect()
 		client.send("POST", "/a/"+jobID, `{"spec":"`+strings.Repeat("x", 2000)+`"}`)
 		status, last := client.receive()
-		Expect(status).To(Equal(failure.AnswerTo(failure.TooLarge).Status))
+		Expect(status).To(Equal(answers.To(failure.TooLarge).Status))
 		Expect(last).To(BeTrue())
 	})
 })
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -18,6 +18,7 @@
 
 	"ospreypond/internal/boot"
 	"ospreypond/internal/failure"
+	"ospreypond/internal/failure/answers"
 )
 
 func TestDocs(t *testing.T) {
@@ -193,7 +194,7 @@
 	It("has every kind of fault with its answer and advice", func() {
 		var told [][]string
 		for _, kind := range kinds() {
-			answer := failure.AnswerTo(kind)
+			answer := answers.To(kind)
 			retry := "no"
 			if answer.Retry {
 				retry = "yes"
