--- a/internal/administration/running_test.go
+++ b/internal/administration/running_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"path/filepath"
 	"time"
@@ -17,26 +16,13 @@
 	"ospreypond/internal/boot"
 	"ospreypond/internal/control"
 	"ospreypond/internal/failure"
+	"ospreypond/internal/loopbacktest"
 	"ospreypond/internal/protocol"
 	"ospreypond/internal/transport"
 )
 
 const startPatience = 20 * time.Second
 
-// freePorts returns an address of loopback drawn at random, and two ports of it that nobody uses. At 127.0.0.1 another
-// program's connection could take a port before the process under test listens at it.
-func freePorts() (ip string, first, second int) {
-	GinkgoHelper()
-	ip = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
-	one, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	Expect(err).NotTo(HaveOccurred())
-	defer one.Close()
-	two, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	Expect(err).NotTo(HaveOccurred())
-	defer two.Close()
-	return ip, one.Addr().(*net.TCPAddr).Port, two.Addr().(*net.TCPAddr).Port
-}
-
 // process is a control process that runs in this one.
 type process struct {
 	settings *boot.Settings
@@ -46,7 +32,8 @@
 
 // runControl runs a control process, alone in its system, until the test ends or stop is called.
 func runControl(dir string, bootstrap bool) *process {
-	ip, internal, operator := freePorts()
+	ip, internal, operator, err := loopbacktest.FreePorts()
+	Expect(err).NotTo(HaveOccurred())
 	settings := &boot.Settings{
 		NodeName:      "n1",
 		IP:            ip,
--- a/internal/control/outofdate_test.go
+++ b/internal/control/outofdate_test.go
@@ -420,26 +420,7 @@
 	DescribeTable("tells the operator to leave within a second",
 		func(what trouble, method, path, base, body string, statuses ...int) {
 			const second = time.Second
-			var response *httptest.ResponseRecorder
-			var took time.Duration
-			synctest.Test(suite, func(*testing.T) {
-				t := &trio{}
-				stop := t.start()
-				defer stop()
-				t.must(protocol.ConfigurationShard, configured(0, 3))
-				thaw := t.strike(protocol.ConfigurationShard, what)
-				time.Sleep(troubleTime)
-				t.must(protocol.ConfigurationShard, configured(3, 5))
-				thaw()
-				request := httptest.NewRequest(method, path, strings.NewReader(body))
-				if base != "" {
-					request.Header.Set(baseVersionHeader, base)
-				}
-				asked := time.Now()
-				response = httptest.NewRecorder()
-				t.struck.Operator().ServeHTTP(response, request)
-				took = time.Since(asked)
-			})
+			response, took := operatorsAnswer(what, false, method, path, base, body)
 			Expect(response.Code).To(BeElementOf(statuses), response.Body.String())
 			Expect(took).To(BeNumerically("<", second))
 		},
@@ -456,25 +437,7 @@
 
 	DescribeTable("serves the operator as any other once the trouble is over",
 		func(what trouble, method, path, base, body string, status int) {
-			var response *httptest.ResponseRecorder
-			synctest.Test(suite, func(*testing.T) {
-				t := &trio{}
-				stop := t.start()
-				defer stop()
-				t.must(protocol.ConfigurationShard, configured(0, 3))
-				thaw := t.strike(protocol.ConfigurationShard, what)
-				time.Sleep(troubleTime)
-				t.must(protocol.ConfigurationShard, configured(3, 5))
-				thaw()
-				t.heal()
-				time.Sleep(troubleTime)
-				request := httptest.NewRequest(method, path, strings.NewReader(body))
-				if base != "" {
-					request.Header.Set(baseVersionHeader, base)
-				}
-				response = httptest.NewRecorder()
-				t.struck.Operator().ServeHTTP(response, request)
-			})
+			response, _ := operatorsAnswer(what, true, method, path, base, body)
 			Expect(response.Code).To(Equal(status), response.Body.String())
 		},
 		Entry("who reads", cutAndFrozen, "GET", readPath, "", "", 200),
@@ -484,6 +447,36 @@
 	)
 })
 
+// operatorsAnswer has a trouble strike the configuration's owner, or another process, while the others take a change, and
+// asks it as the operator does, once it is frozen no more; healed: once the trouble is over. It returns the answer and how
+// long that took.
+func operatorsAnswer(what trouble, healed bool, method, path, base, body string) (*httptest.ResponseRecorder, time.Duration) {
+	response := httptest.NewRecorder()
+	var took time.Duration
+	synctest.Test(suite, func(*testing.T) {
+		t := &trio{}
+		stop := t.start()
+		defer stop()
+		t.must(protocol.ConfigurationShard, configured(0, 3))
+		thaw := t.strike(protocol.ConfigurationShard, what)
+		time.Sleep(troubleTime)
+		t.must(protocol.ConfigurationShard, configured(3, 5))
+		thaw()
+		if healed {
+			t.heal()
+			time.Sleep(troubleTime)
+		}
+		request := httptest.NewRequest(method, path, strings.NewReader(body))
+		if base != "" {
+			request.Header.Set(baseVersionHeader, base)
+		}
+		asked := time.Now()
+		t.struck.Operator().ServeHTTP(response, request)
+		took = time.Since(asked)
+	})
+	return response, took
+}
+
 // Paths of the operator's interface.
 const (
 	readPath    = configurationPaths + "read"
--- a/internal/control/peers_test.go
+++ b/internal/control/peers_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -17,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"ospreypond/internal/boot"
+	"ospreypond/internal/loopbacktest"
 	"ospreypond/internal/seeds"
 )
 
@@ -67,25 +67,12 @@
 	})
 })
 
-// freePorts returns an address of loopback drawn at random, and two ports of it that nobody uses. At 127.0.0.1 another
-// program's connection could take a port before the process under test listens at it.
-func freePorts() (ip string, first, second int) {
-	GinkgoHelper()
-	ip = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
-	one, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	Expect(err).NotTo(HaveOccurred())
-	defer one.Close()
-	two, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	Expect(err).NotTo(HaveOccurred())
-	defer two.Close()
-	return ip, one.Addr().(*net.TCPAddr).Port, two.Addr().(*net.TCPAddr).Port
-}
-
 var _ = Describe("a control process", func() {
 	It("goes on after SIGHUP, with or without other seeds", func() {
 		folder := GinkgoT().TempDir()
 		path := filepath.Join(folder, "boot.json")
-		ip, internal, operator := freePorts()
+		ip, internal, operator, err := loopbacktest.FreePorts()
+		Expect(err).NotTo(HaveOccurred())
 		text := fmt.Sprintf(`{"nodeName":"n","role":"r","ip":%q,"zone":"z","internalPorts":[%d,%d],`+
 			`"listen":{"control":"%s:%d"},"seeds":["127.0.0.1:1"],"dataDir":%q}`,
 			ip, internal, internal, ip, operator, filepath.Join(folder, "data"))
--- a/internal/frontend/moves_test.go
+++ b/internal/frontend/moves_test.go
@@ -160,16 +160,7 @@
 					want = whenConfirmed
 				}
 				answered := b.begin(request(method, path, body))
-				var w *httptest.ResponseRecorder
-				Eventually(func() bool {
-					b.clock.Advance(confirmPoll)
-					select {
-					case w = <-answered:
-						return true
-					default:
-						return false
-					}
-				}).WithPolling(time.Millisecond).Should(BeTrue())
+				w := b.polled(answered)
 				Expect(w.Code).To(Equal(want))
 			}
 		},
@@ -195,17 +186,8 @@
 				b.views.Set(newer)
 				b.directory.setAge(0)
 			}
-			var w *httptest.ResponseRecorder
 			answered := b.begin(request(method, path, body))
-			Eventually(func() bool {
-				b.clock.Advance(confirmPoll)
-				select {
-				case w = <-answered:
-					return true
-				default:
-					return false
-				}
-			}).WithPolling(time.Millisecond).Should(BeTrue())
+			w := b.polled(answered)
 			Expect(w.Code).To(Equal(status))
 			Expect(b.owners.calls()).To(HaveExactElements(asked))
 		},
@@ -228,17 +210,8 @@
 				b.directory.setAge(0)
 			}
 		}
-		var w *httptest.ResponseRecorder
 		answered := b.begin(request("GET", "/a/"+jobID, ""))
-		Eventually(func() bool {
-			b.clock.Advance(confirmPoll)
-			select {
-			case w = <-answered:
-				return true
-			default:
-				return false
-			}
-		}).WithPolling(time.Millisecond).Should(BeTrue())
+		w := b.polled(answered)
 		Expect(w.Code).To(Equal(410))
 		Expect(refreshes).To(Equal(ignored + 1))
 	})
@@ -302,3 +275,19 @@
 		Expect(b.owners.calls()).To(Equal([]string{"fence 3", "fence 4"}))
 	})
 })
+
+// polled lets time pass, one look for a confirmation after the other, until the answer is there.
+func (b *bed) polled(answered <-chan *httptest.ResponseRecorder) *httptest.ResponseRecorder {
+	GinkgoHelper()
+	var w *httptest.ResponseRecorder
+	Eventually(func() bool {
+		b.clock.Advance(confirmPoll)
+		select {
+		case w = <-answered:
+			return true
+		default:
+			return false
+		}
+	}).WithPolling(time.Millisecond).Should(BeTrue())
+	return w
+}
