Withdraw a start to a called runner only once the runner has refused it

Cause: an agent killed right after it sent a start to a called runner that stands still leaves no word of it. Ruled out: having the new agent wait for a time (a frozen runner has none); remembering starts on the agent's machine (it has no disk). Change: heartbeats made by agents that call say so; the owner withdraws an unlisted run there by a stop, which the agent sends for unknown runs too and settles by a later look, as it did for its own doubts. Tests: scheduler 'a start to a runner that is called' (four cases) and agent 'is made to refuse for good ...' fail without it. Two expectations of the agent's tests changed: the heartbeat of a called runner says so, and the run that the owner orders stopped in one of them is now one that the runner lists.

--- a/internal/agent/carry.go
+++ b/internal/agent/carry.go
@@ -34,8 +34,12 @@
 	return nil
 }
 
-// stop has a run stopped.
+// stop has a run stopped. One that is not known here may be on its way, sent by an agent before this one: it is in doubt
+// until the runner has refused it.
 func (l *loop) stop(run runName) error {
+	if !l.picture.has(run) {
+		l.doubts.suspect(run)
+	}
 	clockMs, err := l.session.orders.stop(l.ctx, l.given, run)
 	if err != nil {
 		l.leave()
--- a/internal/agent/doubts.go
+++ b/internal/agent/doubts.go
@@ -44,6 +44,13 @@
 // add notes a start without a definite yes.
 func (d *doubts) add(run runName) { d.open[run] = new(doubt) }
 
+// suspect notes a run that may have been sent to the runner before, unless something is known of it.
+func (d *doubts) suspect(run runName) {
+	if d.open[run] == nil && !d.rejected[run] {
+		d.add(run)
+	}
+}
+
 // stop notes that a stop for the run was answered, with the runner's clock then.
 func (d *doubts) stop(run runName, clockMs int64) {
 	if entry := d.open[run]; entry != nil && !entry.stopped {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -310,6 +310,7 @@
 	beat.Active = l.doubts.addTo(l.picture.active())
 	beat.Finished = l.picture.news(l.given.lastSeen)
 	beat.Rejected = l.doubts.rejections()
+	beat.Called = true
 	return request, own
 }
 
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -42,7 +42,7 @@
 		Expect(*e.beat).To(Equal(protocol.Heartbeat{
 			Instance: instance, Service: "huvo11a", Address: "10.0.0.9:1", State: protocol.Ready,
 			Sequence: 4<<sequenceBits | 1, ClockMs: e.beat.ClockMs,
-			Active: b.runner.active, Finished: b.runner.finished,
+			Active: b.runner.active, Finished: b.runner.finished, Called: true,
 		}))
 		Expect(answered).NotTo(Receive(), "the owner has not got it yet")
 		e.reply <- result{orders: granted()}
@@ -52,6 +52,8 @@
 	})
 
 	It("does as ordered, stops first, held from before the owner was told", func() {
+		running := protocol.ActiveRun{Task: "a.0.0.2", Run: 5}
+		b.runner.active = []protocol.ActiveRun{running}
 		b.own(instance, 4, protocol.Ready)
 		e := b.turn()
 		orders := starting("a.0.0.1")
@@ -73,7 +75,7 @@
 			called{Path: pathStart, Task: "a.0.0.1", RunID: 1, Spec: "do", Saved: "0b", DeadlineMs: deadline, FenceToken: 7},
 		))
 		e = b.turn()
-		Expect(e.beat.Active).To(ConsistOf(one), "what was started is known before a look shows it")
+		Expect(e.beat.Active).To(ConsistOf(one, running), "what was started is known before a look shows it")
 		Expect(e.beat.Sequence).To(Equal(uint64(4<<sequenceBits | 2)))
 		e.reply <- result{orders: granted()}
 		e = b.turn()
@@ -115,6 +117,22 @@
 		Expect(b.turn().beat.Rejected).To(BeEmpty())
 	})
 
+	It("is made to refuse for good what an agent before this one may have sent", func() {
+		b.own(instance, 4, protocol.Ready)
+		orders := granted()
+		orders.Stop = []protocol.StopOrder{{Task: one.Task, Run: one.Run}}
+		b.turn().reply <- result{orders: orders}
+		e := b.until(granted(), func(beat *protocol.Heartbeat) bool {
+			if len(beat.Rejected) == 0 {
+				Expect(beat.Active).To(ConsistOf(one), "it may be on its way until a look after the stop does not show it")
+			}
+			return len(beat.Rejected) > 0
+		})
+		Expect(b.runner.stopped).To(HaveKey(runName{one.Task, one.Run}))
+		Expect(e.beat.Rejected).To(ConsistOf(one))
+		Expect(e.beat.Active).To(BeEmpty())
+	})
+
 	It("that has a newer owner is not made to refuse anything", func() {
 		b.runner.refuse = whyFence
 		b.own(instance, 4, protocol.Ready)
--- a/internal/agent/picture.go
+++ b/internal/agent/picture.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	"ospreypond/internal/protocol"
@@ -60,6 +61,16 @@
 	return p.clockMs + time.Duration(since).Milliseconds()
 }
 
+// has tells whether a run was started, or is shown as active or as ended by the newest look.
+func (p *picture) has(run runName) bool {
+	if _, started := p.started[run]; started {
+		return true
+	}
+	isActive := func(row protocol.ActiveRun) bool { return runName{row.Task, row.Run} == run }
+	isFinished := func(row protocol.FinishedRun) bool { return runName{row.Task, row.Run} == run }
+	return slices.ContainsFunc(p.seen.active, isActive) || slices.ContainsFunc(p.seen.finished, isFinished)
+}
+
 // active returns a new list of what runs.
 func (p *picture) active() []protocol.ActiveRun {
 	rows := make([]protocol.ActiveRun, 0, len(p.seen.active)+len(p.started))
--- a/internal/protocol/runner.go
+++ b/internal/protocol/runner.go
@@ -52,6 +52,9 @@
 
 	// Rejected are runs that the runner was told to start and certainly never will; from an agent that calls its runner.
 	Rejected []ActiveRun `json:"-"`
+	// Called tells that an agent has made this heartbeat and calls its runner. A start that an earlier agent sent may still
+	// reach such a runner, although this heartbeat doesn't list the run; a stop keeps it from starting for good.
+	Called bool `json:"-"`
 	// FenceOnly asks for the present fence token and says nothing of runs: an agent that has started again must not look
 	// at its runner without one.
 	FenceOnly bool `json:"-"`
--- a/internal/scheduler/losses.go
+++ b/internal/scheduler/losses.go
@@ -7,7 +7,8 @@
 )
 
 // withdraw deals with runs that were to start there and that the newest heartbeat does not list: every earlier answer is
-// void by now, so that such a run exists only if this heartbeat's answer orders it.
+// void by now, so that such a run exists only if this heartbeat's answer orders it. A runner that is called may still be
+// reached by a start of an agent that has ended since: there a run is over only once the runner has refused it for good.
 func (o *Owner) withdraw(now time.Duration, r *runner) {
 	if len(r.report.Finished) >= finishedPage {
 		return
@@ -22,7 +23,11 @@
 		}
 		_, stopping := r.stops[key]
 		gone := r.draining || stopping || o.tooLate(now, r, task)
-		if over(task.Group.Job.State) || gone && !o.mayRunUnlisted(now, r, key) {
+		switch {
+		case !over(task.Group.Job.State) && !gone:
+		case r.report.Called:
+			o.stop(now, r, key)
+		case over(task.Group.Job.State) || !o.mayRunUnlisted(now, r, key):
 			o.lose(r, task)
 		}
 	}
@@ -31,11 +36,21 @@
 		if _, there := r.listed[key]; there || o.ending[key] {
 			continue
 		}
-		o.ending[key] = true
-		o.next.Losses = append(o.next.Losses, jobs.Loss{Runner: r.instance, Task: l.Task, Run: l.Run})
+		if r.report.Called {
+			o.stop(now, r, key)
+			continue
+		}
+		o.loseLingering(r, key)
 	}
 }
 
+// loseLingering proposes that a run, of a gang's member that is done, is no more.
+func (o *Owner) loseLingering(r *runner, key runKey) {
+	o.ending[key] = true
+	delete(r.stops, key)
+	o.next.Losses = append(o.next.Losses, jobs.Loss{Runner: r.instance, Task: key.task, Run: key.run})
+}
+
 // mayRunUnlisted tells that a run of an earlier owner may be there although the newest heartbeat here does not list it: that
 // one may have come late, after the earlier owner answered a newer one. Nothing runs there any more once the holds which
 // that owner gave are over, unless a heartbeat lists it here.
@@ -84,10 +99,8 @@
 		}
 	}
 	for _, l := range o.state.LingeringOn(r.instance) {
-		key := runKey{l.Task, l.Run}
-		if !o.ending[key] {
-			o.ending[key] = true
-			o.next.Losses = append(o.next.Losses, jobs.Loss{Runner: r.instance, Task: l.Task, Run: l.Run})
+		if key := (runKey{l.Task, l.Run}); !o.ending[key] {
+			o.loseLingering(r, key)
 		}
 	}
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -85,7 +85,7 @@
 func stopOrders(r *runner) []protocol.StopOrder {
 	stops := make([]protocol.StopOrder, 0, len(r.stops))
 	for key := range r.stops {
-		if _, there := r.listed[key]; there {
+		if _, there := r.listed[key]; there || r.report.Called {
 			stops = append(stops, protocol.StopOrder{Task: key.task.String(), Run: key.run})
 		}
 	}
--- a/internal/scheduler/rejected_test.go
+++ b/internal/scheduler/rejected_test.go
@@ -66,6 +66,57 @@
 	})
 })
 
+var _ = Describe("a start to a runner that is called", func() {
+	// An agent that is killed right after it has sent a start leaves no word of it, and the runner may read it any time later.
+	var w *world
+	calledBeat := func(sequence uint64) *protocol.Heartbeat {
+		beat := beatOf("i1", sequence)
+		beat.Called = true
+		return beat
+	}
+	BeforeEach(func() { w = newWorld() })
+
+	DescribeTable("that is withdrawn before the runner lists it is given up only once the runner has refused it",
+		func(withdrawn func(beat *protocol.Heartbeat)) {
+			w.submit(id, small())
+			first, _ := w.beat(calledBeat(1))
+			Expect(first.Start).To(HaveLen(1))
+			next := calledBeat(2)
+			withdrawn(next)
+			orders, _ := w.beat(next)
+			Expect(orders.Start).To(BeEmpty())
+			Expect(orders.Stop).To(HaveLen(1))
+			elsewhere, _ := w.beat(beatOf("i2", 1))
+			Expect(elsewhere.Start).To(BeEmpty())
+			Expect(w.owner.Counters().Losses).To(BeZero())
+
+			refused := calledBeat(3)
+			withdrawn(refused)
+			refused.Rejected = active(first.Start)
+			orders, _ = w.beat(refused)
+			Expect(orders.Stop).To(BeEmpty())
+			Expect(w.owner.Counters().Losses).To(Equal(uint64(1)))
+		},
+		Entry("since the runner drains", func(beat *protocol.Heartbeat) { beat.State = protocol.Draining }),
+		Entry("since it comes late", func(*protocol.Heartbeat) { w.pass(5 * time.Second) }),
+		Entry("since its job is cancelled", func(*protocol.Heartbeat) {
+			w.owner.Cancel(w.now, id, func(error) {})
+			w.settle()
+		}),
+	)
+
+	It("keeps its room until then", func() {
+		w.submit(id, protocol.Step{Count: 1, CPU: 16000, MemoryMB: 10, EstimatedMs: 500})
+		w.beat(calledBeat(1))
+		w.owner.Cancel(w.now, id, func(error) {})
+		w.settle()
+		w.submit("00000000000000bb", small())
+		orders, _ := w.beat(calledBeat(2))
+		Expect(orders.Stop).To(HaveLen(1))
+		Expect(orders.Start).To(BeEmpty())
+	})
+})
+
 var _ = Describe("a question for the fence token", func() {
 	It("is answered by it alone, and says nothing of the runner", func() {
 		w := newWorld()
--- a/internal/scheduler/reportedruns.go
+++ b/internal/scheduler/reportedruns.go
@@ -116,11 +116,16 @@
 			continue
 		}
 		key := runKey{id, rejected.Run}
-		task := o.state.Task(id)
-		if task == nil || task.Run != key.run || task.Runner != r.instance || task.Phase != jobs.Running {
+		if _, there := r.listed[key]; there || o.ending[key] {
 			continue
 		}
-		if _, there := r.listed[key]; !there {
+		delete(r.stops, key)
+		if o.lingering(r, key) {
+			o.loseLingering(r, key)
+			continue
+		}
+		task := o.state.Task(id)
+		if task != nil && task.Run == key.run && task.Runner == r.instance && task.Phase == jobs.Running {
 			o.lose(r, task)
 		}
 	}
