Account for the time of tasks and jobs by cause, in the log and as metrics

Change: the owner keeps a ledger (package latency): each span between a job's acceptance and its end has one of 17 causes. Waiting is summed by step and not by task, runs are entered at their end, and a round finds out why tasks wait for 16 groups at most, so no call passes over all tasks.

--- a/internal/boot/settings.go
+++ b/internal/boot/settings.go
@@ -51,6 +51,9 @@
 	Commands          string // how runners are told what to do: CommandsHeartbeat or CommandsInvocation
 	App               string // ip:port of the runner on this machine; empty elsewhere
 	Service           string // service of the runner on this machine; empty elsewhere
+
+	// MetricsPort is where a control process tells its metrics, 0: nowhere. It comes from the command line, not the file.
+	MetricsPort int
 }
 
 // Values of Settings.Commands.
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -25,12 +25,24 @@
 
 func newRoles(std Streams, getenv func(string) string) []*cobra.Command {
 	return []*cobra.Command{
-		newRole(std, getenv, "control", "Run a control process of the cluster scheduler", control.Run),
+		newControl(std, getenv),
 		newRole(std, getenv, "frontend", "Run a frontend of the cluster scheduler", frontend.Run),
 		newRole(std, getenv, "agent", "Run the agent beside one runner", agent.Run),
 	}
 }
 
+// newControl is the command of a control process, which may tell its metrics.
+func newControl(std Streams, getenv func(string) string) *cobra.Command {
+	var port int
+	run := func(ctx context.Context, settings *boot.Settings, logger log.Logger) error {
+		settings.MetricsPort = port
+		return control.Run(ctx, settings, logger)
+	}
+	c := newRole(std, getenv, "control", "Run a control process of the cluster scheduler", run)
+	c.Flags().IntVar(&port, "metrics-port", 0, "`port` of this machine where metrics are told, in the text format of Prometheus; 0: nowhere")
+	return c
+}
+
 func newRole(std Streams, getenv func(string) string, use, short string, run roleMain) *cobra.Command {
 	return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs,
 		Long: short + ", in the foreground, with the settings file that " + settingsVariable + " names.\n" +
--- /dev/null
+++ b/internal/control/account.go
@@ -0,0 +1,68 @@
+package control
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"ospreypond/internal/latency"
+	"ospreypond/internal/scheduler"
+)
+
+// accountEvery is the time between two lines of the log about where tasks' time goes.
+const accountEvery = 5 * time.Second
+
+// accountLog tells in the log where the time of tasks and of late jobs goes.
+type accountLog struct {
+	logger  log.Logger
+	metrics *accountMetrics
+	toldAt  time.Duration
+	told    map[string]latency.Queue // by key of the queue, as of the newest line
+}
+
+func newAccountLog(logger log.Logger, metrics *accountMetrics) accountLog {
+	return accountLog{logger: logger, metrics: metrics, told: map[string]latency.Queue{}}
+}
+
+// restart begins anew with a new account.
+func (a *accountLog) restart(now time.Duration) {
+	a.toldAt = now
+	clear(a.told)
+}
+
+// tell writes a line for each job that has ended beyond its objective, and every few seconds one for each queue whose
+// tasks have taken time since the last one.
+func (a *accountLog) tell(now time.Duration, owner *scheduler.Owner) {
+	for _, job := range owner.TakeLate() {
+		fields := []any{"msg", "job late", "job", job.ID, "queue", job.Queue, "state", job.State,
+			"took", job.Took.Milliseconds(), "objective", job.Objective.Milliseconds()}
+		_ = level.Info(a.logger).Log(appendTimes(fields, &job.Times)...)
+	}
+	if now-a.toldAt < accountEvery {
+		return
+	}
+	a.toldAt = now
+	for key, queue := range owner.Queues() {
+		since := *queue
+		before := a.told[key]
+		since.Tasks.Sub(&before.Tasks)
+		if since.Tasks.Sum() == 0 {
+			continue
+		}
+		a.told[key] = *queue
+		a.metrics.add(key, &since)
+		fields := []any{"msg", "time of tasks", "queue", key, "jobs", since.Ended - before.Ended, "late", since.Late - before.Late}
+		_ = level.Info(a.logger).Log(appendTimes(fields, &since.Tasks)...)
+	}
+}
+
+// appendTimes appends the causes that have a part in a time, in ms.
+func appendTimes(fields []any, times *latency.Times) []any {
+	for cause, span := range times {
+		if ms := span.Milliseconds(); ms > 0 {
+			fields = append(fields, latency.Cause(cause).String(), ms)
+		}
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/control/account_test.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"bytes"
+	"net/http/httptest"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/jobs"
+	"ospreypond/internal/protocol"
+	"ospreypond/internal/scheduler"
+)
+
+var _ = Describe("The account of time", func() {
+	It("is told in the log and as metrics, by queue and cause", func() {
+		written := &bytes.Buffer{}
+		told := newAccountMetrics()
+		account := newAccountLog(log.NewLogfmtLogger(written), told)
+		state := jobs.New(jobs.Options{})
+		owner := scheduler.New(scheduler.Options{}, state)
+		now := time.Second
+		settle := func() {
+			owner.Tick(now, now.Milliseconds(), now)
+			for command := owner.Take(now); command != nil; command = owner.Take(now) {
+				owner.Applied(now, command, state.Apply(command), true)
+			}
+			owner.Flush(now)
+		}
+		beat := func(sequence uint64, active []protocol.ActiveRun, finished ...protocol.FinishedRun) {
+			owner.Heartbeat(now, &protocol.Heartbeat{Instance: "i", Service: "s", Address: "a:1", State: protocol.Ready, Sequence: sequence,
+				Capacity: protocol.Resources{CPU: 1000, MemoryMB: 1000}, Active: active, Finished: finished}, func(*protocol.Orders, error) {})
+			settle()
+			now += 300 * time.Millisecond
+			settle()
+		}
+		owner.Lead(now, now.Milliseconds(), 1)
+		beat(1, nil)
+		queue := protocol.Queue{Key: "h/q/", Service: "s", MaxAttempts: 2, TargetLatencyMs: 100}
+		step := protocol.Step{Count: 1, CPU: 100, MemoryMB: 10, EstimatedMs: 10}
+		owner.Submit(now, jobs.Submit{ID: "00000000000000aa", Queue: queue, Job: protocol.JobSpec{Spec: "do", Steps: []protocol.Step{step}}},
+			func(_ bool, err error) { Expect(err).NotTo(HaveOccurred()) })
+		settle()
+		beat(2, nil)
+		beat(3, []protocol.ActiveRun{{Task: "00000000000000aa.0.0.0", Run: 1}})
+		beat(4, nil, protocol.FinishedRun{N: 1, Task: "00000000000000aa.0.0.0", Run: 1, How: protocol.EndDone})
+		account.tell(now+accountEvery, owner)
+		Expect(written.String()).To(MatchRegexp(`msg="job late" job=00000000000000aa queue=h/q/ state=completed took=\d+ objective=\d+ .*order=`))
+		Expect(written.String()).To(MatchRegexp(`msg="time of tasks" queue=h/q/ jobs=1 late=1 .*running=\d+`))
+		answer := httptest.NewRecorder()
+		told.ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
+		Expect(answer.Body.String()).To(ContainSubstring(`ospreypond_jobs_late_total{queue="h/q/"} 1`))
+		Expect(answer.Body.String()).To(ContainSubstring(`ospreypond_task_seconds_total{queue="h/q/",cause="running"}`))
+
+		written.Reset()
+		account.tell(now+2*accountEvery, owner)
+		Expect(written.String()).To(BeEmpty(), "nothing has taken time since")
+	})
+})
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -71,6 +71,7 @@
 	endpoints     []endpoint
 	configuration *configurationShard
 	shards        map[protocol.ShardID]*jobShard
+	metrics       *accountMetrics
 	ticker        *ticker
 	ownersToldAt  time.Duration // when the feed was last told members and owners
 }
@@ -83,6 +84,7 @@
 		clock:   options.Clock,
 		logger:  options.Logger,
 		shards:  map[protocol.ShardID]*jobShard{},
+		metrics: newAccountMetrics(),
 	}
 	c.endpoints = c.newEndpoints()
 	groups := c.newShards()
@@ -106,7 +108,7 @@
 	groups := map[replica.GroupID]replica.StateMachine{uint32(protocol.ConfigurationShard): c.configuration}
 	jobOptions := jobs.Options{StatusTime: c.options.Bounds.Status}
 	for id := protocol.ShardID(1); id <= protocol.JobShards; id++ {
-		shard := newJobShard(id, c.schedulerOptions(), jobOptions, timeOfDay, c.logger)
+		shard := newJobShard(id, c.schedulerOptions(), jobOptions, timeOfDay, c.logger, c.metrics)
 		c.shards[id] = shard
 		groups[uint32(id)] = shard
 	}
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/go-kit/log"
@@ -46,6 +47,14 @@
 	if err != nil {
 		return errors.Wrap(err, "listening for the operator")
 	}
+	if settings.MetricsPort > 0 {
+		told, err := net.Listen("tcp", net.JoinHostPort(settings.IP, strconv.Itoa(settings.MetricsPort)))
+		if err != nil {
+			return errors.Wrap(err, "listening for questions for metrics")
+		}
+		defer told.Close()
+		go (&http.Server{Handler: c.metrics, ReadHeaderTimeout: 5 * time.Second}).Serve(told)
+	}
 	return r.serve(ctx, listener, web, hangups)
 }
 
--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -23,6 +23,8 @@
 	clock  timeOfDay
 	logger log.Logger
 	wake   func() // asks for tick soon
+
+	account accountLog
 }
 
 // timeOfDay tells the time of day in ms since 1970.
@@ -32,14 +34,16 @@
 var _ replica.LeadershipObserver = (*jobShard)(nil)
 var _ replica.LeadershipKeeper = (*jobShard)(nil)
 
-func newJobShard(id protocol.ShardID, options scheduler.Options, jobOptions jobs.Options, clock timeOfDay, logger log.Logger) *jobShard {
+func newJobShard(id protocol.ShardID, options scheduler.Options, jobOptions jobs.Options, clock timeOfDay, logger log.Logger, metrics *accountMetrics) *jobShard {
 	state := jobs.New(jobOptions)
+	logger = log.With(logger, "shard", id)
 	return &jobShard{
-		id:     id,
-		state:  state,
-		owner:  scheduler.New(options, state),
-		clock:  clock,
-		logger: log.With(logger, "shard", id),
+		id:      id,
+		state:   state,
+		owner:   scheduler.New(options, state),
+		clock:   clock,
+		logger:  logger,
+		account: newAccountLog(logger, metrics),
 	}
 }
 
@@ -66,6 +70,7 @@
 func (s *jobShard) Leading(term uint64) {
 	level.Info(s.logger).Log("msg", "this process owns the shard", "term", term)
 	s.owner.Lead(s.engine.Now(), s.clock(), term)
+	s.account.restart(s.engine.Now())
 	s.wake()
 }
 
@@ -124,6 +129,7 @@
 	s.owner.Tick(s.engine.Now(), s.clock(), s.confirmedAt())
 	s.confirmReads()
 	s.pump()
+	s.account.tell(s.engine.Now(), s.owner)
 }
 
 // confirmReads asks for a confirmation of leadership while reads wait for one.
--- a/internal/control/shard_test.go
+++ b/internal/control/shard_test.go
@@ -28,7 +28,7 @@
 		const enough = 8 << 20 // bytes of stack: calls that go round end the test instead of the machine's memory
 		defer debug.SetMaxStack(debug.SetMaxStack(enough))
 
-		shard := newJobShard(1, scheduler.Options{}, jobs.Options{}, func() int64 { return timeOfDay }, log.NewNopLogger())
+		shard := newJobShard(1, scheduler.Options{}, jobs.Options{}, func() int64 { return timeOfDay }, log.NewNopLogger(), newAccountMetrics())
 		engine, err := replica.Open(replica.Options{
 			FileSystem: vfs.OS{},
 			Dir:        GinkgoT().TempDir(),
--- /dev/null
+++ b/internal/latency/ledger_test.go
@@ -0,0 +1,139 @@
+package latency_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/jobs"
+	"ospreypond/internal/latency"
+	"ospreypond/internal/protocol"
+)
+
+const queueKey = "host/queue/"
+
+// job makes a job of steps of one task each, and its groups; each step depends on those listed for it.
+func job(dependsOn ...[]int) (*jobs.Job, []*jobs.Group) {
+	made := &jobs.Job{ID: "aa", State: protocol.JobRunning, Queue: protocol.Queue{Key: queueKey, Extension: 2, TargetLatencyMs: 1000}}
+	var groups []*jobs.Group
+	for step, depends := range dependsOn {
+		made.Spec.Steps = append(made.Spec.Steps, protocol.Step{Count: 1, DependsOn: depends})
+		group := &jobs.Group{Job: made, Step: step, Left: 1}
+		group.Tasks = []*jobs.Task{{ID: jobs.TaskID{Job: "aa", Step: step}, Group: group}}
+		groups = append(groups, group)
+	}
+	return made, groups
+}
+
+// at is a time in ms.
+func at(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// done takes that a group's only task is done.
+func done(group *jobs.Group) *jobs.Task {
+	group.Left = 0
+	group.Tasks[0].Phase = jobs.Done
+	return group.Tasks[0]
+}
+
+// spans are the parts of a time that are not 0.
+func spans(times latency.Times) map[string]time.Duration {
+	parts := map[string]time.Duration{}
+	for _, cause := range latency.Causes() {
+		if times[cause] != 0 {
+			parts[cause.String()] = times[cause]
+		}
+	}
+	return parts
+}
+
+var _ = Describe("The account of a job", func() {
+	var l *latency.Ledger
+	BeforeEach(func() { l = latency.NewLedger(at(1)) })
+
+	// run has a task run well from 20 ms after a time on, for 100 ms.
+	run := func(from int, task *jobs.Task) {
+		l.Held(at(from), task)
+		l.Started(at(from+20), task)
+	}
+	end := func(from int, group *jobs.Group) {
+		l.Ended(at(from+150), done(group), latency.Run{ListedAt: at(from + 40), EndedAt: at(from + 140), Outcome: latency.Running})
+	}
+
+	It("splits the time of its task by what that waited for", func() {
+		one, groups := job(nil)
+		task := groups[0].Tasks[0]
+		l.Held(at(100), task)
+		l.Waits(at(110), groups[0], latency.CPU)
+		l.Waits(at(140), groups[0], latency.Reserved)
+		l.Started(at(200), task)
+		l.Ended(at(500), done(groups[0]), latency.Run{ListedAt: at(230), EndedAt: at(490), Outcome: latency.Running})
+		account, ok := l.Over(one, at(405))
+		Expect(ok).To(BeTrue())
+		Expect(spans(account.Times)).To(Equal(map[string]time.Duration{"unowned": at(5), "round": at(10), "cpu": at(30),
+			"reserved": at(60), "order": at(30), "running": at(260), "report": at(10)}))
+		Expect(account.Times.Sum()).To(Equal(account.Took))
+		Expect(account.Objective).To(Equal(at(1000 + 2*260)))
+		Expect(account.Late()).To(BeFalse())
+	})
+
+	It("counts runs that came to nothing by how they ended", func() {
+		one, groups := job(nil)
+		task := groups[0].Tasks[0]
+		l.Held(at(100), task)
+		l.Started(at(100), task)
+		l.Ended(at(300), task, latency.Run{ListedAt: at(120), EndedAt: at(290), Outcome: latency.Failed})
+		l.Held(at(300), task)
+		l.Started(at(310), task)
+		l.Ended(at(2000), task, latency.Run{ListedAt: at(320), HeardAt: at(500), Outcome: latency.Lost})
+		l.Held(at(2000), task)
+		l.Started(at(2000), task)
+		l.Ended(at(2100), done(groups[0]), latency.Run{ListedAt: at(2000), EndedAt: at(2100), Outcome: latency.Running})
+		account, _ := l.Over(one, at(2000))
+		Expect(spans(account.Times)).To(Equal(map[string]time.Duration{"failed": at(200), "round": at(10), "lost": at(190),
+			"silent": at(1500), "running": at(100)}))
+		Expect(account.Late()).To(BeTrue())
+		Expect(l.Queues()[queueKey].Late).To(Equal(uint64(1)))
+	})
+
+	It("follows the longest chain of its steps", func() {
+		one, groups := job(nil, nil, []int{0, 1})
+		run(100, groups[0].Tasks[0])
+		run(300, groups[1].Tasks[0]) // the later one of two that the last depends on
+		end(100, groups[0])
+		end(300, groups[1])
+		run(450, groups[2].Tasks[0])
+		end(450, groups[2])
+		account, _ := l.Over(one, at(500))
+		Expect(account.Times[latency.Running]).To(Equal(at(200)))
+		Expect(account.Times[latency.Unowned]).To(Equal(at(200)), "what came before the step that decided")
+	})
+
+	It("says that it doesn't know what was before its owner", func() {
+		one, groups := job(nil)
+		l.Ended(at(501), done(groups[0]), latency.Run{ListedAt: at(101), EndedAt: at(501), Outcome: latency.Running})
+		account, _ := l.Over(one, at(900))
+		Expect(spans(account.Times)).To(Equal(map[string]time.Duration{"unowned": at(400), "order": at(100), "running": at(400)}))
+	})
+
+	It("is not made of jobs that come in several times, and keeps nothing of them", func() {
+		one, groups := job(nil)
+		one.Spec.Repetitions = 3
+		run(100, groups[0].Tasks[0])
+		end(100, groups[0])
+		one.State = protocol.JobCompleted
+		_, ok := l.Over(one, at(900))
+		Expect(ok).To(BeFalse())
+		Expect(l.Queues()[queueKey].Tasks[latency.Running]).To(Equal(at(100)))
+	})
+
+	It("takes nothing more for a job that is over", func() {
+		one, groups := job(nil)
+		run(100, groups[0].Tasks[0])
+		one.State = protocol.JobCancelled
+		l.Over(one, at(200))
+		before := l.Queues()[queueKey].Tasks
+		l.Ended(at(900), groups[0].Tasks[0], latency.Run{Outcome: latency.Stopped})
+		Expect(l.Queues()[queueKey].Tasks).To(Equal(before))
+	})
+})
--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -61,6 +61,7 @@
 	flying := o.flying
 	o.inFlight = nil
 	o.flying = waitingReplies{}
+	o.account(now, command, effects)
 	o.settleEnds(command)
 	o.countStarts(now, command)
 	flying.succeed(effects)
--- a/internal/scheduler/losses.go
+++ b/internal/scheduler/losses.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ospreypond/internal/jobs"
+	"ospreypond/internal/latency"
 )
 
 // withdraw deals with runs that were to start there and that the newest heartbeat does not list: every earlier answer is
@@ -15,7 +16,7 @@
 	}
 	for _, task := range o.state.RunsOn(r.instance) {
 		key := runKey{task.ID, task.Run}
-		if task.Phase != jobs.Running || o.ending[key] {
+		if task.Phase != jobs.Running || o.isEnding(key) {
 			continue
 		}
 		if _, there := r.listed[key]; there {
@@ -33,7 +34,7 @@
 	}
 	for _, l := range o.state.LingeringOn(r.instance) {
 		key := runKey{l.Task, l.Run}
-		if _, there := r.listed[key]; there || o.ending[key] {
+		if _, there := r.listed[key]; there || o.isEnding(key) {
 			continue
 		}
 		if r.report.Called {
@@ -46,7 +47,7 @@
 
 // loseLingering proposes that a run, of a gang's member that is done, is no more.
 func (o *Owner) loseLingering(r *runner, key runKey) {
-	o.ending[key] = true
+	o.ending[key] = r.runOf(r.heardAt, key, latency.Lost)
 	delete(r.stops, key)
 	o.next.Losses = append(o.next.Losses, jobs.Loss{Runner: r.instance, Task: key.task, Run: key.run})
 }
@@ -77,10 +78,10 @@
 // lose proposes that a run is no more.
 func (o *Owner) lose(r *runner, task *jobs.Task) {
 	key := runKey{task.ID, task.Run}
-	if o.ending[key] {
+	if o.isEnding(key) {
 		return
 	}
-	o.ending[key] = true
+	o.ending[key] = r.runOf(r.heardAt, key, latency.Lost)
 	o.counters.Losses++
 	saved := ""
 	if l := r.listed[key]; l != nil {
@@ -99,7 +100,7 @@
 		}
 	}
 	for _, l := range o.state.LingeringOn(r.instance) {
-		if key := (runKey{l.Task, l.Run}); !o.ending[key] {
+		if key := (runKey{l.Task, l.Run}); !o.isEnding(key) {
 			o.loseLingering(r, key)
 		}
 	}
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -9,6 +9,7 @@
 
 	"ospreypond/internal/failure"
 	"ospreypond/internal/jobs"
+	"ospreypond/internal/latency"
 	"ospreypond/internal/placement"
 )
 
@@ -35,14 +36,16 @@
 	flying   waitingReplies // for inFlight
 	reads    []read
 
-	ending  map[runKey]bool    // runs whose end or loss is in next or inFlight
-	demands map[string]*demand // urgent work by service
+	ending  map[runKey]latency.Run // runs whose end or loss is in next or inFlight
+	demands map[string]*demand     // urgent work by service
 
 	notBefore time.Duration // no command is proposed before this, after one could not be
 	dirty     bool          // something changed that a round may use
 	lastRound time.Duration
 	failedOn  map[string]map[string]bool
 	counters  Counters
+	ledger    *latency.Ledger
+	late      []LateJob
 }
 
 // Counters count what the owner did since the process started.
@@ -81,9 +84,10 @@
 	o.waiting = waitingReplies{}
 	o.flying = waitingReplies{}
 	o.reads = nil
-	o.ending = map[runKey]bool{}
+	o.ending = map[runKey]latency.Run{}
 	o.demands = map[string]*demand{}
 	o.failedOn = map[string]map[string]bool{}
+	o.ledger = latency.NewLedger(o.ledAt)
 	o.dirty = true
 	o.notBefore = 0
 	o.lastRound = 0
@@ -97,6 +101,7 @@
 	o.leading = true
 	o.term = term
 	o.ledAt = now
+	o.ledger = latency.NewLedger(now)
 	o.confirmedAt = neverConfirmed
 	o.setTimeOfDay(now, timeOfDayMs)
 	for _, instance := range o.state.Runners() {
--- a/internal/scheduler/reportedruns.go
+++ b/internal/scheduler/reportedruns.go
@@ -23,13 +23,14 @@
 		}
 		key := runKey{id, finished.Run}
 		o.learn(now, r, key, finished)
+		run := r.runOf(now, key, outcomeOf(finished.How))
 		delete(r.stops, key)
 		delete(r.listed, key)
 		delete(r.ordered, key)
-		if o.ending[key] {
+		if o.isEnding(key) {
 			continue
 		}
-		o.ending[key] = true
+		o.ending[key] = run
 		o.dirty = true
 		o.next.Ends = append(o.next.Ends, jobs.End{
 			Runner: r.instance, N: finished.N, Task: id, Run: finished.Run, How: finished.How, Saved: finished.Saved,
@@ -116,7 +117,7 @@
 			continue
 		}
 		key := runKey{id, rejected.Run}
-		if _, there := r.listed[key]; there || o.ending[key] {
+		if _, there := r.listed[key]; there || o.isEnding(key) {
 			continue
 		}
 		delete(r.stops, key)
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ospreypond/internal/jobs"
+	"ospreypond/internal/latency"
 	"ospreypond/internal/placement"
 	"ospreypond/internal/protocol"
 )
@@ -56,22 +57,24 @@
 func (o *Owner) roundOf(now time.Duration, service string, held []*jobs.Task) {
 	runners := o.offers(now, service)
 	if len(runners) == 0 {
+		o.ledger.Waits(now, held[0].Group, latency.Runner)
 		return
 	}
 	urgent, spare := o.urgentPart(now, service, held, runners)
 	if urgent == len(held) {
-		o.place(now, held, runners)
+		o.place(now, held, runners, 0)
 		return
 	}
 	free, others := byNeed(held[urgent:], runners)
-	o.place(now, held[:urgent], runners)
-	o.place(now, free, runners)
+	o.place(now, held[:urgent], runners, 0)
+	o.place(now, free, runners, 0)
 	keepFree(runners, spare)
-	o.place(now, others, runners)
+	o.place(now, others, runners, spare)
 }
 
-// place has the planner place some held tasks, and carries out what it decides.
-func (o *Owner) place(now time.Duration, held []*jobs.Task, runners []placement.Runner) {
+// place has the planner place some held tasks, and carries out what it decides. kept is the share of the processors that is
+// kept from them.
+func (o *Owner) place(now time.Duration, held []*jobs.Task, runners []placement.Runner, kept float64) {
 	if len(held) == 0 {
 		return
 	}
@@ -79,7 +82,9 @@
 	for i, task := range held {
 		tasks[i] = o.candidate(now, task)
 	}
-	o.carryOut(now, held, runners, o.planner.Round(now, tasks, runners))
+	result := o.planner.Round(now, tasks, runners)
+	o.explain(now, held, runners, result, kept)
+	o.carryOut(now, held, runners, result)
 }
 
 // carryOut makes commands and stops of what a round decided.
@@ -165,7 +170,7 @@
 
 // listedEnd tells that the runner has listed the run's end, or that it certainly is not there: its room is free.
 func (o *Owner) listedEnd(r *runner, key runKey) bool {
-	if !o.ending[key] {
+	if !o.isEnding(key) {
 		return false
 	}
 	_, there := r.listed[key]
--- a/internal/scheduler/watch.go
+++ b/internal/scheduler/watch.go
@@ -58,7 +58,7 @@
 // learn takes what an end tells of runtimes and of the runner.
 func (o *Owner) learn(now time.Duration, r *runner, key runKey, finished *protocol.FinishedRun) {
 	task := o.state.Task(key.task)
-	if task == nil || task.Run != key.run || o.ending[key] {
+	if task == nil || task.Run != key.run || o.isEnding(key) {
 		return
 	}
 	switch finished.How {
@@ -120,7 +120,7 @@
 	for _, task := range o.state.RunsOn(r.instance) {
 		key := runKey{task.ID, task.Run}
 		entry := r.listed[key]
-		if entry == nil || task.Phase != jobs.Running || o.ending[key] {
+		if entry == nil || task.Phase != jobs.Running || o.isEnding(key) {
 			continue
 		}
 		if o.stalled(now, r, task, entry) {
