Relay calls to control processes round a cut

Ruled out: shorter holds. Change: package relay, SWIM's indirect probe with the call itself as the ping. Agents relay for each other and for frontends; the configuration's owner names four to each watch, two of them of the caller's zone. A call that is silent for 250 ms goes through a relay, and from then on at once, until a direct ping is answered. Only calls are relayed of which a second is harmless; a relay holds nothing, confirms nothing and asks no other relay. A relayed heartbeat says so: it never ends another incarnation, since it may have stood still with its relay. Names: agent.Relay and frontend.Relay are agent.Process and frontend.Process.

--- a/internal/administration/submit.go
+++ b/internal/administration/submit.go
@@ -34,10 +34,10 @@
 	}
 	following, stop := context.WithCancel(context.Background())
 	defer stop()
-	relay := frontend.NewRelay(frontend.RelayOptions{Client: c.transport, Addresses: c.addresses, Node: "administration"})
-	go relay.Run(following)
+	process := frontend.NewProcess(frontend.ProcessOptions{Client: c.transport, Addresses: c.addresses, Node: "administration"})
+	go process.Run(following)
 	return repeat(
-		func() error { return handIn(ctx, relay, route.Host, route.PathPrefix+id, body) },
+		func() error { return handIn(ctx, process, route.Host, route.PathPrefix+id, body) },
 		func() bool { return pause(ctx, submitPause) },
 	)
 }
@@ -84,7 +84,7 @@
 }
 
 // handIn is one try.
-func handIn(ctx context.Context, relay http.Handler, host, path string, body []byte) error {
+func handIn(ctx context.Context, process http.Handler, host, path string, body []byte) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+path, bytes.NewReader(body))
 	if err != nil {
 		return failure.New(failure.Invalid, err.Error())
@@ -94,7 +94,7 @@
 		request.Header.Set(frontend.DeadlineHeader, strconv.FormatInt(wait.Milliseconds(), 10))
 	}
 	answer := &answer{header: http.Header{}, status: http.StatusOK}
-	relay.ServeHTTP(answer, request)
+	process.ServeHTTP(answer, request)
 	return answer.fault()
 }
 
--- a/internal/agent/relay.go
+++ b/internal/agent/process.go
@@ -8,13 +8,16 @@
 
 	"ospreypond/internal/directory"
 	"ospreypond/internal/protocol"
+	"ospreypond/internal/relay"
 )
 
-// RelayOptions are what a Relay is made of.
-type RelayOptions struct {
+// ProcessOptions are what a Process is made of.
+type ProcessOptions struct {
 	Client    directory.Caller
 	Addresses []string // internal addresses of control processes to begin at
 	Node      string   // this machine's name
+	Zone      string   // of this machine
+	Relay     string   // internal address at which this process relays calls; empty: it does not
 	Service   string   // of the runner on this machine; empty: unknown
 	Calls     bool     // the runner is called, instead of answered
 	App       string   // where it is called; empty: at the address in its heartbeats
@@ -23,22 +26,26 @@
 	Logger    log.Logger
 }
 
-// Relay carries a runner's calls as an agent does, without listening: an agent's process and the simulation are made of
+// Process carries a runner's calls as an agent does, without listening: an agent's process and the simulation are made of
 // it.
-type Relay struct {
+type Process struct {
 	*Service
 	Known *directory.Directory // what is known of shards' owners
 }
 
-// NewRelay returns a Relay. It needs Run.
-func NewRelay(options RelayOptions) *Relay {
+// NewProcess returns a Process. It needs Run.
+func NewProcess(options ProcessOptions) *Process {
+	paths := relay.NewCaller(options.Client, options.Clock)
 	known := directory.New(directory.Options{
-		Client: options.Client,
-		Seeds:  options.Addresses,
-		Node:   options.Node,
-		Clock:  options.Clock,
-		Logger: options.Logger,
-		Wait:   watchWait,
+		Client:   paths,
+		OnRelays: paths.SetRelays,
+		Seeds:    options.Addresses,
+		Node:     options.Node,
+		Zone:     options.Zone,
+		Relay:    options.Relay,
+		Clock:    options.Clock,
+		Logger:   options.Logger,
+		Wait:     watchWait,
 	})
 	service := NewService(Options{
 		Owners:  owners{known},
@@ -48,11 +55,11 @@
 		App:     options.App,
 		Dial:    options.Dial,
 	})
-	return &Relay{Service: service, Known: known}
+	return &Process{Service: service, Known: known}
 }
 
 // Run follows the shards' owners until ctx ends.
-func (r *Relay) Run(ctx context.Context) { r.Known.Run(ctx) }
+func (r *Process) Run(ctx context.Context) { r.Known.Run(ctx) }
 
 // owners carries messages by a directory.
 type owners struct{ *directory.Directory }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"ospreypond/internal/boot"
+	"ospreypond/internal/relay"
 	"ospreypond/internal/seeds"
 	"ospreypond/internal/transport"
 )
@@ -26,6 +27,9 @@
 	stopTime = 1200 * time.Millisecond
 	// watchWait is how long a watch for owners may be held: heartbeats notice sooner that an owner is gone.
 	watchWait = 10 * time.Second
+	// relayConnections and relayCalls bound what is relayed for others at one time.
+	relayConnections = 64
+	relayCalls       = 128
 )
 
 // Run serves the runner of this machine until ctx ends, then finishes what is out.
@@ -36,29 +40,40 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for the runner")
 	}
+	others, err := config.Listen(ctx, "tcp", settings.InternalAddress())
+	if err != nil {
+		listener.Close()
+		return errors.Wrap(err, "listen for calls to be relayed")
+	}
 	client := transport.NewClient(transport.ClientOptions{Logger: logger, Name: settings.NodeName})
 	defer client.Close()
 
 	// The directory goes on until the last exchange is over, which is after ctx has ended.
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
-	relay := NewRelay(RelayOptions{
+	process := NewProcess(ProcessOptions{
 		Client:    client,
 		Addresses: settings.SeedInternalAddresses(),
 		Node:      settings.NodeName,
+		Zone:      settings.Zone,
+		Relay:     settings.InternalAddress(),
 		Service:   settings.Service,
 		Calls:     settings.Commands == boot.CommandsInvocation,
 		App:       settings.App,
 		Logger:    logger,
 	})
-	defer relay.Close()
-	go relay.Run(serving)
+	defer process.Close()
+	server := transport.NewServer(transport.Options{Logger: logger, MaxConnections: relayConnections, MaxHandlers: relayCalls})
+	defer server.Close()
+	relay.Register(server, client, process.Known.Knows)
+	go server.Serve(serving, others)
+	go process.Run(serving)
 	follower := seeds.NewFollower(seeds.Options{Path: os.Getenv(boot.Variable), Seeds: settings.SeedInternalAddresses(),
-		Directory: relay.Known, StaleAfter: 2 * watchWait, Logger: logger})
+		Directory: process.Known, StaleAfter: 2 * watchWait, Logger: logger})
 	go follower.Run(serving, hangups)
 
 	level.Info(logger).Log("msg", "agent is up", "node", settings.NodeName, "service", settings.Service)
-	return serve(ctx, listener, relay)
+	return serve(ctx, listener, process)
 }
 
 // serve serves on listener until ctx ends and what is out is finished.
--- a/internal/control/endpoint.go
+++ b/internal/control/endpoint.go
@@ -37,6 +37,7 @@
 func (c *Control) newEndpoints() []endpoint {
 	a := newAdministrator(c)
 	return []endpoint{
+		newEndpoint(c.ping),
 		newEndpoint(c.heartbeat),
 		newEndpoint(c.deregister),
 		newEndpoint(c.submit),
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -41,6 +41,7 @@
 	revision uint64
 	members  []protocol.Member
 	owners   map[protocol.ShardID]string
+	relays   relayTable
 	round    uint64        // counts the rounds asked for
 	asked    bool          // a round is out
 	askedAt  time.Duration // the asking of the newest round
@@ -63,7 +64,7 @@
 const noTime time.Duration = -1
 
 // NewFeed returns a feed of a process that does not lead.
-func NewFeed(source feedSource) *Feed { return &Feed{source: source} }
+func NewFeed(source feedSource) *Feed { return &Feed{source: source, relays: newRelayTable()} }
 
 // Lead begins ownership of the configuration's shard.
 func (f *Feed) Lead() {
@@ -89,6 +90,7 @@
 		reply(nil, failure.New(failure.Overloaded, "too many watches wait"))
 		return
 	}
+	f.relays.hear(now, request)
 	wait := min(max(time.Duration(request.WaitMs)*time.Millisecond, 0), feedWaitMost)
 	early := wait - time.Duration(float64(wait)*feedTogether)
 	f.watches = append(f.watches, &feedWatch{
@@ -192,6 +194,7 @@
 
 func (f *Feed) answer(w *feedWatch) {
 	response := &protocol.WatchResponse{Version: f.source.Version(), OwnersAt: f.revision, HeldMs: f.held(w)}
+	response.Relays = f.relays.pick(f.askedAt, w.request)
 	if response.Version > w.request.Version && !w.request.OwnersOnly {
 		body, err := f.source.Since(w.request.Version, w.request.Changes)
 		if err != nil {
--- a/internal/control/feed_test.go
+++ b/internal/control/feed_test.go
@@ -317,4 +317,43 @@
 		feed.Confirmed(0)
 		Expect(failure.KindOf(failing.err)).To(Equal(failure.Unavailable))
 	})
+
+	Describe("naming relays", func() {
+		hear := func(now time.Duration, node, zone string) *protocol.WatchRequest {
+			request := &protocol.WatchRequest{Version: 5, Owners: revision, WaitMs: 1000, Node: node, Zone: zone, Relay: node + ":1"}
+			feed.Watch(now, request, func(*protocol.WatchResponse, error) {})
+			return request
+		}
+		namedTo := func(node, zone string) []string {
+			var named []string
+			request := &protocol.WatchRequest{Version: 0, Node: node, Zone: zone, Relay: node + ":1"}
+			feed.Watch(time.Second, request, func(response *protocol.WatchResponse, err error) {
+				Expect(err).NotTo(HaveOccurred())
+				for _, relay := range response.Relays {
+					named = append(named, relay.Address)
+				}
+			})
+			feed.AskConfirmation(time.Second)
+			feed.Confirmed(time.Second)
+			return named
+		}
+
+		It("names some of the caller's zone first, then some of others, and never the caller", func() {
+			for _, node := range []string{"a1", "a2", "a3"} {
+				hear(0, node, "a")
+			}
+			for _, node := range []string{"b1", "b2", "b3"} {
+				hear(0, node, "b")
+			}
+			named := namedTo("a1", "a")
+			Expect(named).To(HaveLen(4))
+			Expect(named[:2]).To(ConsistOf("a2:1", "a3:1"))
+			Expect(named[2:]).To(HaveEach(HavePrefix("b")))
+		})
+
+		It("names none that has not been heard for long", func() {
+			hear(-20*time.Second, "a1", "a")
+			Expect(namedTo("a2", "a")).To(BeEmpty())
+		})
+	})
 })
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -38,6 +38,11 @@
 	return address
 }
 
+// ping answers at once: that this process is reached is all that it says.
+func (c *Control) ping(_ string, request *protocol.PingRequest, reply func(*protocol.PingResponse, error)) {
+	reply(&protocol.PingResponse{Number: request.Number}, nil)
+}
+
 func (c *Control) heartbeat(_ string, request *protocol.HeartbeatRequest, reply func(*protocol.HeartbeatResponse, error)) {
 	c.on(request.Shard, func(s *jobShard, now time.Duration) {
 		s.owner.Heartbeat(now, &request.Heartbeat, func(orders *protocol.Orders, err error) {
--- a/internal/control/outofdate_test.go
+++ b/internal/control/outofdate_test.go
@@ -311,8 +311,8 @@
 	jobQuestions   = jobQuestionsOf(wokenShard)
 	orderQuestions = configurationQuestions()
 	everyEndpoint  = append(slices.Clone(jobQuestions), orderQuestions...)
-	// notAsked do what they are asked, or answer for an index of the log, which holds for ever.
-	notAsked = []any{&administration.ResignRequest{}, &administration.DigestRequest{}}
+	// notAsked do what they are asked, or answer for an index of the log, which holds for ever, or say nothing of the state.
+	notAsked = []any{&protocol.PingRequest{}, &administration.ResignRequest{}, &administration.DigestRequest{}}
 )
 
 func jobQuestionsOf(shard protocol.ShardID) []question {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -27,6 +27,8 @@
 	Client Caller
 	Seeds  []string // internal addresses to start from
 	Node   string   // this machine's name
+	Zone   string   // of this machine
+	Relay  string   // internal address at which this process relays calls; empty: it does not
 	Clock  clockwork.Clock
 	Logger log.Logger
 	// Wait is how long the owner of the configuration may hold a watch back while there is no news; 0: a second.
@@ -36,6 +38,8 @@
 	// it returns an error, the version counts as unknown here, and the whole is asked for. If it is nil, only members
 	// and owners are watched.
 	OnConfiguration func(version uint64, document []byte) error
+	// OnRelays is told newer relays that this process may use. nil: they are of no use here.
+	OnRelays func(relays []protocol.Relay)
 }
 
 // Directory is safe for use by many goroutines.
@@ -120,6 +124,13 @@
 	return slices.Clone(d.view.members)
 }
 
+// Knows tells whether an address is one of a control process, as far as known.
+func (d *Directory) Knows(address string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return slices.Contains(d.view.addresses, address)
+}
+
 // SetSeeds replaces the addresses to start from.
 func (d *Directory) SetSeeds(seeds []string) {
 	d.mutex.Lock()
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -124,6 +124,8 @@
 		Owners:  d.view.ownersAt,
 		WaitMs:  d.options.Wait.Milliseconds(),
 		Node:    d.options.Node,
+		Zone:    d.options.Zone,
+		Relay:   d.options.Relay,
 	}
 	if d.options.OnConfiguration == nil {
 		request.OwnersOnly = true
@@ -151,6 +153,9 @@
 		return
 	}
 	d.found(w)
+	if d.options.OnRelays != nil && len(answer.Relays) > 0 {
+		d.options.OnRelays(answer.Relays)
+	}
 	w.patience = 0
 	if brought.incomplete {
 		w.whole = true
--- a/internal/frontend/relay.go
+++ b/internal/frontend/process.go
@@ -7,33 +7,38 @@
 	"github.com/jonboulle/clockwork"
 
 	"ospreypond/internal/directory"
+	"ospreypond/internal/relay"
 )
 
-// RelayOptions are what a Relay is made of.
-type RelayOptions struct {
+// ProcessOptions are what a Process is made of.
+type ProcessOptions struct {
 	Client    directory.Caller
 	Addresses []string // internal addresses of control processes to begin at
 	Node      string   // this machine's name
+	Zone      string   // of this machine
 	Bounds    Bounds
 	Clock     clockwork.Clock // nil: the real one
 	Logger    log.Logger      // nil: none
 }
 
-// Relay answers clients' requests as a frontend does, without listening: a frontend's process, a program that hands jobs
+// Process answers clients' requests as a frontend does, without listening: a frontend's process, a program that hands jobs
 // in by itself and the simulation are made of it.
-type Relay struct {
+type Process struct {
 	*Service
 	Known *directory.Directory // what is known of the configuration and of shards' owners
 }
 
-// NewRelay returns a Relay. It needs Run.
-func NewRelay(options RelayOptions) *Relay {
+// NewProcess returns a Process. It needs Run.
+func NewProcess(options ProcessOptions) *Process {
 	if options.Logger == nil {
 		options.Logger = log.NewNopLogger()
 	}
 	views := NewViews()
+	paths := relay.NewCaller(options.Client, options.Clock)
 	known := directory.New(directory.Options{
-		Client:          options.Client,
+		Client:          paths,
+		OnRelays:        paths.SetRelays,
+		Zone:            options.Zone,
 		Seeds:           options.Addresses,
 		Node:            options.Node,
 		Clock:           options.Clock,
@@ -48,8 +53,8 @@
 		Bounds:    options.Bounds,
 		Clock:     options.Clock,
 	})
-	return &Relay{Service: service, Known: known}
+	return &Process{Service: service, Known: known}
 }
 
 // Run follows the configuration until ctx ends.
-func (r *Relay) Run(ctx context.Context) { r.Known.Run(ctx) }
+func (r *Process) Run(ctx context.Context) { r.Known.Run(ctx) }
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -31,18 +31,19 @@
 	// The directory goes on until the last request is answered, which is after ctx has ended.
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
-	relay := NewRelay(RelayOptions{
+	process := NewProcess(ProcessOptions{
 		Client:    client,
 		Addresses: settings.SeedInternalAddresses(),
 		Node:      settings.NodeName,
+		Zone:      settings.Zone,
 		Bounds:    Bounds{ConfigApply: settings.Bounds.ConfigApply, MaxSkew: settings.Bounds.MaxSkew},
 		Logger:    logger,
 	})
-	go relay.Run(serving)
+	go process.Run(serving)
 	follower := seeds.NewFollower(seeds.Options{Path: os.Getenv(boot.Variable), Seeds: settings.SeedInternalAddresses(),
-		Directory: relay.Known, Logger: logger})
+		Directory: process.Known, Logger: logger})
 	go follower.Run(serving, hangups)
 
 	level.Info(logger).Log("msg", "frontend is up", "node", settings.NodeName, "clients", settings.Listen[boot.ListenFrontend])
-	return NewServer(relay.Service, settings.Bounds.Grace, logger).Run(ctx, clients, readiness)
+	return NewServer(process.Service, settings.Bounds.Grace, logger).Run(ctx, clients, readiness)
 }
--- a/internal/protocol/internal.go
+++ b/internal/protocol/internal.go
@@ -100,6 +100,9 @@
 	Compressed bool // the caller can take a large Configuration compressed
 
 	OwnersOnly bool // the caller has no use for the configuration, and is not told when it changes
+
+	Zone  string // of the caller
+	Relay string // internal address at which the caller relays calls; empty: it does not
 }
 
 // Member is one control process.
@@ -118,5 +121,6 @@
 	OwnersAt      uint64 // revision of Members and Owners
 	Members       []Member
 	Owners        map[ShardID]string // internal address of each shard's owner as far as known
+	Relays        []Relay            // some that the caller may use, the preferred ones first; empty: no news
 	HeldMs        int64              // time between the request's coming and the asking for that confirmation, or less
 }
--- a/internal/protocol/runner.go
+++ b/internal/protocol/runner.go
@@ -55,6 +55,8 @@
 	// Called tells that an agent has made this heartbeat and calls its runner. A start that an earlier agent sent may still
 	// reach such a runner, although this heartbeat doesn't list the run; a stop keeps it from starting for good.
 	Called bool `json:"-"`
+	// Relayed tells that a relay has carried this heartbeat, which may have stood still with it.
+	Relayed bool `json:"-"`
 	// FenceOnly asks for the present fence token and says nothing of runs: an agent that has started again must not look
 	// at its runner without one.
 	FenceOnly bool `json:"-"`
--- a/internal/scheduler/incarnations.go
+++ b/internal/scheduler/incarnations.go
@@ -9,10 +9,14 @@
 
 // placeTaken tells that another incarnation was heard from the heartbeat's address so lately that the heartbeat may be an
 // old one that was long under way. One that is known only from the shard counts as heard when this leadership began: it
-// gets the time to report here before a heartbeat of another can end it.
+// gets the time to report here before a heartbeat of another can end it. A relayed heartbeat may have stood still with its
+// relay for any time, and never ends another.
 func (o *Owner) placeTaken(now time.Duration, beat *protocol.Heartbeat) bool {
 	before := o.runners[o.byPlace[beat.Address]]
-	return before != nil && !before.ended && now-max(before.heardAt, o.ledAt) < lateHeartbeat
+	if before == nil {
+		return false
+	}
+	return beat.Relayed || !before.ended && now-max(before.heardAt, o.ledAt) < lateHeartbeat
 }
 
 // lateHeartbeat is the longest that a heartbeat is under way.
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -62,7 +62,7 @@
 	bytes := 0
 	for _, task := range o.state.RunsOn(r.instance) {
 		key := runKey{task.ID, task.Run}
-		if task.Phase != jobs.Running || o.ending[key] || over(task.Group.Job.State) || r.draining {
+		if task.Phase != jobs.Running || o.isEnding(key) || over(task.Group.Job.State) || r.draining {
 			continue
 		}
 		if _, there := r.listed[key]; there {
@@ -96,6 +96,9 @@
 }
 
 func (o *Owner) pollDelay(r *runner) time.Duration {
+	if r.report.Relayed {
+		return o.options.PollIdle // each exchange takes a relay's time as well
+	}
 	if len(r.listed) > 0 || len(r.stops) > 0 || o.state.HeldCount() > 0 || len(o.state.RunsOn(r.instance)) > 0 {
 		return o.options.PollBusy
 	}
--- a/internal/scheduler/owner_test.go
+++ b/internal/scheduler/owner_test.go
@@ -163,6 +163,29 @@
 		Expect(orders.Start[0].Run).To(Equal(uint64(2)))
 	})
 
+	It("does not take the word of a relay that an incarnation has followed another", func() {
+		w.submit(id, small())
+		w.beat(beatOf("i1", 1))
+		w.pass(2 * time.Second)
+		again := beatOf("i2", 1)
+		again.Address = beatOf("i1", 1).Address
+		again.Relayed = true
+		_, err := w.beat(again)
+		Expect(failure.KindOf(err)).To(Equal(failure.Conflict))
+		Expect(w.state.RunsOn("i1")).To(HaveLen(1))
+		again.Sequence, again.Relayed = 2, false
+		orders, _ := w.beat(again)
+		Expect(orders.Start).To(HaveLen(1))
+	})
+
+	It("asks for a relayed heartbeat less often", func() {
+		w.submit(id, small())
+		relayed := beatOf("i1", 1)
+		relayed.Relayed = true
+		orders, _ := w.beat(relayed)
+		Expect(orders.RetryDelayMs).To(Equal(int64(100)))
+	})
+
 	It("answers a late heartbeat with an error", func() {
 		w.beat(beatOf("i1", 5))
 		_, err := w.beat(beatOf("i1", 4))
--- a/internal/simulation/cluster/agent.go
+++ b/internal/simulation/cluster/agent.go
@@ -13,13 +13,13 @@
 
 // agentPort is one life of an agent: the shipped one, without its sockets.
 type agentPort struct {
-	shell *shell
-	relay *agent.Relay
+	shell   *shell
+	process *agent.Process
 }
 
 func newAgent(c *Cluster, m *simulation.Machine) *agentPort {
 	s := c.newShell(m)
-	a := &agentPort{shell: s, relay: agent.NewRelay(agent.RelayOptions{
+	a := &agentPort{shell: s, process: agent.NewProcess(agent.ProcessOptions{
 		Client:    caller{s},
 		Addresses: c.seedAddresses(),
 		Node:      m.Name,
@@ -27,14 +27,14 @@
 		Calls:     c.called,
 		Dial:      s.dial,
 	})}
-	s.close = a.relay.Close
-	s.run(a.relay.Run)
+	s.close = a.process.Close
+	s.run(a.process.Run)
 	return a
 }
 
 // ask sends the agent a runner's request.
 func (a *agentPort) ask(instance, verb string, body []byte, answered func(*answer)) (left func()) {
-	return a.shell.serve(a.relay, &http.Request{
+	return a.shell.serve(a.process, &http.Request{
 		Method: http.MethodPost, Host: a.shell.machine.Name, URL: &url.URL{Path: "/v1/instances/" + instance + "/" + verb},
 		Header: http.Header{}, Body: reader{bytes.NewReader(body)}, ContentLength: int64(len(body)),
 	}, answered)
--- a/internal/simulation/cluster/frontend.go
+++ b/internal/simulation/cluster/frontend.go
@@ -15,21 +15,21 @@
 
 // frontendPort is one life of a frontend: the shipped one, without its sockets.
 type frontendPort struct {
-	shell *shell
-	relay *frontend.Relay
+	shell   *shell
+	process *frontend.Process
 }
 
 func newFrontend(c *Cluster, m *simulation.Machine) *frontendPort {
 	s := c.newShell(m)
 	bounds := c.deployment.Ledger.Bounds
-	f := &frontendPort{shell: s, relay: frontend.NewRelay(frontend.RelayOptions{
+	f := &frontendPort{shell: s, process: frontend.NewProcess(frontend.ProcessOptions{
 		Client:    caller{s},
 		Addresses: c.seedAddresses(),
 		Node:      m.Name,
 		Bounds:    frontend.Bounds{ConfigApply: bounds.ConfigApply, MaxSkew: bounds.MaxSkew},
 		Clock:     shellClock{shell: s},
 	})}
-	s.run(f.relay.Run)
+	s.run(f.process.Run)
 	return f
 }
 
@@ -53,7 +53,7 @@
 	if len(body) > 0 {
 		request.Body = reader{bytes.NewReader(body)}
 	}
-	return f.shell.serve(f.relay, request, answered)
+	return f.shell.serve(f.process, request, answered)
 }
 
 // reader is a request's body.
