Wait for a busy machine's greeting as long as an operator's command may take

Change: the time is an option of transport's clients, a second as before for the roles; commands wait up to four seconds, and probe each second.

--- a/internal/administration/client.go
+++ b/internal/administration/client.go
@@ -23,6 +23,13 @@
 	directory *directory.Directory
 }
 
+// Time-outs of a command's connections. A command has no other process to turn to as frontends have, and an operator has
+// time: a machine that is busy is waited for, up to the command's own limit.
+const (
+	greetingPatience = 4 * time.Second
+	probeInterval    = time.Second
+)
+
 // Dial returns a client of the system whose control processes stand at the internal addresses, host:port. It connects
 // when it is first used. The error names an address that cannot be one.
 func Dial(addresses []string) (*Client, error) {
@@ -35,7 +42,8 @@
 			return nil, errors.Errorf("%q is no address like 127.0.0.1:7380", address)
 		}
 	}
-	carrier := transport.NewClient(transport.ClientOptions{Name: "administration"})
+	carrier := transport.NewClient(transport.ClientOptions{
+		Name: "administration", DialTimeout: greetingPatience, GreetingTimeout: greetingPatience, ProbeInterval: probeInterval})
 	known := directory.New(directory.Options{Client: carrier, Seeds: addresses, Node: "administration"})
 	return &Client{addresses: addresses, transport: carrier, directory: known}, nil
 }
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -12,9 +12,6 @@
 	"ospreypond/internal/failure"
 )
 
-// greetingTimeout is how long a new connection may be without the peer's greeting.
-const greetingTimeout = time.Second
-
 // call is one call that waits for its answer.
 type call struct {
 	long         bool // bounds itself: its silence is no sign of a dead peer
@@ -69,7 +66,7 @@
 
 func (c *connection) read(conn net.Conn) error {
 	in := newInbox(conn, c.peer.client.options.MaxFrameBytes)
-	if err := greet(conn, in); err != nil {
+	if err := greet(conn, in, c.peer.client.options.GreetingTimeout); err != nil {
 		return err
 	}
 	c.stand(in)
@@ -85,8 +82,8 @@
 }
 
 // greet waits for the server's greeting, for a bounded time: a frozen process still has its connections taken.
-func greet(conn net.Conn, in *inbox) error {
-	if err := conn.SetReadDeadline(time.Now().Add(greetingTimeout)); err != nil {
+func greet(conn net.Conn, in *inbox, patience time.Duration) error {
+	if err := conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
 		return err
 	}
 	if _, err := in.greeting(); err != nil {
--- /dev/null
+++ b/internal/transport/greeting_test.go
@@ -0,0 +1,47 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreypond/internal/failure"
+)
+
+type greetedRequest struct{ Number int }
+
+type greetedResponse struct{ Number int }
+
+var _ = Describe("A process that is slow to greet", func() {
+	It("is waited for as long as the client's options say", func(ctx SpecContext) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := listener.Addr().String()
+		hasty := NewClient(ClientOptions{GreetingTimeout: 10 * time.Millisecond})
+		patient := NewClient(ClientOptions{GreetingTimeout: time.Minute, ProbeInterval: time.Minute})
+		DeferCleanup(hasty.Close)
+		DeferCleanup(patient.Close)
+
+		ended := make(chan error, 1)
+		go func() {
+			response, err := Call[greetedRequest, greetedResponse](ctx, patient, address, &greetedRequest{Number: 3})
+			if err == nil && response.Number != 3 {
+				err = failure.New(failure.Invalid, "another answer")
+			}
+			ended <- err
+		}()
+		_, err = Call[greetedRequest, greetedResponse](ctx, hasty, address, &greetedRequest{Number: 2})
+		Expect(failure.KindOf(err)).To(Or(Equal(failure.Unavailable), Equal(failure.UnknownOutcome)))
+
+		server := NewServer(Options{})
+		Handle(server, func(_ context.Context, _ string, request *greetedRequest) (*greetedResponse, error) {
+			return &greetedResponse{Number: request.Number}, nil
+		})
+		DeferCleanup(server.Close)
+		go server.Serve(ctx, listener)
+		Eventually(ctx, ended).Should(Receive(BeNil()))
+	}, NodeTimeout(time.Minute))
+})
--- a/internal/transport/options.go
+++ b/internal/transport/options.go
@@ -16,16 +16,17 @@
 
 // Standard values of the options.
 const (
-	StandardMaxFrameBytes  = 16 << 20
-	StandardMaxQueueBytes  = 2 << 20
-	StandardMaxConnections = 1024
-	StandardMaxOutstanding = 4096
-	StandardMaxHandlers    = 256
-	StandardDialTimeout    = 700 * time.Millisecond
-	StandardWriteTimeout   = 1500 * time.Millisecond
-	StandardProbeInterval  = 300 * time.Millisecond
-	StandardLeastBackoff   = 50 * time.Millisecond
-	StandardMostBackoff    = 500 * time.Millisecond
+	StandardMaxFrameBytes   = 16 << 20
+	StandardMaxQueueBytes   = 2 << 20
+	StandardMaxConnections  = 1024
+	StandardMaxOutstanding  = 4096
+	StandardMaxHandlers     = 256
+	StandardDialTimeout     = 700 * time.Millisecond
+	StandardGreetingTimeout = time.Second
+	StandardWriteTimeout    = 1500 * time.Millisecond
+	StandardProbeInterval   = 300 * time.Millisecond
+	StandardLeastBackoff    = 50 * time.Millisecond
+	StandardMostBackoff     = 500 * time.Millisecond
 )
 
 // Options sets up a Server. The zero value of each field stands for its standard value.
@@ -48,11 +49,13 @@
 	MaxFrameBytes int           // larger requests are refused, larger answers close the connection
 	MaxQueueBytes int           // for each address; what comes on top is refused (calls) or dropped (messages)
 	DialTimeout   time.Duration // until a connection stands
-	WriteTimeout  time.Duration // a peer that takes nothing for so long is cut
-	ProbeInterval time.Duration // a connection with calls out is cut if it is silent for three to four of these
-	LeastBackoff  time.Duration // after the first failed connection to an address
-	MostBackoff   time.Duration // after many
-	Dial          func(ctx context.Context, address string) (net.Conn, error)
+	// GreetingTimeout is how long a new connection may be without the peer's greeting.
+	GreetingTimeout time.Duration
+	WriteTimeout    time.Duration // a peer that takes nothing for so long is cut
+	ProbeInterval   time.Duration // a connection with calls out is cut if it is silent for three to four of these
+	LeastBackoff    time.Duration // after the first failed connection to an address
+	MostBackoff     time.Duration // after many
+	Dial            func(ctx context.Context, address string) (net.Conn, error)
 }
 
 func (o Options) complete() Options {
@@ -84,6 +87,7 @@
 	o.MaxFrameBytes = cmp.Or(o.MaxFrameBytes, StandardMaxFrameBytes)
 	o.MaxQueueBytes = cmp.Or(o.MaxQueueBytes, StandardMaxQueueBytes)
 	o.DialTimeout = cmp.Or(o.DialTimeout, StandardDialTimeout)
+	o.GreetingTimeout = cmp.Or(o.GreetingTimeout, StandardGreetingTimeout)
 	o.WriteTimeout = cmp.Or(o.WriteTimeout, StandardWriteTimeout)
 	o.ProbeInterval = cmp.Or(o.ProbeInterval, StandardProbeInterval)
 	o.LeastBackoff = cmp.Or(o.LeastBackoff, StandardLeastBackoff)
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -49,7 +49,7 @@
 }
 
 func (s *session) greet() error {
-	if err := s.conn.SetReadDeadline(time.Now().Add(greetingTimeout)); err != nil {
+	if err := s.conn.SetReadDeadline(time.Now().Add(StandardGreetingTimeout)); err != nil {
 		return err
 	}
 	name, err := s.in.greeting()
