--- a/internal/consensus/election_test.go
+++ b/internal/consensus/election_test.go
@@ -95,7 +95,7 @@
 		Message{Term: 3, Index: 3, LogTerm: 2}, granted, uint64(3), MemberID(2)),
 	ginkgo.Entry("the leader itself is asked", voterState{term: 2, isLeader: true},
 		Message{Term: 3, Index: 9, LogTerm: 2}, silent, uint64(2), None),
-	ginkgo.Entry("the leader itself is asked by its heir", voterState{term: 2, isLeader: true},
+	ginkgo.Entry("the leader itself is asked by its successor", voterState{term: 2, isLeader: true},
 		Message{Term: 3, Index: 9, LogTerm: 2, Forced: true}, granted, uint64(3), MemberID(2)),
 )
 
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -132,14 +132,14 @@
 // retire ends the leadership of a member that the group no longer counts, and asks the furthest other to stand.
 func (n *Node) retire() {
 	n.sendRound(true)
-	var heir *progress
+	var successor *progress
 	for _, peer := range n.leadership.peers {
-		if peer.votes() && (heir == nil || peer.match > heir.match) {
-			heir = peer
+		if peer.votes() && (successor == nil || peer.match > successor.match) {
+			successor = peer
 		}
 	}
-	if heir != nil {
-		n.send(Message{Kind: MessageTimeoutNow, To: heir.id})
+	if successor != nil {
+		n.send(Message{Kind: MessageTimeoutNow, To: successor.id})
 	}
 	n.becomeFollower(n.term, None)
 }
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -210,7 +210,7 @@
 	n.ballot = ballot{}
 }
 
-// endLeadership forgets what only a leader has. One that was giving its leadership away leaves its heir time for the votes.
+// endLeadership forgets what only a leader has. One that was giving its leadership away leaves its successor time for the votes.
 func (n *Node) endLeadership() {
 	if n.leadership.transferee != None {
 		n.awaitElection()
--- a/internal/replica/shifts.go
+++ b/internal/replica/shifts.go
@@ -94,27 +94,27 @@
 	if !status.IsLeader || status.Transferee != consensus.None || tried {
 		return
 	}
-	heir := g.heir(status.Members)
-	if heir == consensus.None {
+	successor := g.successor(status.Members)
+	if successor == consensus.None {
 		return
 	}
 	g.handedOverAt = now
-	_ = g.node.Transfer(now, heir)
+	_ = g.node.Transfer(now, successor)
 }
 
-// heir is the voter that is alive and willing and lacks least; None if there is none.
-func (g *group) heir(members []consensus.Member) consensus.MemberID {
-	heir, least := consensus.None, uint64(math.MaxUint64)
+// successor is the voter that is alive and willing and lacks least; None if there is none.
+func (g *group) successor(members []consensus.Member) consensus.MemberID {
+	successor, least := consensus.None, uint64(math.MaxUint64)
 	for _, member := range members {
 		if member.Learner || member.ID == g.engine.self.ID {
 			continue
 		}
 		behind, heardAt, known := g.node.Lagging(member.ID)
 		if known && g.mayTake(member.ID, heardAt) && behind < least {
-			heir, least = member.ID, behind
+			successor, least = member.ID, behind
 		}
 	}
-	return heir
+	return successor
 }
 
 // mayTake tells whether a member is alive and willing to lead.
