Let the account's lines be found by the test of the operators' page, and count ended jobs once

Found in reading: the metrics added the whole count of ended and late jobs every five seconds in place of what was new; the account's test now holds it.

--- a/internal/control/account.go
+++ b/internal/control/account.go
@@ -35,9 +35,8 @@
 // tasks have taken time since the last one.
 func (a *accountLog) tell(now time.Duration, owner *scheduler.Owner) {
 	for _, job := range owner.TakeLate() {
-		fields := []any{"msg", "job late", "job", job.ID, "queue", job.Queue, "state", job.State,
-			"took", job.Took.Milliseconds(), "objective", job.Objective.Milliseconds()}
-		_ = level.Info(a.logger).Log(appendTimes(fields, &job.Times)...)
+		_ = a.withTimes(&job.Times).Log("msg", "job late", "job", job.ID, "queue", job.Queue, "state", job.State,
+			"took", job.Took.Milliseconds(), "objective", job.Objective.Milliseconds())
 	}
 	if now-a.toldAt < accountEvery {
 		return
@@ -51,18 +50,19 @@
 			continue
 		}
 		a.told[key] = *queue
+		since.Ended, since.Late = since.Ended-before.Ended, since.Late-before.Late
 		a.metrics.add(key, &since)
-		fields := []any{"msg", "time of tasks", "queue", key, "jobs", since.Ended - before.Ended, "late", since.Late - before.Late}
-		_ = level.Info(a.logger).Log(appendTimes(fields, &since.Tasks)...)
+		_ = a.withTimes(&since.Tasks).Log("msg", "time of tasks", "queue", key, "jobs", since.Ended, "late", since.Late)
 	}
 }
 
-// appendTimes appends the causes that have a part in a time, in ms.
-func appendTimes(fields []any, times *latency.Times) []any {
+// withTimes returns a logger whose lines end with the causes that have a part in a time, in ms.
+func (a *accountLog) withTimes(times *latency.Times) log.Logger {
+	var fields []any
 	for cause, span := range times {
 		if ms := span.Milliseconds(); ms > 0 {
 			fields = append(fields, latency.Cause(cause).String(), ms)
 		}
 	}
-	return fields
+	return log.WithSuffix(level.Info(a.logger), fields...)
 }
--- a/internal/control/account_test.go
+++ b/internal/control/account_test.go
@@ -57,5 +57,14 @@
 		written.Reset()
 		account.tell(now+2*accountEvery, owner)
 		Expect(written.String()).To(BeEmpty(), "nothing has taken time since")
+		queue.TargetLatencyMs = 100_000
+		owner.Submit(now, jobs.Submit{ID: "00000000000000bb", Queue: queue, Job: protocol.JobSpec{Spec: "do", Steps: []protocol.Step{step}}},
+			func(bool, error) {})
+		beat(5, nil)
+		beat(6, nil, protocol.FinishedRun{N: 2, Task: "00000000000000bb.0.0.0", Run: 1, How: protocol.EndDone})
+		account.tell(now+3*accountEvery, owner)
+		answer = httptest.NewRecorder()
+		told.ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
+		Expect(answer.Body.String()).To(ContainSubstring(`ospreypond_jobs_ended_total{queue="h/q/"} 2`), "each job counts once")
 	})
 })
