Count what steps wait for each other, take unheard runs for silent, and tell an owner's last account

Found in reading: the cause 'step' was declared and never counted, releasedAt never read; a run lost on a runner that this owner never heard counted as lost all the while, where it was silent; what came in an owner's last five seconds was told nowhere. No decision depends on the account. Tests fail without each. One test promised more than it looked at (that nothing is kept of a job's times): it is two now, and looks.

--- a/internal/control/account.go
+++ b/internal/control/account.go
@@ -38,10 +38,15 @@
 		_ = a.withTimes(&job.Times).Log("msg", "job late", "job", job.ID, "queue", job.Queue, "state", job.State,
 			"took", job.Took.Milliseconds(), "objective", job.Objective.Milliseconds())
 	}
-	if now-a.toldAt < accountEvery {
-		return
+	if now-a.toldAt >= accountEvery {
+		a.toldAt = now
+		a.tellQueues(owner)
 	}
-	a.toldAt = now
+}
+
+// tellQueues writes what has come since the last time. It is called for the last time before an owner ends, which takes its
+// account along.
+func (a *accountLog) tellQueues(owner *scheduler.Owner) {
 	for key, queue := range owner.Queues() {
 		since := *queue
 		before := a.told[key]
--- a/internal/control/account_test.go
+++ b/internal/control/account_test.go
@@ -67,4 +67,24 @@
 		told.ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
 		Expect(answer.Body.String()).To(ContainSubstring(`ospreypond_jobs_ended_total{queue="h/q/"} 2`), "each job counts once")
 	})
+
+	It("is told once more when its owner ends", func() {
+		told := newAccountMetrics()
+		shard := newJobShard(1, scheduler.Options{}, jobs.Options{}, func() int64 { return 1000 }, log.NewNopLogger(), told)
+		now := time.Second
+		shard.owner.Lead(now, now.Milliseconds(), 1)
+		shard.owner.Heartbeat(now, &protocol.Heartbeat{Instance: "i", Service: "s", Address: "a:1", State: protocol.Ready, Sequence: 1,
+			Capacity: protocol.Resources{CPU: 1000, MemoryMB: 1000}}, func(*protocol.Orders, error) {})
+		step := protocol.Step{Count: 1, CPU: 100, MemoryMB: 10, EstimatedMs: 10}
+		shard.owner.Submit(now, jobs.Submit{ID: "00000000000000aa", Queue: protocol.Queue{Key: "h/q/", Service: "s"},
+			Job: protocol.JobSpec{Spec: "do", Steps: []protocol.Step{step}}}, func(bool, error) {})
+		for command := shard.owner.Take(now); command != nil; command = shard.owner.Take(now) {
+			now += 50 * time.Millisecond
+			shard.owner.Applied(now, command, shard.state.Apply(command), true)
+		}
+		shard.Following()
+		answer := httptest.NewRecorder()
+		told.ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
+		Expect(answer.Body.String()).To(ContainSubstring(`ospreypond_task_seconds_total{queue="h/q/",cause="round"}`))
+	})
 })
--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -78,6 +78,7 @@
 func (s *jobShard) Following() {
 	if s.owner.Leading() {
 		level.Info(s.logger).Log("msg", "this process no longer owns the shard")
+		s.account.tellQueues(s.owner)
 	}
 	s.owner.Follow()
 }
--- /dev/null
+++ b/internal/latency/export_test.go
@@ -0,0 +1,10 @@
+package latency
+
+// Open returns how many steps have a record.
+func (l *Ledger) Open() int {
+	open := len(l.groups)
+	for _, records := range l.jobs {
+		open = max(open, len(records))
+	}
+	return open
+}
--- a/internal/latency/ledger.go
+++ b/internal/latency/ledger.go
@@ -20,7 +20,7 @@
 type Queue struct {
 	Tasks Times  // task-seconds by cause
 	Ended uint64 // jobs that were completed or failed
-	Late  uint64 // of these, completed beyond their objective, or failed
+	Late  uint64 // of these, beyond their objective
 }
 
 // groupRecord is what is known of the tasks of a step of one time.
@@ -46,7 +46,7 @@
 type Run struct {
 	ListedAt time.Duration // first listed by its runner
 	EndedAt  time.Duration // its end was listed
-	HeardAt  time.Duration // lost with its runner: the runner was heard for the last time
+	HeardAt  time.Duration // lost with its runner: the runner was heard for the last time; 0: never by this owner
 	Outcome  Cause         // Running if it ended well, else Failed, Stopped or Lost
 }
 
@@ -80,10 +80,24 @@
 		known = &groupRecord{group: group, releasedAt: now, since: now, cause: Round, tasks: make([]taskRecord, len(group.Tasks))}
 		l.groups[group] = known
 		l.jobs[group.Job] = append(l.jobs[group.Job], known)
+		l.countStep(known)
 	}
 	return known
 }
 
+// countStep counts what the tasks of a step waited for earlier ones: since the first step of their time had its turn, as far
+// as this account goes back. It is part of no task's own times, as the chain of a job has those of the earlier steps.
+func (l *Ledger) countStep(released *groupRecord) {
+	first := released.releasedAt
+	for _, known := range l.jobs[released.group.Job] {
+		if known.group.Time == released.group.Time {
+			first = min(first, known.releasedAt)
+		}
+	}
+	waited := released.releasedAt - first
+	l.queue(released.group.Job.Queue.Key).Tasks[Step] += waited * time.Duration(len(released.tasks))
+}
+
 // Held takes that a task's turn has come, for the first time or again.
 func (l *Ledger) Held(now time.Duration, task *jobs.Task) {
 	record := l.record(task.Group, now)
@@ -169,7 +183,7 @@
 		ended := clamp(r.EndedAt, listed, now, now)
 		times[Order], times[Running], times[Report] = listed-started, ended-listed, now-ended
 	case Lost:
-		heard := clamp(r.HeardAt, started, now, now)
+		heard := clamp(r.HeardAt, started, now, started)
 		times[Lost], times[Silent] = heard-started, now-heard
 	default:
 		times[r.Outcome] = now - started
--- a/internal/latency/ledger_test.go
+++ b/internal/latency/ledger_test.go
@@ -116,7 +116,7 @@
 		Expect(spans(account.Times)).To(Equal(map[string]time.Duration{"unowned": at(400), "order": at(100), "running": at(400)}))
 	})
 
-	It("is not made of jobs that come in several times, and keeps nothing of them", func() {
+	It("is not made of jobs that come in several times", func() {
 		one, groups := job(nil)
 		one.Spec.Repetitions = 3
 		run(100, groups[0].Tasks[0])
@@ -127,6 +127,47 @@
 		Expect(l.Queues()[queueKey].Tasks[latency.Running]).To(Equal(at(100)))
 	})
 
+	It("keeps no record of a step of such a job that is done, nor of any job that is over", func() {
+		one, groups := job(nil)
+		one.Spec.Repetitions = 3
+		run(100, groups[0].Tasks[0])
+		Expect(l.Open()).To(Equal(1))
+		end(100, groups[0])
+		Expect(l.Open()).To(BeZero())
+		other, others := job(nil, nil)
+		run(100, others[0].Tasks[0])
+		run(100, others[1].Tasks[0])
+		other.State = protocol.JobCancelled
+		l.Over(other, at(200))
+		Expect(l.Open()).To(BeZero())
+	})
+
+	It("counts what a later step waited for an earlier one", func() {
+		_, groups := job(nil, []int{0})
+		run(100, groups[0].Tasks[0])
+		end(100, groups[0])
+		run(250, groups[1].Tasks[0])
+		Expect(l.Queues()[queueKey].Tasks[latency.Step]).To(Equal(at(150)))
+	})
+
+	It("tells what a job spent that has failed", func() {
+		one, groups := job(nil)
+		task := groups[0].Tasks[0]
+		l.Held(at(100), task)
+		l.Started(at(120), task)
+		task.Phase, one.State = jobs.Failed, protocol.JobFailed
+		l.Ended(at(320), task, latency.Run{ListedAt: at(130), EndedAt: at(310), Outcome: latency.Failed})
+		account, ok := l.Over(one, at(225))
+		Expect(ok).To(BeTrue())
+		Expect(spans(account.Times)).To(Equal(map[string]time.Duration{"unowned": at(5), "round": at(20), "failed": at(200)}))
+	})
+
+	It("takes a run for silent of which its owner has never heard", func() {
+		_, groups := job(nil)
+		l.Ended(at(1201), groups[0].Tasks[0], latency.Run{Outcome: latency.Lost})
+		Expect(spans(l.Queues()[queueKey].Tasks)).To(Equal(map[string]time.Duration{"silent": at(1200)}))
+	})
+
 	It("takes nothing more for a job that is over", func() {
 		one, groups := job(nil)
 		run(100, groups[0].Tasks[0])
--- a/internal/scheduler/rejected_test.go
+++ b/internal/scheduler/rejected_test.go
@@ -89,8 +89,12 @@
 			elsewhere, _ := w.beat(beatOf("i2", 1))
 			Expect(elsewhere.Start).To(BeEmpty())
 			Expect(w.owner.Counters().Losses).To(BeZero())
+			again := calledBeat(3) // of yet another agent, which has heard of neither start nor stop
+			withdrawn(again)
+			orders, _ = w.beat(again)
+			Expect(orders.Stop).To(HaveLen(1))
 
-			refused := calledBeat(3)
+			refused := calledBeat(4)
 			withdrawn(refused)
 			refused.Rejected = active(first.Start)
 			orders, _ = w.beat(refused)
