scheduler: What can still earn goes before what has no value any more

Change: the owner keeps pending steps by service and value class; a step changes class by a heap of times. A job is worthless only by an upper bound of its runtime (spread of the queue's runtimes, waves of wide steps). Worthless steps run on what is left over, in turns, reserve and preempt nothing, and after 30 s get a share of a twentieth behind all that can be on time. Wait reasons: outranked; groups beyond the first 16 take the reason of those that need the same.

A table entry of placement's order got a value time: a late task without one is now worthless by definition, before it was reckoned from the wait.

--- a/internal/cluster/latency/reason.go
+++ b/internal/cluster/latency/reason.go
@@ -27,6 +27,8 @@
 	UnreliableRunner
 	// BetterLater: a runner that suits the task better is expected to become free soon.
 	BetterLater
+	// Outranked: the job has no value any more, and the capacity went to others that still had.
+	Outranked
 	// StartOrder: the start was committed, and the runner had not listed the run yet.
 	StartOrder
 	// Running: the run that ended well was at work.
@@ -49,7 +51,7 @@
 var labels = [reasonCount]string{
 	Unowned: "unowned", EarlierStep: "step", NextRound: "round", NoCPU: "cpu", NoMemory: "memory", NoGPU: "gpu",
 	NoRunner: "runner", ReservedCapacity: "reserved", UnreliableRunner: "distrust", BetterLater: "better",
-	StartOrder: "order", Running: "running", EndReport: "report", UnresponsiveRunner: "silent", Failed: "failed",
+	Outranked: "outranked", StartOrder: "order", Running: "running", EndReport: "report", UnresponsiveRunner: "silent", Failed: "failed",
 	Stopped: "stopped", Lost: "lost",
 }
 
--- a/internal/cluster/placement/average.go
+++ b/internal/cluster/placement/average.go
@@ -13,9 +13,9 @@
 	mean float64
 }
 
-// add adds a run, and lets older ones fade so that all count as at most maxRuns.
-func (a *average) add(value, maxRuns float64) {
-	a.runs = min(a.runs+1, maxRuns)
+// add adds a run, and lets older ones fade so that all count as at most maxAverageRuns.
+func (a *average) add(value float64) {
+	a.runs = min(a.runs+1, maxAverageRuns)
 	a.mean += (value - a.mean) / a.runs
 }
 
@@ -34,7 +34,7 @@
 }
 
 func (e *ratioEstimate) add(ratio float64) {
-	e.logs.add(math.Log(ratio), maxAverageRuns)
+	e.logs.add(math.Log(ratio))
 	e.cached = math.Exp(e.logs.mean)
 }
 
--- a/internal/cluster/placement/candidate.go
+++ b/internal/cluster/placement/candidate.go
@@ -3,11 +3,9 @@
 import "cmp"
 
 const (
-	rescueAfter        = 1.5  // seconds after which a task of a step that has nothing running goes wherever there is capacity
-	agedAfter          = 30.0 // seconds after which late tasks rank with those that are not
-	maxLateObjectives  = 3.0  // multiple of its objective after which a job has no value any more (rules)
-	runtimeRankWeight  = 0.5  // how much a second of runtime counts in the rank beside a second of time left
-	maxLongRunningRank = 1.0  // seconds of time left that a long-running task ranks with, at most
+	rescueAfter        = 1.5 // seconds after which a task of a step that has nothing running goes wherever there is capacity
+	runtimeRankWeight  = 0.5 // how much a second of runtime counts in the rank beside a second of time left
+	maxLongRunningRank = 1.0 // seconds of time left that a long-running task ranks with, at most
 )
 
 // candidate is a task in the present round.
@@ -68,27 +66,30 @@
 	}
 	c := candidate{task: task, index: index, timeLeft: task.TimeLeft.Seconds(), order: index}
 	waited := task.Waited.Seconds()
+	c.lateness = latenessOf(task, fastest)
 	switch {
 	case task.LongRunning:
 		c.rank = min(c.timeLeft, maxLongRunningRank)
-	case fastest <= timeLeftFraction*c.timeLeft:
+	case c.lateness == onTime:
 		c.rank = c.timeLeft + runtimeRankWeight*fastest
 	default:
-		c.lateness = latenessOf(waited, c.timeLeft, fastest)
 		c.rank = fastest - runtimeRankWeight*waited
 	}
 	c.rescue = waited >= rescueAfter && p.mostlyFree && !p.hasRunning(task.Group)
 	return c
 }
 
-// latenessOf returns the lateness of a task that misses its objective. The objective began when the task became pending,
-// or earlier. All are in seconds. A task that has waited for long counts as on time, so that it is not passed over forever.
-func latenessOf(waited, timeLeft, runtime float64) lateness {
-	objective := waited + timeLeft
+// latenessOf returns what a task can still earn if it starts now and runs for so many seconds. An aged task counts as late,
+// so that it is not passed over forever, and never as on time, so that it costs nobody else their objective.
+func latenessOf(task *Task, runtime float64) lateness {
 	switch {
-	case waited >= agedAfter:
+	case task.LongRunning:
+		return onTime
+	case task.Aged:
+		return late
+	case runtime <= timeLeftFraction*task.TimeLeft.Seconds():
 		return onTime
-	case waited+runtime <= maxLateObjectives*objective:
+	case runtime <= task.ValueLeft.Seconds():
 		return late
 	default:
 		return worthless
--- a/internal/cluster/placement/filter.go
+++ b/internal/cluster/placement/filter.go
@@ -37,17 +37,21 @@
 }
 
 // respectsReservation reports whether a task may start in spite of the runner's reservation: it is the task's own or for
-// less priority, or the task ends before the capacity is needed, or fits in beside it.
+// less priority, or the task ends before the capacity is needed, or fits in beside it. A task without value has no priority,
+// and respects what earlier rounds of the same moment have reserved too.
 func (p *Planner) respectsReservation(c *candidate, r *runnerState) bool {
 	reserved := &r.reserved
-	if !reserved.isForOther(c.reservationKey()) || c.task.Priority < reserved.priority {
-		return true
+	if c.lateness == worthless {
+		reserved = &r.reservedBefore
 	}
-	if p.isRescue(c) {
+	switch {
+	case !reserved.isForOther(c.reservationKey()) || p.isRescue(c):
 		return true
-	}
-	if !c.task.LongRunning && p.runtime(c, r) <= reserved.neededIn {
+	case c.task.Priority < reserved.priority && c.lateness != worthless:
+		return true
+	case !c.task.LongRunning && p.runtime(c, r) <= reserved.neededIn:
 		return true
+	default:
+		return fits(reserved.spare, c.task.Needs)
 	}
-	return fits(reserved.spare, c.task.Needs)
 }
--- a/internal/cluster/placement/gang_test.go
+++ b/internal/cluster/placement/gang_test.go
@@ -145,6 +145,20 @@
 		tasks := append(gangOf(9), taskOf("t", func(t *Task) { t.Needs, t.SizeMs = cpu(16), 9000 }))
 		Expect(round(tasks, runners())).To(Equal(map[string]string{"t": "a"}))
 	})
+	It("is not reserved for a gang without value", func() {
+		tasks := append(gangOf(2, func(t *Task) { t.TimeLeft = -60 * second }), taskOf("t", func(t *Task) { t.Needs, t.SizeMs = cpu(10), 9000 }))
+		Expect(round(tasks, runners())).To(HaveKey("t"))
+	})
+	It("stays reserved in a further round, from what has no value", func() {
+		p, fleet := NewPlanner(testOptions), runners()
+		for _, reserved := range p.Round(0, gangOf(2), fleet).Reservations {
+			fleet[reserved.Runner].Reserved = reserved.Reservation
+		}
+		long := func(t *Task) { t.Needs, t.SizeMs, t.TimeLeft, t.ValueLeft = cpu(10), 9000, 0, 20*second }
+		late, worthless := taskOf("late", long), taskOf("worthless", long, func(t *Task) { t.ValueLeft = 0 })
+		Expect(p.Round(0, []Task{worthless}, fleet).Placements).To(BeEmpty())
+		Expect(p.Round(0, []Task{late}, fleet).Placements).To(HaveLen(1))
+	})
 	It("is reserved for a large task that has waited", func() {
 		tasks := []Task{
 			taskOf("large", func(t *Task) { t.Needs, t.Waited = cpu(16), 400*time.Millisecond }),
--- a/internal/cluster/placement/planner.go
+++ b/internal/cluster/placement/planner.go
@@ -46,6 +46,7 @@
 	p.now, p.tasks, p.runners = now, tasks, runners
 	p.result.Placements = p.result.Placements[:0]
 	p.result.Stops = p.result.Stops[:0]
+	p.result.Reservations = p.result.Reservations[:0]
 	p.preemption.unschedulable = p.preemption.unschedulable[:0]
 	p.matching.bestRuntimeOf = nil
 	if len(tasks) == 0 || len(runners) == 0 {
@@ -64,6 +65,7 @@
 	}
 	p.preempt()
 	p.expireReservations()
+	p.listReservations()
 	return p.result
 }
 
--- a/internal/cluster/placement/predictor.go
+++ b/internal/cluster/placement/predictor.go
@@ -70,6 +70,16 @@
 	return fromMilliseconds(model.predict(kind, sizeMs, p.kindRatio(kind)))
 }
 
+// PredictUpperBound returns a time that the longest of count runs with a size hint nearly always ends within, on the usual
+// kind: longer than predicted by how far the queue's runtimes have deviated from their predictions.
+func (p *Predictor) PredictUpperBound(queue string, sizeMs float64, count int) time.Duration {
+	model := p.queues[queue]
+	if model == nil {
+		model = newQueueModel()
+	}
+	return time.Duration(float64(p.Predict(queue, "", sizeMs)) * model.upperBoundFactor(count))
+}
+
 // kind returns the ratio of a kind, to be updated.
 func (p *Predictor) kind(name string) *ratioEstimate {
 	known := p.kinds[name]
--- a/internal/cluster/placement/preemption_test.go
+++ b/internal/cluster/placement/preemption_test.go
@@ -49,6 +49,7 @@
 	Entry("none if one ends in time by itself", func(*Task) {}, func(r *Run) { r.Elapsed = 13500 * time.Millisecond }, 0),
 	Entry("none if the task would be late all the same", func(t *Task) { t.TimeLeft = 1800 * time.Millisecond }, func(*Run) {}, 0),
 	Entry("none if the task is late", func(t *Task) { t.TimeLeft = -second }, func(*Run) {}, 0),
+	Entry("none if the task is aged", func(t *Task) { t.TimeLeft, t.Waited, t.Aged = -60*second, 80*second, true }, func(*Run) {}, 0),
 	Entry("no member of a gang", func(*Task) {}, func(r *Run) { r.Gang = true }, 0),
 	Entry("no long-running task", func(*Task) {}, func(r *Run) { r.LongRunning = true }, 0),
 	Entry("none that is being stopped, whose capacity will be free anyway", func(*Task) {}, func(r *Run) { r.Stopping = true }, 0),
--- a/internal/cluster/placement/queuemodel.go
+++ b/internal/cluster/placement/queuemodel.go
@@ -10,12 +10,16 @@
 	maxSiblingHints = 128 // hints whose runs are averaged, in each queue
 	minOutlierRuns  = 6.0 // runs of the queue from which on outliers are recognised
 	outlierFactor   = 4.0 // a run counts as at most so many times what was predicted, and at least that part of it
+	deviationRuns   = 5.0 // runs that unknownDeviation counts as
+
+	unknownDeviation = 0.4 // standard deviation of the logarithm of runtimes over predictions before anything is known
 )
 
 // queueModel is what is known of the runtimes of one queue. All are in ms; base runtimes are those on the usual kind of
 // runner.
 type queueModel struct {
 	fit          linearFit
+	deviation    average // squared logarithm of runtimes over what was predicted
 	kinds        map[string]*kindModel
 	siblings     map[float64]*average // base runtimes by exact hint
 	siblingHints []float64            // the keys of siblings: a ring, whose oldest element is at oldest once it is full
@@ -53,11 +57,13 @@
 		runtime = min(max(runtime, base*ratio/outlierFactor), base*ratio*outlierFactor)
 	}
 	if q.fit.runs >= 1 {
+		deviation := math.Log(runtime / q.predict(kind, size, kindRatio.value(1)))
+		q.deviation.add(deviation * deviation)
 		own.ratio.add(runtime / base)
 		kindRatio.add(runtime / base)
 	}
-	own.table[rowOf(size)].add(runtime, maxAverageRuns)
-	q.sibling(size).add(runtime/ratio, maxAverageRuns)
+	own.table[rowOf(size)].add(runtime)
+	q.sibling(size).add(runtime / ratio)
 	q.fit.add(size, runtime/ratio)
 }
 
@@ -103,6 +109,13 @@
 	return predicted
 }
 
+// upperBoundFactor returns how many times longer than predicted the longest of count runs takes, nearly always: the largest of
+// count deviations that are normally distributed.
+func (q *queueModel) upperBoundFactor(count int) float64 {
+	variance := q.deviation.blend(unknownDeviation*unknownDeviation, deviationRuns)
+	return math.Exp(math.Sqrt(2 * math.Log(float64(max(count, 2))) * variance))
+}
+
 // rowOf returns the row of the table for a size: rows are of equal width on a logarithmic scale.
 func rowOf(size float64) int {
 	return min(max(int(rowsPerOctave*math.Log2(size)), 0), tableRows-1)
--- a/internal/cluster/placement/reservation.go
+++ b/internal/cluster/placement/reservation.go
@@ -13,8 +13,8 @@
 	maxReservations    = 6                // units with a record at the same time
 )
 
-// reservation is capacity of a runner that is kept for a unit in the present round.
-type reservation struct {
+// Reservation is capacity of a runner that a round keeps for a unit that has to wait. The zero Reservation reserves nothing.
+type Reservation struct {
 	key      any // the unit's reservation key; nil: there is no reservation
 	priority int
 	neededIn float64            // seconds from now
@@ -22,7 +22,7 @@
 }
 
 // isForOther reports whether it is a reservation for another unit than that of the given key.
-func (r *reservation) isForOther(key any) bool { return r.key != nil && r.key != key }
+func (r *Reservation) isForOther(key any) bool { return r.key != nil && r.key != key }
 
 // reservationRecord bounds, over the rounds, how long capacity is reserved for a unit.
 type reservationRecord struct {
@@ -44,12 +44,21 @@
 					add(&spare, release.needs)
 				}
 			}
-			r.reserved = reservation{u.reservationKey(), u.first().task.Priority, later.start, spare}
+			r.reserved = Reservation{u.reservationKey(), u.first().task.Priority, later.start, spare}
 		}
 		subtract(&r.reserved.spare, needs)
 	}
 }
 
+// listReservations adds the round's reservations to its result.
+func (p *Planner) listReservations() {
+	for i := range p.runnerStates {
+		if r := &p.runnerStates[i]; r.reserved.key != nil {
+			p.result.Reservations = append(p.result.Reservations, RunnerReservation{i, r.reserved})
+		}
+	}
+}
+
 // mayReserve reports whether capacity may be reserved for a unit now: for maxReservationAge, then not for
 // reservationBackoff, so that a plan that is never fulfilled doesn't leave capacity idle forever.
 func (p *Planner) mayReserve(u *unit) bool {
--- a/internal/cluster/placement/runnerstate.go
+++ b/internal/cluster/placement/runnerstate.go
@@ -22,7 +22,8 @@
 	releases        []release    // of all that runs there, by time; see Planner.expectedReleases
 	releasesKnown   bool
 	committed       protocol.Resources // capacity yet to be released that unschedulable tasks already wait for
-	reserved        reservation
+	reserved        Reservation        // in this round
+	reservedBefore  Reservation        // in earlier rounds of the same moment
 }
 
 type groupCount struct {
@@ -33,7 +34,7 @@
 // reset makes r the state of a runner at the start of a round, in the buffers of an earlier one. Kind and rack are left
 // to the caller.
 func (r *runnerState) reset(runner *Runner, index int) {
-	*r = runnerState{runner: runner, index: index, free: runner.Free, slowness: 1,
+	*r = runnerState{runner: runner, index: index, free: runner.Free, reservedBefore: runner.Reserved, slowness: 1,
 		unreliable: runner.FailureScore >= minUnreliableScore,
 		assumed:    r.assumed[:0], assumedReleases: r.assumedReleases[:0], releases: r.releases[:0]}
 	if runner.Slowness > 0 {
@@ -54,8 +55,10 @@
 		r.longRunning++
 		runtime = math.Inf(1)
 	}
-	if r.reserved.isForOther(c.reservationKey()) && runtime > r.reserved.neededIn {
-		subtract(&r.reserved.spare, task.Needs)
+	for _, reserved := range []*Reservation{&r.reserved, &r.reservedBefore} {
+		if reserved.isForOther(c.reservationKey()) && runtime > reserved.neededIn {
+			subtract(&reserved.spare, task.Needs)
+		}
 	}
 	r.assumedReleases = append(r.assumedReleases, release{runtime, task.Needs, assumedRun})
 	r.releasesKnown = false
--- a/internal/cluster/placement/selection.go
+++ b/internal/cluster/placement/selection.go
@@ -82,9 +82,13 @@
 	}
 }
 
-// isLarge reports whether a task needs much of a runner and has waited, so that small tasks could starve it.
+// isLarge reports whether a task needs much of a runner and has waited, so that small tasks could starve it. One without
+// value may be starved until it is aged.
 func (p *Planner) isLarge(c *candidate) bool {
-	return c.task.Waited >= minLargeWait && !c.task.LongRunning && p.factsOf(c.task).large
+	if c.task.Waited < minLargeWait || c.task.LongRunning || c.lateness == worthless {
+		return false
+	}
+	return p.factsOf(c.task).large
 }
 
 // factsOf returns what follows from a task's shape. What it says of free capacity is as of the start of the round.
--- a/internal/cluster/placement/types.go
+++ b/internal/cluster/placement/types.go
@@ -14,6 +14,8 @@
 	SizeMs        float64 // the client's hint of the runtime in ms, which may be far off; 0 or less: none
 	Needs         protocol.Resources
 	TimeLeft      time.Duration // to its job's objective; negative once that has passed
+	ValueLeft     time.Duration // to the moment from which its job earns nothing any more; not less than TimeLeft
+	Aged          bool          // it earns nothing any more and is run all the same, as a late task
 	Waited        time.Duration // since it became pending
 	Requirements  string        // a label that the runner must have, or empty
 	Affinity      string        // the rack of its data, or empty
@@ -42,6 +44,7 @@
 
 	GroupCount map[any]int // running tasks by Group
 	Running    []Run
+	Reserved   Reservation // by earlier rounds of the same moment; only tasks without value respect it
 }
 
 // Run is a task that runs on a runner or was ordered there.
@@ -79,8 +82,15 @@
 	Run    int
 }
 
+// RunnerReservation is capacity that a round keeps for a unit that has to wait. Runner is an index into what Round was given.
+type RunnerReservation struct {
+	Runner      int
+	Reservation Reservation
+}
+
 // Result is the decisions of a round.
 type Result struct {
-	Placements []Placement
-	Stops      []Stop
+	Placements   []Placement
+	Stops        []Stop
+	Reservations []RunnerReservation
 }
--- a/internal/cluster/placement/unit.go
+++ b/internal/cluster/placement/unit.go
@@ -44,7 +44,8 @@
 	}
 }
 
-// assignUnit assigns all members of a unit, or none; for one that can't start, or had better wait, it reserves capacity.
+// assignUnit assigns all members of a unit, or none; for one that can't start, or had better wait, it reserves capacity
+// unless it has no value any more.
 func (p *Planner) assignUnit(u *unit) {
 	now, later := &p.planning.now, &p.planning.later
 	p.planNow(u, now)
@@ -56,7 +57,7 @@
 		p.planLater(u, later)
 		p.addUnschedulable(*u)
 	}
-	if later.feasible() {
+	if later.feasible() && u.first().lateness != worthless {
 		p.reserve(u, later)
 	}
 }
--- a/internal/cluster/scheduler/headroom.go
+++ b/internal/cluster/scheduler/headroom.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"ospreypond/internal/cluster/jobs"
@@ -31,8 +32,11 @@
 // work used at its recent peak beyond what it uses now. A service with gangs in its best priority, or with one priority
 // only, reserves nothing.
 func (h *headroom) update(now time.Duration, service string, pending []*jobs.Task, runners []placement.Runner) (urgent int, reserved float64) {
-	priority, using, capacity := urgentUsage(pending, runners)
 	d := h.byService[service]
+	if len(pending) == 0 && d == nil {
+		return 0, 0
+	}
+	priority, using, capacity := urgentUsage(pending, runners)
 	if d == nil || priority < d.priority {
 		d = &urgentDemand{priority: priority, updatedAt: now}
 		if h.byService == nil {
@@ -53,7 +57,10 @@
 
 // urgentUsage returns the best priority of what is pending or runs, what runs of it use, and the capacity.
 func urgentUsage(pending []*jobs.Task, runners []placement.Runner) (priority int, using, capacity int64) {
-	priority = pending[0].Group.Job.Queue.Priority
+	priority = math.MaxInt
+	if len(pending) > 0 {
+		priority = pending[0].Group.Job.Queue.Priority
+	}
 	for i := range runners {
 		capacity += runners[i].Capacity.CPU
 		for j := range runners[i].Running {
@@ -123,7 +130,7 @@
 	return 2*using < capacity
 }
 
-// reserve takes a fraction of each runner's processors out of its free capacity.
+// reserve takes a fraction of each runner's processors out of its free capacity; a negative one puts it back.
 func reserve(runners []placement.Runner, fraction float64) {
 	for i := range runners {
 		subtract(&runners[i].Free, reservation(&runners[i], fraction))
@@ -134,3 +141,13 @@
 func reservation(runner *placement.Runner, fraction float64) protocol.Resources {
 	return protocol.Resources{CPU: int64(fraction * float64(runner.Capacity.CPU))}
 }
+
+// totalCapacity returns the capacity of all runners.
+func totalCapacity(runners []placement.Runner) (total protocol.Resources) {
+	for i := range runners {
+		total.CPU += runners[i].Capacity.CPU
+		total.MemoryMB += runners[i].Capacity.MemoryMB
+		total.GPU += runners[i].Capacity.GPU
+	}
+	return total
+}
--- a/internal/cluster/scheduler/owner.go
+++ b/internal/cluster/scheduler/owner.go
@@ -6,6 +6,7 @@
 	"ospreypond/internal/cluster/failure"
 	"ospreypond/internal/cluster/jobs"
 	"ospreypond/internal/cluster/placement"
+	"ospreypond/internal/cluster/protocol"
 )
 
 // Owner decides for one shard while its process leads it. It is used by one goroutine.
@@ -16,6 +17,8 @@
 
 	leadership leadership
 	runners    incarnations
+	pending    pendingSteps
+	capacities map[string]protocol.Resources // of the schedulable runners of each service, at its latest round
 	proposals  proposals
 	reads      confirmedReads
 	headroom   headroom
@@ -61,6 +64,8 @@
 		Restore:   o.options.Restore,
 	})
 	o.runners = newIncarnations()
+	o.pending = newPendingSteps(o.classify)
+	o.capacities = map[string]protocol.Resources{}
 	o.proposals = newProposals()
 	o.reads = confirmedReads{}
 	o.headroom = headroom{}
@@ -78,6 +83,10 @@
 	o.leadership = leadership{isLeader: true, term: term, since: now, confirmedAt: neverConfirmed}
 	o.leadership.setTimeOfDay(now, timeOfDayMs)
 	o.reasons.reset(now)
+	o.state.EachPending(func(task *jobs.Task) bool {
+		o.pending.add(now, task.Group)
+		return true
+	})
 	for _, instance := range o.state.Runners() {
 		o.runners.add(o.newRunner(instance, now))
 		if address := o.state.AddressOf(instance); address != "" {
--- a/internal/cluster/scheduler/round.go
+++ b/internal/cluster/scheduler/round.go
@@ -1,12 +1,10 @@
 package scheduler
 
 import (
-	"maps"
 	"slices"
 	"time"
 
 	"ospreypond/internal/cluster/jobs"
-	"ospreypond/internal/cluster/latency"
 	"ospreypond/internal/cluster/placement"
 )
 
@@ -18,6 +16,8 @@
 	// maxPendingPerRound is how many pending tasks of one service a round considers. A gang that has begun is considered
 	// completely.
 	maxPendingPerRound = 2000
+	// maxWorthlessPerRound is how many of them may have no value any more while most of the service is in use.
+	maxWorthlessPerRound = 200
 )
 
 // round assigns pending tasks to runners, if something has changed or the last round was long ago.
@@ -33,64 +33,101 @@
 	o.roundRequested = false
 	o.lastRound = now
 	o.counters.Rounds++
-	services := o.pendingByService()
-	for _, service := range slices.Sorted(maps.Keys(services)) {
-		o.roundOfService(now, service, services[service])
+	o.pending.reclassify(now)
+	for _, service := range o.pending.serviceNames() {
+		o.roundOfService(now, service)
 	}
 }
 
-// pendingByService returns the pending tasks that a round considers, in order of priority.
-func (o *Owner) pendingByService() map[string][]*jobs.Task {
-	services := map[string][]*jobs.Task{}
-	o.state.EachPending(func(task *jobs.Task) bool {
-		service := task.Group.Job.Queue.Service
-		pending := services[service]
-		if len(pending) < maxPendingPerRound || continuesGang(pending, task) {
-			services[service] = append(pending, task)
-		}
-		return true
-	})
-	return services
-}
-
-// continuesGang reports whether a task belongs to the gang whose member was taken last.
-func continuesGang(taken []*jobs.Task, task *jobs.Task) bool {
-	return task.Group.Spec().Gang && taken[len(taken)-1].Group == task.Group
-}
-
-// roundOfService assigns the pending tasks of one service: urgent ones first, then those from which no capacity is
-// reserved, then the others, to which the headroom for urgent work is not available.
-func (o *Owner) roundOfService(now time.Duration, service string, pending []*jobs.Task) {
+// roundOfService assigns the pending tasks of one service: those that can earn something, then those that have no value
+// any more on what is left over.
+func (o *Owner) roundOfService(now time.Duration, service string) {
+	earning := o.pending.takeEarning(service, maxPendingPerRound)
 	runners := o.snapshotRunners(now, service)
 	if len(runners) == 0 {
-		o.reasons.recorder.SetReason(now, pending[0].Group, latency.NoRunner)
+		o.explainNoRunner(now, append(earning, o.pending.takeWorthless(service, maxWorthlessPerRound)...))
 		return
 	}
-	urgent, reserved := o.headroom.update(now, service, pending, runners)
-	if urgent == len(pending) {
-		o.assign(now, pending, runners, 0)
-		return
+	o.capacities[service] = totalCapacity(runners)
+	aged := o.pending.age(now, o.clockMs(now), service, o.capacities[service])
+	reserved := o.roundOfEarning(now, service, earning, aged, runners)
+	limit := maxWorthlessPerRound
+	if isMostlyFree(runners) {
+		limit = maxPendingPerRound
 	}
-	exempt, others := splitExempt(pending[urgent:], runners)
-	o.assign(now, pending[:urgent], runners, 0)
+	worthless := o.pending.takeWorthless(service, limit)
+	started := o.roundOfWorthless(now, worthless, runners, reserved)
+	o.pending.passOver(now, worthless, started)
+}
+
+// roundOfEarning assigns the tasks that can earn something, and the aged ones: urgent ones first, then those from which no
+// capacity is reserved, then the others, to which the headroom for urgent work is not available. It returns the fraction
+// of the processors that is reserved for urgent work; it is subtracted from what is free on the runners.
+func (o *Owner) roundOfEarning(now time.Duration, service string, earning, aged []*jobs.Task, runners []placement.Runner) (reserved float64) {
+	tasks := slices.Concat(earning, aged)
+	urgent, reserved := o.headroom.update(now, service, tasks, runners)
+	exempt, others := splitExempt(tasks[urgent:], runners)
+	o.assign(now, tasks[:urgent], runners, 0)
 	o.assign(now, exempt, runners, 0)
 	reserve(runners, reserved)
 	o.assign(now, others, runners, reserved)
+	return reserved
+}
+
+// roundOfWorthless assigns tasks that have no value any more, and returns the groups of which it started some. The headroom
+// for urgent work is not available to them, but to those that might never fit otherwise.
+func (o *Owner) roundOfWorthless(now time.Duration, tasks []*jobs.Task, runners []placement.Runner, reserved float64) map[*jobs.Group]bool {
+	started := map[*jobs.Group]bool{}
+	if len(tasks) == 0 {
+		return started
+	}
+	exempt, others := splitExempt(tasks, runners)
+	addGroups(started, others, o.assign(now, others, runners, reserved))
+	reserve(runners, -reserved)
+	addGroups(started, exempt, o.assign(now, exempt, runners, 0))
+	return started
+}
+
+// addGroups adds the groups of the tasks that a round has placed.
+func addGroups(groups map[*jobs.Group]bool, tasks []*jobs.Task, result placement.Result) {
+	for _, p := range result.Placements {
+		groups[tasks[p.Task].Group] = true
+	}
 }
 
 // assign has the planner assign some pending tasks to runners, and applies what it decides. reserved is the fraction of
-// the processors that is reserved from them.
-func (o *Owner) assign(now time.Duration, pending []*jobs.Task, runners []placement.Runner, reserved float64) {
+// the processors that is reserved from them. The result is valid until the next call.
+func (o *Owner) assign(now time.Duration, pending []*jobs.Task, runners []placement.Runner, reserved float64) placement.Result {
 	if len(pending) == 0 {
-		return
+		return placement.Result{}
 	}
+	result := o.planner.Round(now, o.candidates(now, pending), runners)
+	o.explain(now, pending, runners, result, reserved)
+	o.apply(pending, runners, result)
+	return result
+}
+
+// candidates describes pending tasks to the planner. Aged ones go behind all others that can be on time, as late ones of
+// the lowest priority.
+func (o *Owner) candidates(now time.Duration, pending []*jobs.Task) []placement.Task {
+	clockMs := o.clockMs(now)
 	tasks := make([]placement.Task, len(pending))
+	lowest := 0
+	for _, task := range pending {
+		lowest = max(lowest, task.Group.Job.Queue.Priority)
+	}
+	var times valueTimes
 	for i, task := range pending {
-		tasks[i] = o.candidate(now, task)
+		if i == 0 || task.Group != pending[i-1].Group {
+			times = o.valueTimesOf(clockMs, task.Group)
+		}
+		tasks[i] = candidate(clockMs, task, times)
+		if o.pending.isAged(task.Group) {
+			tasks[i].Aged = true
+			tasks[i].Priority = lowest
+		}
 	}
-	result := o.planner.Round(now, tasks, runners)
-	o.explain(now, pending, runners, result, reserved)
-	o.apply(pending, runners, result)
+	return tasks
 }
 
 // apply turns the planner's decisions into starts of the next command and stops, and updates the snapshots of the runners
@@ -103,6 +140,9 @@
 		runner.GroupCount[task.Group]++
 		o.proposals.addStart(jobs.Start{Task: task.ID, Run: nextRun(task), Runner: runner.ID})
 	}
+	for _, r := range result.Reservations {
+		runners[r.Runner].Reserved = r.Reservation
+	}
 	for _, s := range result.Stops {
 		victimRunner := &runners[s.Runner]
 		key, ok := victimRunner.Running[s.Run].Key.(runKey)
--- a/internal/cluster/scheduler/snapshot.go
+++ b/internal/cluster/scheduler/snapshot.go
@@ -109,20 +109,20 @@
 	return run
 }
 
-// candidate describes a pending task to the planner.
-func (o *Owner) candidate(now time.Duration, task *jobs.Task) placement.Task {
+// candidate describes a pending task to the planner. The value times are those of its group.
+func candidate(clockMs int64, task *jobs.Task, times valueTimes) placement.Task {
 	group := task.Group
 	step := group.Spec()
 	job := group.Job
-	clock := o.clockMs(now)
 	return placement.Task{
 		Key:           task.ID,
 		Queue:         job.Queue.Key,
 		Priority:      job.Queue.Priority,
 		SizeMs:        step.EstimatedMs,
 		Needs:         step.Needs(),
-		TimeLeft:      o.timeToObjective(clock, group),
-		Waited:        time.Duration(clock-task.PendingSinceMs) * time.Millisecond,
+		TimeLeft:      times.toObjective,
+		ValueLeft:     times.toWorthless,
+		Waited:        time.Duration(clockMs-task.PendingSinceMs) * time.Millisecond,
 		Requirements:  step.Requirements,
 		Affinity:      step.Affinity,
 		Group:         group,
--- a/internal/cluster/scheduler/waitreasons.go
+++ b/internal/cluster/scheduler/waitreasons.go
@@ -65,6 +65,7 @@
 	}
 	for _, task := range effects.Pending {
 		recorder.TaskPending(now, task)
+		o.pending.add(now, task.Group)
 	}
 	for i := range command.Starts {
 		if task := o.state.Task(command.Starts[i].Task); effects.Starts[i] && task != nil {
@@ -72,32 +73,77 @@
 		}
 	}
 	for _, job := range effects.EndedJobs {
+		o.pending.removeJob(job)
 		o.reasons.jobEnded(job, time.Duration(o.clockMs(now)-job.AcceptedMs)*time.Millisecond)
 	}
 }
 
-// explain records why pending tasks wait that a round has not assigned. reserved is the fraction of the processors that
-// was reserved from them.
+// explain records why pending tasks wait that a round has not assigned: for the first groups each by itself, for the others
+// by those that need the same. reserved is the fraction of the processors that was reserved from them.
 func (o *Owner) explain(now time.Duration, pending []*jobs.Task, runners []placement.Runner, result placement.Result, reserved float64) {
 	assigned := make(map[int]bool, len(result.Placements))
 	for _, p := range result.Placements {
 		assigned[p.Task] = true
 	}
-	var newest *jobs.Group
+	known := map[explainedNeeds]latency.Reason{}
 	explained := 0
+	var newest *jobs.Group
 	for i, task := range pending {
 		if assigned[i] || task.Group == newest {
 			continue
 		}
-		if explained++; explained > maxExplainedGroups {
-			return
-		}
 		newest = task.Group
-		reason := waitReasonOf(o.planner.Why(i))
-		if reason == latency.NoCPU && reserved > 0 && fitsWithoutReservation(runners, task.Group.Spec().Needs(), reserved) {
-			reason = latency.ReservedCapacity
+		reason, isKnown := known[needsToExplain(newest)]
+		if explained < maxExplainedGroups {
+			explained++
+			reason, isKnown = o.whyNot(i, task, runners, reserved), true
+			known[needsToExplain(newest)] = reason
 		}
-		o.reasons.recorder.SetReason(now, task.Group, reason)
+		if isKnown {
+			o.reasons.recorder.SetReason(now, newest, reason)
+		}
+	}
+}
+
+// explainedNeeds is what decides, nearly always, why a group waits.
+type explainedNeeds struct {
+	queue        string
+	needs        protocol.Resources
+	requirements string
+	gang         bool
+}
+
+func needsToExplain(group *jobs.Group) explainedNeeds {
+	step := group.Spec()
+	return explainedNeeds{group.Job.Queue.Key, step.Needs(), step.Requirements, step.Gang}
+}
+
+// whyNot returns why the planner did not assign a task of the latest round, by its index there.
+func (o *Owner) whyNot(index int, task *jobs.Task, runners []placement.Runner, reserved float64) latency.Reason {
+	reason := waitReasonOf(o.planner.Why(index))
+	if reason == latency.NoCPU && reserved > 0 && fitsWithoutReservation(runners, task.Group.Spec().Needs(), reserved) {
+		reason = latency.ReservedCapacity
+	}
+	if o.pending.isWorthless(task.Group) && isLackOfCapacity(reason) {
+		return latency.Outranked
+	}
+	return reason
+}
+
+// isLackOfCapacity reports whether a task waits for capacity that goes to others first.
+func isLackOfCapacity(reason latency.Reason) bool {
+	switch reason {
+	case latency.NoCPU, latency.NoMemory, latency.NoGPU, latency.ReservedCapacity, latency.NextRound:
+		return true
+	default:
+		return false
+	}
+}
+
+// explainNoRunner records that tasks wait since their service has no runner.
+func (o *Owner) explainNoRunner(now time.Duration, pending []*jobs.Task) {
+	for _, group := range groupsOf(pending) {
+		o.reasons.recorder.SetReason(now, group, latency.NoRunner)
 	}
 }
 
