scheduler: Pending work takes turns; the job with the least work left goes first

Change: steps that a round considered and of which it started nothing go behind the others of their class, if not all were considered. Among what can be on time, the job with the least work left goes first in place of the one with the least time left: where there is too little capacity, an order by deadlines makes each late job delay the next.

--- a/internal/cluster/jobs/job.go
+++ b/internal/cluster/jobs/job.go
@@ -81,8 +81,8 @@
 // dueMs returns the time of day at which repetition k falls due; only for jobs with repetitions.
 func (j *Job) dueMs(k int) int64 { return j.Spec.FirstRunMs + int64(k)*j.Spec.IntervalMs }
 
-// groupsOf returns the groups of repetition k, by step, or nil if it is not open.
-func (j *Job) groupsOf(k int) []*Group {
+// GroupsOf returns the groups of repetition k, by step, or nil if it is not open.
+func (j *Job) GroupsOf(k int) []*Group {
 	steps := len(j.Spec.Steps)
 	if steps == 0 {
 		return nil
@@ -104,7 +104,7 @@
 
 // Group returns the group of a step in repetition k, or nil if the repetition is not due yet or complete.
 func (j *Job) Group(k, step int) *Group {
-	groups := j.groupsOf(k)
+	groups := j.GroupsOf(k)
 	if step < 0 || step >= len(groups) {
 		return nil
 	}
--- a/internal/cluster/jobs/repetitions.go
+++ b/internal/cluster/jobs/repetitions.go
@@ -49,7 +49,7 @@
 	for step := range job.Spec.Steps {
 		job.Groups = append(job.Groups, newGroup(job, repetition, step))
 	}
-	for _, group := range job.groupsOf(repetition) {
+	for _, group := range job.GroupsOf(repetition) {
 		if len(group.Spec().DependsOn) == 0 {
 			s.release(group)
 		}
--- a/internal/cluster/jobs/transitions.go
+++ b/internal/cluster/jobs/transitions.go
@@ -58,7 +58,7 @@
 	if group.Unfinished > 0 {
 		return
 	}
-	groups := group.Job.groupsOf(group.Repetition)
+	groups := group.Job.GroupsOf(group.Repetition)
 	for _, later := range groups[group.Step+1:] {
 		if !later.isReleased && dependenciesDone(later, groups) {
 			s.release(later)
--- a/internal/cluster/placement/candidate.go
+++ b/internal/cluster/placement/candidate.go
@@ -42,6 +42,14 @@
 	yes
 )
 
+// orderingWork returns the work by which what is on time is ordered; 0 for all else.
+func (c *candidate) orderingWork() float64 {
+	if c.lateness == onTime {
+		return c.task.RemainingWork
+	}
+	return 0
+}
+
 // reservationKey is what capacity is reserved under for the task: the key of its gang, or its own.
 func (c *candidate) reservationKey() any {
 	if c.task.Gang {
@@ -106,12 +114,15 @@
 	return first
 }
 
-// compareCandidates orders by priority, then rescues, then what can still be on time before what is late, then by rank.
+// compareCandidates orders by priority, then rescues, then what can still be on time before what is late. Among what is on
+// time, the job with the least work left goes first: it earns the most for the capacity that it takes, and where there is
+// too little for all, an order by deadlines makes each late job delay the next one. What is late goes by rank.
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.task.Priority, b.task.Priority),
 		compareBool(b.rescue, a.rescue),
 		cmp.Compare(a.lateness, b.lateness),
+		cmp.Compare(a.orderingWork(), b.orderingWork()),
 		cmp.Compare(a.rank, b.rank),
 		cmp.Compare(a.order, b.order),
 		cmp.Compare(a.index, b.index),
--- a/internal/cluster/placement/constraints_test.go
+++ b/internal/cluster/placement/constraints_test.go
@@ -95,6 +95,13 @@
 		}, "second"),
 		Entry("less priority goes last, also behind a late task", func(first, other *Task) { first.Priority, other.TimeLeft = 1, -9*second }, "second"),
 		Entry("the task with less time left goes first", func(first, other *Task) { other.TimeLeft = 4 * second }, "second"),
+		Entry("the task whose job has less work left goes first, whatever time is left", func(first, other *Task) {
+			first.RemainingWork, other.RemainingWork, first.TimeLeft = 20, 10, 4*second
+		}, "second"),
+		Entry("a late task goes by its rank, whatever work is left", func(first, other *Task) {
+			first.TimeLeft, first.ValueLeft, first.RemainingWork, first.Waited = 0, 9*second, 20, 4*second
+			other.TimeLeft, other.ValueLeft, other.RemainingWork = 0, 9*second, 10
+		}, "first"),
 		Entry("the shorter task goes first at equal time left", func(first, other *Task) { first.SizeMs = 5000 }, "second"),
 		Entry("a late task goes after one that is on time", func(first, other *Task) { first.TimeLeft = 0 }, "second"),
 		Entry("a late task that has waited for long goes first", func(first, other *Task) {
--- a/internal/cluster/placement/types.go
+++ b/internal/cluster/placement/types.go
@@ -15,6 +15,7 @@
 	Needs         protocol.Resources
 	TimeLeft      time.Duration // to its job's objective; negative once that has passed
 	ValueLeft     time.Duration // to the moment from which its job earns nothing any more; not less than TimeLeft
+	RemainingWork float64       // of its job's repetition, in core-seconds; 0 for a long-running task
 	Aged          bool          // it earns nothing any more and is run all the same, as a late task
 	Waited        time.Duration // since it became pending
 	Requirements  string        // a label that the runner must have, or empty
--- a/internal/cluster/scheduler/objective.go
+++ b/internal/cluster/scheduler/objective.go
@@ -89,6 +89,26 @@
 	return max(1, int(math.Ceil(width/objectiveFraction)))
 }
 
+// coresPerGPU is what an accelerator counts as when work is compared, as it is priced.
+const coresPerGPU = 8
+
+// remainingWork returns the work that is left of a group's job, in its repetition, in core-seconds. Long-running steps count
+// as none.
+func (o *Owner) remainingWork(group *jobs.Group) float64 {
+	job := group.Job
+	work := 0.0
+	for _, step := range job.GroupsOf(group.Repetition) {
+		spec := step.Spec()
+		if spec.LongRunning {
+			continue
+		}
+		cores := float64(spec.CPU)/1000 + coresPerGPU*float64(spec.GPU)
+		runtime := o.planner.Predictor().Predict(job.Queue.Key, "", spec.EstimatedMs)
+		work += float64(step.Unfinished) * cores * runtime.Seconds()
+	}
+	return work
+}
+
 // classify returns what a group's pending tasks can still contribute to their job's value, and when that changes.
 func (o *Owner) classify(now time.Duration, group *jobs.Group) (class valueClass, changesAt time.Duration) {
 	step := group.Spec()
--- a/internal/cluster/scheduler/pending.go
+++ b/internal/cluster/scheduler/pending.go
@@ -188,8 +188,9 @@
 }
 
 // takeEarning returns the pending tasks of a service that still have value, in order of priority: at most limit, but a
-// gang is complete. What can be on time is preferred to what is late, whatever the priority.
-func (p *pendingSteps) takeEarning(service string, limit int) []*jobs.Task {
+// gang is complete. What can be on time is preferred to what is late, whatever the priority. truncated reports whether
+// there are more.
+func (p *pendingSteps) takeEarning(service string, limit int) (tasks []*jobs.Task, truncated bool) {
 	s := p.service(service)
 	priorities := slices.Sorted(maps.Keys(s.earning))
 	byPriority := make([][]*jobs.Task, len(priorities))
@@ -201,7 +202,7 @@
 			byPriority[i] = append(byPriority[i], tasks...)
 		}
 	}
-	return slices.Concat(byPriority...)
+	return slices.Concat(byPriority...), taken >= limit
 }
 
 // take returns the pending tasks of the steps in a list, from the first on: at most limit, but a gang is complete. Steps
@@ -237,15 +238,15 @@
 	return p.take(&p.service(service).worthless, limit)
 }
 
-// passOver moves the steps that a round has considered and of which it has started nothing behind the others without
-// value, so that each gets its turn. One that has value after all, as predictions have changed, goes back to those.
+// passOver moves the steps that a round has considered and of which it has started nothing behind the others of their
+// class, so that each gets its turn. Their class is found anew, as predictions may have changed.
 func (p *pendingSteps) passOver(now time.Duration, considered []*jobs.Task, started map[*jobs.Group]bool) {
 	for _, group := range groupsOf(considered) {
 		step := p.steps[group]
 		if step == nil || step.list == nil || started[group] {
 			continue
 		}
-		if class, _ := p.classify(now, group); class != noValue {
+		if class, _ := p.classify(now, group); class != step.class {
 			p.detach(step)
 			p.enqueue(now, step)
 			continue
--- a/internal/cluster/scheduler/pending_test.go
+++ b/internal/cluster/scheduler/pending_test.go
@@ -79,6 +79,17 @@
 		Expect(started).To(HaveKeyWithValue("dead", 1))
 	})
 
+	It("is started within seconds where most of the service is free, whatever waits before it", func() {
+		w := newWorld()
+		nowhere := oneCore(100)
+		nowhere.Requirements = "nowhere"
+		for i := range 50 {
+			w.submitTo(urgent, fmt.Sprintf("none%012x", i), nowhere)
+		}
+		submitDead(w, 1, oneCore(1))
+		Expect(startsWithin(w, 3*time.Second)).To(ContainElement(HavePrefix("dead")))
+	})
+
 	It("gets a share ahead of late work once it has waited for long, so that each accepted job ends", func() {
 		w := newWorld()
 		submitDead(w, 1, oneCore(1))
@@ -127,6 +138,47 @@
 	})
 })
 
+var _ = It("Work that can be on time is started within seconds, however much that can't start waits before it", func() {
+	w := newWorld()
+	patient := protocol.Queue{Key: "host/patient/", Service: service, MaxAttempts: 3, Extension: 4, TargetLatencyMs: 600_000}
+	nowhere := protocol.Step{Count: 100, CPU: 1000, EstimatedMs: 500, Requirements: "nowhere"}
+	for i := range 50 {
+		w.submitTo(patient, fmt.Sprintf("none%012x", i), nowhere)
+	}
+	w.submitTo(patient, "fresh00000000001", small())
+	Expect(startsWithin(w, 3*time.Second)).To(ContainElement(HavePrefix("fresh")))
+})
+
+var _ = It("The job with the least work left goes first among those that can be on time", func() {
+	w := newWorld()
+	patient := protocol.Queue{Key: "host/patient/", Service: service, MaxAttempts: 3, Extension: 4, TargetLatencyMs: 600_000}
+	step := func(count int) protocol.Step { return protocol.Step{Count: count, CPU: 1000, EstimatedMs: 500} }
+	w.submitTo(patient, "large00000000001", step(40))
+	w.submitTo(patient, "chain00000000001", step(3), protocol.Step{Count: 30, CPU: 1000, EstimatedMs: 500, DependsOn: []int{0}})
+	w.submitTo(patient, "small00000000001", step(3), protocol.Step{Count: 1, CPU: 1000, EstimatedMs: 500, DependsOn: []int{0}})
+	started := map[string]int{}
+	for _, order := range w.orders(heartbeatOf("i1", 1)).Start {
+		started[order.Task[:5]]++
+	}
+	Expect(started).To(Equal(map[string]int{"small": 3, "chain": 3, "large": 10}))
+})
+
+// startsWithin returns the tasks that an empty runner is ordered to start within a time, at heartbeats each 200 ms.
+func startsWithin(w *world, limit time.Duration) (tasks []string) {
+	var active []protocol.ActiveRun
+	sequence := uint64(0)
+	for until := w.now + limit; w.now < until; w.pass(200 * time.Millisecond) {
+		sequence++
+		report := heartbeatOf("i1", sequence)
+		report.Active = active
+		for _, order := range w.orders(report).Start {
+			tasks = append(tasks, order.Task)
+			active = append(active, protocol.ActiveRun{Task: order.Task, Run: order.Run})
+		}
+	}
+	return tasks
+}
+
 // pendingTasks returns the tasks that are pending by the shard's state, sorted.
 func (w *world) pendingTasks() (tasks []string) {
 	w.state.EachPending(func(task *jobs.Task) bool {
--- a/internal/cluster/scheduler/round.go
+++ b/internal/cluster/scheduler/round.go
@@ -40,9 +40,9 @@
 }
 
 // roundOfService assigns the pending tasks of one service: those that can earn something, then those that have no value
-// any more on what is left over.
+// any more on what is left over. Where there are more than a round considers, they take turns.
 func (o *Owner) roundOfService(now time.Duration, service string) {
-	earning := o.pending.takeEarning(service, maxPendingPerRound)
+	earning, truncated := o.pending.takeEarning(service, maxPendingPerRound)
 	runners := o.snapshotRunners(now, service)
 	if len(runners) == 0 {
 		o.explainNoRunner(now, append(earning, o.pending.takeWorthless(service, maxWorthlessPerRound)...))
@@ -50,28 +50,32 @@
 	}
 	o.capacities[service] = totalCapacity(runners)
 	aged := o.pending.age(now, o.clockMs(now), service, o.capacities[service])
-	reserved := o.roundOfEarning(now, service, earning, aged, runners)
+	reserved, started := o.roundOfEarning(now, service, slices.Concat(earning, aged), runners)
+	if truncated {
+		o.pending.passOver(now, earning, started)
+	}
 	limit := maxWorthlessPerRound
 	if isMostlyFree(runners) {
 		limit = maxPendingPerRound
 	}
 	worthless := o.pending.takeWorthless(service, limit)
-	started := o.roundOfWorthless(now, worthless, runners, reserved)
+	started = o.roundOfWorthless(now, worthless, runners, reserved)
 	o.pending.passOver(now, worthless, started)
 }
 
 // roundOfEarning assigns the tasks that can earn something, and the aged ones: urgent ones first, then those from which no
 // capacity is reserved, then the others, to which the headroom for urgent work is not available. It returns the fraction
-// of the processors that is reserved for urgent work; it is subtracted from what is free on the runners.
-func (o *Owner) roundOfEarning(now time.Duration, service string, earning, aged []*jobs.Task, runners []placement.Runner) (reserved float64) {
-	tasks := slices.Concat(earning, aged)
+// of the processors that is reserved for urgent work, which is subtracted from what is free on the runners, and the groups
+// of which it started some.
+func (o *Owner) roundOfEarning(now time.Duration, service string, tasks []*jobs.Task, runners []placement.Runner) (reserved float64, started map[*jobs.Group]bool) {
+	started = map[*jobs.Group]bool{}
 	urgent, reserved := o.headroom.update(now, service, tasks, runners)
 	exempt, others := splitExempt(tasks[urgent:], runners)
-	o.assign(now, tasks[:urgent], runners, 0)
-	o.assign(now, exempt, runners, 0)
+	addGroups(started, tasks[:urgent], o.assign(now, tasks[:urgent], runners, 0))
+	addGroups(started, exempt, o.assign(now, exempt, runners, 0))
 	reserve(runners, reserved)
-	o.assign(now, others, runners, reserved)
-	return reserved
+	addGroups(started, others, o.assign(now, others, runners, reserved))
+	return reserved, started
 }
 
 // roundOfWorthless assigns tasks that have no value any more, and returns the groups of which it started some. The headroom
@@ -117,11 +121,13 @@
 		lowest = max(lowest, task.Group.Job.Queue.Priority)
 	}
 	var times valueTimes
+	work := 0.0
 	for i, task := range pending {
 		if i == 0 || task.Group != pending[i-1].Group {
-			times = o.valueTimesOf(clockMs, task.Group)
+			times, work = o.valueTimesOf(clockMs, task.Group), o.remainingWork(task.Group)
 		}
 		tasks[i] = candidate(clockMs, task, times)
+		tasks[i].RemainingWork = work
 		if o.pending.isAged(task.Group) {
 			tasks[i].Aged = true
 			tasks[i].Priority = lowest
