scheduler: Stop in time what could not report its end before its runner leaves

Change: a run goes on only if it ends half a second before the runner may be gone, by its own progress once that says more than the prediction.

--- a/internal/cluster/scheduler/reports.go
+++ b/internal/cluster/scheduler/reports.go
@@ -55,7 +55,7 @@
 		entry := before[key]
 		if entry == nil {
 			_, startedHere := r.startedAt[key]
-			entry = &listedRun{since: now, progressAt: now, percent: active.Percent, startedHere: startedHere}
+			entry = &listedRun{since: now, progressAt: now, percent: active.Percent, firstPercent: active.Percent, startedHere: startedHere}
 		}
 		if active.Percent > entry.percent {
 			entry.percent = active.Percent
--- a/internal/cluster/scheduler/runners.go
+++ b/internal/cluster/scheduler/runners.go
@@ -33,11 +33,12 @@
 
 // listedRun is what is known of a run that a runner lists as active.
 type listedRun struct {
-	since       time.Duration // first listed
-	percent     float64
-	progressAt  time.Duration // when percent last rose
-	checkpoint  string
-	startedHere bool // by this owner, so that its runtime can be learnt
+	since        time.Duration // first listed
+	firstPercent float64       // then
+	percent      float64
+	progressAt   time.Duration // when percent last rose
+	checkpoint   string
+	startedHere  bool // by this owner, so that its runtime can be learnt
 }
 
 // Positions of a runner's labels.
--- a/internal/cluster/scheduler/stops.go
+++ b/internal/cluster/scheduler/stops.go
@@ -9,6 +9,12 @@
 const (
 	minStallTimeout = 2500 * time.Millisecond // least time without progress after which a run is stopped
 	stallFraction   = 0.3                     // the same, of the predicted runtime
+	// endReportTime is the time from the end of a run until its report has certainly left its runner, with some margin: what
+	// ends later than that before a runner is gone may never be known to have ended.
+	endReportTime = 500 * time.Millisecond
+	// minPercentSeen is the progress of a run, in percent, from which on it tells more of the time that is left than the
+	// prediction does.
+	minPercentSeen = 10
 	// stopOrderTime is the time from the decision to stop a run until the order reaches its runner, with some margin.
 	stopOrderTime = 500 * time.Millisecond
 )
@@ -64,8 +70,7 @@
 		return true
 	}
 	left := r.drainsUntil - now
-	remaining := time.Duration(float64(o.predict(r, task)) * (1 - min(entry.percent, 100)/100))
-	if remaining < left {
+	if entry.timeToEnd(now, o.predict(r, task))+endReportTime < left {
 		return false
 	}
 	if step.Checkpoints {
@@ -74,6 +79,16 @@
 	return true
 }
 
+// timeToEnd returns how long the run will go on: by its progress here, or by the predicted runtime while there is too little.
+func (e *listedRun) timeToEnd(now, predicted time.Duration) time.Duration {
+	left := 100 - min(e.percent, 100)
+	seen := e.percent - e.firstPercent
+	if seen < minPercentSeen {
+		return time.Duration(left / 100 * float64(predicted))
+	}
+	return time.Duration(left / seen * float64(now-e.since))
+}
+
 // stopBrokenGangs stops the remaining members of a gang's run of which one has ended.
 func (o *Owner) stopBrokenGangs(effects *jobs.Effects) {
 	for _, task := range effects.EndedRuns {
--- a/internal/cluster/simulation/audit.go
+++ b/internal/cluster/simulation/audit.go
@@ -85,6 +85,7 @@
 	}
 	a.checkConfiguration()
 	a.checkRecovery()
+	a.checkOverload()
 	slices.SortStableFunc(a.found, func(x, y Violation) int { return int(x.At - y.At) })
 	return a.found
 }
--- a/internal/cluster/simulation/cluster/cluster_test.go
+++ b/internal/cluster/simulation/cluster/cluster_test.go
@@ -8,10 +8,12 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ospreypond/internal/cluster/protocol"
 	"ospreypond/internal/cluster/simulation"
 )
 
@@ -101,6 +103,14 @@
 		})
 	}
 
+	It("serve urgent jobs when a service has lost all runners but one for good under several times its load", func() {
+		size := simulation.SmallSize()
+		size.Services[0].Capacity = protocol.Resources{CPU: 3000, MemoryMB: 32768}
+		size.Services[0].Sizes = []float64{1}
+		playSeeds(12000, 1+seeds/100, Options{Faults: []string{simulation.LoneRunner}, FinalFault: WithoutFinalFault,
+			Size: &size, Length: 100 * time.Second})
+	})
+
 	for _, fault := range simulation.FinalFaults() {
 		It("come back from "+string(fault), func() {
 			playSeeds(6000, 1+seeds/100, Options{FinalFault: fault})
--- a/internal/cluster/simulation/fault.go
+++ b/internal/cluster/simulation/fault.go
@@ -18,9 +18,9 @@
 	return slices.Concat(workloadFaults(), runnerFaults(), machineFaults(), frontendFaults(), controlFaults())
 }
 
-// FaultKindOf returns the kind of that name, and whether there is one.
+// FaultKindOf returns the kind of that name, also of those that are not drawn, and whether there is one.
 func FaultKindOf(name string) (FaultKind, bool) {
-	for _, kind := range FaultKinds() {
+	for _, kind := range append(FaultKinds(), overloadFaults()...) {
 		if kind.Name == name {
 			return kind, true
 		}
--- /dev/null
+++ b/internal/cluster/simulation/fault_overload.go
@@ -0,0 +1,31 @@
+package simulation
+
+import "time"
+
+// LoneRunner is the kind of fault that leaves a service one runner.
+const LoneRunner = "lone_runner"
+
+// loneRunnerLoad is the rate of jobs from then on, as a multiple of the usual one.
+const loneRunnerLoad = 2
+
+// overloadFaults returns the kinds that overload a service for the rest of the scenario. They are not among those that are
+// drawn: other rules, such as that of stalled jobs, say nothing of a service that never has free capacity.
+func overloadFaults() []FaultKind {
+	return []FaultKind{{LoneRunner, (*Deployment).loseAllButOneRunner}}
+}
+
+// loseAllButOneRunner crashes all runners of the first service but one, for good, and raises the load.
+func (d *Deployment) loseAllButOneRunner(time.Duration) {
+	d.recordElsewhere(LoneRunner, 0)
+	d.loadFactor = loneRunnerLoad
+	left := 1
+	for _, r := range d.Runners {
+		switch {
+		case r.Service != d.Size.Services[0].Name || !r.Up():
+		case left > 0:
+			left--
+		default:
+			r.Crash()
+		}
+	}
+}
