consensus: Leadership is not transferred to a voter that leaves

Cause: during a joint change a voter of the outgoing configuration alone could be the target of a transfer, or the successor of a leader that the change removes, and would have to give the leadership away at once. mayLead is asked where it takes effect; the replica no longer offers it either.

shards shows who joins and leaves while a membership changes. Tables of the commands have the field's words (CONTENTS, FAILURES, LAST SEEN, LEASE, pending, unresponsive, unhealthy); JSON, messages and metrics keep theirs.

--- a/internal/cli/cluster_test.go
+++ b/internal/cli/cluster_test.go
@@ -144,8 +144,8 @@
 		Instance: "i-1", Service: "s", Zone: "z", State: "ready", Labels: []string{"k", "r"}, Runs: 2, Distrust: 0.25, HoldMs: 4000,
 		Capacity: protocol.Resources{CPU: 8000, MemoryMB: 100, GPU: 1}, Free: protocol.Resources{CPU: 500, MemoryMB: 60},
 	}}}, []string{"runners"},
-		"INSTANCE  SERVICE  ZONE  STATE  CORES    MEMORY MB  GPU  RUNS  STOPS  DISTRUST  SILENT  HOLD  LABELS\n"+
-			"i-1       s        z     ready  0.5/8.0  60/100     0/1  2     0      0.25      0s      4s    k,r\n"),
+		"INSTANCE  SERVICE  ZONE  STATE  CORES    MEMORY MB  GPU  RUNS  STOPS  FAILURES  LAST SEEN  LEASE  LABELS\n"+
+			"i-1       s        z     ready  0.5/8.0  60/100     0/1  2     0      0.25      0s         4s     k,r\n"),
 )
 
 var _ = Describe("the commands", func() {
@@ -195,25 +195,35 @@
 		reports := newReports()
 		reports[0].DiskSick = true
 		ended := runCommand(&fakeSystem{reports: reports}, "", "members --control a:1")
-		Expect(ended.out).To(Equal(`NODE  ZONE  ADDRESS        ID  ROLE     STATE     LEADS  UP    DISK  MEMORY
-a     z1    10.0.0.1:7380  1   voter    sick      0      1m1s  sick  20 MB
-b     z2    10.0.0.2:7380  2   voter    draining  1      5s    0 B   0 B
-c     z3    10.0.0.3:7380  3   learner  silent    0      -     -     -
+		Expect(ended.out).To(Equal(`NODE  ZONE  ADDRESS        ID  ROLE     STATE         LEADS  UP    DISK       MEMORY
+a     z1    10.0.0.1:7380  1   voter    unhealthy     0      1m1s  unhealthy  20 MB
+b     z2    10.0.0.2:7380  2   voter    draining      1      5s    0 B        0 B
+c     z3    10.0.0.3:7380  3   learner  unresponsive  0      -     -          -
 `))
 		Expect(ended.status).To(Equal(exitFailure))
-		Expect(ended.err).To(Equal("ospreypond members: a at 10.0.0.1:7380 is sick\n"))
+		Expect(ended.err).To(Equal("ospreypond members: a at 10.0.0.1:7380 is unhealthy\n"))
 	})
 
 	It("list shards with what each member lacks, and fail if one has no owner", func() {
 		ended := runCommand(&fakeSystem{reports: newReports()}, "", "shards --control a:1")
-		Expect(ended.out).To(Equal(`SHARD              OWNER  TERM  COMMIT  STATE   LOG    HOLDS       MEMBERS (APPLIED, LACKING)
-0 (configuration)  b      4     40      1200 B  300 B  version 12  a 38, 2; b 40, 0; c (learner) silent
-1                  none   2     7       0 B     0 B    -           a 7, 0; b 5, 2; c (learner) silent
+		Expect(ended.out).To(Equal(`SHARD              OWNER  TERM  COMMIT  STATE   LOG    CONTENTS    MEMBERS (APPLIED, LACKING)
+0 (configuration)  b      4     40      1200 B  300 B  version 12  a 38, 2; b 40, 0; c (learner) unresponsive
+1                  none   2     7       0 B     0 B    -           a 7, 0; b 5, 2; c (learner) unresponsive
 `))
 		Expect(ended.status).To(Equal(exitFailure))
 		Expect(ended.err).To(ContainSubstring("shard 1 has no owner that answers"))
 	})
 
+	It("show how the membership of a shard is changing", func() {
+		reports := newReports()
+		reports[1].Groups[0].Members[0].Change = administration.MemberLeaving
+		reports[1].Groups[0].Members[2].Change = administration.MemberJoining
+		ended := runCommand(&fakeSystem{reports: reports}, "", "shards --control a:1")
+		Expect(ended.out).To(ContainSubstring("a (leaving) 38, 2; b 40, 0; c (learner) (joining) unresponsive"))
+		ended = runCommand(&fakeSystem{reports: reports}, "", "shards -o json --control a:1")
+		Expect(ended.out).To(ContainSubstring(`"change": "leaving"`))
+	})
+
 	It("compare the members' states, and fail if they differ", func() {
 		digests := []administration.ShardDigests{
 			{Shard: 0, Index: 40, Members: []administration.MemberDigest{
--- a/internal/cli/members.go
+++ b/internal/cli/members.go
@@ -15,7 +15,7 @@
 	return s.onSystem(&cobra.Command{Use: "members", Short: "List the control processes and their state", Args: exactArgs(),
 		Long: "List the control processes: those that answer, and members of shards that do not. LEADS is the number of shards that\n" +
 			"a process owns; ROLE is voter, learner (it is catching up) or none (not a member yet).\n" +
-			"The exit status is 1 if a voter does not answer or a disk is unhealthy (sick).",
+			"The exit status is 1 if a voter does not answer or a disk is unhealthy.",
 		Example: "  ospreypond members --control 127.77.0.11:7380,127.77.0.12:7380"},
 		func(ctx context.Context, flags *clusterFlags, system administrator, _ []string) error {
 			reports, err := system.Reports(ctx)
@@ -29,7 +29,7 @@
 			var faults []string
 			for _, member := range members {
 				if member.Unhealthy() {
-					faults = append(faults, fmt.Sprintf("%s at %s is %s", member.Node, member.Address, member.State()))
+					faults = append(faults, fmt.Sprintf("%s at %s is %s", member.Node, member.Address, stateWord(member.State())))
 				}
 			}
 			return faultsError(faults)
@@ -44,9 +44,9 @@
 			up, disk, memory = durationText(m.UptimeMs), sizeText(m.LogBytes), sizeText(int64(m.MemoryBytes))
 		}
 		if m.DiskUnhealthy {
-			disk = "sick"
+			disk = "unhealthy"
 		}
-		rows = append(rows, []string{m.Node, m.Zone, m.Address, m.ID.String(), m.Role, m.State(), strconv.Itoa(m.Leads), up, disk, memory})
+		rows = append(rows, []string{m.Node, m.Zone, m.Address, m.ID.String(), m.Role, stateWord(m.State()), strconv.Itoa(m.Leads), up, disk, memory})
 	}
 	return rows
 }
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -71,6 +71,18 @@
 	_, _ = fmt.Fprintf(w, format, args...)
 }
 
+// stateWords are the words for states that tables show, by those of messages and of JSON, which programs of other
+// releases and scripts know.
+var stateWords = map[string]string{"silent": "unresponsive", "sick": "unhealthy"}
+
+// stateWord returns the word that tables show for a state.
+func stateWord(state string) string {
+	if word, ok := stateWords[state]; ok {
+		return word
+	}
+	return state
+}
+
 // memberText returns a member's node, or its address if the node is not known, and whether it is a learner.
 func memberText(node, address string, isLearner bool) string {
 	name := node
--- a/internal/cli/runners.go
+++ b/internal/cli/runners.go
@@ -14,9 +14,9 @@
 
 func (s *clusterCommands) newRunners() *cobra.Command {
 	return s.onSystem(&cobra.Command{Use: "runners", Short: "List the runners: state, capacity, failure scores, leases", Args: exactArgs(),
-		Long: "List the runners as the owners of their shards know them. CORES, MEMORY and GPU are free/total capacity. DISTRUST is\n" +
-			"the failure score: from 0 for a runner that fails nothing to 1 for one that fails everything that it starts. SILENT is\n" +
-			"the time since the last heartbeat; HOLD is what remains of the lease, for which runs go on without another heartbeat.",
+		Long: "List the runners as the owners of their shards know them. CORES, MEMORY and GPU are free/total capacity. FAILURES is\n" +
+			"the failure score: from 0 for a runner that fails nothing to 1 for one that fails everything that it starts. LAST\n" +
+			"SEEN is the time since the last heartbeat; LEASE is what remains of the lease, for which runs go on without another heartbeat.",
 		Example: "  ospreypond runners --control 127.77.0.11:7380"},
 		func(ctx context.Context, flags *clusterFlags, system administrator, _ []string) error {
 			runners, err := system.Runners(ctx)
@@ -31,10 +31,10 @@
 const milli = 1000
 
 func runnerRows(runners []administration.Runner) [][]string {
-	rows := [][]string{{"INSTANCE", "SERVICE", "ZONE", "STATE", "CORES", "MEMORY MB", "GPU", "RUNS", "STOPS", "DISTRUST", "SILENT", "HOLD", "LABELS"}}
+	rows := [][]string{{"INSTANCE", "SERVICE", "ZONE", "STATE", "CORES", "MEMORY MB", "GPU", "RUNS", "STOPS", "FAILURES", "LAST SEEN", "LEASE", "LABELS"}}
 	for _, r := range runners {
 		rows = append(rows, []string{
-			r.Instance, r.Service, r.Zone, r.State,
+			r.Instance, r.Service, r.Zone, stateWord(r.State),
 			fmt.Sprintf("%.1f/%.1f", float64(r.Free.CPU)/milli, float64(r.Capacity.CPU)/milli),
 			fmt.Sprintf("%d/%d", r.Free.MemoryMB, r.Capacity.MemoryMB),
 			fmt.Sprintf("%d/%d", r.Free.GPU, r.Capacity.GPU),
--- a/internal/cli/shards.go
+++ b/internal/cli/shards.go
@@ -115,7 +115,7 @@
 }
 
 func shardRows(shards []administration.ShardView) [][]string {
-	rows := [][]string{{"SHARD", "OWNER", "TERM", "COMMIT", "STATE", "LOG", "HOLDS", "MEMBERS (APPLIED, LACKING)"}}
+	rows := [][]string{{"SHARD", "OWNER", "TERM", "COMMIT", "STATE", "LOG", "CONTENTS", "MEMBERS (APPLIED, LACKING)"}}
 	for _, shard := range shards {
 		owner := shard.Owner
 		if owner == "" {
@@ -144,7 +144,7 @@
 	case shard.Shard == protocol.ConfigurationShard:
 		return fmt.Sprintf("version %d", shard.ConfigurationVersion)
 	default:
-		return fmt.Sprintf("%d jobs, %d held, %d running", shard.Jobs.Jobs, shard.Jobs.Held, shard.Jobs.Running)
+		return fmt.Sprintf("%d jobs, %d pending, %d running", shard.Jobs.Jobs, shard.Jobs.Held, shard.Jobs.Running)
 	}
 }
 
@@ -153,8 +153,11 @@
 	texts := make([]string, 0, len(members))
 	for _, m := range members {
 		name := memberText(m.Node, m.Address, m.Learner)
+		if m.Change != "" {
+			name += " (" + m.Change + ")"
+		}
 		if !m.Answers {
-			texts = append(texts, name+" silent")
+			texts = append(texts, name+" unresponsive")
 			continue
 		}
 		texts = append(texts, fmt.Sprintf("%s %d, %d", name, m.Applied, m.Lacking))
--- a/internal/cli/state.go
+++ b/internal/cli/state.go
@@ -20,7 +20,7 @@
 func (s *clusterCommands) newStateVerify() *cobra.Command {
 	return s.newState("verify DIR", "Check everything that the folder of a control process contains", true,
 		"Read the folder (dataDir) of a stopped control process, verify all checksums, restore every snapshot and apply every\n"+
-			"entry: HOLDS is the resulting state. Nothing is changed. The exit status is 1 if there is a fault.")
+			"entry: CONTENTS is the resulting state. Nothing is changed. The exit status is 1 if there is a fault.")
 }
 
 func (s *clusterCommands) newState(use, short string, verify bool, long string) *cobra.Command {
@@ -76,7 +76,7 @@
 func folderRows(folder *inspect.Folder) [][]string {
 	rows := [][]string{{"SHARD", "TERM", "COMMIT", "SNAPSHOT", "BYTES", "ENTRIES", "FROM", "TO", "MEMBERS"}}
 	if folder.Verified {
-		rows[0] = append(rows[0], "HOLDS")
+		rows[0] = append(rows[0], "CONTENTS")
 	}
 	for _, group := range folder.Groups {
 		row := []string{
--- a/internal/cluster/administration/messages.go
+++ b/internal/cluster/administration/messages.go
@@ -60,8 +60,15 @@
 	Learner  bool
 	Entries  uint64 // that the member has not acknowledged
 	SilentMs int64  // since the member's last acknowledgement
+	Change   string // of its vote, by a joint membership: MemberJoining, MemberLeaving; empty: none
 }
 
+// Changes of a member's vote by a joint membership.
+const (
+	MemberJoining = "joining" // it votes in the incoming configuration only
+	MemberLeaving = "leaving" // it votes in the outgoing configuration only
+)
+
 // JobCounts counts the jobs, tasks and runners of a shard. Encoded by gob, and printed in JSON: the field names and tags
 // are formats.
 type JobCounts struct {
--- a/internal/cluster/administration/shards.go
+++ b/internal/cluster/administration/shards.go
@@ -31,6 +31,7 @@
 	Address string      `json:"address"`
 	ID      identity.ID `json:"id"`
 	Learner bool        `json:"learner"`
+	Change  string      `json:"change,omitempty"` // MemberJoining or MemberLeaving, during a change of the membership
 	Answers bool        `json:"answers"`
 	Commit  uint64      `json:"commit"`
 	Applied uint64      `json:"applied"`
@@ -88,7 +89,8 @@
 // shardMember returns the view of one member, with what its own report says if it answered.
 func shardMember(reports []Report, group *GroupReport, member *MemberReport) ShardMember {
 	view := ShardMember{
-		Node: member.Node, Address: member.Address, ID: identity.ID(member.ID), Learner: member.Learner, Lacking: member.Entries,
+		Node: member.Node, Address: member.Address, ID: identity.ID(member.ID), Learner: member.Learner, Change: member.Change,
+		Lacking: member.Entries,
 	}
 	for i := range reports {
 		if reports[i].Identity != member.ID {
--- a/internal/cluster/consensus/errors.go
+++ b/internal/cluster/consensus/errors.go
@@ -13,6 +13,6 @@
 	ErrChangePending = errors.New("a change of the membership is not committed yet")
 	// ErrChangeRefused is returned for a membership that is not well formed or equals the present one.
 	ErrChangeRefused = errors.New("the membership is not well formed or does not differ from the present one")
-	// ErrUnknownMember is returned for a transferee that is not another voter.
+	// ErrUnknownMember is returned for a transferee that is not another voter, or is leaving.
 	ErrUnknownMember = errors.New("not another voter of this group")
 )
--- a/internal/cluster/consensus/joint_change_test.go
+++ b/internal/cluster/consensus/joint_change_test.go
@@ -181,6 +181,12 @@
 		Expect(isVoter(g.member(4).Status().Members, 4)).To(BeTrue())
 	})
 
+	ginkgo.It("leadership is not transferred to the member that leaves", func() {
+		begin(2, 3, 4)
+		Expect(leader.TransferLeadership(g.now, 3)).To(MatchError(ErrUnknownMember))
+		Expect(leader.Status().Transferee).To(Equal(None))
+	})
+
 	ginkgo.It("a leadership transfer delays the final membership, which the new leader proposes", func() {
 		begin(2, 3, 4)
 		Expect(leader.TransferLeadership(g.now, 2)).To(Succeed())
--- a/internal/cluster/consensus/leader.go
+++ b/internal/cluster/consensus/leader.go
@@ -141,7 +141,7 @@
 	n.broadcastHeartbeat(periodicHeartbeat)
 	var successor *progress
 	for _, peer := range n.leadership.peers {
-		if peer.isVoter() && (successor == nil || peer.match > successor.match) {
+		if peer.mayLead() && (successor == nil || peer.match > successor.match) {
 			successor = peer
 		}
 	}
--- a/internal/cluster/consensus/progress.go
+++ b/internal/cluster/consensus/progress.go
@@ -39,6 +39,12 @@
 	return p.votesIn != 0
 }
 
+// mayLead reports whether a leadership may be transferred to the member: it votes, and goes on voting after a change of the
+// membership that is under way.
+func (p *progress) mayLead() bool {
+	return p.votesIn&incomingConfig != 0
+}
+
 // recordContact records a response to a message that was sent at sentAt.
 func (p *progress) recordContact(now, sentAt time.Duration) {
 	p.lastContact = now
--- a/internal/cluster/control/administration_endpoints.go
+++ b/internal/cluster/control/administration_endpoints.go
@@ -93,6 +93,7 @@
 		report := administration.MemberReport{
 			Member:  protocol.Member{ID: uint64(member.ID), Node: member.Node, Zone: member.Zone, Address: member.Address},
 			Learner: member.Learner,
+			Change:  changeOf(member.Transition),
 		}
 		for _, lag := range lags {
 			if lag.Member == member.ID {
@@ -104,6 +105,18 @@
 	return reports
 }
 
+// changeOf returns how a joint membership changes a member's vote, in the operators' words.
+func changeOf(transition consensus.Transition) string {
+	switch transition {
+	case consensus.TransitionAdded:
+		return administration.MemberJoining
+	case consensus.TransitionRemoved, consensus.TransitionDemoted:
+		return administration.MemberLeaving
+	default:
+		return ""
+	}
+}
+
 // addOwnerReport adds what only a shard's owner knows.
 func (a *administrator) addOwnerReport(group *administration.GroupReport) {
 	if data, err := a.stateMachine(group.Shard).Snapshot(); err == nil {
--- a/internal/cluster/replica/transfers.go
+++ b/internal/cluster/replica/transfers.go
@@ -116,8 +116,8 @@
 // successor returns the voter that can lead and lacks least, or None.
 func (g *group) successor(members []consensus.Member) consensus.MemberID {
 	successor, minBehind := consensus.None, uint64(math.MaxUint64)
-	for _, member := range members {
-		if member.Learner || member.ID == g.engine.self.ID {
+	for _, member := range stayingVoters(members) {
+		if member.ID == g.engine.self.ID {
 			continue
 		}
 		behind, answeredAt, known := g.node.Lag(member.ID)
@@ -161,7 +161,7 @@
 	if g.leadingTerm == 0 || status.Transferee != consensus.None || recent {
 		return consensus.None
 	}
-	voters := sortedVoters(status.Members)
+	voters := sortedVoters(stayingVoters(status.Members))
 	if len(voters) == 0 || led <= (len(e.groups)+len(voters)-1)/len(voters) {
 		return consensus.None
 	}
@@ -180,6 +180,17 @@
 	return ok && deferrer.DefersTransfer()
 }
 
+// isStayingVoter reports whether a member votes, and goes on voting after a joint membership.
+func isStayingVoter(member consensus.Member) bool {
+	isLeaving := member.Transition == consensus.TransitionRemoved || member.Transition == consensus.TransitionDemoted
+	return !member.Learner && !isLeaving
+}
+
+// stayingVoters returns the voters that are not leaving.
+func stayingVoters(members []consensus.Member) []consensus.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(member consensus.Member) bool { return !isStayingVoter(member) })
+}
+
 func sortedVoters(members []consensus.Member) []consensus.MemberID {
 	var voters []consensus.MemberID
 	for _, member := range members {
