--- a/internal/cluster/simulation/audit.go
+++ b/internal/cluster/simulation/audit.go
@@ -42,6 +42,8 @@
 	RuleRecover Rule = "RECOVER"
 	// RuleAcks is the bench's gate: valid changes are acknowledged in time.
 	RuleAcks Rule = "ACKS"
+	// RuleDuty: a machine does not go on calling a runner with a fencing token that the runner has refused.
+	RuleDuty Rule = "DUTY"
 )
 
 // Violation is a place where a history breaks a rule.
@@ -86,6 +88,7 @@
 	a.checkConfiguration()
 	a.checkRecovery()
 	a.checkOverload()
+	a.checkRefusedCalls()
 	slices.SortStableFunc(a.found, func(x, y Violation) int { return int(x.At - y.At) })
 	return a.found
 }
--- a/internal/cluster/simulation/audit_test.go
+++ b/internal/cluster/simulation/audit_test.go
@@ -320,6 +320,17 @@
 		}),
 		Entry("LOST: it is stalled", RuleLost, func(b *historyBuilder) { b.StalledJobs = []StalledJob{{testJob, at(45), at(48)}} }),
 
+		Entry("DUTY: a machine goes on calling with a refused fencing token", RuleDuty, func(b *historyBuilder) {
+			b.refuse("side-i-1", 7, 2, 3, 4, 9, 10, 11, 12)
+		}),
+		Entry("DUTY: it does so three times", noViolation, func(b *historyBuilder) {
+			b.refuse("side-i-1", 7, 2, 3, 4, 9, 10, 11)
+		}),
+		Entry("DUTY: each time with another token", noViolation, func(b *historyBuilder) {
+			for token := range uint64(8) {
+				b.refuse("side-i-1", token, float64(2+3*token))
+			}
+		}),
 		Entry("RECOVER: nothing is accepted after the final fault", RuleRecover, func(b *historyBuilder) {
 			b.FinalFault, b.Returned = at(10), at(12)
 			b.AddJob(&JobRecord{ID: "00000000000000cc", Accepted: Never, Submissions: []Attempt{{Sent: at(30), Answered: Never}}})
--- a/internal/cluster/simulation/cluster/cluster_test.go
+++ b/internal/cluster/simulation/cluster/cluster_test.go
@@ -111,6 +111,18 @@
 			Size: &size, Length: 100 * time.Second})
 	})
 
+	DescribeTable("break no rule under a quota of processor time on every machine",
+		func(invocation bool, kinds ...string) {
+			playSeeds(13000, 1+seeds/50, Options{Invocation: invocation, Faults: append(kinds, simulation.CPUQuota), FinalFault: WithoutFinalFault})
+		},
+		Entry("alone", false),
+		Entry("alone, where runners are invoked", true),
+		Entry("while owners are lost", false, "core_kill", "core_kill"),
+		Entry("while agents are partitioned, so that relays are used", false, "servers_cut", "node_cut"),
+		Entry("while runners leave", false, "scale_in", "leave_undrained"),
+		Entry("while the configuration changes", false, "config_change", "config_move"),
+	)
+
 	for _, fault := range simulation.FinalFaults() {
 		It("come back from "+string(fault), func() {
 			playSeeds(6000, 1+seeds/100, Options{FinalFault: fault})
--- a/internal/cluster/simulation/fault.go
+++ b/internal/cluster/simulation/fault.go
@@ -20,7 +20,7 @@
 
 // FaultKindOf returns the kind of that name, also of those that are not drawn, and whether there is one.
 func FaultKindOf(name string) (FaultKind, bool) {
-	for _, kind := range append(FaultKinds(), overloadFaults()...) {
+	for _, kind := range append(FaultKinds(), undrawnFaults()...) {
 		if kind.Name == name {
 			return kind, true
 		}
--- a/internal/cluster/simulation/fault_overload.go
+++ b/internal/cluster/simulation/fault_overload.go
@@ -8,10 +8,13 @@
 // loneRunnerLoad is the rate of jobs from then on, as a multiple of the usual one.
 const loneRunnerLoad = 2
 
-// overloadFaults returns the kinds that overload a service for the rest of the scenario. They are not among those that are
-// drawn: other rules, such as that of stalled jobs, say nothing of a service that never has free capacity.
-func overloadFaults() []FaultKind {
-	return []FaultKind{{LoneRunner, (*Deployment).loseAllButOneRunner}}
+// undrawnFaults returns the kinds that scenarios name and no seed draws: the other rules, such as that of stalled jobs, say
+// nothing of a service that never has free capacity, and a quota of processor time lasts as long as a scenario.
+func undrawnFaults() []FaultKind {
+	return []FaultKind{
+		{LoneRunner, (*Deployment).loseAllButOneRunner},
+		{CPUQuota, (*Deployment).enforceQuotas},
+	}
 }
 
 // loseAllButOneRunner crashes all runners of the first service but one, for good, and raises the load.
--- a/internal/cluster/simulation/history.go
+++ b/internal/cluster/simulation/history.go
@@ -27,6 +27,15 @@
 	FinalFault     time.Duration // Never: none
 	Returned       time.Duration // when the machines were back from the final fault
 	StalledJobs    []StalledJob  // as sampled after the traffic
+	RefusedCalls   []RefusedCall // in the order of their times
+}
+
+// RefusedCall is a call that a runner has refused since it had seen a higher fencing token.
+type RefusedCall struct {
+	Machine    string // of the caller
+	Instance   string // the runner's
+	FenceToken uint64
+	At         time.Duration
 }
 
 // NewHistory returns an empty history.
--- a/internal/cluster/simulation/history_builder_test.go
+++ b/internal/cluster/simulation/history_builder_test.go
@@ -130,3 +130,10 @@
 		Expect(violation.Rule).To(Equal(rule), violation.String())
 	}
 }
+
+// refuse adds calls with a fencing token, at times in seconds, that the first runner has refused.
+func (b *historyBuilder) refuse(machine string, fenceToken uint64, seconds ...float64) {
+	for _, second := range seconds {
+		b.RefusedCalls = append(b.RefusedCalls, RefusedCall{Machine: machine, Instance: b.first.Instance, FenceToken: fenceToken, At: at(second)})
+	}
+}
--- a/internal/cluster/simulation/runner_invocation.go
+++ b/internal/cluster/simulation/runner_invocation.go
@@ -83,6 +83,9 @@
 		reply(status, []byte(mustJSON(response)))
 	}
 	if request.FenceToken < r.fenceToken {
+		history := r.groundTruth.History
+		history.RefusedCalls = append(history.RefusedCalls, RefusedCall{Machine: r.Machine.Name, Instance: r.incarnation.Instance,
+			FenceToken: request.FenceToken, At: r.world.now})
 		respond(invocationResponse{Rejection: rejectedFence})
 		return
 	}
