scheduler: Bound what an aged step brings into a round

Cause, found by reading: a round took all pending tasks of a step that has aged, up to 20,000, where all other work without value is bounded by 200.

Change: at most 200, as for the rest; a gang is complete. The test fails without it.

--- a/internal/cluster/scheduler/aged.go
+++ b/internal/cluster/scheduler/aged.go
@@ -16,7 +16,8 @@
 	agedTimeout  = 10 * time.Second // after which an aged step that could not start gives its place to the next one
 )
 
-// age chooses the steps that are run though they have no value, and returns their pending tasks.
+// age chooses the steps that are run though they have no value, and returns pending tasks of them: at most
+// maxWorthlessPerRound, but a gang is complete.
 func (p *pendingSteps) age(now time.Duration, clockMs int64, service string, capacity protocol.Resources) (tasks []*jobs.Task) {
 	s := p.service(service)
 	used := 0.0
@@ -37,17 +38,7 @@
 		used += needs
 	}
 	for _, step := range s.aged {
-		tasks = append(tasks, pendingTasksOf(step.group)...)
-	}
-	return tasks
-}
-
-// pendingTasksOf returns the pending tasks of a group.
-func pendingTasksOf(group *jobs.Group) (tasks []*jobs.Task) {
-	for _, task := range group.Tasks {
-		if task.Phase == jobs.Pending {
-			tasks = append(tasks, task)
-		}
+		tasks = appendPending(tasks, step.group, maxWorthlessPerRound)
 	}
 	return tasks
 }
--- a/internal/cluster/scheduler/pending.go
+++ b/internal/cluster/scheduler/pending.go
@@ -219,17 +219,23 @@
 // takeStep appends the pending tasks of a step, up to limit in all, but a gang completely. It removes a step without any.
 func (p *pendingSteps) takeStep(step *pendingStep, tasks []*jobs.Task, limit int) []*jobs.Task {
 	before := len(tasks)
-	for _, task := range step.group.Tasks {
-		if len(tasks) >= limit && !step.group.Spec().Gang {
+	tasks = appendPending(tasks, step.group, limit)
+	if len(tasks) == before {
+		p.remove(step.group)
+	}
+	return tasks
+}
+
+// appendPending appends the pending tasks of a group, up to limit in all, but a gang completely.
+func appendPending(tasks []*jobs.Task, group *jobs.Group, limit int) []*jobs.Task {
+	for _, task := range group.Tasks {
+		if len(tasks) >= limit && !group.Spec().Gang {
 			break
 		}
 		if task.Phase == jobs.Pending {
 			tasks = append(tasks, task)
 		}
 	}
-	if len(tasks) == before {
-		p.remove(step.group)
-	}
 	return tasks
 }
 
--- a/internal/cluster/scheduler/pending_test.go
+++ b/internal/cluster/scheduler/pending_test.go
@@ -60,6 +60,13 @@
 		Expect(w.owner.TakeWorthless(service, 200)).To(HaveLen(200))
 	})
 
+	It("costs a round no more if it has aged and is wide", func() {
+		w := newWorld()
+		submitDead(w, 1, oneCore(5000))
+		w.pass(15 * time.Second)
+		Expect(w.owner.AgedTasks(w.now, service)).To(HaveLen(200))
+	})
+
 	It("does not hide what is behind it and could start", func() {
 		w := newWorld()
 		nowhere := oneCore(100)
