--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -132,8 +132,13 @@
 const deadline = 3 * time.Second
 
 func (s *scene) request(m *machine, method, id, body string) answer {
+	return s.requestFor(m, method, id, body, deadline)
+}
+
+// requestFor makes a request of a client that leaves after that time, and waits for deadline otherwise.
+func (s *scene) requestFor(m *machine, method, id, body string, leaves time.Duration) answer {
 	s.record.log("client: %s %s%s at %s %s", method, prefix, id, m.name, body)
-	got := call(method, m.address(frontendPort), prefix+id, host, map[string]string{"Ospreypond-Deadline-Ms": "3000"}, body, deadline)
+	got := call(method, m.address(frontendPort), prefix+id, host, map[string]string{"Ospreypond-Deadline-Ms": "3000"}, body, leaves)
 	s.record.log("client: %s %s%s at %s -> %s", method, prefix, id, m.name, got)
 	return got
 }
--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -64,6 +64,7 @@
 	holdUntil      time.Time
 	wake           chan struct{}
 	closed         chan struct{}
+	refused        int // status of the last answer, if that was no 200
 	workOf         func(spec string) time.Duration
 }
 
@@ -231,6 +232,10 @@
 		sent := time.Now()
 		got := call("POST", r.agent, "/v1/instances/"+r.id+"/heartbeat", "", nil, r.beat(), time.Second)
 		pause := 100 * time.Millisecond
+		if got.status != 200 && got.err == nil && got.status != r.refused {
+			r.world.record.log("%s: a heartbeat is answered %s", r.id, got)
+		}
+		r.refused = got.status
 		if got.status == 200 && time.Since(sent) <= time.Second {
 			pause = r.take(got.body, sent)
 		}
