--- a/review/standins/restart.go
+++ b/review/standins/restart.go
@@ -65,7 +65,7 @@
 	time.Sleep(time.Until(finish.Add(idleTime)))
 	s.state(frontend, job)
 	status := held
-	if s.trouble && len(s.startsOf(job)) == 3 {
+	if !s.ranAfter(job, finish) {
 		s.record.log("BROKEN: for %v the job has had nothing running, and two runners with 16 cores each run nothing", idleTime)
 		status = broken
 	}
@@ -73,3 +73,19 @@
 	s.record.log("%d starts of the job's tasks 3 s later", len(s.startsOf(job)))
 	return status, nil
 }
+
+// ranAfter reports whether any run of the job's tasks was there after that time, on a runner that is up.
+func (s *scene) ranAfter(job string, from time.Time) bool {
+	since := from.Sub(s.record.began)
+	for _, each := range s.startsOf(job) {
+		if each.at >= since {
+			return true
+		}
+		for _, up := range s.runners {
+			if up.id == each.runner && up.runs(each.task, each.number) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -258,3 +258,11 @@
 }
 
 func jobID(n int) string { return fmt.Sprintf("%016x", uint64(n)*0x9e3779b97f4a7c15) }
+
+// runs reports whether the run is there now.
+func (r *runner) runs(task string, number uint64) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	each := r.active[task]
+	return each != nil && each.number == number
+}
