Accept no job after its cancel was answered with 410

Cause: a cancel of an id that a shard doesn't know was committed and left nothing behind (jobs.State.applyCancel), so a submission that was on its way was accepted after it.

Ruled out: an entry of a new kind, or another effect of a cancel's entry. Replicas of this and of the earlier release would differ on one log. Ruled out too: recording at the queue's shards alone and letting fences tell later versions, as an owner of the earlier release tells nothing.

Change: a fence of every version (protocol.EveryVersion) withdraws an id. Both releases apply it alike, so replicas stay equal, and an owner of either release can record it. - A frontend answers 410 to a cancel only after all four shards of jobs have committed such a fence (frontend.Service.withdraw), the queue's first.

scheduler/pending_test.go cancelled an id that it submitted later; the test now draws an id that is never submitted, and checks as much. frontend/query_test.go expects the four fences after the cancels.

--- a/internal/cli/shards.go
+++ b/internal/cli/shards.go
@@ -98,7 +98,7 @@
 // counterRows returns the table of --counters. It omits shards without counters, such as the configuration shard.
 func counterRows(shards []administration.ShardView) [][]string {
 	rows := [][]string{{"SHARD", "TAKEN", "COMPLETED", "FAILED", "CANCELLED", "STARTED", "LOST", "ROUNDS", "STOPS", "REFUSED",
-		"STALE", "PREEMPTED", "STALLED"}}
+		"STALE", "PREEMPTED", "STALLED", "CANCELS REFUSED"}}
 	for _, shard := range shards {
 		if shard.Counters == nil {
 			continue
@@ -106,7 +106,7 @@
 		row := []string{shardName(shard.Shard)}
 		c := shard.Counters
 		for _, count := range []uint64{c.Taken, c.Completed, c.Failed, c.Cancelled, c.Started, c.Lost, c.Rounds, c.Stops, c.Refused,
-			c.Stale, c.Preempted, c.Stalled} {
+			c.Stale, c.Preempted, c.Stalled, c.WithdrawalsRefused} {
 			row = append(row, strconv.FormatUint(count, 10))
 		}
 		rows = append(rows, row)
--- a/internal/cluster/administration/client_test.go
+++ b/internal/cluster/administration/client_test.go
@@ -147,6 +147,35 @@
 		Expect(failure.KindOf(err)).To(Equal(failure.Unavailable))
 	})
 
+	It("is never accepted after an operator's cancel found it in no shard", func() {
+		f := newFakeControl()
+		f.respond = func(request any) (any, error) {
+			if _, isFence := request.(protocol.FenceRequest); isFence {
+				return &protocol.FenceResponse{}, nil
+			}
+			return nil, failure.New(failure.Gone, "no such job")
+		}
+		Expect(failure.KindOf(dial(f.address).Cancel(within(callTimeout), id))).To(Equal(failure.Gone))
+		for shard := protocol.ShardID(1); shard <= protocol.JobShards; shard++ {
+			Expect(f.requests()).To(ContainElement(protocol.FenceRequest{Shard: shard, ID: id, ConfigurationVersion: protocol.EveryVersion}))
+		}
+	})
+
+	It("is cancelled in the shard that accepts it while an operator cancels it", func() {
+		f := newFakeControl()
+		f.respond = func(request any) (any, error) {
+			switch request := request.(type) {
+			case protocol.FenceRequest:
+				return &protocol.FenceResponse{HasJob: request.Shard == 3}, nil
+			case protocol.CancelRequest:
+				return &protocol.CancelResponse{}, nil
+			}
+			return nil, failure.New(failure.Gone, "no such job")
+		}
+		Expect(dial(f.address).Cancel(within(callTimeout), id)).To(Succeed())
+		Expect(f.requests()).To(ContainElement(protocol.CancelRequest{Shard: 3, ID: id}))
+	})
+
 	It("is cancelled only in the shard that has it", func() {
 		f := newFakeControl()
 		f.respond = jobIn(2)
--- a/internal/cluster/administration/jobs.go
+++ b/internal/cluster/administration/jobs.go
@@ -51,17 +51,44 @@
 	return state, err
 }
 
-// Cancel cancels a job. It fails with Gone if no shard has the job.
+// Cancel cancels a job. It fails with Gone if no shard has the job. Then no shard accepts it later either: its ID is
+// withdrawn, as a submission may be on its way.
 func (c *Client) Cancel(ctx context.Context, id string) error {
 	_, shard, err := c.findJob(ctx, id)
-	if err != nil {
+	if err == nil {
+		return c.cancelIn(ctx, shard, id)
+	}
+	if failure.KindOf(err) != failure.Gone {
 		return err
 	}
-	_, err = call[protocol.CancelRequest, protocol.CancelResponse](
+	return c.withdraw(ctx, id)
+}
+
+func (c *Client) cancelIn(ctx context.Context, shard protocol.ShardID, id string) error {
+	_, err := call[protocol.CancelRequest, protocol.CancelResponse](
 		ctx, c, shard, &protocol.CancelRequest{Shard: shard, ID: id})
 	return err
 }
 
+// withdraw has every shard promise never to accept a job. It cancels the job in a shard that has accepted it in the
+// meantime. Otherwise it returns Gone.
+func (c *Client) withdraw(ctx context.Context, id string) error {
+	for shard := protocol.ShardID(1); shard <= protocol.JobShards; shard++ {
+		response, err := call[protocol.FenceRequest, protocol.FenceResponse](
+			ctx, c, shard, &protocol.FenceRequest{Shard: shard, ID: id, ConfigurationVersion: protocol.EveryVersion})
+		if err != nil {
+			return err
+		}
+		if !response.HasJob {
+			continue
+		}
+		if err := c.cancelIn(ctx, shard, id); failure.KindOf(err) != failure.Gone {
+			return err
+		}
+	}
+	return failure.Newf(failure.Gone, "no shard knows a job %q, and none accepts it from now on", id)
+}
+
 // findJob queries one shard after the other for a job. Only the error Gone lets the search continue: a shard that can't be
 // queried may have the job, so the job must not be reported as Gone then.
 func (c *Client) findJob(ctx context.Context, id string) (state string, shard protocol.ShardID, err error) {
--- a/internal/cluster/administration/messages.go
+++ b/internal/cluster/administration/messages.go
@@ -76,6 +76,8 @@
 	Held    int `json:"held"`    // pending tasks
 	Running int `json:"running"` // tasks of which a run may exist
 	Runners int `json:"runners"`
+
+	Withdrawn int `json:"withdrawn"` // IDs of jobs that were cancelled before they were accepted
 }
 
 // Counters count the events of a shard of jobs. Encoded by gob, and printed in JSON: the field names and tags are formats.
@@ -95,6 +97,8 @@
 	Stale     uint64 `json:"stale"`     // submissions rejected because they name an older configuration
 	Preempted uint64 `json:"preempted"` // runs stopped to make room for others
 	Stalled   uint64 `json:"stalled"`   // runs stopped because they made no progress
+
+	WithdrawalsRefused uint64 `json:"withdrawalsRefused"` // cancels of unknown jobs refused because of too many others
 }
 
 // RunnersRequest requests the runners of a shard from its owner. Encoded by gob.
--- a/internal/cluster/control/administration_endpoints.go
+++ b/internal/cluster/control/administration_endpoints.go
@@ -138,6 +138,8 @@
 		Held:    counters.Pending,
 		Running: counters.Running,
 		Runners: counters.Runners,
+
+		Withdrawn: counters.Withdrawn,
 	}
 	group.Counters = administration.Counters{
 		Taken:     counters.Accepted,
@@ -152,6 +154,8 @@
 		Stale:     decided.Stale,
 		Preempted: decided.Preempted,
 		Stalled:   decided.Stalled,
+
+		WithdrawalsRefused: decided.WithdrawalsRefused,
 	}
 }
 
--- a/internal/cluster/failure/answers/answers.go
+++ b/internal/cluster/failure/answers/answers.go
@@ -27,7 +27,7 @@
 	failure.Conflict:       {Status: http.StatusPreconditionFailed, Advice: "read the configuration and build on its version"},
 	failure.TooLarge:       {Status: http.StatusRequestEntityTooLarge, Advice: "send less, or raise the limit"},
 	failure.NoRoute:        {Status: http.StatusNotFound, Advice: "check host and path against the configuration"},
-	failure.Gone:           {Status: http.StatusGone, Advice: "the job is unknown, or was forgotten after its time"},
+	failure.Gone:           {Status: http.StatusGone, Advice: "the job is unknown, was forgotten after its time, or was cancelled before it was accepted"},
 	failure.Stale:          {Status: http.StatusServiceUnavailable, Retry: true, Advice: "nothing: the frontend catches up by itself"},
 	failure.Moved:          {Status: http.StatusServiceUnavailable, Retry: true, Advice: "nothing: the frontend catches up by itself"},
 	failure.Forgotten:      {Status: http.StatusGatewayTimeout, Advice: "read the configuration: is the change in it?"},
--- a/internal/cluster/frontend/query.go
+++ b/internal/cluster/frontend/query.go
@@ -31,21 +31,6 @@
 	httpjson.Write(w, http.StatusOK, []byte(`{"state":"`+string(state)+`"}`))
 }
 
-// serveCancel cancels a job and responds once the cancellation is committed.
-func (s *Service) serveCancel(ctx context.Context, w http.ResponseWriter, r *http.Request, arrived time.Time, to target) {
-	ctx, cancel := s.withBudget(ctx, r, arrived, to, maxQueryTime)
-	defer cancel()
-	err := s.queryEach(ctx, arrived, r, to, func(shard protocol.ShardID, id string) error {
-		_, err := s.Owners.Cancel(ctx, &protocol.CancelRequest{Shard: shard, ID: id})
-		return err
-	})
-	if err != nil {
-		httpjson.WriteError(w, err)
-		return
-	}
-	httpjson.Write(w, http.StatusOK, httpjson.EmptyObject)
-}
-
 // servePending responds with the number of a queue's jobs that have not ended.
 func (s *Service) servePending(ctx context.Context, w http.ResponseWriter, r *http.Request, arrived time.Time, to target) {
 	ctx, cancel := s.withBudget(ctx, r, arrived, to, maxQueryTime)
--- a/internal/cluster/frontend/query_test.go
+++ b/internal/cluster/frontend/query_test.go
@@ -62,7 +62,7 @@
 		Entry("an earlier shard has the job to cancel", "DELETE", map[protocol.ShardID]failure.Kind{2: failure.Gone}, 200,
 			"cancel 2", "cancel 3"),
 		Entry("no shard has the job to cancel", "DELETE", map[protocol.ShardID]failure.Kind{2: failure.Gone, 3: failure.Gone, 4: failure.Gone}, 410,
-			"cancel 2", "cancel 3", "cancel 4"),
+			"cancel 2", "cancel 3", "cancel 4", "fence 2", "fence 3", "fence 4", "fence 1"),
 		Entry("the outcome of a cancellation at one shard is unknown", "DELETE", map[protocol.ShardID]failure.Kind{2: failure.Unavailable, 3: failure.UnknownOutcome, 4: failure.Gone}, 504,
 			"cancel 2", "cancel 3", "cancel 4"),
 	)
--- a/internal/cluster/jobs/apply.go
+++ b/internal/cluster/jobs/apply.go
@@ -71,7 +71,8 @@
 }
 
 // applyFence reports whether the shard has or had the job. If not, it stores a tombstone: while that is retained,
-// applySubmit rejects the job if its queue was chosen by the fence's version of the configuration or an older one.
+// applySubmit rejects the job if its queue was chosen by the fence's version of the configuration or an older one. A
+// withdrawn id stays withdrawn: every other fence has a lower version.
 func (s *State) applyFence(fence Fence) bool {
 	if s.jobs[fence.ID] != nil {
 		return true
--- a/internal/cluster/jobs/command.go
+++ b/internal/cluster/jobs/command.go
@@ -30,9 +30,13 @@
 
 // Fence asks the shard never to accept job ID from a Submit with Version or an older one, unless it has or had the job. The
 // configuration of that version assigns the job's queue to another shard, which may accept the job after the fence.
+//
+// A fence with protocol.EveryVersion withdraws the id: while the tombstone is retained, no Submit of it is accepted. The
+// cancel of an unknown job is recorded so, and not by a command of its own, because replicas of earlier releases apply a
+// fence in the same way: replicas of both releases on one log stay equal.
 type Fence struct {
 	ID      string
-	Version uint64 // version of the configuration
+	Version uint64 // version of the configuration, or protocol.EveryVersion
 }
 
 // End states that a run has ended, as its runner reported it.
--- a/internal/cluster/jobs/effects.go
+++ b/internal/cluster/jobs/effects.go
@@ -27,6 +27,7 @@
 	Duplicate                     // a job with this id was accepted before
 	Fenced                        // the id is fenced for the Submit's version of the configuration
 	Rejected                      // the spec is invalid: Validate returns an error
+	Withdrawn                     // the id is fenced for every version: the job was cancelled before it was accepted
 )
 
 // Lingering is a run of a gang member that became Done when another member ended with protocol.EndDone, before the run's own
--- a/internal/cluster/jobs/model_draw_test.go
+++ b/internal/cluster/jobs/model_draw_test.go
@@ -42,6 +42,15 @@
 // drawVersion draws a version of the configuration.
 func drawVersion(t *rapid.T) uint64 { return uint64(rapid.IntRange(1, 6).Draw(t, "version")) }
 
+// drawFence draws a fence. One in six withdraws the id.
+func drawFence(t *rapid.T) jobs.Fence {
+	fence := jobs.Fence{ID: drawID(t), Version: drawVersion(t)}
+	if rapid.IntRange(0, 5).Draw(t, "withdraw") == 0 {
+		fence.Version = protocol.EveryVersion
+	}
+	return fence
+}
+
 // drawCommand draws a command. Most of its items are valid in the current state.
 func (m *model) drawCommand(t *rapid.T) *jobs.Command {
 	m.nowMs += int64(rapid.SampledFrom([]int{0, 0, 10, 50, 200, 6000, -300}).Draw(t, "elapsedMs"))
@@ -58,7 +67,7 @@
 		c.Cancels = append(c.Cancels, drawID(t))
 		c.Departures = rapid.SliceOfN(rapid.SampledFrom(modelRunners), 0, 1).Draw(t, "departures")
 	case 3:
-		c.Fences = append(c.Fences, jobs.Fence{ID: drawID(t), Version: drawVersion(t)})
+		c.Fences = append(c.Fences, drawFence(t))
 	case 4, 5, 6, 7:
 		m.drawStarts(t, c)
 	default:
--- a/internal/cluster/jobs/model_test.go
+++ b/internal/cluster/jobs/model_test.go
@@ -109,6 +109,8 @@
 	switch {
 	case has:
 		want = jobs.Duplicate
+	case m.fencedVersion[submit.ID] == protocol.EveryVersion:
+		want = jobs.Withdrawn
 	case submit.Version <= m.fencedVersion[submit.ID]:
 		want = jobs.Fenced
 	}
--- a/internal/cluster/jobs/restore.go
+++ b/internal/cluster/jobs/restore.go
@@ -69,6 +69,7 @@
 			known.version = r.unsigned()
 		}
 		set.byID[entry.id] = known
+		set.countWithdrawn(known, 1)
 	}
 }
 
--- a/internal/cluster/jobs/state.go
+++ b/internal/cluster/jobs/state.go
@@ -24,7 +24,7 @@
 	tombstones     tombstoneSet
 	endedJobs      expiryQueue // ended jobs in jobs, until their state expires
 
-	counters Counters // Retained, Forgotten and Runners stay 0 here: method Counters derives them
+	counters Counters // Retained, Forgotten, Withdrawn and Runners stay 0 here: method Counters derives them
 	effects  *Effects // effects of the command being applied; nil outside Apply
 
 	snapshotSizeHint int // expected size of the next snapshot, in bytes
@@ -35,6 +35,7 @@
 	Jobs      int // jobs that have not ended
 	Retained  int // jobs that have ended and still have a state
 	Forgotten int // job ids with a tombstone: forgotten jobs and fenced ids
+	Withdrawn int // job ids that are fenced for every version; Forgotten includes them
 	Pending   int // tasks that are Pending
 	Running   int // tasks that are Running
 	Lingering int // runs that linger; see type Lingering
@@ -137,6 +138,7 @@
 	counters := s.counters
 	counters.Retained = len(s.jobs) - counters.Jobs
 	counters.Forgotten = s.tombstones.count()
+	counters.Withdrawn = s.tombstones.withdrawn
 	counters.Runners = len(s.runners.records)
 	return counters
 }
--- a/internal/cluster/jobs/submit.go
+++ b/internal/cluster/jobs/submit.go
@@ -10,8 +10,8 @@
 // that have their texts already keep them.
 const maxSharedQueues = 4096
 
-// applySubmit accepts a job unless its id is known, is fenced for the submit's version of the configuration, or its spec is
-// invalid. An id stays known after its job ended: first by the job's state, then by a tombstone.
+// applySubmit accepts a job unless its id is known, is withdrawn, is fenced for the submit's version of the configuration, or
+// its spec is invalid. An id stays known after its job ended: first by the job's state, then by a tombstone.
 func (s *State) applySubmit(submit *Submit) SubmitEffect {
 	if s.jobs[submit.ID] != nil {
 		return Duplicate
@@ -20,6 +20,8 @@
 	switch {
 	case known.kind == forgottenJob:
 		return Duplicate
+	case known.isWithdrawn():
+		return Withdrawn
 	case known.kind == fencedID && submit.Version <= known.version:
 		return Fenced
 	}
--- a/internal/cluster/jobs/submit_test.go
+++ b/internal/cluster/jobs/submit_test.go
@@ -80,6 +80,45 @@
 		Expect(s.submitBy(jobA, 9)).To(Equal(jobs.Duplicate))
 	})
 
+	It("never accepts a withdrawn id with any version, whatever fences and submits follow", func() {
+		Expect(s.fence(jobA, protocol.EveryVersion)).To(BeFalse())
+		Expect(s.fence(jobA, 5)).To(BeFalse())
+		Expect(s.submitBy(jobA, 9)).To(Equal(jobs.Withdrawn))
+		Expect(s.submitBy(jobA, protocol.EveryVersion-1)).To(Equal(jobs.Withdrawn))
+		Expect(s.stateOf(jobA)).To(Equal("unknown"))
+		Expect(s.Counters().Withdrawn).To(Equal(1))
+	})
+
+	It("does not withdraw the id of a job that it accepts in the same command", func() {
+		submit := jobs.Submit{ID: jobA, Queue: queue(2), Job: protocol.JobSpec{Steps: []protocol.Step{step(1)}}}
+		withdrawal := jobs.Fence{ID: jobA, Version: protocol.EveryVersion}
+		effects := s.do(&jobs.Command{Submits: []jobs.Submit{submit}, Fences: []jobs.Fence{withdrawal}})
+		Expect(effects.Submits).To(Equal([]jobs.SubmitEffect{jobs.Accepted}))
+		Expect(effects.Fences).To(Equal([]bool{true}))
+		Expect(s.Counters().Withdrawn).To(Equal(0))
+	})
+
+	It("retains a withdrawn id in a snapshot, for TombstoneRetention", func() {
+		s.fence(jobA, protocol.EveryVersion)
+		s.fence(jobB, 5)
+		s.advanceInSteps(5 * time.Minute)
+		snapshot, err := s.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		s.State = jobs.New(jobs.Options{})
+		Expect(s.Restore(snapshot)).To(Succeed())
+		remaining, withdrawn := s.Withdrawn(jobA)
+		Expect(withdrawn).To(BeTrue())
+		Expect(remaining).To(Equal(15 * time.Minute))
+		_, withdrawn = s.Withdrawn(jobB)
+		Expect(withdrawn).To(BeFalse())
+		Expect(s.submitBy(jobA, 9)).To(Equal(jobs.Withdrawn))
+		s.advanceInSteps(15 * time.Minute)
+		Expect(s.Counters().Withdrawn).To(Equal(1))
+		s.advance(1)
+		Expect(s.Counters().Withdrawn).To(Equal(0))
+		Expect(s.submitBy(jobA, 9)).To(Equal(jobs.Accepted))
+	})
+
 	It("does not fence the id of a job that it has or had", func() {
 		s.submit(jobA, 2, step(1))
 		Expect(s.fence(jobA, 5)).To(BeTrue())
--- a/internal/cluster/protocol/owner.go
+++ b/internal/cluster/protocol/owner.go
@@ -1,5 +1,7 @@
 package protocol
 
+import "math"
+
 // Frontends and agents send the requests below to the owner of the shard that Shard names, directly or through a relay. A
 // process that doesn't own the shard answers with the error NotLeader.
 
@@ -59,15 +61,23 @@
 // have, the call fails with the error Gone. Encoded by gob.
 type CancelResponse struct{}
 
+// EveryVersion is the ConfigurationVersion of a FenceRequest that withdraws a job's ID: the fence covers the submissions of
+// every version of the configuration. A frontend withdraws the ID at all shards before it answers the cancel of an unknown
+// job.
+const EveryVersion uint64 = math.MaxUint64
+
 // FenceRequest fences a job's ID at a shard that had the job's queue earlier. A frontend sends it before it submits the
 // job to the queue's current shard, so that two shards never accept the same job. The shard either answers that it has or
 // had the job, or commits this promise: it never accepts the job from a submission whose ConfigurationVersion is at most
 // the request's. The queue can return to the shard in a later version, and submissions by that version are
 // accepted. Encoded by gob.
+//
+// With EveryVersion the promise has no exception: a submission that is still on its way fails with the error Gone. The shard
+// keeps this promise for some minutes, which is longer than a submission can be on its way.
 type FenceRequest struct {
 	Shard                ShardID
 	ID                   string // the job's ID
-	ConfigurationVersion uint64 // version of the configuration that the frontend used to choose the queue
+	ConfigurationVersion uint64 // version of the configuration that the frontend used to choose the queue, or EveryVersion
 }
 
 // FenceResponse is the earlier shard's answer. Encoded by gob.
--- a/internal/cluster/scheduler/owner.go
+++ b/internal/cluster/scheduler/owner.go
@@ -40,6 +40,8 @@
 	Stale     uint64 // submits refused because they were routed by an outdated configuration
 	Preempted uint64 // runs stopped for tasks of higher priority
 	Stalled   uint64 // runs stopped because they made no progress
+
+	WithdrawalsRefused uint64 // cancels of unknown jobs that were refused
 }
 
 // runKey identifies one run of a task.
--- a/internal/cluster/scheduler/pending_test.go
+++ b/internal/cluster/scheduler/pending_test.go
@@ -232,7 +232,8 @@
 				active = append(active, activeRuns(w.orders(report).Start)...)
 			},
 			"cancel": func(t *rapid.T) {
-				id := fmt.Sprintf("%016x", rapid.IntRange(1, max(submitted, 1)).Draw(t, "job"))
+				// No job is submitted under 0: a job that is cancelled before its submission is not accepted.
+				id := fmt.Sprintf("%016x", rapid.IntRange(0, submitted).Draw(t, "job"))
 				w.owner.Cancel(w.now, id, func(error) {})
 				w.commitAll()
 				active = slices.DeleteFunc(active, func(run protocol.ActiveRun) bool { return strings.HasPrefix(run.Task, id) })
--- a/internal/cluster/scheduler/proposals.go
+++ b/internal/cluster/scheduler/proposals.go
@@ -5,6 +5,7 @@
 
 	"ospreypond/internal/cluster/jobs"
 	"ospreypond/internal/cluster/latency"
+	"ospreypond/internal/cluster/protocol"
 )
 
 // proposeRetryInterval is the pause after a command that failed, for instance because the leadership was being transferred.
@@ -19,6 +20,9 @@
 	inFlightReplies replies                // of the requests in inFlight
 	ending          map[runKey]latency.Run // runs with an end or a loss in next or inFlight
 	retryAt         time.Duration          // earliest time to propose again after a failure
+
+	nextWithdrawals     int // fences in next that withdraw an id
+	inFlightWithdrawals int // fences in inFlight that withdraw an id
 }
 
 func newProposals() proposals { return proposals{ending: map[runKey]latency.Run{}} }
@@ -38,6 +42,11 @@
 	p.pendingReplies.fences = append(p.pendingReplies.fences, reply)
 }
 
+func (p *proposals) addWithdrawal(id string, reply func(hasJob bool, err error)) {
+	p.nextWithdrawals++
+	p.addFence(jobs.Fence{ID: id, Version: protocol.EveryVersion}, reply)
+}
+
 func (p *proposals) addDeparture(instance string, reply func(err error)) {
 	p.next.Departures = append(p.next.Departures, instance)
 	p.pendingReplies.departures = append(p.pendingReplies.departures, reply)
@@ -74,6 +83,7 @@
 	p.next = jobs.Command{}
 	p.inFlight = &command
 	p.inFlightReplies, p.pendingReplies = p.pendingReplies, replies{}
+	p.inFlightWithdrawals, p.nextWithdrawals = p.nextWithdrawals, 0
 	return &command
 }
 
@@ -82,6 +92,7 @@
 	waiting := p.inFlightReplies
 	p.inFlight = nil
 	p.inFlightReplies = replies{}
+	p.inFlightWithdrawals = 0
 	return waiting
 }
 
--- a/internal/cluster/scheduler/replies.go
+++ b/internal/cluster/scheduler/replies.go
@@ -37,6 +37,8 @@
 	switch effect {
 	case jobs.Fenced:
 		reply(false, failure.New(failure.Moved, "the queue now belongs to another shard"))
+	case jobs.Withdrawn:
+		reply(false, errWithdrawn)
 	case jobs.Duplicate:
 		reply(true, nil)
 	case jobs.Rejected:
--- a/internal/cluster/scheduler/requests.go
+++ b/internal/cluster/scheduler/requests.go
@@ -71,18 +71,24 @@
 	return nil
 }
 
-// Cancel cancels a job. The reply comes after the cancellation is committed. It is failure.Gone for an unknown job.
+// Cancel cancels a job. The reply comes after the cancellation is committed. It is failure.Gone for an unknown job, whose id
+// is withdrawn in the same command if that is possible. Frontends ask for the withdrawal by a fence as well; frontends of
+// earlier releases don't.
 func (o *Owner) Cancel(_ time.Duration, id string, reply func(err error)) {
 	if !o.leadership.isLeader {
 		reply(errNotLeader)
 		return
 	}
 	o.proposals.addCancel(id, reply)
+	if _, known := o.state.StateOf(id); !known && !o.isWithdrawn(id) && o.checkWithdrawal(id) == nil {
+		o.proposals.addWithdrawal(id, func(bool, error) {})
+	}
 }
 
 // Fence asks whether the shard has a job. If it doesn't, the shard commits a promise never to accept the job from a submit
-// that was routed by the fence's version of the configuration or an older one.
-func (o *Owner) Fence(_ time.Duration, fence jobs.Fence, reply func(hasJob bool, err error)) {
+// that was routed by the fence's version of the configuration or an older one. A fence with protocol.EveryVersion withdraws
+// the id. A withdrawn id needs no other fence: the owner only confirms its leadership, and adds nothing to the log.
+func (o *Owner) Fence(now time.Duration, fence jobs.Fence, reply func(hasJob bool, err error)) {
 	if !o.leadership.isLeader {
 		reply(false, errNotLeader)
 		return
@@ -91,7 +97,14 @@
 		reply(true, nil)
 		return
 	}
-	o.proposals.addFence(fence, reply)
+	switch {
+	case o.isWithdrawn(fence.ID):
+		o.reads.add(now, func(err error) { reply(false, err) })
+	case fence.Version == protocol.EveryVersion:
+		o.withdraw(fence.ID, reply)
+	default:
+		o.proposals.addFence(fence, reply)
+	}
 }
 
 // Status asks for a job's state. A final state is committed and never changes, so the owner returns it at once. Any other
--- a/internal/cluster/simulation/audit_test.go
+++ b/internal/cluster/simulation/audit_test.go
@@ -239,6 +239,11 @@
 			b.cancel(4)
 			b.run(b.firstRunner, 0, 0, 1, 7.2, 7.5, protocol.EndStopped)
 		}),
+		Entry("UNASKED: a run starts more than 3 s after a cancel was answered with 410", RuleUnasked, func(b *historyBuilder) {
+			b.cancel(4)
+			b.submitted.Cancels[0].Status = 410
+			b.run(b.firstRunner, 0, 0, 1, 7.1, 7.2, protocol.EndDone)
+		}),
 		Entry("UNASKED: a run starts more than 7 s after a cancel that is not acknowledged in a fault-free span", RuleUnasked, func(b *historyBuilder) {
 			b.cancel(4)
 			b.submitted.Cancels[0].Answered = Never
--- a/internal/cluster/simulation/client.go
+++ b/internal/cluster/simulation/client.go
@@ -31,8 +31,14 @@
 	Timeout         time.Duration // of one call
 	MaxRetries      int           // of a submission or a cancel, at most
 	AbandonFraction float64       // in this fraction of submissions the client disconnects 5 to 300 ms after sending
+	// WithdrawFraction is the fraction of submissions of which the client disconnects up to maxPatience after sending, and
+	// then cancels the job at another frontend, without submitting it again.
+	WithdrawFraction float64
 }
 
+// maxPatience is the longest time for which a client that withdraws its submission waits for the response.
+const maxPatience = 600 * time.Millisecond
+
 // NewClients returns clients that call these frontends.
 func NewClients(world *World, truth *GroundTruth, frontends []*Machine) *Clients {
 	return &Clients{World: world, GroundTruth: truth, History: truth.History, Frontends: frontends,
@@ -68,7 +74,7 @@
 // QueryPending queries the number of pending jobs in a queue once.
 func (c *Clients) QueryPending(queue QueueName) {
 	attempt := &Attempt{}
-	c.call(attempt, c.Timeout, func(f Frontend, reply replyFunc) func() {
+	c.call(c.drawFrontend(""), attempt, c.Timeout, func(f Frontend, reply replyFunc) func() {
 		return f.CountPending(queue, c.Timeout, func(status, _ int) { reply(status, "") })
 	}, func(int, string) {
 		c.History.PendingQueries = append(c.History.PendingQueries, PendingQuery{Queue: queue, Attempt: *attempt})
@@ -81,6 +87,11 @@
 	if c.World.Chance(c.AbandonFraction) {
 		timeout = c.World.Between(5*time.Millisecond, 300*time.Millisecond)
 	}
+	withdraws := c.World.Chance(c.WithdrawFraction)
+	if withdraws {
+		timeout = c.World.Between(5*time.Millisecond, maxPatience)
+	}
+	position := len(job.Submissions)
 	c.recordCall(&job.Submissions, timeout, func(f Frontend, reply replyFunc) func() {
 		return f.Submit(job.Queue, job.ID, &job.Spec, c.Timeout, func(status int) { reply(status, "") })
 	}, func(status int, _ string) {
@@ -93,6 +104,10 @@
 			}
 			return
 		}
+		if withdraws && status == noResponse {
+			c.cancelElsewhere(job, 0, job.Submissions[position].Machine)
+			return
+		}
 		mayRetry := status == noResponse || status == http.StatusTooManyRequests || status/100 == 5
 		if mayRetry && retries > 0 {
 			c.World.After(c.backoff(c.MaxRetries-retries), func() { c.submit(job, retries-1) })
@@ -100,13 +115,16 @@
 	})
 }
 
-// cancel sends a cancel of a job, up to MaxRetries times more, until it is acknowledged or the job is unknown (410).
-func (c *Clients) cancel(job *JobRecord, attempts int) {
-	c.recordCall(&job.Cancels, c.Timeout, func(f Frontend, reply replyFunc) func() {
+// cancel sends a cancel of a job to a drawn frontend, up to MaxRetries times more, until it is acknowledged.
+func (c *Clients) cancel(job *JobRecord, attempts int) { c.cancelElsewhere(job, attempts, "") }
+
+// cancelElsewhere cancels a job as cancel does, but avoids the frontend on one machine if there is another one.
+func (c *Clients) cancelElsewhere(job *JobRecord, attempts int, avoided string) {
+	c.recordCallTo(c.drawFrontend(avoided), &job.Cancels, c.Timeout, func(f Frontend, reply replyFunc) func() {
 		return f.Cancel(job.Queue, job.ID, c.Timeout, func(status int) { reply(status, "") })
 	}, func(status int, _ string) {
 		if !isSuccess(status) && status != http.StatusGone && attempts < c.MaxRetries {
-			c.World.After(c.backoff(attempts), func() { c.cancel(job, attempts+1) })
+			c.World.After(c.backoff(attempts), func() { c.cancelElsewhere(job, attempts+1, avoided) })
 		}
 	})
 }
@@ -139,21 +157,26 @@
 // requestFunc sends a request to a frontend and returns a function that informs it that the client has disconnected.
 type requestFunc func(f Frontend, reply replyFunc) (disconnect func())
 
-// recordCall makes a call and appends its attempt to a list at once. The entry is completed before done is called.
+// recordCall makes a call to a drawn frontend and records it; see recordCallTo.
 func (c *Clients) recordCall(attempts *[]Attempt, timeout time.Duration, request requestFunc, done replyFunc) {
+	c.recordCallTo(c.drawFrontend(""), attempts, timeout, request, done)
+}
+
+// recordCallTo makes a call to the frontend on a machine and appends its attempt to a list at once. The entry is completed
+// before done is called.
+func (c *Clients) recordCallTo(machine *Machine, attempts *[]Attempt, timeout time.Duration, request requestFunc, done replyFunc) {
 	attempt := &Attempt{}
 	position := len(*attempts)
-	c.call(attempt, timeout, request, func(status int, state string) {
+	c.call(machine, attempt, timeout, request, func(status int, state string) {
 		(*attempts)[position] = *attempt
 		done(status, state)
 	})
 	*attempts = append(*attempts, *attempt)
 }
 
-// call makes one call of a client to a drawn frontend. It calls done once: with the response, or with noResponse at the
-// timeout, when the process ends before, or when none is listening. At the timeout the client disconnects.
-func (c *Clients) call(attempt *Attempt, timeout time.Duration, request requestFunc, done replyFunc) {
-	machine := c.drawFrontend()
+// call makes one call of a client to the frontend on a machine. It calls done once: with the response, or with noResponse
+// at the timeout, when the process ends before, or when none is listening. At the timeout the client disconnects.
+func (c *Clients) call(machine *Machine, attempt *Attempt, timeout time.Duration, request requestFunc, done replyFunc) {
 	attempt.Machine, attempt.Incarnation, attempt.Sent, attempt.Answered = machine.Name, machine.incarnation, c.World.now, Never
 	isFinished := false
 	finish := func(status int) {
@@ -195,11 +218,12 @@
 	})
 }
 
-// drawFrontend draws a frontend to which the platform routes new clients, or any frontend if it routes to none.
-func (c *Clients) drawFrontend() *Machine {
+// drawFrontend draws a frontend to which the platform routes new clients, or any frontend if it routes to none. It draws the
+// one on the avoided machine only if there is no other; an empty name avoids none.
+func (c *Clients) drawFrontend(avoided string) *Machine {
 	var ready []*Machine
 	for _, m := range c.Frontends {
-		if m.receivesClients() {
+		if m.receivesClients() && m.Name != avoided {
 			ready = append(ready, m)
 		}
 	}
--- a/internal/cluster/simulation/cluster/cluster_test.go
+++ b/internal/cluster/simulation/cluster/cluster_test.go
@@ -125,6 +125,22 @@
 		Entry("while the configuration changes", false, "config_change", "config_move"),
 	)
 
+	// Guards against a submission that is accepted after the cancel of its job was answered with 410.
+	DescribeTable("accept no job after its cancel was answered with 410",
+		func(final simulation.FinalFault, kinds ...string) {
+			kinds = append(kinds, simulation.WithdrawnSubmissions, simulation.WithdrawnSubmissions)
+			playSeeds(14000, 2+seeds/50, Options{Faults: kinds, Overlapping: true, FinalFault: final})
+		},
+		Entry("while clients withdraw submissions", WithoutFinalFault),
+		Entry("while owners are lost", WithoutFinalFault, "core_kill", "core_freeze"),
+		Entry("while all control processes are killed at once", WithoutFinalFault, "core_herd_power", "core_kill"),
+		Entry("while queues move", WithoutFinalFault, "config_move", "config_move", "core_freeze"),
+		Entry("while queues move and a frontend's configuration is stale", WithoutFinalFault, "front_lags", "config_move", "config_move"),
+		Entry("while messages are lost", WithoutFinalFault, "reset_conns", "node_cut", "give_up"),
+		Entry("while control processes are partitioned and replaced", WithoutFinalFault, "core_cut", "replace_core"),
+		Entry("before all machines lose power", simulation.PowerOffAll),
+	)
+
 	for _, fault := range simulation.FinalFaults() {
 		It("recover from the final fault "+string(fault), func() {
 			playSeeds(6000, 1+seeds/100, Options{FinalFault: fault})
--- a/internal/cluster/simulation/cluster/history_model_test.go
+++ b/internal/cluster/simulation/cluster/history_model_test.go
@@ -27,6 +27,7 @@
 	jobCompleted
 	jobFailed
 	jobCancelled
+	jobWithdrawn // not accepted, and never accepted later: a cancel was answered with 410
 
 	jobEnded = jobCompleted | jobFailed | jobCancelled
 )
@@ -47,7 +48,8 @@
 }
 
 // jobModel is the sequential specification of one job as its clients see it. The job is accepted at most once. After that it
-// ends at most once: it completes, fails, or is cancelled by a client.
+// ends at most once: it completes, fails, or is cancelled by a client. If it is cancelled before it is accepted, it is never
+// accepted.
 var jobModel = porcupine.Model{
 	Init: func() any { return jobAbsent },
 	Step: func(state, input, output any) (bool, any) {
@@ -81,21 +83,27 @@
 		next |= jobLive
 	}
 	if status != 0 {
-		next &^= jobAbsent
+		next &^= jobAbsent | jobWithdrawn
 	}
 	return next
 }
 
-// afterCancel returns the states after a cancel. Status 410 says that the job doesn't exist, and a success that the job has
-// ended.
+// afterCancel returns the states after a cancel. Status 410 says that the job doesn't exist and is never accepted, and a
+// success that the job has ended.
 func (s jobStates) afterCancel(status int) jobStates {
 	if status == http.StatusGone {
-		return s & jobAbsent
+		if s&(jobAbsent|jobWithdrawn) == 0 {
+			return 0
+		}
+		return jobWithdrawn
 	}
 	next := s
 	if s&jobLive != 0 {
 		next |= jobCancelled
 	}
+	if s&jobAbsent != 0 {
+		next |= jobWithdrawn
+	}
 	if status/100 == 2 {
 		next &= jobEnded
 	}
@@ -105,7 +113,7 @@
 // afterQuery returns the states that are possible after a query with this response, which shows the state.
 func (s jobStates) afterQuery(response jobResponse) jobStates {
 	if response.status == http.StatusGone {
-		return s & jobAbsent
+		return s & (jobAbsent | jobWithdrawn)
 	}
 	switch response.state {
 	case protocol.JobQueued, protocol.JobRunning:
--- a/internal/cluster/simulation/cluster/history_test.go
+++ b/internal/cluster/simulation/cluster/history_test.go
@@ -85,6 +85,7 @@
 		Entry("while owners are partitioned", "cancel", "core_cut", "node_cut", "config_race", "ack_lost"),
 		Entry("while owners are lost", "cancel", "core_kill", "reset_conns", "config_race", "ack_lost"),
 		Entry("while queues move", "cancel", "config_move", "config_move", "core_freeze", "give_up"),
+		Entry("while clients withdraw submissions and queues move", simulation.WithdrawnSubmissions, simulation.WithdrawnSubmissions, "config_move", "core_kill"),
 		Entry("while disks stall or are full", "cancel", "disk_stall", "disk_full", "config_race", "bad_config"),
 	)
 
@@ -124,6 +125,20 @@
 			Cancels:     []simulation.Attempt{answered(6, 8, 200, "")},
 			Queries:     []simulation.Attempt{answered(9, 10, 200, "running")},
 		}, false),
+		Entry("the job is accepted after a cancel was answered with 410", simulation.JobRecord{
+			Submissions: []simulation.Attempt{unanswered(0), answered(9, 12, 200, "")},
+			Cancels:     []simulation.Attempt{answered(6, 8, 410, "")},
+		}, false),
+		Entry("the job is shown after a cancel was answered with 410", simulation.JobRecord{
+			Submissions: []simulation.Attempt{unanswered(0)},
+			Cancels:     []simulation.Attempt{answered(6, 8, 410, "")},
+			Queries:     []simulation.Attempt{answered(9, 10, 410, ""), answered(11, 12, 200, "cancelled")},
+		}, false),
+		Entry("the job is unknown after a cancel was answered with 410", simulation.JobRecord{
+			Submissions: []simulation.Attempt{unanswered(0), answered(9, 12, 410, "")},
+			Cancels:     []simulation.Attempt{answered(6, 8, 410, ""), answered(9, 10, 410, "")},
+			Queries:     []simulation.Attempt{answered(9, 10, 410, "")},
+		}, true),
 		Entry("the job is running while a cancel is in flight", simulation.JobRecord{
 			Submissions: []simulation.Attempt{answered(0, 5, 200, "")},
 			Cancels:     []simulation.Attempt{answered(6, 12, 200, "")},
--- a/internal/cluster/simulation/fault_overload.go
+++ b/internal/cluster/simulation/fault_overload.go
@@ -15,6 +15,7 @@
 	return []FaultKind{
 		{LoneRunner, (*Deployment).loseAllButOneRunner},
 		{CPUQuota, (*Deployment).enforceQuotas},
+		{WithdrawnSubmissions, (*Deployment).withdrawSubmissions},
 	}
 }
 
--- a/internal/cluster/simulation/history.go
+++ b/internal/cluster/simulation/history.go
@@ -117,6 +117,11 @@
 		isClientError(a.Status) && a.Status != http.StatusRequestTimeout)
 }
 
+// acknowledgesCancel reports whether the call was answered with a status that acknowledges a cancel: 2xx or 410.
+func (a *Attempt) acknowledgesCancel() bool {
+	return a.isAnswered() && (isSuccess(a.Status) || a.Status == http.StatusGone)
+}
+
 // isSuccess reports whether a status is 2xx.
 func isSuccess(status int) bool { return status/100 == 2 }
 
@@ -148,12 +153,13 @@
 	return j.Cancels[0].Sent
 }
 
-// CancelAcknowledged returns when a cancel was first acknowledged, or Never.
+// CancelAcknowledged returns when a cancel was first acknowledged, or Never. By the users' protocol a 410 acknowledges a
+// cancel as a 2xx does.
 func (j *JobRecord) CancelAcknowledged() time.Duration {
 	first := Never
 	for i := range j.Cancels {
 		cancel := &j.Cancels[i]
-		if cancel.isAnswered() && isSuccess(cancel.Status) && (first == Never || cancel.Answered < first) {
+		if cancel.acknowledgesCancel() && (first == Never || cancel.Answered < first) {
 			first = cancel.Answered
 		}
 	}
--- a/test/system/system_test.go
+++ b/test/system/system_test.go
@@ -156,10 +156,16 @@
 // request sends a client's HTTP request to a frontend (1 or 2), and returns the status and the body. Without a complete
 // response it returns status 0 and the text of the error.
 func (s *localSystem) request(frontend int, method, path, body string) (int, string) {
+	return s.requestWithin(5*time.Second, frontend, method, path, body)
+}
+
+// requestWithin sends a request as request does. The client closes its connection if there is no response within the
+// timeout.
+func (s *localSystem) requestWithin(timeout time.Duration, frontend int, method, path, body string) (int, string) {
 	request, err := http.NewRequestWithContext(context.Background(), method, fmt.Sprintf("http://%s.%d:8149%s", s.network, 20+frontend, path), strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	request.Host = "demo.local"
-	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, err.Error()
--- a/test/system/upgrade_test.go
+++ b/test/system/upgrade_test.go
@@ -83,8 +83,33 @@
 	return started
 }
 
+// cancelUnknown cancels a job that was never submitted. No frontend accepts the job after that, and the replicas of the
+// shards stay equal. The cancel is a client's, or the operator's command of the new program, which needs no owner of the new
+// program. Only a process of the old program may ask the client to submit again.
+func (s *localSystem) cancelUnknown(id string, byOperator bool) {
+	GinkgoHelper()
+	Eventually(func(g Gomega) {
+		if byOperator {
+			_, err := s.command("", "jobs cancel "+id)
+			g.Expect(err).To(MatchError(ContainSubstring("gone")))
+			return
+		}
+		status, answer := s.request(1, http.MethodDelete, "/jobs/"+id, "")
+		g.Expect(status).To(Equal(http.StatusGone), answer)
+	}, waitTimeout, pollInterval).Should(Succeed(), s.logs)
+	for frontend := range 2 {
+		status, answer := s.request(frontend+1, http.MethodPost, "/jobs/"+id, `{"spec":"sleep 100ms","steps":`+shortSteps+`}`)
+		permitted := []int{http.StatusGone}
+		if *oldProgram != "" {
+			permitted = append(permitted, http.StatusServiceUnavailable)
+		}
+		Expect(status).To(BeElementOf(permitted), answer)
+	}
+	s.mustRun("", "shards --digests") // it fails while the digests of a shard differ
+}
+
 var _ = Describe("an upgrade that replaces one process after another", func() {
-	It("loses no job and starts no task twice while old and new processes run together", func() {
+	It("loses no job, starts no task twice and accepts no cancelled job while old and new processes run together", func() {
 		dir := GinkgoT().TempDir()
 		installed := filepath.Join(dir, "ospreypond")
 		old := *oldProgram
@@ -116,6 +141,10 @@
 			s.waitForState(2-i%2, cancelledJob, "cancelled")
 			s.waitForState(1+i%2, endlessJob, "running")
 			tasks += shortTasks
+			s.cancelUnknown(fmt.Sprintf("00000000000000d%d", i), strings.HasPrefix(name, "control-1"))
+		}
+		for i := range upgradedProcesses {
+			s.expectWithdrawn(fmt.Sprintf("/jobs/00000000000000d%d", i))
 		}
 
 		s.waitForState(1, duringUpgradeJob, "completed")
