--- a/internal/cluster/scheduler/withdrawals.go
+++ b/internal/cluster/scheduler/withdrawals.go
@@ -10,9 +10,9 @@
 // accepted after the cancel was answered. Clients choose the ids, so the number of records is limited.
 const (
 	// maxWithdrawnIDs is the number of withdrawn ids in a shard's state from which on the owner refuses to withdraw others.
-	maxWithdrawnIDs = 50_000
+	maxWithdrawnIDs = 20_000
 	// maxWithdrawalsPerCommand bounds the size of a command, so that withdrawals don't delay the submits in it.
-	maxWithdrawalsPerCommand = 512
+	maxWithdrawalsPerCommand = 128
 	// submissionLifetime is the longest time for which a submission can be on its way to a shard. Requests and their
 	// repetitions end within seconds, so this covers a process or a client that stands still for most of it. A cancel is
 	// answered only if the id cannot be accepted for at least this time.
