--- a/test/system/system_test.go
+++ b/test/system/system_test.go
@@ -162,10 +162,17 @@
 // requestWithin sends a request as request does. The client closes its connection if there is no response within the
 // timeout.
 func (s *localSystem) requestWithin(timeout time.Duration, frontend int, method, path, body string) (int, string) {
-	request, err := http.NewRequestWithContext(context.Background(), method, fmt.Sprintf("http://%s.%d:8149%s", s.network, 20+frontend, path), strings.NewReader(body))
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return s.requestBy(client, timeout, frontend, method, path, body)
+}
+
+// requestBy sends a request as requestWithin does, by a client that may have open connections.
+func (s *localSystem) requestBy(client *http.Client, timeout time.Duration, frontend int, method, path, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s.%d:8149%s", s.network, 20+frontend, path), strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	request.Host = "demo.local"
-	client := http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, err.Error()
