--- a/internal/cluster/frontend/frontend.go
+++ b/internal/cluster/frontend/frontend.go
@@ -15,6 +15,8 @@
 //   - No job is accepted by two shards. A client may submit a job again after the queue has moved. Before a job is submitted
 //     to the current shard of its queue, each earlier shard has answered that it doesn't have the job, and has promised
 //     never to accept it (protocol.FenceRequest).
+//   - After 410 to a cancel, no shard ever accepts the job: all have promised it (protocol.EveryVersion). After any other
+//     error some shards may have promised it, so that a later submission is rejected, but the client can't rely on that.
 //   - After 429 and 503, which ask the client to retry, the job was certainly not accepted. If that is unknown, the response
 //     is 504.
 //
