frontend: Take back the check for clients that have left

Cause: a closed connection is no cancel. After a silence clients send the same job again; the first copy, which a frontend submits when it goes on, starts it sooner, and was dropped.

--- a/internal/cluster/frontend/server.go
+++ b/internal/cluster/frontend/server.go
@@ -139,7 +139,6 @@
 		IdleTimeout:       limits.IdleTimeout,
 		ErrorLog:          discardLogger(),
 		BaseContext:       func(net.Listener) context.Context { return s.requests },
-		ConnContext:       withConnection,
 		ConnState:         s.acceptor.onConnState,
 	}
 	s.servers = append(s.servers, server)
--- a/internal/cluster/frontend/submit.go
+++ b/internal/cluster/frontend/submit.go
@@ -64,9 +64,6 @@
 		if err != nil {
 			return err
 		}
-		if hasClientLeft(r) {
-			return errClientLeft
-		}
 		err = s.submitTo(ctx, to, spec)
 		switch failure.KindOf(err) {
 		case failure.Stale, failure.Moved:
